--- /dev/null
+++ b/Makefile
@@ -0,0 +1,51 @@
+# Targets: build, test, demo, bench, lint, fmt, fuzz, generate, tools, clean.
+
+GOBIN := $(shell go env GOPATH)/bin
+LINT_VERSION := v2.15.0
+LINT := $(GOBIN)/golangci-lint
+PROTOC_GEN_GO_VERSION := v1.36.12
+
+.PHONY: build test unit lint fmt vet demo bench fuzz generate tools clean
+
+# Builds both programs into bin/.
+build:
+	go build -o bin/ ./cmd/...
+
+# Everything that CI checks.
+test: lint vet unit
+
+unit:
+	go test -race -timeout 240s ./...
+
+vet:
+	go vet ./...
+
+lint: $(LINT)
+	@unformatted=$$(gofmt -l $$(git ls-files '*.go')); \
+	if [ -n "$$unformatted" ]; then echo "not formatted, run make fmt: $$unformatted"; exit 1; fi
+	$(LINT) run ./...
+
+fmt: $(LINT)
+	$(LINT) fmt ./...
+
+# Installs the linter when the wanted version is not there.
+tools: $(LINT)
+
+$(LINT):
+	go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+
+# Needs protoc; its output is committed, so that a build does not need it.
+generate:
+	go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
+	PATH="$(GOBIN):$$PATH" protoc --go_out=. --go_opt=module=arbutustrestle io/wire/wire.proto
+
+# Starts the stand-ins and the entry instances and walks through the main job.
+demo: build
+	go run ./cmd/demo
+
+# Prints the cost of each decision at growing sizes.
+bench:
+	go test -run '^$$' -bench . -benchmem ./core/...
+
+clean:
+	rm -rf bin
