Keep the membership of an entry instance as a pure state machine

A region's entries need to know each other in detail and the other regions in outline, without shared state and within the control budget of a node. A heartbeat mesh whose period grows with the region carries the detail, and one summary for each pair of regions carries the rest. Each heartbeat echoes the last one heard, so that a one-way cut shows as "heard but not usable". Runs with random starts are ordered by what they echo, not by clocks.

--- /dev/null
+++ b/core/member/event.go
@@ -0,0 +1,80 @@
+package member
+
+import (
+	"net/netip"
+	"time"
+
+	"arbutustrestle/core/ident"
+)
+
+// Event is something that State.Step takes in.
+type Event interface{ isEvent() }
+
+// Tick lets time pass. It is due every TickInterval.
+type Tick struct{}
+
+// ListingRead brings a state of the platform's list of entries.
+type ListingRead struct{ Listing Listing }
+
+// HeartbeatArrived brings a heartbeat of a peer.
+type HeartbeatArrived struct{ Heartbeat Heartbeat }
+
+// SummaryArrived brings a summary that came straight from another region.
+type SummaryArrived struct{ Summary Summary }
+
+// SendFailed reports that nothing could be delivered to an instance: a refused
+// or broken connection, or no answer within the link's timeout.
+type SendFailed struct{ To ident.Instance }
+
+// LocalChanged says what this instance's heartbeats and summaries carry from now on.
+type LocalChanged struct {
+	Phase Phase
+	Held  Held
+	// Payload goes into heartbeats, SummaryPayload into summaries. Neither is
+	// changed by the embedder afterwards.
+	Payload        []byte
+	SummaryPayload []byte
+}
+
+func (Tick) isEvent()             {}
+func (ListingRead) isEvent()      {}
+func (HeartbeatArrived) isEvent() {}
+func (SummaryArrived) isEvent()   {}
+func (SendFailed) isEvent()       {}
+func (LocalChanged) isEvent()     {}
+
+// Action is something that the embedding program does after State.Step.
+type Action interface{ isAction() }
+
+// SendHeartbeat asks for a heartbeat to be sent; a failure comes back as SendFailed.
+type SendHeartbeat struct {
+	To        ident.Instance
+	Address   netip.AddrPort
+	Heartbeat Heartbeat
+}
+
+// SendSummary asks for a summary to be sent to an entry of another region; a
+// failure comes back as SendFailed.
+type SendSummary struct {
+	To      ident.Instance
+	Region  ident.Region
+	Address netip.AddrPort
+	Summary Summary
+}
+
+// Heard reports a heartbeat that was taken: neither late nor doubled, and of the
+// peer's current run. Only the payload of such a heartbeat may be used.
+type Heard struct{ Heartbeat Heartbeat }
+
+// RegionHeard reports a summary that was taken.
+type RegionHeard struct{ Summary Summary }
+
+// Paused reports that the process stood still. Leases, load and whatever else
+// was held before is stale.
+type Paused struct{ Gap time.Duration }
+
+func (SendHeartbeat) isAction() {}
+func (SendSummary) isAction()   {}
+func (Heard) isAction()         {}
+func (RegionHeard) isAction()   {}
+func (Paused) isAction()        {}
--- /dev/null
+++ b/core/member/view.go
@@ -0,0 +1,222 @@
+package member
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"arbutustrestle/core/ident"
+)
+
+// Member is one entry instance of the own region in a View.
+type Member struct {
+	Entry Entry
+	// Start is that of the run heard last; zero when none was heard.
+	Start  uint64
+	Status Status
+	Phase  Phase
+	// Usable is set when the member has lately confirmed that messages reach it,
+	// so that requests may be forwarded to it. It is set for this instance.
+	Usable bool
+	Listed bool
+	// Leaving is set by the listing or by the member's own word.
+	Leaving bool
+	Held    Held
+}
+
+// Incarnation returns the run that was heard last.
+func (m *Member) Incarnation() ident.Incarnation {
+	return ident.Incarnation{Instance: m.Entry.ID, Start: m.Start}
+}
+
+// Region is another region in a View.
+type Region struct {
+	Name ident.Region
+	// Heard is false when no summary ever came; the fields below are then zero.
+	Heard bool
+	// Fresh is false when the newest summary is old, or from before a pause.
+	Fresh bool
+	// MadeAt is when the newest summary was made, by this instance's clock, less
+	// its time on the way.
+	MadeAt time.Time
+	Ready  int
+	Table  ident.Revision
+	// Contacts are the entries there to which requests may be forwarded. One where
+	// a send failed lately is left out.
+	Contacts []Contact
+	// Payload is that of the newest summary. It must not be changed.
+	Payload []byte
+}
+
+// View is the membership at one moment. It never changes and is safe for
+// concurrent use. The slices that its methods return must not be changed.
+type View struct {
+	// Self is this instance's own row.
+	Self Member
+	// Stale is set from a pause of this process until its peers were heard again.
+	Stale bool
+	// Revision is that of the listing; zero when none was read.
+	Revision ident.Revision
+	// members is sorted by name and holds this instance.
+	members []Member
+	alive   []ident.Instance
+	advised []ident.Instance
+	// regions is sorted by name.
+	regions []Region
+	listed  map[ident.Instance]Entry
+}
+
+// Members returns every instance of the own region that is listed or heard, this
+// one included, sorted by name.
+func (v *View) Members() []Member {
+	return v.members
+}
+
+// Member returns the row of an instance of the own region.
+func (v *View) Member(id ident.Instance) (*Member, bool) {
+	i, found := slices.BinarySearchFunc(v.members, id, compareMember)
+	if !found {
+		return nil, false
+	}
+	return &v.members[i], true
+}
+
+// Run returns the row of an incarnation of the own region. It reports false when
+// another run of the instance, or none, was heard last.
+func (v *View) Run(i ident.Incarnation) (*Member, bool) {
+	m, found := v.Member(i.Instance)
+	if !found || m.Start != i.Start || m.Status == Left {
+		return nil, false
+	}
+	return m, true
+}
+
+// Entry returns what is known of an instance of any region: what it says of
+// itself when it is of the own region, else what the listing says.
+func (v *View) Entry(id ident.Instance) (Entry, bool) {
+	if m, found := v.Member(id); found {
+		return m.Entry, true
+	}
+	e, found := v.listed[id]
+	return e, found
+}
+
+// Alive returns the names of the alive members in any phase, this instance
+// included, sorted: the candidates for ranking in the own region.
+func (v *View) Alive() []ident.Instance {
+	return v.alive
+}
+
+// Advised returns the names of the members that callers may be sent to: alive,
+// ready and not leaving, sorted.
+func (v *View) Advised() []ident.Instance {
+	return v.advised
+}
+
+// Regions returns the other regions, sorted by name.
+func (v *View) Regions() []Region {
+	return v.regions
+}
+
+// Region returns another region.
+func (v *View) Region(name ident.Region) (*Region, bool) {
+	i, found := slices.BinarySearchFunc(v.regions, name, func(r Region, name ident.Region) int {
+		return strings.Compare(string(r.Name), string(name))
+	})
+	if !found {
+		return nil, false
+	}
+	return &v.regions[i], true
+}
+
+// buildView takes a picture of the state.
+func (s *State) buildView() *View {
+	v := &View{
+		Stale:    s.stale,
+		Revision: s.listing.Revision,
+		members:  make([]Member, 0, len(s.peers)+1),
+		alive:    make([]ident.Instance, 0, len(s.peers)+1),
+		advised:  make([]ident.Instance, 0, len(s.peers)+1),
+		regions:  make([]Region, 0, len(s.regions)),
+		listed:   s.listed,
+	}
+	v.Self = s.selfMember()
+	self := false
+	for _, p := range s.peers {
+		if !self && p.entry.ID > s.options.Self.ID {
+			self = true
+			v.add(v.Self)
+		}
+		if p.listed || p.status == Alive || p.status == Suspect {
+			v.add(p.member())
+		}
+	}
+	if !self {
+		v.add(v.Self)
+	}
+	for _, r := range s.regions {
+		v.regions = append(v.regions, s.regionView(r))
+	}
+	return v
+}
+
+func (v *View) add(m Member) {
+	v.members = append(v.members, m)
+	if m.Status != Alive {
+		return
+	}
+	v.alive = append(v.alive, m.Entry.ID)
+	if m.Phase == Ready && !m.Leaving {
+		v.advised = append(v.advised, m.Entry.ID)
+	}
+}
+
+func (s *State) selfMember() Member {
+	_, listed := s.listed[s.options.Self.ID]
+	phase := s.local.Phase
+	return Member{
+		Entry:   s.options.Self,
+		Start:   s.options.Start,
+		Status:  Alive,
+		Phase:   phase,
+		Usable:  true,
+		Listed:  listed,
+		Leaving: s.options.Self.Leaving || phase >= Draining,
+		Held:    s.local.Held,
+	}
+}
+
+func (p *peer) member() Member {
+	return Member{
+		Entry:   p.entry,
+		Start:   p.start,
+		Status:  p.status,
+		Phase:   p.phase,
+		Usable:  p.usable,
+		Listed:  p.listed,
+		Leaving: p.leaving || p.phase >= Draining,
+		Held:    p.held,
+	}
+}
+
+func (s *State) regionView(r *region) Region {
+	view := Region{
+		Name:    r.name,
+		Heard:   !r.summary.Origin.IsZero(),
+		Fresh:   r.fresh,
+		MadeAt:  r.madeAt,
+		Ready:   r.summary.Ready,
+		Table:   r.summary.Table,
+		Payload: r.summary.Payload,
+	}
+	for _, c := range r.summary.Contacts {
+		if s.works(c.Incarnation.Instance) {
+			view.Contacts = append(view.Contacts, c)
+		}
+	}
+	return view
+}
+
+func compareMember(m Member, id ident.Instance) int {
+	return strings.Compare(string(m.Entry.ID), string(id))
+}
