Add the table: sheets, checks, pages, manifest, revisions

Every other part decides by the operators' table, so its types and lookups come first. Pages are cut by the hash of the row keys instead of by row counts, so that one changed row leaves the other pages alone; rolling content boundaries were ruled out because they do not bound the size of a page.

--- /dev/null
+++ b/core/table/example_test.go
@@ -0,0 +1,52 @@
+package table_test
+
+import (
+	"fmt"
+
+	"arbutustrestle/core/table"
+)
+
+// exampleSheets is a small table as an operator would save it.
+var exampleSheets = map[string]string{
+	"zones.csv":      "zone,region\nwest-1,west\nnorth-1,north\n",
+	"policy.csv":     "setting,value\nobjective,cost\n",
+	"traffic.csv":    "model,class,version,weight\nplanner,any,v3,90\nplanner,any,v4,10\n",
+	"shares.csv":     "from,to,max-percent,cost\nwest,north,20,120\n",
+	"workspaces.csv": "workspace,home,places,requests-per-second,in-flight,tokens-per-second\nfamily-peeters,west,west,5,,\n",
+	"pools.csv":      "pool,kind,serves,slots,checks-orders\nplanners,engine,planner@v3 planner@v4,8,yes\n",
+	"calls.csv":      "service,method,path,repeatable,timeout-s\n",
+}
+
+// An operator's command checks sheets, publishes them, and an instance builds
+// the table again.
+func Example() {
+	var sheets []table.Sheet
+	for name, text := range exampleSheets {
+		sheet, faults := table.ParseSheet(name, []byte(text))
+		if faults != nil {
+			fmt.Println(faults)
+		}
+		sheets = append(sheets, sheet)
+	}
+	pages := table.Split(sheets, table.PageBytes)
+	manifest := table.NewManifest(41, "ann", "try planner v4", pages)
+
+	published := map[table.Digest][]byte{}
+	for _, page := range pages {
+		published[page.Ref.Digest] = page.Data
+	}
+	inForce := table.Version{Revision: 41}
+	if manifest.Succeeds(inForce) != table.Take {
+		return
+	}
+	t, err := table.Build(manifest, published)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	fmt.Println(t.Version().Revision, t.Policy().Objective, t.Regions())
+	fmt.Println(t.Versions("planner", table.Quick))
+	// Output:
+	// 42 cost [north west]
+	// [{v3 90} {v4 10}]
+}
--- /dev/null
+++ b/core/table/manifest.go
@@ -0,0 +1,193 @@
+package table
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/csv"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/juju/errors"
+
+	"arbutustrestle/core/ident"
+)
+
+// Digest names a page or a manifest by its bytes: the first 32 hexadecimal
+// digits of their SHA-256 sum.
+type Digest string
+
+// digestDigits is the length of a Digest.
+const digestDigits = 32
+
+// DigestOf returns the digest of some bytes.
+func DigestOf(data []byte) Digest {
+	sum := sha256.Sum256(data)
+	return Digest(hex.EncodeToString(sum[:digestDigits/2]))
+}
+
+// ValidDigest reports whether a text has the form of a digest.
+func ValidDigest(text string) bool {
+	if len(text) != digestDigits || strings.ToLower(text) != text {
+		return false
+	}
+	_, err := hex.DecodeString(text)
+	return err == nil
+}
+
+// PageRef names a page and the sheet whose rows it holds.
+type PageRef struct {
+	Sheet  SheetName
+	Digest Digest
+}
+
+// Manifest is the one value that brings a new table in force. Everything else
+// that it needs is found by digest.
+type Manifest struct {
+	// Revision is Base + 1, or Succeeds gives BadBase.
+	Revision ident.Revision
+	// Base is the revision that the author started from, 0 for the first table.
+	Base ident.Revision
+	// Author and Note are for people.
+	Author string
+	Note   string
+	// Pages has no page twice.
+	Pages []PageRef
+}
+
+// The rows of a manifest that are not pages.
+const (
+	revisionRow = "revision"
+	baseRow     = "base"
+	authorRow   = "author"
+	noteRow     = "note"
+)
+
+// manifestFile names the manifest in faults.
+const manifestFile = "manifest"
+
+// maxPages bounds the pages of one manifest, so that it stays below the size of
+// a published value.
+const maxPages = 20_000
+
+// Encode returns the published form: CSV with the columns name and value. Equal
+// manifests have equal bytes.
+func (m Manifest) Encode() []byte {
+	var out bytes.Buffer
+	w := csv.NewWriter(&out)
+	rows := [][]string{
+		{"name", "value"},
+		{revisionRow, strconv.FormatUint(uint64(m.Revision), 10)},
+		{baseRow, strconv.FormatUint(uint64(m.Base), 10)},
+		{authorRow, m.Author},
+		{noteRow, m.Note},
+	}
+	for _, page := range m.Pages {
+		rows = append(rows, []string{string(page.Sheet), string(page.Digest)})
+	}
+	// A bytes.Buffer does not fail.
+	_ = w.WriteAll(rows)
+	return out.Bytes()
+}
+
+// Version returns the revision together with the digest of the published bytes.
+func (m Manifest) Version() Version {
+	return Version{Revision: m.Revision, Digest: DigestOf(m.Encode())}
+}
+
+// ParseManifest reads what Encode writes. It returns Faults for anything else.
+// Whether the revision follows its base is for Succeeds to say.
+func ParseManifest(data []byte) (Manifest, error) {
+	p := manifestParser{seen: map[string]bool{}}
+	p.read(data)
+	for _, name := range []string{revisionRow, baseRow} {
+		if !p.seen[name] {
+			p.fault(0, name, "is missing", "add the row")
+		}
+	}
+	return p.manifest, p.faults.err()
+}
+
+// manifestParser holds the state of reading a manifest.
+type manifestParser struct {
+	manifest Manifest
+	faults   Faults
+	// seen has the names of single rows and the sheets and digests of pages.
+	seen map[string]bool
+}
+
+func (p *manifestParser) fault(line int, column, problem, remedy string) {
+	p.faults = append(p.faults, Fault{File: manifestFile, Line: line, Column: column, Problem: problem, Remedy: remedy})
+}
+
+func (p *manifestParser) read(data []byte) {
+	source := csv.NewReader(bytes.NewReader(data))
+	source.FieldsPerRecord = 2
+	header, err := source.Read()
+	if err != nil || header[0] != "name" || header[1] != "value" {
+		p.fault(1, "", "has no header row", "begin with the row name,value")
+		return
+	}
+	for {
+		row, err := source.Read()
+		if errors.Is(err, io.EOF) {
+			return
+		}
+		if err != nil {
+			p.fault(0, "", err.Error(), "write each row as name,value")
+			return
+		}
+		line, _ := source.FieldPos(0)
+		p.row(line, row[0], row[1])
+	}
+}
+
+func (p *manifestParser) row(line int, name, value string) {
+	key := name
+	if layoutOf(SheetName(name)) != nil {
+		key = name + " " + value
+	}
+	if p.seen[key] {
+		p.fault(line, name, "stands twice", "remove one of the two rows")
+		return
+	}
+	p.seen[key] = true
+	switch name {
+	case revisionRow:
+		p.manifest.Revision = p.number(line, name, value)
+	case baseRow:
+		p.manifest.Base = p.number(line, name, value)
+	case authorRow:
+		p.manifest.Author = value
+	case noteRow:
+		p.manifest.Note = value
+	default:
+		p.page(line, name, value)
+	}
+}
+
+func (p *manifestParser) number(line int, name, value string) ident.Revision {
+	number, err := strconv.ParseUint(value, 10, 63)
+	if err != nil {
+		p.fault(line, name, fmt.Sprintf("%q is not a revision", value), "use a whole number")
+	}
+	return ident.Revision(number)
+}
+
+func (p *manifestParser) page(line int, sheet, digest string) {
+	if layoutOf(SheetName(sheet)) == nil {
+		p.fault(line, sheet, "is not a sheet of the table", "use one of "+listSheets())
+		return
+	}
+	if !ValidDigest(digest) {
+		p.fault(line, sheet, fmt.Sprintf("%q is not a digest", digest), "use 32 hexadecimal digits in lower case")
+		return
+	}
+	if len(p.manifest.Pages) == maxPages {
+		p.fault(line, sheet, "is one page too many", fmt.Sprintf("list at most %d pages", maxPages))
+		return
+	}
+	p.manifest.Pages = append(p.manifest.Pages, PageRef{Sheet: SheetName(sheet), Digest: Digest(digest)})
+}
--- /dev/null
+++ b/core/table/page.go
@@ -0,0 +1,146 @@
+package table
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/csv"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+
+	"arbutustrestle/core/ident"
+)
+
+// PageBytes is the size above which a page is cut in two. With workspaces of 60
+// bytes it keeps the sum of the manifest, which lists every page, and the one
+// page that a changed row is on near its least.
+const PageBytes = 2048
+
+// Page is a published part of a sheet. It does not change once published.
+type Page struct {
+	Ref PageRef
+	// Data is CSV with the sheet's header row.
+	Data []byte
+}
+
+// key identifies a row within its sheet.
+func (l *layout) key(r Record) string {
+	if l.keys == 1 {
+		return r.Cells[0]
+	}
+	return strings.Join(r.Cells[:l.keys], "\x00")
+}
+
+// hashedRow is a row with its encoded form, for cutting pages.
+type hashedRow struct {
+	hash uint64
+	key  string
+	text []byte
+}
+
+// Split cuts sheets into pages of at most pageBytes of rows, or of one row if
+// that is longer. Rows are cut by the hash of their keys: a sheet that is too
+// large is halved by the first bit, each half that is still too large by the
+// second, and so on. Where the cuts fall thus depends on nothing but the rows on
+// either side, so that a changed row alters its own page only.
+func Split(sheets []Sheet, pageBytes int) []Page {
+	var pages []Page
+	for i := range layouts {
+		l := &layouts[i]
+		rows := hashRows(l, join(l.name, sheets))
+		pages = cut(l, rows, pageBytes, 0, pages)
+	}
+	return pages
+}
+
+func hashRows(l *layout, s Sheet) []hashedRow {
+	rows := make([]hashedRow, len(s.Rows))
+	for i, record := range s.Rows {
+		key := l.key(record)
+		rows[i] = hashedRow{hash: xxhash.Sum64String(key), key: key, text: encodeRow(record.Cells)}
+	}
+	slices.SortFunc(rows, func(a, b hashedRow) int {
+		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.key, b.key))
+	})
+	return rows
+}
+
+func encodeRow(cells []string) []byte {
+	var out bytes.Buffer
+	w := csv.NewWriter(&out)
+	// A bytes.Buffer does not fail.
+	_ = w.Write(cells)
+	w.Flush()
+	return out.Bytes()
+}
+
+// hashBits is the number of times that a sheet can be halved.
+const hashBits = 64
+
+// cut appends the pages of the rows, which are sorted by hash and agree in its
+// first depth bits.
+func cut(l *layout, rows []hashedRow, pageBytes, depth int, pages []Page) []Page {
+	size := 0
+	for _, r := range rows {
+		size += len(r.text)
+	}
+	if size <= pageBytes || len(rows) == 1 || depth == hashBits {
+		if len(rows) > 0 || depth == 0 {
+			pages = append(pages, newPage(l, rows))
+		}
+		return pages
+	}
+	bit := uint64(1) << (hashBits - 1 - depth)
+	half := slices.IndexFunc(rows, func(r hashedRow) bool { return r.hash&bit != 0 })
+	if half < 0 {
+		half = len(rows)
+	}
+	pages = cut(l, rows[:half], pageBytes, depth+1, pages)
+	return cut(l, rows[half:], pageBytes, depth+1, pages)
+}
+
+func newPage(l *layout, rows []hashedRow) Page {
+	data := encodeRow(l.columns)
+	for _, r := range rows {
+		data = append(data, r.text...)
+	}
+	return Page{Ref: PageRef{Sheet: l.name, Digest: DigestOf(data)}, Data: data}
+}
+
+// NewManifest returns the manifest that follows a revision and lists the pages.
+func NewManifest(base ident.Revision, author, note string, pages []Page) Manifest {
+	m := Manifest{Revision: base + 1, Base: base, Author: author, Note: note}
+	for _, p := range pages {
+		m.Pages = append(m.Pages, p.Ref)
+	}
+	return m
+}
+
+// Build puts a table together from a manifest and its pages, by digest; others
+// are ignored. It returns a NotFound error when a page is absent, a NotValid
+// error when one does not have the digest it is filed under, and Faults when the
+// rows do not make a table. A table is never built in part.
+func Build(manifest Manifest, pages map[Digest][]byte) (*Table, error) {
+	sheets := make([]Sheet, 0, len(manifest.Pages))
+	var faults Faults
+	for _, ref := range manifest.Pages {
+		data, ok := pages[ref.Digest]
+		if !ok {
+			return nil, errors.NotFoundf("page %s of sheet %s", ref.Digest, ref.Sheet)
+		}
+		if DigestOf(data) != ref.Digest {
+			return nil, errors.NotValidf("page %s of sheet %s: its bytes have another digest", ref.Digest, ref.Sheet)
+		}
+		sheet, found := parseNamed(ref.Sheet, string(ref.Sheet)+fileEnding+" page "+string(ref.Digest), data)
+		sheets = append(sheets, sheet)
+		faults = append(faults, found...)
+	}
+	t, found := Check(sheets)
+	if faults = append(faults, found...); len(faults) > 0 {
+		return nil, faults
+	}
+	t.version = manifest.Version()
+	return t, nil
+}
--- /dev/null
+++ b/core/table/policy.go
@@ -0,0 +1,202 @@
+package table
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Objective is what the operator weighs most.
+type Objective uint8
+
+// The objectives.
+const (
+	// Latency asks for the lowest tail latency.
+	Latency Objective = iota
+	// Cost asks for the lowest cost and share of requests sent to other regions.
+	Cost
+)
+
+// String returns the word used in the policy sheet.
+func (o Objective) String() string {
+	if o == Cost {
+		return "cost"
+	}
+	return "latency"
+}
+
+// ClassPolicy holds the settings that each class of requests has.
+type ClassPolicy struct {
+	// SharePercent is the part of the engine slots that the class gets when all
+	// classes ask for more than there is, 0 to 100. ServiceCall has none, since
+	// engines and plain services share no slots.
+	SharePercent int
+	// QueueLength is the number of requests that may wait in one instance.
+	QueueLength int
+	// MaxWait bounds the time in the queue.
+	MaxWait time.Duration
+	// Timeout is the deadline of a request that brings none.
+	Timeout time.Duration
+	// Priority is what engines are told, 0 (first) to 9 (last).
+	Priority int
+}
+
+// Policy holds the settings of the policy sheet. DefaultPolicy gives the values
+// of a sheet without rows.
+type Policy struct {
+	Objective Objective
+	// Classes is indexed by Class; the entry of AnyClass is not used.
+	Classes [ClassCount]ClassPolicy
+	// FirstToken is the target for the time to the first token.
+	FirstToken time.Duration
+	// BetweenTokens is the target for the time between tokens.
+	BetweenTokens time.Duration
+	// RetryBudgetPercent is the number of retries per 100 first attempts.
+	RetryBudgetPercent int
+	// MaxAttempts bounds the attempts of one request, the first included.
+	MaxAttempts int
+	// MaxHops bounds how often a request may be forwarded between instances.
+	MaxHops int
+	// HedgeAfter is the wait before a second attempt of a repeatable request is
+	// started beside the first; 0 means never.
+	HedgeAfter time.Duration
+	// RecordRetention is how long the record of a call that may not repeat is kept
+	// at least.
+	RecordRetention time.Duration
+	// EpochLength is how long an instance hands out one key epoch.
+	EpochLength time.Duration
+	// RecordLimit is the number of such records that one instance keeps.
+	RecordLimit int
+	// GracefulShutdown bounds how long a stopping instance waits for requests.
+	GracefulShutdown time.Duration
+	// IdleTimeout is the longest silence of an upstream in the middle of an answer.
+	IdleTimeout time.Duration
+	// LoadFreshness is the age up to which a load report is believed.
+	LoadFreshness time.Duration
+	// RampUp is how long a new or returned upstream takes to get its full part.
+	RampUp time.Duration
+	// AffinityPercent is the load, relative to the mean, up to which an upstream
+	// keeps the requests whose prefix it holds, such as 125.
+	AffinityPercent int
+	// SpillMargin is how much shorter the wait in another region has to be, on top
+	// of the cost of the share, before a request is sent there.
+	SpillMargin time.Duration
+	// RetryAfterMin and RetryAfterMax bound the time that a refused caller is told
+	// to stay away. RetryAfterMin is not above RetryAfterMax.
+	RetryAfterMin, RetryAfterMax time.Duration
+	// OrderHandover is the wait before a new orderer takes over an engine that does
+	// not check orders.
+	OrderHandover time.Duration
+}
+
+// setting is one row that the policy sheet may have.
+type setting struct {
+	name string
+	// initial is the value without a row, in the form of the sheet.
+	initial string
+	// low and high bound a number, in the unit that the name ends with.
+	low, high int
+	set       func(p *Policy, value int)
+}
+
+// objectiveSetting is the one setting that is not a number.
+const objectiveSetting = "objective"
+
+// settings are the numeric rows of the policy sheet.
+var settings = slices.Concat(
+	classSettings(Quick, "25", "64", "600", "20", "0"),
+	classSettings(Plan, "45", "64", "1500", "180", "3"),
+	classSettings(Session, "30", "128", "20000", "1800", "6"),
+	classSettings(ServiceCall, "", "256", "1000", "30", ""),
+	[]setting{
+		{"first-token-ms", "1900", 1, 600_000, func(p *Policy, v int) { p.FirstToken = milliseconds(v) }},
+		{"between-tokens-ms", "69", 1, 60_000, func(p *Policy, v int) { p.BetweenTokens = milliseconds(v) }},
+		{"retry-budget-percent", "10", 0, 100, func(p *Policy, v int) { p.RetryBudgetPercent = v }},
+		{"max-attempts", "3", 1, 10, func(p *Policy, v int) { p.MaxAttempts = v }},
+		{"max-hops", "1", 0, 3, func(p *Policy, v int) { p.MaxHops = v }},
+		{"hedge-after-ms", "0", 0, 60_000, func(p *Policy, v int) { p.HedgeAfter = milliseconds(v) }},
+		{"record-retention-s", "900", 1, 86_400, func(p *Policy, v int) { p.RecordRetention = seconds(v) }},
+		{"epoch-length-s", "60", 1, 3_600, func(p *Policy, v int) { p.EpochLength = seconds(v) }},
+		{"record-limit", "100000", 1, 1_000_000, func(p *Policy, v int) { p.RecordLimit = v }},
+		{"graceful-shutdown-s", "300", 1, 7_200, func(p *Policy, v int) { p.GracefulShutdown = seconds(v) }},
+		{"idle-timeout-s", "30", 1, 600, func(p *Policy, v int) { p.IdleTimeout = seconds(v) }},
+		{"load-freshness-ms", "3000", 1, 60_000, func(p *Policy, v int) { p.LoadFreshness = milliseconds(v) }},
+		{"ramp-up-s", "30", 0, 3_600, func(p *Policy, v int) { p.RampUp = seconds(v) }},
+		{"affinity-percent", "125", 100, 1_000, func(p *Policy, v int) { p.AffinityPercent = v }},
+		{"spill-margin-ms", "50", 0, 600_000, func(p *Policy, v int) { p.SpillMargin = milliseconds(v) }},
+		{"retry-after-min-ms", "1000", 1, 600_000, func(p *Policy, v int) { p.RetryAfterMin = milliseconds(v) }},
+		{"retry-after-max-ms", "30000", 1, 600_000, func(p *Policy, v int) { p.RetryAfterMax = milliseconds(v) }},
+		{"order-handover-s", "20", 1, 600, func(p *Policy, v int) { p.OrderHandover = seconds(v) }},
+	},
+)
+
+// classSettings returns the rows of one class, such as "quick-queue-length".
+// Empty initial values leave a row out.
+func classSettings(c Class, share, queue, waitMS, timeoutS, priority string) []setting {
+	all := []setting{
+		{"share-percent", share, 0, 100, func(p *Policy, v int) { p.Classes[c].SharePercent = v }},
+		{"queue-length", queue, 0, 100_000, func(p *Policy, v int) { p.Classes[c].QueueLength = v }},
+		{"max-wait-ms", waitMS, 0, 600_000, func(p *Policy, v int) { p.Classes[c].MaxWait = milliseconds(v) }},
+		{"timeout-s", timeoutS, 1, 7_200, func(p *Policy, v int) { p.Classes[c].Timeout = seconds(v) }},
+		{"priority", priority, 0, 9, func(p *Policy, v int) { p.Classes[c].Priority = v }},
+	}
+	var rows []setting
+	for _, s := range all {
+		if s.initial == "" {
+			continue
+		}
+		s.name = c.String() + "-" + s.name
+		rows = append(rows, s)
+	}
+	return rows
+}
+
+func milliseconds(v int) time.Duration {
+	return time.Duration(v) * time.Millisecond
+}
+
+func seconds(v int) time.Duration {
+	return time.Duration(v) * time.Second
+}
+
+// DefaultPolicy returns the values that hold without a row in the policy sheet.
+func DefaultPolicy() Policy {
+	var p Policy
+	for _, s := range settings {
+		value, err := strconv.Atoi(s.initial)
+		if err != nil {
+			panic("the default of " + s.name + " is not a number")
+		}
+		s.set(&p, value)
+	}
+	return p
+}
+
+// findSetting returns a numeric setting, and nil when there is none.
+func findSetting(name string) *setting {
+	for i := range settings {
+		if settings[i].name == name {
+			return &settings[i]
+		}
+	}
+	return nil
+}
+
+// nearSettings lists the settings that share a word with a wrong name, or all.
+func nearSettings(name string) string {
+	var near, all []string
+	for _, s := range settings {
+		all = append(all, s.name)
+		for word := range strings.SplitSeq(name, "-") {
+			if word != "" && slices.Contains(strings.Split(s.name, "-"), word) {
+				near = append(near, s.name)
+				break
+			}
+		}
+	}
+	if len(near) > 0 {
+		return strings.Join(near, ", ")
+	}
+	return objectiveSetting + ", " + strings.Join(all, ", ")
+}
--- /dev/null
+++ b/core/table/table.go
@@ -0,0 +1,238 @@
+// Package table holds the table that operators edit: which versions serve which
+// model, how much each region may send to others, where each workspace's data
+// may be, and how calls may be treated.
+//
+// A table is made of sheets of rows. Check turns sheets into a Table or into the
+// list of everything that is wrong with them. For publishing, Split cuts sheets
+// into pages named by their digests, a Manifest lists the pages and carries the
+// revision, and Build puts a Table together again. Succeeds decides whether an
+// offered revision may take the place of the one in force.
+package table
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"arbutustrestle/core/ident"
+)
+
+// Table is a checked table. It is immutable: what its methods return is shared
+// and must not be changed. Its zero value knows nothing and allows nothing.
+type Table struct {
+	version Version
+	// sheets has every sheet, in the order of SheetNames.
+	sheets     []Sheet
+	policy     Policy
+	zones      []ZoneRow
+	regions    []ident.Region
+	pools      []PoolRow
+	workspaces []WorkspaceRow
+
+	regionOf       map[ident.Zone]ident.Region
+	zonesOf        map[ident.Region][]ident.Zone
+	workspaceOf    map[ident.Workspace]*WorkspaceRow
+	poolOf         map[string]*PoolRow
+	poolsOfModel   map[ModelVersion][]*PoolRow
+	poolsOfService map[ident.Service][]*PoolRow
+	// versions holds no weight of 0.
+	versions map[modelClass][]Weighted
+	shares   map[regionPair]ShareRow
+	// calls is sorted by path, longest first, then a method before AnyMethod.
+	calls map[ident.Service][]CallRow
+}
+
+type modelClass struct {
+	model ident.Model
+	class Class
+}
+
+type regionPair struct {
+	from, to ident.Region
+}
+
+func newTable() *Table {
+	return &Table{
+		policy:         DefaultPolicy(),
+		regionOf:       map[ident.Zone]ident.Region{},
+		zonesOf:        map[ident.Region][]ident.Zone{},
+		workspaceOf:    map[ident.Workspace]*WorkspaceRow{},
+		poolOf:         map[string]*PoolRow{},
+		poolsOfModel:   map[ModelVersion][]*PoolRow{},
+		poolsOfService: map[ident.Service][]*PoolRow{},
+		versions:       map[modelClass][]Weighted{},
+		shares:         map[regionPair]ShareRow{},
+		calls:          map[ident.Service][]CallRow{},
+	}
+}
+
+// finish orders what the lookups rely on, so that two nodes that hold the same
+// revision iterate in the same order however its pages were read.
+func (t *Table) finish() {
+	slices.SortFunc(t.zones, func(a, b ZoneRow) int { return cmp.Compare(a.Zone, b.Zone) })
+	for region, zones := range t.zonesOf {
+		slices.Sort(zones)
+		t.regions = append(t.regions, region)
+	}
+	slices.Sort(t.regions)
+	for _, weighted := range t.versions {
+		slices.SortFunc(weighted, func(a, b Weighted) int { return cmp.Compare(a.Version, b.Version) })
+	}
+	for _, calls := range t.calls {
+		slices.SortFunc(calls, compareCalls)
+	}
+}
+
+func compareCalls(a, b CallRow) int {
+	return cmp.Or(
+		cmp.Compare(len(b.Path), len(a.Path)),
+		cmp.Compare(a.Path, b.Path),
+		// Upper case sorts before "any".
+		cmp.Compare(a.Method, b.Method),
+	)
+}
+
+// Version returns the revision and digest of the manifest that the table was
+// built from; zero for a table that came from Check.
+func (t *Table) Version() Version {
+	return t.version
+}
+
+// Policy returns the settings, with defaults where the sheet has no row.
+func (t *Table) Policy() *Policy {
+	return &t.policy
+}
+
+// Regions returns the regions in the order of their names.
+func (t *Table) Regions() []ident.Region {
+	return t.regions
+}
+
+// Zones returns the availability zones in the order of their names.
+func (t *Table) Zones() []ZoneRow {
+	return t.zones
+}
+
+// ZonesOf returns the availability zones of a region in the order of their names.
+func (t *Table) ZonesOf(region ident.Region) []ident.Zone {
+	return t.zonesOf[region]
+}
+
+// RegionOf returns the region of an availability zone, and false for a zone that
+// the table does not know.
+func (t *Table) RegionOf(zone ident.Zone) (ident.Region, bool) {
+	region, ok := t.regionOf[zone]
+	return region, ok
+}
+
+func (t *Table) hasRegion(region ident.Region) bool {
+	return len(t.zonesOf[region]) > 0
+}
+
+// Workspace returns the row of a workspace.
+func (t *Table) Workspace(workspace ident.Workspace) (*WorkspaceRow, bool) {
+	row, ok := t.workspaceOf[workspace]
+	return row, ok
+}
+
+// Workspaces returns all rows of the workspaces sheet, in no given order.
+func (t *Table) Workspaces() []WorkspaceRow {
+	return t.workspaces
+}
+
+// Versions returns the versions that serve a class of a model's requests. The
+// rows of the class count, and those of AnyClass when it has none. Nil means
+// that nothing serves them.
+func (t *Table) Versions(model ident.Model, class Class) []Weighted {
+	if weighted := t.versions[modelClass{model, class}]; weighted != nil {
+		return weighted
+	}
+	return t.versions[modelClass{model, AnyClass}]
+}
+
+// Share returns what a region may send to another, and false when it may send
+// nothing.
+func (t *Table) Share(from, to ident.Region) (ShareRow, bool) {
+	share, ok := t.shares[regionPair{from, to}]
+	return share, ok && share.MaxPercent > 0
+}
+
+// Pool returns the row of a pool.
+func (t *Table) Pool(name string) (*PoolRow, bool) {
+	row, ok := t.poolOf[name]
+	return row, ok
+}
+
+// Pools returns all rows of the pools sheet, in no given order.
+func (t *Table) Pools() []PoolRow {
+	return t.pools
+}
+
+// PoolsOfModel returns the pools whose engines may load a version of a model.
+func (t *Table) PoolsOfModel(model ident.Model, version ident.Version) []*PoolRow {
+	return t.poolsOfModel[ModelVersion{model, version}]
+}
+
+// PoolsOfService returns the pools whose replicas answer a plain service.
+func (t *Table) PoolsOfService(service ident.Service) []*PoolRow {
+	return t.poolsOfService[service]
+}
+
+// Call returns the row that covers a call of a plain service: the one with the
+// longest path, and among these the one that names the method. The path is the
+// decoded one, such as "/bookings/7". A path with empty, "." or ".." segments is
+// covered by no row, since the service could read it as another one.
+func (t *Table) Call(service ident.Service, method, path string) (*CallRow, bool) {
+	if !cleanPath(path) {
+		return nil, false
+	}
+	calls := t.calls[service]
+	for i := range calls {
+		if calls[i].covers(method, path) {
+			return &calls[i], true
+		}
+	}
+	return nil, false
+}
+
+// covers reports whether a row applies: "/bookings" covers "/bookings" and
+// "/bookings/7", not "/bookings-archive".
+func (c *CallRow) covers(method, path string) bool {
+	if c.Method != method && c.Method != AnyMethod {
+		return false
+	}
+	rest, ok := strings.CutPrefix(path, c.Path)
+	return ok && (rest == "" || rest[0] == '/' || c.Path == "/")
+}
+
+// cleanPath reports whether a path begins with a slash and has no empty, "." or
+// ".." segments; a last slash is allowed.
+func cleanPath(path string) bool {
+	if path == "" || path[0] != '/' {
+		return false
+	}
+	rest := path[1:]
+	for rest != "" {
+		segment, after, _ := strings.Cut(rest, "/")
+		if segment == "" || segment == "." || segment == ".." {
+			return false
+		}
+		rest = after
+	}
+	return true
+}
+
+// Sheet returns the rows of a sheet as text, for operators to read.
+func (t *Table) Sheet(name SheetName) Sheet {
+	return t.sheet(name)
+}
+
+// sheet returns an empty sheet when the table has none of that name.
+func (t *Table) sheet(name SheetName) Sheet {
+	for _, s := range t.sheets {
+		if s.Name == name {
+			return s
+		}
+	}
+	return Sheet{Name: name}
+}
--- /dev/null
+++ b/core/table/version.go
@@ -0,0 +1,73 @@
+package table
+
+import (
+	"fmt"
+
+	"arbutustrestle/core/ident"
+)
+
+// Version identifies a published table. Its zero value means that none is in force.
+type Version struct {
+	Revision ident.Revision
+	// Digest is that of the manifest's bytes; empty only when Revision is 0.
+	Digest Digest
+}
+
+// String gives the form "12/0123456789abcdef0123456789abcdef".
+func (v Version) String() string {
+	return fmt.Sprintf("%d/%s", v.Revision, v.Digest)
+}
+
+// Verdict says what to do with an offered version.
+type Verdict uint8
+
+// The verdicts. Only Take changes what is in force.
+const (
+	// Same means that the offer is what is in force.
+	Same Verdict = iota
+	// Take means that the offer is newer.
+	Take
+	// Lower means that the offer is older, as from a stale platform or peer.
+	Lower
+	// Conflict means that two manifests were published under one revision. The one
+	// in force stays until a higher revision settles it.
+	Conflict
+	// BadBase means that the offer does not follow the revision that it claims to
+	// start from.
+	BadBase
+)
+
+var verdictNames = [...]string{"same", "take", "lower", "conflict", "bad-base"}
+
+// String returns the kebab-case name of the verdict, as used in counters.
+func (v Verdict) String() string {
+	if int(v) < len(verdictNames) {
+		return verdictNames[v]
+	}
+	return "unknown"
+}
+
+// Succeeds decides whether an offered version may take the place of the one in
+// force. The revision in force never falls by it.
+func Succeeds(inForce, offered Version) Verdict {
+	switch {
+	case offered.Revision < inForce.Revision:
+		return Lower
+	case offered.Revision > inForce.Revision:
+		return Take
+	case offered.Digest == inForce.Digest:
+		return Same
+	default:
+		return Conflict
+	}
+}
+
+// Succeeds decides as the function of that name does, and refuses a manifest
+// whose revision is not its base plus 1. Revisions in between need not have been
+// seen: an instance that was cut off takes revision 9 after revision 5.
+func (m Manifest) Succeeds(inForce Version) Verdict {
+	if m.Revision == 0 || m.Base != m.Revision-1 {
+		return BadBase
+	}
+	return Succeeds(inForce, m.Version())
+}
