Add the records that run a keyed call at most once

Cause: membership views differ between instances, so an owner found by hashing over the live list changes between two tries and the call runs twice. Change: the key names the one incarnation that may run it; that incarnation records the key before the call is sent, drops whole epochs after the retention time, hands its records over when it stops, and everybody else answers Unknown. Ruled out: a successor that runs unseen keys, since two successors would both run one.

--- /dev/null
+++ b/core/dedup/book.go
@@ -0,0 +1,111 @@
+package dedup
+
+import (
+	"strings"
+
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/result"
+)
+
+// record is what is kept of one key.
+type record struct {
+	workspace   ident.Workspace
+	fingerprint Fingerprint
+	// running is true from Begin to End. In an imported record it stays true when
+	// the call still ran at the owner as it was handed over.
+	running bool
+	// stripped says that no answer may be kept here any more.
+	stripped bool
+	// answer is nil while running, and when the answer is not kept.
+	answer *Answer
+}
+
+// size returns what the record counts towards Limits.MaxBytes.
+func (held *record) size(unique string) int {
+	size := recordBytes + len(unique)
+	if held.answer != nil {
+		size += held.answer.size()
+	}
+	return size
+}
+
+// repeat decides a repeated try of a key that is held.
+func (held *record) repeat(c Call) Decision {
+	switch {
+	case held.fingerprint != c.Fingerprint:
+		// This body has not run, but the call that the key stands for may have: a
+		// caller that rebuilt its body on a retry must not read that it hasn't.
+		return refuse(result.Unknown, result.KeyReused)
+	case held.running:
+		return Join{}
+	case held.answer == nil:
+		return refuse(result.Unknown, result.AnswerNotKept)
+	default:
+		return Replay{Answer: held.answer}
+	}
+}
+
+// book holds records by epoch and by the unique part of their key, so that a
+// whole epoch is dropped at once.
+type book map[uint32]map[string]*record
+
+// find returns the record of a key, or nil.
+func (b book) find(k Key) *record {
+	return b[k.Epoch][k.Unique]
+}
+
+// put adds the record of a key.
+func (b book) put(k Key, held *record) {
+	epoch := b[k.Epoch]
+	if epoch == nil {
+		epoch = map[string]*record{}
+		b[k.Epoch] = epoch
+	}
+	// The clone keeps the request's header buffer from being held.
+	epoch[strings.Clone(k.Unique)] = held
+}
+
+// remove takes out the record of a key.
+func (b book) remove(k Key) {
+	epoch := b[k.Epoch]
+	delete(epoch, k.Unique)
+	if len(epoch) == 0 {
+		delete(b, k.Epoch)
+	}
+}
+
+// drop takes out a whole epoch, but for the calls that still run in it, and
+// returns what the dropped records held.
+func (b book) drop(epoch uint32) usage {
+	var dropped usage
+	for unique, held := range b[epoch] {
+		if held.running {
+			continue
+		}
+		dropped.records++
+		dropped.bytes += held.size(unique)
+		b.remove(Key{Epoch: epoch, Unique: unique})
+	}
+	return dropped
+}
+
+// usage returns what all records of the book hold.
+func (b book) usage() usage {
+	var total usage
+	for _, epoch := range b {
+		for unique, held := range epoch {
+			total.records++
+			total.bytes += held.size(unique)
+		}
+	}
+	return total
+}
+
+// each visits every record of an owner's book, in no order.
+func (b book) each(owner ident.Incarnation, visit func(Key, *record)) {
+	for number, epoch := range b {
+		for unique, held := range epoch {
+			visit(Key{Owner: owner, Epoch: number, Unique: unique}, held)
+		}
+	}
+}
--- /dev/null
+++ b/core/dedup/records.go
@@ -0,0 +1,290 @@
+// Package dedup runs a call that must not repeat at most once, without shared
+// state. The key of a call names the one incarnation that may run it; that
+// incarnation records the key before it sends anything. When it is gone, the
+// outcome is Unknown, and nobody else runs the call.
+package dedup
+
+import (
+	"time"
+
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/result"
+)
+
+// Limits bounds what the records of one instance hold. A zero field stands for
+// its default.
+type Limits struct {
+	// EpochLength is how long one key epoch is given out. Default 5 minutes.
+	EpochLength time.Duration
+	// Retention is the least time for which a record is kept, from Begin on.
+	// Default 1 hour.
+	Retention time.Duration
+	// MaxRecords bounds the number of records. Default 50,000.
+	MaxRecords int
+	// MaxBytes bounds the bytes held by all records. Default 32 MiB.
+	MaxBytes int
+	// MaxAnswer is the largest answer that is kept, in bytes. Default 64 KiB.
+	MaxAnswer int
+}
+
+// Defaults of Limits.
+const (
+	defaultEpochLength = 5 * time.Minute
+	defaultRetention   = time.Hour
+	defaultMaxRecords  = 50_000
+	defaultMaxBytes    = 32 << 20
+	defaultMaxAnswer   = 64 << 10
+)
+
+// recordBytes is what one record counts towards MaxBytes besides its answer.
+const recordBytes = 256
+
+// retryAfterFull is when to come back when running calls hold the space.
+const retryAfterFull = time.Second
+
+// retryAfterDrain is when to come back, with a new key, to a fleet of which one
+// instance is stopping.
+const retryAfterDrain = time.Second
+
+// openEpochs is the number of epochs before the current one in which a new key
+// may still begin. It covers a caller that asked for an epoch as it ended.
+const openEpochs = 1
+
+// withDefaults replaces zero fields.
+func (l Limits) withDefaults() Limits {
+	l.EpochLength = orDefault(l.EpochLength, defaultEpochLength)
+	l.Retention = orDefault(l.Retention, defaultRetention)
+	l.MaxRecords = orDefault(l.MaxRecords, defaultMaxRecords)
+	l.MaxBytes = orDefault(l.MaxBytes, defaultMaxBytes)
+	l.MaxAnswer = orDefault(l.MaxAnswer, defaultMaxAnswer)
+	return l
+}
+
+// orDefault returns the value, or the default for zero.
+func orDefault[Number int | time.Duration](value, standard Number) Number {
+	if value == 0 {
+		return standard
+	}
+	return value
+}
+
+// Records holds the keyed calls of one incarnation, and those that stopped
+// incarnations handed over to it. It is not safe for concurrent use.
+type Records struct {
+	self   ident.Incarnation
+	limits Limits
+	start  time.Time
+	// current and oldest never decrease. Epochs below oldest are dropped.
+	current uint32
+	oldest  uint32
+	// sealed never returns to false: a sealed incarnation begins no new key.
+	sealed bool
+	// exports counts the calls of Export.
+	exports uint32
+	own     book
+	// imports never holds self.
+	imports map[ident.Incarnation]*imported
+	usage   usage
+}
+
+// usage sums up what own and imported records hold.
+type usage struct {
+	records int
+	running int
+	// bytes includes reserved.
+	bytes int
+	// reserved is the space kept free for the answers of running calls.
+	reserved int
+}
+
+// NewRecords returns the empty records of an incarnation that starts now.
+func NewRecords(self ident.Incarnation, now time.Time, limits Limits) *Records {
+	return &Records{
+		self:    self,
+		limits:  limits.withDefaults(),
+		start:   now,
+		own:     book{},
+		imports: map[ident.Incarnation]*imported{},
+	}
+}
+
+// Usage says how full the records are.
+type Usage struct {
+	Records int
+	Running int
+	Bytes   int
+	// Imports is the number of incarnations whose records were handed over here.
+	Imports int
+}
+
+// Usage returns how full the records are.
+func (r *Records) Usage() Usage {
+	return Usage{Records: r.usage.records, Running: r.usage.running, Bytes: r.usage.bytes, Imports: len(r.imports)}
+}
+
+// Prefix returns the prefix of the keys that callers may mint now.
+func (r *Records) Prefix(now time.Time) string {
+	r.Advance(now)
+	return Prefix(r.self, r.current)
+}
+
+// Epoch returns the current key epoch.
+func (r *Records) Epoch(now time.Time) uint32 {
+	r.Advance(now)
+	return r.current
+}
+
+// Seal makes the incarnation begin no new key from now on. It can't be undone, so
+// that what is handed over afterwards names every key that ever ran here.
+func (r *Records) Seal() {
+	r.sealed = true
+}
+
+// Sealed reports whether Seal was called.
+func (r *Records) Sealed() bool {
+	return r.sealed
+}
+
+// Begin decides one try of a keyed call. When it returns Run, the key is already
+// recorded.
+func (r *Records) Begin(now time.Time, c Call) Decision {
+	r.Advance(now)
+	if c.Key.Owner != r.self {
+		return r.beginImported(c)
+	}
+	if held := r.own.find(c.Key); held != nil {
+		return held.repeat(c)
+	}
+	switch {
+	case c.Key.Epoch > r.current:
+		return refuse(result.NotRun, result.KeyMalformed)
+	case c.Key.Epoch < r.oldest:
+		return refuse(result.Unknown, result.KeyExpired)
+	case c.Key.Epoch+openEpochs < r.current:
+		// Every key that began in a closed epoch is still held, so this one never ran.
+		return refuse(result.NotRun, result.KeyExpired)
+	case r.sealed:
+		return refuseLater(result.Draining, retryAfterDrain)
+	}
+	return r.beginNew(now, c)
+}
+
+// beginNew records a key that is not held, if there is room.
+func (r *Records) beginNew(now time.Time, c Call) Decision {
+	if !r.hasRoom(len(c.Key.Unique)+r.limits.MaxAnswer, 1) {
+		return refuseLater(result.RecordsFull, r.roomAfter(now))
+	}
+	r.own.put(c.Key, &record{workspace: c.Workspace, fingerprint: c.Fingerprint, running: true})
+	r.usage.running++
+	r.usage.reserved += r.limits.MaxAnswer
+	r.count(1, len(c.Key.Unique)+r.limits.MaxAnswer)
+	return Run{}
+}
+
+// End records how a call ended that Begin told to run. A call that ended NotRun
+// leaves no record, so a repeated try may run it. End is without effect for a key
+// that isn't running here.
+func (r *Records) End(now time.Time, k Key, a Answer) {
+	r.Advance(now)
+	if k.Owner != r.self {
+		return
+	}
+	held := r.own.find(k)
+	if held == nil || !held.running {
+		return
+	}
+	held.running = false
+	r.usage.running--
+	r.usage.reserved -= r.limits.MaxAnswer
+	r.usage.bytes -= r.limits.MaxAnswer
+	if a.Outcome == result.NotRun || k.Epoch < r.oldest {
+		r.own.remove(k)
+		r.count(-1, -len(k.Unique))
+		return
+	}
+	if held.stripped || a.size() > r.limits.MaxAnswer {
+		return
+	}
+	kept := a
+	held.answer = &kept
+	r.usage.bytes += kept.size()
+}
+
+// Advance moves the epochs on and drops those past their retention. Begin and End
+// call it; a control tick calls it too, so that memory is freed without traffic.
+// A time before the latest one seen is without effect.
+func (r *Records) Advance(now time.Time) {
+	elapsed := now.Sub(r.start)
+	if elapsed < 0 {
+		return
+	}
+	length := r.limits.EpochLength
+	r.current = max(r.current, uint32(elapsed/length))
+	// A key may begin in an epoch until openEpochs later, and is kept from there.
+	ended := (elapsed-r.limits.Retention)/length - openEpochs
+	for oldest := uint32(max(ended, 0)); r.oldest < oldest; r.oldest++ {
+		r.usage.subtract(r.own.drop(r.oldest))
+	}
+	for owner, i := range r.imports {
+		if !now.Before(i.expires) {
+			r.usage.subtract(i.book.usage())
+			delete(r.imports, owner)
+		}
+	}
+}
+
+// Strip drops the answers of the workspaces that may no longer be kept here; how
+// the call ended is kept.
+func (r *Records) Strip(allowed func(ident.Workspace) bool) {
+	strip := func(_ Key, held *record) {
+		if allowed(held.workspace) {
+			return
+		}
+		held.stripped = true
+		if held.answer != nil {
+			r.usage.bytes -= held.answer.size()
+			held.answer = nil
+		}
+	}
+	r.own.each(r.self, strip)
+	for owner, i := range r.imports {
+		i.book.each(owner, strip)
+	}
+}
+
+// hasRoom reports whether one more record of the given variable size fits into
+// the limits divided by share.
+func (r *Records) hasRoom(size, share int) bool {
+	records := r.usage.records * share
+	bytes := (r.usage.bytes + recordBytes + size) * share
+	return records < r.limits.MaxRecords && bytes <= r.limits.MaxBytes
+}
+
+// roomAfter estimates when a new key will find room.
+func (r *Records) roomAfter(now time.Time) time.Duration {
+	if r.usage.records < r.limits.MaxRecords && r.usage.reserved > r.limits.MaxBytes/2 {
+		return retryAfterFull
+	}
+	epochs := time.Duration(r.oldest + 1 + openEpochs)
+	drop := r.start.Add(epochs*r.limits.EpochLength + r.limits.Retention)
+	return max(drop.Sub(now), retryAfterFull)
+}
+
+// count adds records, and their variable size, to the usage.
+func (r *Records) count(records, size int) {
+	r.usage.records += records
+	r.usage.bytes += records*recordBytes + size
+}
+
+// subtract takes dropped records out of the usage.
+func (u *usage) subtract(dropped usage) {
+	u.records -= dropped.records
+	u.bytes -= dropped.bytes
+}
+
+// refuseLater returns a refusal of a key that never ran, with a time to come back.
+func refuseLater(reason result.Reason, after time.Duration) Refuse {
+	refusal := refuse(result.NotRun, reason)
+	refusal.Failure.RetryAfter = after
+	return refusal
+}
