--- /dev/null
+++ b/io/emul/marker.go
@@ -0,0 +1,27 @@
+package emul
+
+import "strings"
+
+const (
+	markerStart = "[workspace:"
+	markerEnd   = "]"
+)
+
+// Marker returns the text that a test puts into a prompt or a body, so that the
+// log of an upstream shows whose data reached it.
+func Marker(workspace string) string {
+	return markerStart + workspace + markerEnd
+}
+
+// FindMarker returns the workspace of the first marker in the text, or "".
+func FindMarker(text string) string {
+	_, rest, found := strings.Cut(text, markerStart)
+	if !found {
+		return ""
+	}
+	name, _, found := strings.Cut(rest, markerEnd)
+	if !found {
+		return ""
+	}
+	return name
+}
--- /dev/null
+++ b/io/emul/runs.go
@@ -0,0 +1,112 @@
+package emul
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// RunState is how far a request got at an upstream.
+type RunState string
+
+// The states. A request that is Refused was received and never ran.
+const (
+	Received  RunState = "received"
+	Refused   RunState = "refused"
+	Running   RunState = "running"
+	Done      RunState = "done"
+	Cancelled RunState = "cancelled"
+)
+
+// Run is one request whose body an upstream has read.
+type Run struct {
+	// Sequence numbers the runs of one upstream from 1, without gaps.
+	Sequence  uint64    `json:"seq"`
+	RequestID string    `json:"request-id"`
+	State     RunState  `json:"state"`
+	Time      time.Time `json:"time"`
+	// Workspace is taken from the marker in the prompt or body.
+	Workspace string `json:"workspace,omitempty"`
+	// Leaving tells that the upstream had said that it is leaving before.
+	Leaving bool `json:"leaving,omitempty"`
+
+	// Of a plain service.
+	Method   string `json:"method,omitempty"`
+	Path     string `json:"path,omitempty"`
+	Key      string `json:"key,omitempty"`
+	BodyHash string `json:"body-hash,omitempty"`
+
+	// Of an engine. Frames counts the tokens that were written to the caller.
+	Model    string `json:"model,omitempty"`
+	Version  string `json:"version,omitempty"`
+	Priority int    `json:"priority,omitempty"`
+	Frames   int    `json:"frames,omitempty"`
+}
+
+// Ran reports whether any part of the request ran.
+func (r Run) Ran() bool {
+	return r.State == Running || r.State == Done || r.State == Cancelled
+}
+
+// maxRuns bounds a log; the oldest runs are dropped first.
+const maxRuns = 1 << 16
+
+// Log is the list of what reached an upstream. Its zero value is empty and
+// ready; it is safe for concurrent use.
+type Log struct {
+	mu sync.Mutex
+	// runs holds the newest runs; the run numbered n stands at (n-1) % maxRuns.
+	runs []Run
+	last uint64
+}
+
+// Add appends a run and returns its number.
+func (l *Log) Add(run Run) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.last++
+	run.Sequence = l.last
+	if len(l.runs) < maxRuns {
+		l.runs = append(l.runs, run)
+	} else {
+		*l.at(l.last) = run
+	}
+	return l.last
+}
+
+// Mark sets the state of a run and the number of frames that it has written.
+func (l *Log) Mark(sequence uint64, state RunState, frames int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	run := l.at(sequence)
+	if run.Sequence != sequence {
+		return // dropped since
+	}
+	run.State = state
+	run.Frames = frames
+}
+
+func (l *Log) at(sequence uint64) *Run {
+	return &l.runs[(sequence-1)%maxRuns]
+}
+
+// Runs returns the runs numbered above after, in order.
+func (l *Log) Runs(after uint64) []Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	oldest := l.last - uint64(len(l.runs))
+	list := []Run{}
+	for n := max(after, oldest) + 1; n <= l.last; n++ {
+		list = append(list, *l.at(n))
+	}
+	return list
+}
+
+// ServeHTTP answers GET /v1/runs?after=n.
+func (l *Log) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	WriteJSON(w, http.StatusOK, struct {
+		Runs []Run `json:"runs"`
+	}{l.Runs(after)})
+}
