--- /dev/null
+++ b/core/route/route.go
@@ -0,0 +1,157 @@
+// Package route decides where a request goes next: to an upstream of the own
+// region, to another region, or nowhere. A decision reads an immutable View and
+// the load that package load believes; it needs no I/O.
+package route
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/load"
+	"arbutustrestle/core/result"
+)
+
+// Objective is what a deployment weighs most.
+type Objective uint8
+
+const (
+	// Latency sends a request away as soon as it is expected to be faster there.
+	Latency Objective = iota
+	// Cost keeps a request until the own region can't serve it in time.
+	Cost
+)
+
+// Places tells where a workspace's data may be processed.
+type Places interface {
+	// AllowsZone reports whether a zone of the own region is allowed.
+	AllowsZone(ident.Zone) bool
+	// AllowsRegion reports whether an entry in the region may be given the request.
+	AllowsRegion(ident.Region) bool
+}
+
+// View is what a decision about one model (or service) and class reads. It is
+// immutable once it is in use, but for the loads that its upstreams track.
+type View struct {
+	Region    ident.Region
+	Objective Objective
+	// Versions with a weight of zero get no traffic.
+	Versions []Version
+	// Remotes holds the other regions that serve the model.
+	Remotes []Remote
+	// Meter holds the share of requests sent to each remote; nil sends none away.
+	Meter *Meter
+	// Cache is what upstreams said of their caches; it may be nil.
+	Cache *load.Cache
+}
+
+// Version is one version of the model and where it runs in the own region.
+type Version struct {
+	Version ident.Version
+	// Weight is this version's part of the traffic, relative to the others'.
+	Weight uint32
+	// Attempts has one per upstream; all name this version.
+	Attempts []Attempt
+}
+
+// NewVersion makes a version from its upstreams.
+func NewVersion(version ident.Version, weight uint32, upstreams []*load.Upstream) Version {
+	v := Version{Version: version, Weight: weight}
+	v.Attempts = make([]Attempt, 0, len(upstreams))
+	for _, u := range upstreams {
+		v.Attempts = append(v.Attempts, Attempt{Upstream: u, Version: version})
+	}
+	return v
+}
+
+// Remote is another region as the own one sees it.
+type Remote struct {
+	Cell load.Cell
+	// Cost is added to the wait there when waits are compared.
+	Cost time.Duration
+	// MaxShare is the part of the own requests, 0 to 1, that may be sent there.
+	MaxShare float64
+	// Senders is the number of entries in all regions that may send there; zero is one.
+	Senders int
+}
+
+// Request is what a decision has to know of a request.
+type Request struct {
+	Places Places
+	// Affinity is the session or the prompt prefix that should find its cache; empty
+	// when there is none.
+	Affinity string
+	// Prefix is the hash under which cache events name the request's prompt prefix;
+	// zero when there is none.
+	Prefix uint64
+	// Tried lists the upstreams that have had an attempt; they get no other one.
+	Tried []ident.Upstream
+	// Visited lists the regions that the request has passed, the own one included
+	// once it was forwarded. A forwarded request is never forwarded again.
+	Visited []ident.Region
+	// MaxWait is the longest wait for a slot that still makes sense; zero is no bound.
+	MaxWait time.Duration
+	// Full is why the own region doesn't admit the request; nil when it does. Such a
+	// request is sent away or refused with it.
+	Full *result.Failure
+}
+
+// Decision is one of *Attempt, *Forward and *Refuse.
+type Decision interface {
+	decision()
+}
+
+// Attempt sends the request to an upstream of the own region.
+type Attempt struct {
+	Upstream *load.Upstream
+	Version  ident.Version
+}
+
+// Forward sends the request to an entry in another region.
+type Forward struct {
+	Region ident.Region
+}
+
+// Refuse gives the final answer.
+type Refuse struct {
+	Failure *result.Failure
+}
+
+func (*Attempt) decision() {}
+func (*Forward) decision() {}
+func (*Refuse) decision()  {}
+
+// Pick decides where a request goes next. The view's meter counts the decision.
+func Pick(now time.Time, random *rand.Rand, v *View, r *Request) Decision {
+	if v.Meter != nil && len(r.Visited) == 0 && len(r.Tried) == 0 {
+		v.Meter.earn(now, v.Remotes)
+	}
+	local := pickLocal(now, random, v, r)
+	remote := pickRemote(now, random, v, r)
+	if remote != nil && prefersRemote(v.Objective, r, local, remote) {
+		v.Meter.spend(remote)
+		return &Forward{Region: remote.Cell.Region}
+	}
+	if r.Full != nil {
+		return &Refuse{Failure: r.Full}
+	}
+	if local.attempt == nil {
+		return refuse(result.NoUpstream, noUpstreamRetry)
+	}
+	if r.MaxWait > 0 && local.wait > r.MaxWait {
+		return refuse(result.Overloaded, local.wait-r.MaxWait)
+	}
+	return local.attempt
+}
+
+// noUpstreamRetry is when a caller may ask again for what nothing serves now.
+const noUpstreamRetry = 2 * time.Second
+
+func refuse(reason result.Reason, after time.Duration) *Refuse {
+	return &Refuse{Failure: &result.Failure{
+		Outcome:    result.NotRun,
+		Step:       result.StepRoute,
+		Reason:     reason,
+		RetryAfter: after,
+	}}
+}
