Read and check the settings of an entry instance

An instance must not listen before its settings are known to be sound, and a person who mends them wants every fault in one go. Port 0 and unspecified addresses are refused, because others reach the instance under the address that it is given.

--- a/core/reside/reside_test.go
+++ b/core/reside/reside_test.go
@@ -25,8 +25,7 @@
 	}
 	var sheets []table.Sheet
 	for name, text := range texts {
-		sheet, _ := table.ParseSheet(name, []byte(text))
-		sheets = append(sheets, sheet)
+		sheets = append(sheets, table.ParseSheet(name, []byte(text)))
 	}
 	built, faults := table.Check(sheets)
 	if faults != nil {
--- a/core/table/check.go
+++ b/core/table/check.go
@@ -9,10 +9,10 @@
 )
 
 // Check reads the rows of all sheets and returns either a table or every fault
-// that they have, never both. The sheets of one name, such as the pages of a
-// large sheet, count as one. Faults that ParseSheet found are not repeated.
+// that they have, those that ParseSheet found included, never both. The sheets of
+// one name, such as the pages of a large sheet, count as one.
 func Check(sheets []Sheet) (*Table, Faults) {
-	c := &checker{table: newTable(), seen: map[string]Record{}}
+	c := &checker{table: newTable(), seen: map[string]Record{}, partial: map[SheetName]bool{}}
 	c.collect(sheets)
 	c.zones()
 	c.policy()
@@ -34,6 +34,9 @@
 	faults Faults
 	// seen is the first row of each sheet and key.
 	seen map[string]Record
+	// partial has the sheets that are absent or were read in part. What refers to
+	// them is not checked: one bad header would show as a fault in every row.
+	partial map[SheetName]bool
 }
 
 // collect joins the sheets by name and reports those that are absent or unknown.
@@ -41,17 +44,16 @@
 	present := map[SheetName]bool{}
 	for _, s := range sheets {
 		present[s.Name] = true
+		c.partial[s.Name] = c.partial[s.Name] || len(s.Faults) > 0
+		c.faults = append(c.faults, s.Faults...)
 	}
 	for _, l := range layouts {
+		joined := join(l.name, sheets)
+		c.table.sheets = append(c.table.sheets, joined)
 		if !present[l.name] {
-			file := string(l.name) + fileEnding
-			c.faults = append(c.faults, Fault{
-				File:    file,
-				Problem: "is missing",
-				Remedy:  "add the sheet, with the row " + strings.Join(l.columns, ",") + " if it has no others",
-			})
+			c.partial[l.name] = true
+			c.sheetFault(l.name, "is missing", "add the sheet, with the row "+strings.Join(l.columns, ",")+" if it has no others")
 		}
-		c.table.sheets = append(c.table.sheets, join(l.name, sheets))
 	}
 }
 
@@ -99,7 +101,7 @@
 			row.fault("zone", fmt.Sprintf("%q is also the name of a region", name), "give the zone a name of its own")
 		}
 	}
-	if len(t.zones) == 0 {
+	if len(t.zones) == 0 && !c.partial[ZonesSheet] {
 		c.sheetFault(ZonesSheet, "has no rows", "list at least one zone")
 	}
 }
@@ -110,7 +112,7 @@
 
 // checkRegion reports a region that has no zone.
 func (c *checker) checkRegion(row *cells, column string, region ident.Region) {
-	if region != "" && !c.table.hasRegion(region) {
+	if region != "" && !c.partial[ZonesSheet] && !c.table.hasRegion(region) {
 		row.fault(column, fmt.Sprintf("%q is not a region of zones.csv", region), "correct it or add a zone of that region")
 	}
 }
@@ -183,7 +185,7 @@
 			first[key] = row
 		}
 		served := ModelVersion{traffic.Model, traffic.Version}
-		if len(t.poolsOfModel[served]) == 0 {
+		if len(t.poolsOfModel[served]) == 0 && !c.partial[PoolsSheet] {
 			problem := fmt.Sprintf("no pool serves %s@%s", served.Model, served.Version)
 			row.fault("version", problem, "correct it or add it to the serves column of a pool in pools.csv")
 		}
@@ -224,6 +226,9 @@
 
 // places sorts the places of a workspace into regions and zones.
 func (c *checker) places(row *cells, w *WorkspaceRow) {
+	if c.partial[ZonesSheet] {
+		return
+	}
 	words := strings.Fields(row.text("places"))
 	if len(words) == 0 {
 		row.fault("places", "is empty, so the workspace could be served nowhere", "list the regions or zones where its data may be")
@@ -263,7 +268,7 @@
 	t := c.table
 	c.each(CallsSheet, func(row *cells) {
 		call := callRow(row)
-		if call.Service != "" && len(t.poolsOfService[call.Service]) == 0 {
+		if call.Service != "" && !c.partial[PoolsSheet] && len(t.poolsOfService[call.Service]) == 0 {
 			row.fault("service", fmt.Sprintf("no pool serves %s", call.Service), "correct it or add a pool of kind service to pools.csv")
 		}
 		t.calls[call.Service] = append(t.calls[call.Service], call)
--- a/core/table/example_test.go
+++ b/core/table/example_test.go
@@ -22,11 +22,11 @@
 func Example() {
 	var sheets []table.Sheet
 	for name, text := range exampleSheets {
-		sheet, faults := table.ParseSheet(name, []byte(text))
-		if faults != nil {
-			fmt.Println(faults)
-		}
-		sheets = append(sheets, sheet)
+		sheets = append(sheets, table.ParseSheet(name, []byte(text)))
+	}
+	if _, faults := table.Check(sheets); len(faults) > 0 {
+		fmt.Println(faults)
+		return
 	}
 	pages := table.Split(sheets, table.PageBytes)
 	manifest := table.NewManifest(41, "ann", "try planner v4", pages)
--- a/core/table/page.go
+++ b/core/table/page.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"encoding/csv"
+	"fmt"
 	"slices"
 	"strings"
 
@@ -124,7 +125,6 @@
 // rows do not make a table. A table is never built in part.
 func Build(manifest Manifest, pages map[Digest][]byte) (*Table, error) {
 	sheets := make([]Sheet, 0, len(manifest.Pages))
-	var faults Faults
 	for _, ref := range manifest.Pages {
 		data, ok := pages[ref.Digest]
 		if !ok {
@@ -133,12 +133,11 @@
 		if DigestOf(data) != ref.Digest {
 			return nil, errors.NotValidf("page %s of sheet %s: its bytes have another digest", ref.Digest, ref.Sheet)
 		}
-		sheet, found := parseNamed(ref.Sheet, string(ref.Sheet)+fileEnding+" page "+string(ref.Digest), data)
-		sheets = append(sheets, sheet)
-		faults = append(faults, found...)
+		file := fmt.Sprintf("%s%s page %s", ref.Sheet, fileEnding, ref.Digest)
+		sheets = append(sheets, parseNamed(ref.Sheet, file, data))
 	}
-	t, found := Check(sheets)
-	if faults = append(faults, found...); len(faults) > 0 {
+	t, faults := Check(sheets)
+	if len(faults) > 0 {
 		return nil, faults
 	}
 	t.version = manifest.Version()
--- a/core/table/sheet.go
+++ b/core/table/sheet.go
@@ -89,6 +89,9 @@
 	// File is the name under which the sheet was read.
 	File string
 	Rows []Record
+	// Faults are what ParseSheet found; Check repeats them, so that no table is
+	// made of a sheet that was read in part.
+	Faults Faults
 }
 
 // Columns returns the names of the sheet's columns in their canonical order.
@@ -103,21 +106,21 @@
 // ParseSheet reads a sheet as a spreadsheet program saves it: comma-separated,
 // with a header row whose columns may stand in any order. The file's base name
 // tells which sheet it is, such as "zones.csv". It checks the shape only; Check
-// reads the cells. Rows without a fault are returned beside the faults.
-func ParseSheet(fileName string, data []byte) (Sheet, Faults) {
+// reads the cells.
+func ParseSheet(fileName string, data []byte) Sheet {
 	name := SheetName(strings.TrimSuffix(path.Base(fileName), fileEnding))
 	return parseNamed(name, fileName, data)
 }
 
 // parseNamed reads a sheet whose name is known, from a file or from a page.
-func parseNamed(name SheetName, fileName string, data []byte) (Sheet, Faults) {
+func parseNamed(name SheetName, fileName string, data []byte) Sheet {
 	p := parser{sheet: Sheet{Name: name, File: fileName}, layout: layoutOf(name)}
 	if p.layout == nil {
 		p.fault(0, "", fmt.Sprintf("%q is not a sheet of the table", name), "use one of "+listSheets())
-		return p.sheet, p.faults
+		return p.sheet
 	}
 	p.read(data)
-	return p.sheet, p.faults
+	return p.sheet
 }
 
 // listSheets names the files of a table for a remedy.
@@ -136,12 +139,11 @@
 	// position gives for each canonical column its place in the file, or -1.
 	position []int
 	// width is the number of columns in the header row.
-	width  int
-	faults Faults
+	width int
 }
 
 func (p *parser) fault(line int, column, problem, remedy string) {
-	p.faults = append(p.faults, Fault{File: p.sheet.File, Line: line, Column: column, Problem: problem, Remedy: remedy})
+	p.sheet.Faults = append(p.sheet.Faults, Fault{File: p.sheet.File, Line: line, Column: column, Problem: problem, Remedy: remedy})
 }
 
 // byteOrderMark is what some spreadsheet programs write before the header.
@@ -202,7 +204,7 @@
 			p.fault(1, column, "is missing", "add the column to the header row")
 		}
 	}
-	return len(p.faults) == 0
+	return len(p.sheet.Faults) == 0
 }
 
 func (p *parser) headerCell(i int, column string) {
--- /dev/null
+++ b/io/config/folder.go
@@ -0,0 +1,47 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/juju/errors"
+
+	"arbutustrestle/core/table"
+)
+
+// ReadSheets reads every ".csv" file of a folder as a sheet of the table. It
+// returns the error with which the folder or a file could not be read. What is
+// wrong with the sheets is for table.Check to report.
+func ReadSheets(folder string) ([]table.Sheet, error) {
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		return nil, errors.Annotate(err, "reading the table")
+	}
+	var sheets []table.Sheet
+	for _, entry := range entries {
+		if filepath.Ext(entry.Name()) != ".csv" {
+			continue
+		}
+		file := filepath.Join(folder, entry.Name())
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return nil, errors.Annotate(err, "reading the table")
+		}
+		sheets = append(sheets, table.ParseSheet(filepath.ToSlash(file), data))
+	}
+	return sheets, nil
+}
+
+// ReadTable reads the table of a folder. It returns table.Faults with everything
+// that is wrong with its sheets, or the error of ReadSheets.
+func ReadTable(folder string) (*table.Table, error) {
+	sheets, err := ReadSheets(folder)
+	if err != nil {
+		return nil, err
+	}
+	t, faults := table.Check(sheets)
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	return t, nil
+}
--- /dev/null
+++ b/io/config/value.go
@@ -0,0 +1,105 @@
+package config
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"arbutustrestle/core/ident"
+)
+
+// value reads the text of a key into the settings. It returns what is wrong with
+// the text and how to mend it; both are empty when nothing is.
+type value func(text string) (problem, remedy string)
+
+func name[Name ~string](into *Name) value {
+	return func(text string) (string, string) {
+		if !ident.ValidName(text) {
+			return fmt.Sprintf("%q is not a name", text), "use lower-case letters, digits and inner hyphens, such as west-eu-1"
+		}
+		*into = Name(text)
+		return "", ""
+	}
+}
+
+// addressRemedy tells the form of addresses.
+const addressRemedy = "use an IP number and a port, such as 10.1.0.4:7100"
+
+func parseAddress(text string) (address netip.AddrPort, problem, remedy string) {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return netip.AddrPort{}, fmt.Sprintf("%q is not an address", text), addressRemedy
+	}
+	// An IPv4 address in IPv6 form would compare as another one.
+	address = netip.AddrPortFrom(address.Addr().Unmap(), address.Port())
+	switch {
+	case address.Port() == 0:
+		return netip.AddrPort{}, fmt.Sprintf("%q has no definite port", text), addressRemedy
+	case address.Addr().IsUnspecified() || address.Addr().IsMulticast():
+		return netip.AddrPort{}, fmt.Sprintf("%q is not the address of one machine", text), "use the address under which others reach it, such as 10.1.0.4:7100"
+	}
+	return address, "", ""
+}
+
+func address(into *netip.AddrPort) value {
+	return func(text string) (problem, remedy string) {
+		*into, problem, remedy = parseAddress(text)
+		return problem, remedy
+	}
+}
+
+// addresses reads a list that is separated by commas or spaces.
+func addresses(into *[]netip.AddrPort) value {
+	return func(text string) (string, string) {
+		var list []netip.AddrPort
+		for _, word := range strings.Fields(strings.ReplaceAll(text, ",", " ")) {
+			parsed, problem, remedy := parseAddress(word)
+			if problem != "" {
+				return problem, remedy
+			}
+			list = append(list, parsed)
+		}
+		if len(list) == 0 {
+			return "is empty", addressRemedy
+		}
+		*into = list
+		return "", ""
+	}
+}
+
+func duration(into *time.Duration, low, high time.Duration) value {
+	return func(text string) (string, string) {
+		parsed, err := time.ParseDuration(text)
+		if err != nil || parsed < low || parsed > high {
+			return fmt.Sprintf("%q is out of range", text), fmt.Sprintf("use a time with its unit from %s to %s, such as 1500ms", low, high)
+		}
+		*into = parsed
+		return "", ""
+	}
+}
+
+func count(into *int, low, high int) value {
+	return func(text string) (string, string) {
+		parsed, err := strconv.Atoi(text)
+		if err != nil || parsed < low || parsed > high {
+			return fmt.Sprintf("%q is out of range", text), fmt.Sprintf("use a whole number from %d to %d", low, high)
+		}
+		*into = parsed
+		return "", ""
+	}
+}
+
+func level(into *zerolog.Level) value {
+	return func(text string) (string, string) {
+		switch text {
+		case "debug", "info", "warn", "error":
+			*into, _ = zerolog.ParseLevel(text)
+			return "", ""
+		}
+		return fmt.Sprintf("%q is not a level", text), "use debug, info, warn or error"
+	}
+}
