Get published values through a few readers and never go back

The platform answers about 2,000 reads a second for the whole fleet, and a change must be in force everywhere within 8 s. Two entries of each availability zone, by rendezvous, watch the platform and announce what is new; the others ask them. A table comes in force only when all its pages are at hand and its rows pass, by the table's own revision; a lower or conflicting one is counted and reported. A starting instance takes the higher of platform and peers. Watching from every instance was ruled out for its reads, readers per region for the bytes that a reader would hand on.

--- /dev/null
+++ b/core/feed/example_test.go
@@ -0,0 +1,79 @@
+package feed_test
+
+import (
+	"fmt"
+	"time"
+
+	"arbutustrestle/core/feed"
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/table"
+)
+
+// A single instance starts, reads the platform and has the table in force.
+func Example() {
+	platform := map[feed.Key]feed.Value{}
+	publish(platform, 0, "family-peeters")
+	platform[feed.EntriesKey] = feed.Value{Revision: 7, Data: []byte("[]")}
+	s := feed.New(feed.Options{Instance: "entry-west-1", Zone: "west-1", Region: "west"})
+	now := time.Unix(0, 0)
+	events := []feed.Event{feed.Tick{}}
+	for range 40 {
+		var next []feed.Event
+		for _, event := range events {
+			for _, action := range s.Step(now, event) {
+				switch a := action.(type) {
+				case feed.ReadPlatform:
+					value, found := platform[a.Key]
+					switch {
+					case !found:
+						next = append(next, feed.PlatformAnswered{Key: a.Key, Answer: feed.Absent})
+					case a.Wait == 0:
+						next = append(next, feed.PlatformAnswered{Key: a.Key, Answer: feed.Found, Value: value})
+					}
+				case feed.TableInForce:
+					fmt.Println("in force:", a.Table.Version().Revision)
+				case feed.BecameReady:
+					fmt.Println("ready:", a.Source)
+				}
+			}
+		}
+		now = now.Add(250 * time.Millisecond)
+		events = append(next, feed.Tick{})
+	}
+	// Output:
+	// in force: 1
+	// ready: platform-only
+}
+
+// publish puts the table that follows a revision on a platform.
+func publish(platform map[feed.Key]feed.Value, base int, workspaces ...string) table.Manifest {
+	sheets := sheetsWith(workspaces)
+	pages := table.Split(sheets, table.PageBytes)
+	manifest := table.NewManifest(ident.Revision(base), "ann", "", pages)
+	for _, page := range pages {
+		platform[feed.PageKey(page.Ref.Digest)] = feed.Value{Revision: 1, Data: page.Data}
+	}
+	platform[feed.ManifestKey] = feed.Value{Revision: platform[feed.ManifestKey].Revision + 1, Data: manifest.Encode()}
+	return manifest
+}
+
+func sheetsWith(workspaces []string) []table.Sheet {
+	rows := "workspace,home,places,requests-per-second,in-flight,tokens-per-second\n"
+	for _, w := range workspaces {
+		rows += w + ",west,west,5,,\n"
+	}
+	texts := []string{
+		"zones.csv", "zone,region\nwest-1,west\nwest-2,west\nwest-3,west\n",
+		"policy.csv", "setting,value\nobjective,cost\n",
+		"traffic.csv", "model,class,version,weight\nplanner,any,v3,100\n",
+		"shares.csv", "from,to,max-percent,cost\n",
+		"workspaces.csv", rows,
+		"pools.csv", "pool,kind,serves,slots,checks-orders\nplanners,engine,planner@v3,8,yes\n",
+		"calls.csv", "service,method,path,repeatable,timeout-s\n",
+	}
+	var sheets []table.Sheet
+	for i := 0; i < len(texts); i += 2 {
+		sheets = append(sheets, table.ParseSheet(texts[i], []byte(texts[i+1])))
+	}
+	return sheets
+}
--- /dev/null
+++ b/core/feed/sheets.go
@@ -0,0 +1,345 @@
+package feed
+
+import (
+	"slices"
+	"time"
+
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/table"
+)
+
+const (
+	// maxPageQuestions is the number of pages that are asked for at once.
+	maxPageQuestions = 8
+	// pageWait is how long an instance that is not a reader waits for peers to have
+	// a page before it reads the platform.
+	pageWait = 3 * time.Second
+	// parkAfter is how long none of a candidate's pages comes before a lower table
+	// that peers have in force is fetched; parkedFor is the time it gets for that.
+	parkAfter = 5 * time.Second
+	parkedFor = 10 * time.Second
+)
+
+// sheets holds the table in force and the one that is being fetched.
+type sheets struct {
+	inForce table.Version
+	// manifest is that of the table in force.
+	manifest Value
+	// pages holds the pages of the table in force and no others.
+	pages     map[table.Digest][]byte
+	candidate *candidate
+	// parked is a candidate whose pages could not be had for a while.
+	parked parked
+	// refused is the version refused last, problem is why, refusedAt is when.
+	refused   table.Version
+	problem   error
+	refusedAt time.Time
+	conflict  table.Version
+}
+
+// candidate is a newer table that still lacks pages.
+type candidate struct {
+	version  table.Version
+	manifest table.Manifest
+	value    Value
+	// from is the peer that gave the manifest; empty for the platform.
+	from  ident.Instance
+	since time.Time
+	// progress is when the newest page came.
+	progress time.Time
+	// pages holds the pages at hand, those of the table in force included.
+	pages map[table.Digest][]byte
+	// missing holds the other ones; order is their digests in the order in which
+	// they are fetched.
+	missing map[table.Digest]*fetch
+	order   []table.Digest
+}
+
+// parked is a candidate that was set aside so that a lower one, which peers have
+// in force, can be fetched. Its pages are not kept.
+type parked struct {
+	version table.Version
+	value   Value
+	from    ident.Instance
+	// until is when it is tried again, if nothing lower came in force before.
+	until time.Time
+}
+
+// fetch is what is under way for one missing page.
+type fetch struct {
+	question question
+	// reading is set while the platform is asked for the page.
+	reading bool
+	lostAt  time.Time
+	retryAt time.Time
+}
+
+func (h *sheets) page(digest table.Digest) ([]byte, bool) {
+	if data, found := h.pages[digest]; found {
+		return data, true
+	}
+	if h.candidate == nil {
+		return nil, false
+	}
+	data, found := h.candidate.pages[digest]
+	return data, found
+}
+
+// offerManifest decides on a manifest by the rules of the table's revisions.
+func (s *State) offerManifest(v Value, from ident.Instance) {
+	manifest, err := table.ParseManifest(v.Data)
+	version := table.Version{Revision: manifest.Revision, Digest: table.DigestOf(v.Data)}
+	if err != nil {
+		s.refuse(version, table.Take, err)
+		return
+	}
+	switch verdict := manifest.Succeeds(s.sheets.inForce); verdict {
+	case table.Same:
+		s.sheets.manifest.Revision = max(s.sheets.manifest.Revision, v.Revision)
+	case table.Lower:
+		s.counts.StaleAnswers++
+	case table.Conflict:
+		s.refuseConflict(version)
+	case table.BadBase:
+		s.refuse(version, verdict, nil)
+	case table.Take:
+		s.consider(manifest, version, v, from)
+	}
+}
+
+// refuse keeps what is in force and reports the offer, once for each version.
+func (s *State) refuse(version table.Version, verdict table.Verdict, err error) {
+	known := version == s.sheets.refused
+	s.sheets.refusedAt = s.now
+	if known {
+		return
+	}
+	s.sheets.refused = version
+	s.sheets.problem = err
+	s.counts.RefusedTables++
+	s.act(Refused{Key: ManifestKey, Version: version, Verdict: verdict, Err: err})
+}
+
+func (s *State) refuseConflict(version table.Version) {
+	if version == s.sheets.conflict {
+		return
+	}
+	s.sheets.conflict = version
+	s.counts.Conflicts++
+	s.act(Refused{Key: ManifestKey, Version: version, Verdict: table.Conflict})
+}
+
+// consider makes a manifest the candidate, unless the one being fetched is as
+// good. Of two with one revision the platform's newer one goes first, as neither
+// is in force yet.
+func (s *State) consider(m table.Manifest, version table.Version, v Value, from ident.Instance) {
+	if version == s.sheets.refused {
+		s.sheets.refusedAt = s.now
+		return
+	}
+	if c := s.sheets.candidate; c != nil {
+		verdict := table.Succeeds(c.version, version)
+		newer := verdict == table.Conflict && v.Revision > c.value.Revision
+		if verdict != table.Take && !newer {
+			return
+		}
+	}
+	s.sheets.candidate = s.newCandidate(m, version, v, from)
+	s.finishCandidate()
+}
+
+func (s *State) newCandidate(m table.Manifest, version table.Version, v Value, from ident.Instance) *candidate {
+	c := &candidate{
+		version:  version,
+		manifest: m,
+		value:    v,
+		from:     from,
+		since:    s.now,
+		progress: s.now,
+		pages:    map[table.Digest][]byte{},
+		missing:  map[table.Digest]*fetch{},
+	}
+	for _, ref := range m.Pages {
+		data, found := s.sheets.page(ref.Digest)
+		if found {
+			c.pages[ref.Digest] = data
+			continue
+		}
+		if c.missing[ref.Digest] == nil {
+			c.missing[ref.Digest] = &fetch{}
+			c.order = append(c.order, ref.Digest)
+		}
+	}
+	return c
+}
+
+// finishCandidate brings the candidate in force when no page is missing.
+func (s *State) finishCandidate() {
+	c := s.sheets.candidate
+	if c == nil || len(c.missing) > 0 {
+		return
+	}
+	s.sheets.candidate = nil
+	built, err := table.Build(c.manifest, c.pages)
+	if err != nil {
+		s.refuse(c.version, table.Take, err)
+		return
+	}
+	s.sheets.inForce = c.version
+	s.sheets.manifest = c.value
+	s.sheets.pages = c.pages
+	s.sheets.conflict = table.Version{}
+	s.act(TableInForce{Table: built})
+	s.sheets.parked.until = s.now
+	s.announce(c.from)
+}
+
+// park sets the candidate aside when none of its pages came for a while and peers
+// have a lower table in force that is newer than the one here.
+func (s *State) park() {
+	c := s.sheets.candidate
+	if s.now.Sub(c.progress) < parkAfter {
+		return
+	}
+	newest := s.newest(watchManifest)
+	if newest <= s.sheets.inForce.Revision || newest >= c.version.Revision {
+		return
+	}
+	s.sheets.parked = parked{version: c.version, value: c.value, from: c.from, until: s.now.Add(parkedFor)}
+	s.sheets.candidate = nil
+}
+
+// unpark makes the parked candidate the candidate again. Its version stays noted
+// as parked, so that the instance does not wait for it to become ready.
+func (s *State) unpark() {
+	p := &s.sheets.parked
+	if p.value.Data == nil || s.now.Before(p.until) {
+		return
+	}
+	v := p.value
+	p.value = Value{}
+	s.offerManifest(v, p.from)
+}
+
+// reading reports whether a page is being read from the platform.
+func (c *candidate) reading() bool {
+	if c == nil {
+		return false
+	}
+	for _, f := range c.missing {
+		if f.reading {
+			return true
+		}
+	}
+	return false
+}
+
+// takePage takes in a page, or notes that the source does not have it.
+func (s *State) takePage(digest table.Digest, data []byte, found bool, from ident.Instance) {
+	c := s.sheets.candidate
+	if c == nil || c.missing[digest] == nil {
+		return
+	}
+	if !found || table.DigestOf(data) != digest {
+		if found {
+			s.counts.BadPages++
+		}
+		s.pageFailed(digest, from)
+		return
+	}
+	c.pages[digest] = data
+	c.progress = s.now
+	delete(c.missing, digest)
+	c.order = slices.DeleteFunc(c.order, func(d table.Digest) bool { return d == digest })
+	s.finishCandidate()
+}
+
+// pageFailed notes that a peer, or with an empty name the platform, did not give
+// a page.
+func (s *State) pageFailed(digest table.Digest, from ident.Instance) {
+	c := s.sheets.candidate
+	if c == nil || c.missing[digest] == nil {
+		return
+	}
+	f := c.missing[digest]
+	if from == "" {
+		f.reading = false
+		f.retryAt = s.now.Add(askAgainAfter + s.upTo(askAgainAfter))
+		f.question.tried = nil
+		return
+	}
+	if f.question.asked == from {
+		f.question.fail()
+	}
+}
+
+// planPages fetches missing pages: from peers that have the table in force, else
+// from the platform.
+func (s *State) planPages() {
+	if s.sheets.candidate != nil {
+		s.park()
+	}
+	if s.sheets.candidate == nil {
+		s.unpark()
+	}
+	c := s.sheets.candidate
+	if c == nil {
+		return
+	}
+	asked := 0
+	for _, digest := range c.order {
+		f := c.missing[digest]
+		s.expire(f)
+		if f.question.asked == "" && !f.reading && asked < maxPageQuestions {
+			s.fetchPage(c, digest, f)
+		}
+		if f.question.asked != "" {
+			asked++
+		}
+	}
+}
+
+// expire ends what has taken too long.
+func (s *State) expire(f *fetch) {
+	if f.question.asked != "" && s.now.After(f.question.lateAt) {
+		f.question.fail()
+	}
+	if f.reading && s.now.After(f.lostAt) {
+		f.reading = false
+		s.backOff(0)
+	}
+}
+
+func (s *State) fetchPage(c *candidate, digest table.Digest, f *fetch) {
+	holder, found := s.holder(&f.question, func(p *Peer) bool {
+		return p.Instance == c.from || p.Held.Table >= c.version.Revision
+	})
+	if found {
+		f.question.asked = holder
+		f.question.lateAt = s.now.Add(questionTimeout)
+		s.counts.PeerQuestions++
+		s.act(AskPeer{Instance: holder, Key: PageKey(digest)})
+		return
+	}
+	s.askAgain(&f.question)
+	own := s.watching() || s.now.Sub(c.since) >= pageWait
+	if !own || s.now.Before(f.retryAt) || !s.mayRead() {
+		return
+	}
+	f.reading = true
+	f.lostAt = s.now.Add(lostAfter)
+	s.spend()
+	s.act(ReadPlatform{Key: PageKey(digest)})
+}
+
+// askAgain lets the peers that failed on a page be asked again after a while.
+func (s *State) askAgain(q *question) {
+	switch {
+	case len(q.tried) == 0:
+	case q.retryAt.IsZero():
+		q.retryAt = s.now.Add(askAgainAfter + s.upTo(askAgainAfter))
+	case !s.now.Before(q.retryAt):
+		q.tried = nil
+		q.retryAt = time.Time{}
+	}
+}
--- /dev/null
+++ b/core/feed/state.go
@@ -0,0 +1,338 @@
+package feed
+
+import (
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/member"
+	"arbutustrestle/core/rank"
+	"arbutustrestle/core/table"
+)
+
+const (
+	// readersPerZone is the number of entries in each zone that watch the platform.
+	readersPerZone = 2
+	// startWait is how long a starting instance waits for the platform and for
+	// every expected peer before it goes on with what one of them gave.
+	startWait = 4 * time.Second
+	// otherZoneDelay and otherZoneSpread hold back a question to a peer of another
+	// zone, as the readers of the own zone will have the value soon.
+	otherZoneDelay  = time.Second
+	otherZoneSpread = time.Second
+)
+
+// Options are the settings of a State.
+type Options struct {
+	Instance ident.Instance
+	Zone     ident.Zone
+	Region   ident.Region
+	// Random spreads the reads; nil means a generator seeded with the instance's name.
+	Random *rand.Rand
+	// CheckList refuses a list that cannot be read; nil takes every list.
+	CheckList func(key Key, data []byte) error
+}
+
+// Counts are the answers that changed nothing, by reason, and the reads made.
+type Counts struct {
+	PlatformReads    uint64
+	PlatformFailures uint64
+	PeerQuestions    uint64
+	// StaleAnswers are of a lower revision than what is held.
+	StaleAnswers uint64
+	// BadPages did not have the digest that was asked for.
+	BadPages      uint64
+	RefusedTables uint64
+	RefusedLists  uint64
+	// Conflicts are manifests with the revision in force and other bytes.
+	Conflicts uint64
+}
+
+// Status is what is held, for operators.
+type Status struct {
+	Ready   bool
+	InForce table.Version
+	// Candidate is a newer version that still lacks pages; zero if there is none.
+	Candidate    table.Version
+	MissingPages int
+	// Refused is the version refused last, and Problem is why.
+	Refused table.Version
+	Problem error
+	// Conflict is a version with the revision in force and another digest.
+	Conflict table.Version
+	// Reader is set when the instance watches the platform.
+	Reader bool
+	// PlatformDown is set when the newest reads of the platform failed.
+	PlatformDown bool
+	Held         member.Held
+}
+
+// State is what one instance holds of the published values. It is not safe for
+// concurrent use.
+type State struct {
+	options Options
+	began   time.Time
+	// now never decreases.
+	now   time.Time
+	ready bool
+	// watches holds the manifest, the entries and the upstreams, in this order.
+	watches  [watchCount]watch
+	platform platform
+	peers    []Peer
+	expected int
+	// reader is set when this instance is one of its zone's readers, lonely when it
+	// hears no other entry.
+	reader bool
+	lonely bool
+	// counted is set when Members came after the newest list of entries, so that
+	// expected is that list's.
+	counted bool
+	sheets  sheets
+	counts  Counts
+	// announced is what the zone was told last.
+	announced member.Held
+	actions   []Action
+}
+
+// New returns the state of an instance that holds nothing.
+func New(options Options) *State {
+	if options.Random == nil {
+		hash := fnv.New64a()
+		_, _ = hash.Write([]byte(options.Instance))
+		options.Random = rand.New(rand.NewPCG(hash.Sum64(), 0))
+	}
+	s := &State{options: options, lonely: true}
+	s.watches[watchManifest].key = ManifestKey
+	s.watches[watchEntries].key = EntriesKey
+	s.watches[watchUpstreams].key = UpstreamsKey(options.Region)
+	return s
+}
+
+// Step takes in an event and returns what is to be done. The returned slice is
+// valid until the next step.
+func (s *State) Step(now time.Time, event Event) []Action {
+	s.actions = s.actions[:0]
+	s.advance(now)
+	switch e := event.(type) {
+	case Tick:
+	case Members:
+		s.setMembers(e)
+	case PeerHas:
+		s.setHeld(e)
+	case PlatformAnswered:
+		s.platformAnswered(e)
+	case PlatformFailed:
+		s.platformFailed(e)
+	case PeerAnswered:
+		s.peerAnswered(e)
+	case PeerFailed:
+		s.peerFailed(e.Instance, e.Key)
+	}
+	s.planQuestions()
+	s.planPages()
+	s.planReads()
+	s.checkReady()
+	return s.actions
+}
+
+func (s *State) act(a Action) {
+	s.actions = append(s.actions, a)
+}
+
+func (s *State) advance(now time.Time) {
+	if s.began.IsZero() {
+		s.began = now
+		s.now = now
+		s.platform.refilled = now
+		// Instances that start together do not read together.
+		s.platform.retryAt = now.Add(s.upTo(time.Second))
+	}
+	if now.After(s.now) {
+		s.now = now
+	}
+}
+
+// Held returns the revisions that are in force, for heartbeats.
+func (s *State) Held() member.Held {
+	return member.Held{
+		Table:     s.sheets.inForce.Revision,
+		Entries:   s.watches[watchEntries].value.Revision,
+		Upstreams: s.watches[watchUpstreams].value.Revision,
+	}
+}
+
+// Counts returns the numbers of reads and of answers that changed nothing.
+func (s *State) Counts() Counts {
+	return s.counts
+}
+
+// Status returns what is held.
+func (s *State) Status() Status {
+	status := Status{
+		Ready:        s.ready,
+		InForce:      s.sheets.inForce,
+		Refused:      s.sheets.refused,
+		Problem:      s.sheets.problem,
+		Conflict:     s.sheets.conflict,
+		Reader:       s.watching(),
+		PlatformDown: s.platform.failures > 0,
+		Held:         s.Held(),
+	}
+	if c := s.sheets.candidate; c != nil {
+		status.Candidate = c.version
+		status.MissingPages = len(c.missing)
+	}
+	return status
+}
+
+// Value returns what a peer that asks gets: the manifest in force, a list, or a
+// page of the table in force or of the one being fetched. It reports false for
+// anything not held, and for a manifest or list that is not above after.
+func (s *State) Value(key Key, after ident.Revision) (Value, bool) {
+	if digest, isPage := key.Digest(); isPage {
+		data, found := s.sheets.page(digest)
+		return Value{Data: data}, found
+	}
+	if key == ManifestKey {
+		return s.sheets.manifest, s.sheets.inForce.Revision > after
+	}
+	for i := range s.watches {
+		w := &s.watches[i]
+		if w.key == key {
+			return w.value, w.value.Revision > after
+		}
+	}
+	return Value{}, false
+}
+
+// setMembers takes over the alive entries and elects the readers anew.
+func (s *State) setMembers(m Members) {
+	watched := s.watching()
+	s.peers = m.Peers
+	s.expected = m.Expected
+	s.lonely = len(m.Peers) == 0
+	s.counted = s.watches[watchEntries].value.Revision > 0
+	zone := []ident.Instance{s.options.Instance}
+	for _, p := range m.Peers {
+		if p.Zone == s.options.Zone {
+			zone = append(zone, p.Instance)
+		}
+	}
+	readers := rank.Top("reader "+string(s.options.Zone), zone, readersPerZone)
+	s.reader = !s.lonely && slices.Contains(readers, s.options.Instance)
+	if s.watching() && !watched {
+		s.startWatching()
+	}
+}
+
+// setHeld notes an announcement. The embedder's next Members may be older than it
+// for one heartbeat, which costs a question at most.
+func (s *State) setHeld(e PeerHas) {
+	i := slices.IndexFunc(s.peers, func(p Peer) bool { return p.Instance == e.Instance })
+	if i < 0 {
+		return
+	}
+	s.peers = slices.Clone(s.peers)
+	s.peers[i].Held = e.Held
+}
+
+// watching reports whether the instance waits at the platform for changes.
+func (s *State) watching() bool {
+	return s.reader || s.lonely
+}
+
+// startWatching makes the watches of an instance that was elected due.
+func (s *State) startWatching() {
+	at := s.now.Add(s.upTo(electedSpread))
+	for i := range s.watches {
+		w := &s.watches[i]
+		if w.nextRead.After(at) {
+			w.nextRead = at
+		}
+	}
+}
+
+// announce tells the zone of a new value. An instance that got it from a peer
+// leaves that to the readers, if it is not one.
+func (s *State) announce(from ident.Instance) {
+	held := s.Held()
+	if held == s.announced || (from != "" && !s.reader) {
+		return
+	}
+	s.announced = held
+	var to []ident.Instance
+	for _, p := range s.peers {
+		if p.Usable && p.Zone == s.options.Zone {
+			to = append(to, p.Instance)
+		}
+	}
+	if len(to) > 0 {
+		s.act(Announce{To: to, Held: held})
+	}
+}
+
+// checkReady ends the start: once the newest values that the platform and the
+// peers are known to have are in force.
+func (s *State) checkReady() {
+	if s.ready || !s.complete() {
+		return
+	}
+	platform := s.platformAnsweredAll()
+	peers := s.counted && len(s.peers) >= s.expected
+	waited := s.now.Sub(s.began) >= startWait
+	answered := platform && peers
+	if !waited && !answered {
+		return
+	}
+	s.ready = true
+	source := BothAnswered
+	switch {
+	case !platform:
+		source = PeersOnly
+	case !peers && len(s.peers) > 0:
+		source = SomePeers
+	case !peers:
+		source = PlatformOnly
+	}
+	s.act(BecameReady{Source: source})
+}
+
+// complete reports whether a table and both lists are in force, and no usable
+// peer has newer ones.
+func (s *State) complete() bool {
+	if s.sheets.inForce.Revision == 0 {
+		return false
+	}
+	if c := s.sheets.candidate; c != nil && c.version != s.sheets.parked.version {
+		return false
+	}
+	for i := range s.watches {
+		w := &s.watches[i]
+		if i != watchManifest && w.value.Revision == 0 && !w.absent {
+			return false
+		}
+		if s.newest(i) > s.mine(i) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *State) platformAnsweredAll() bool {
+	for i := range s.watches {
+		if !s.watches[i].answered {
+			return false
+		}
+	}
+	return true
+}
+
+// upTo returns a random time below the given one.
+func (s *State) upTo(d time.Duration) time.Duration {
+	if d <= 0 {
+		return 0
+	}
+	return time.Duration(s.options.Random.Int64N(int64(d)))
+}
