Test the stand-ins by their contract

What the stand-ins do under each fault has to be known before a test of the gateway may lean on it. Tables now give, for every fault of an engine and of a plain service, the status, the ending that the caller sees, and what the log of the stand-in has.

--- a/cmd/standin/all.go
+++ b/cmd/standin/all.go
@@ -99,8 +99,12 @@
 
 // Execute serves until SIGTERM or SIGINT.
 func (c *allCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() > 0 {
+		f.Usage()
+		return subcommands.ExitUsageError
+	}
 	units, err := c.units()
-	if err != nil || f.NArg() > 0 {
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "standin all:", err)
 		return subcommands.ExitUsageError
 	}
--- /dev/null
+++ b/io/emul/contract_test.go
@@ -0,0 +1,396 @@
+package emul_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"arbutustrestle/core/clock"
+	"arbutustrestle/io/emul"
+	"arbutustrestle/io/emul/engine"
+	"arbutustrestle/io/emul/plain"
+	"arbutustrestle/io/emul/plat"
+)
+
+// maxAnswerBytes is where the test's reader gives up.
+const maxAnswerBytes = 1 << 20
+
+// rig drives one stand-in over HTTP.
+type rig struct {
+	t      *testing.T
+	clock  *clock.Manual
+	runs   *emul.Log
+	server *emul.Server
+	client *http.Client
+}
+
+func newRig(t *testing.T) *rig {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	return &rig{t: t, clock: clock.NewManual(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)), client: client}
+}
+
+// serve puts the handler in place of the one served before.
+func (g *rig) serve(handler http.Handler) {
+	g.close()
+	server, err := emul.Listen(netip.MustParseAddrPort("127.0.0.1:0"), handler)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.server = server
+}
+
+func (g *rig) close() {
+	if g.server != nil {
+		g.server.Close()
+	}
+}
+
+func (g *rig) request(ctx context.Context, method, path, id, body string) *http.Request {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+g.server.Addr().String()+path, strings.NewReader(body))
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	r.GetBody = nil
+	r.Header.Set("Request-Id", id)
+	return r
+}
+
+// control sends a request to a control path and gives the answer as text.
+func (g *rig) control(method, path, body string) string {
+	response, err := g.client.Do(g.request(context.Background(), method, path, "", body))
+	if err != nil {
+		return "broken\n"
+	}
+	defer response.Body.Close()
+	text, _ := io.ReadAll(response.Body)
+	line := fmt.Sprintf("%d", response.StatusCode)
+	for _, name := range []string{"Revision", "Retry-After"} {
+		if value := response.Header.Get(name); value != "" {
+			line += " " + name + "=" + value
+		}
+	}
+	return strings.TrimSpace(line+" "+strings.TrimSpace(string(text))) + "\n"
+}
+
+// seen is what a caller saw of one answer.
+type seen struct {
+	status, outcome, id, end string
+	body                     []byte
+}
+
+// call sends a request and reads its answer. With abandon set, the caller goes
+// away once the log shows that state.
+func (g *rig) call(method, path, id, body, abandon string) seen {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if abandon != "" {
+		before := uint64(len(g.runs.Runs(0)))
+		go g.abandon(cancel, before, emul.RunState(abandon))
+	}
+	response, err := g.client.Do(g.request(ctx, method, path, id, body))
+	if err != nil {
+		return seen{end: ending(err)}
+	}
+	defer response.Body.Close()
+	s := seen{status: fmt.Sprint(response.StatusCode), outcome: response.Header.Get("Run-Outcome"), id: response.Header.Get("Request-Id"), end: "clean"}
+	s.body, err = io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		s.end = ending(err)
+	}
+	if len(s.body) == maxAnswerBytes {
+		s.end = "oversize"
+	}
+	return s
+}
+
+func (g *rig) abandon(cancel func(), before uint64, state emul.RunState) {
+	for {
+		runs := g.runs.Runs(before)
+		if len(runs) > 0 && runs[0].State == state {
+			cancel()
+			return
+		}
+	}
+}
+
+func ending(err error) string {
+	switch {
+	case errors.Is(err, context.Canceled):
+		return "abandoned"
+	case errors.Is(err, syscall.ECONNRESET):
+		return "reset"
+	default:
+		return "broken"
+	}
+}
+
+// frames counts the frames of an answer and reports whether they are, in order,
+// those of the request, each once, and whether the end marker came.
+func frames(s seen, id, prompt string, maxTokens int) string {
+	var count int
+	own, done := s.id == id, false
+	want := engine.Expected(id, prompt, maxTokens)
+	lines := bufio.NewScanner(bytes.NewReader(s.body))
+	lines.Buffer(nil, 2*maxAnswerBytes)
+	for lines.Scan() {
+		data, found := strings.CutPrefix(lines.Text(), "data: ")
+		if !found {
+			continue
+		}
+		if data == "[DONE]" {
+			done = true
+			continue
+		}
+		var frame struct {
+			ID    string `json:"id"`
+			Index int    `json:"index"`
+			Text  string `json:"text"`
+		}
+		if json.Unmarshal([]byte(data), &frame) != nil {
+			own = false
+			continue
+		}
+		own = own && frame.ID == id && frame.Index == count && count < len(want) && frame.Text == want[count]
+		count++
+	}
+	return fmt.Sprintf("frames=%d own=%t done=%t", count, own, done)
+}
+
+// lastRun tells what the log has of a call.
+func (g *rig) lastRun(before int) string {
+	runs := g.runs.Runs(uint64(before))
+	if len(runs) == 0 {
+		return "not received"
+	}
+	return fmt.Sprintf("received=%d ran=%t", len(runs), slices.ContainsFunc(runs, emul.Run.Ran))
+}
+
+func TestEngine(t *testing.T) {
+	datadriven.Walk(t, "testdata/engine", func(t *testing.T, path string) {
+		g := newRig(t)
+		defer func() { g.close() }()
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			return g.engineStep(d)
+		})
+	})
+}
+
+func (g *rig) engineStep(d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "engine":
+		settings := engine.Settings{ID: "engine-1", Clock: g.clock}
+		d.MaybeScanArgs(g.t, "slots", &settings.Slots)
+		d.MaybeScanArgs(g.t, "cache-blocks", &settings.CacheBlocks)
+		d.MaybeScanArgs(g.t, "gap", &settings.EventGap)
+		settings.ChecksFence = d.HasArg("checks-fence")
+		settings.EventLag, settings.LoadLag, settings.ModelLoadTime = g.duration(d, "event-lag"), g.duration(d, "load-lag"), g.duration(d, "load-time")
+		for _, arg := range d.CmdArgs {
+			if arg.Key == "models" {
+				settings.Loaded = arg.Vals
+			}
+		}
+		e := engine.New(settings)
+		g.runs = e.Runs()
+		g.serve(e.Handler())
+		return "ok\n"
+	case "complete":
+		return g.complete(d)
+	default:
+		return g.commonStep(d)
+	}
+}
+
+func (g *rig) duration(d *datadriven.TestData, name string) time.Duration {
+	var text string
+	d.MaybeScanArgs(g.t, name, &text)
+	duration, _ := time.ParseDuration(text)
+	return duration
+}
+
+// commonStep carries out the directives of all stand-ins.
+func (g *rig) commonStep(d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "advance":
+		var text string
+		d.ScanArgs(g.t, "by", &text)
+		step, err := time.ParseDuration(text)
+		if err != nil {
+			g.t.Fatal(err)
+		}
+		g.clock.Advance(step)
+		return "ok\n"
+	case "get", "put", "post", "delete":
+		return g.control(strings.ToUpper(d.Cmd), d.CmdArgs[0].String(), d.Input)
+	default:
+		g.t.Fatalf("unknown directive %s", d.Cmd)
+		return ""
+	}
+}
+
+// complete asks for a completion and tells what the caller and the log saw.
+func (g *rig) complete(d *datadriven.TestData) string {
+	id, model, version, word, abandon, tokens, blocks := "r1", "m", "1", "plan", "", 3, 0
+	d.MaybeScanArgs(g.t, "id", &id)
+	d.MaybeScanArgs(g.t, "model", &model)
+	d.MaybeScanArgs(g.t, "version", &version)
+	d.MaybeScanArgs(g.t, "word", &word)
+	d.MaybeScanArgs(g.t, "abandon", &abandon)
+	d.MaybeScanArgs(g.t, "tokens", &tokens)
+	d.MaybeScanArgs(g.t, "blocks", &blocks)
+	if d.HasArg("faults") {
+		if text := g.control(http.MethodPut, "/v1/faults", d.Input); !strings.HasPrefix(text, "200") {
+			return text
+		}
+	}
+	prompt := word + emul.Marker("cousins") + strings.Repeat("x", blocks*engine.BlockBytes)
+	body, _ := json.Marshal(struct {
+		Model     string `json:"model"`
+		Version   string `json:"version"`
+		Prompt    string `json:"prompt"`
+		MaxTokens int    `json:"max-tokens"`
+	}{model, version, prompt, tokens})
+	before := len(g.runs.Runs(0))
+	s := g.call(http.MethodPost, "/v1/completions", id, string(body), abandon)
+	line := fmt.Sprintf("status=%s outcome=%s end=%s ", s.status, s.outcome, s.end)
+	return line + frames(s, id, prompt, tokens) + "; " + g.lastRun(before) + "\n"
+}
+
+func TestService(t *testing.T) {
+	g := newRig(t)
+	s := plain.New(plain.Settings{ID: "service-1", Clock: g.clock})
+	g.runs = s.Runs()
+	g.serve(s.Handler())
+	defer g.close()
+	datadriven.RunTest(t, "testdata/service", func(t *testing.T, d *datadriven.TestData) string {
+		if d.Cmd != "call" {
+			return g.commonStep(d)
+		}
+		abandon := ""
+		d.MaybeScanArgs(t, "abandon", &abandon)
+		if d.HasArg("faults") {
+			g.control(http.MethodPut, "/v1/faults", d.Input)
+		}
+		before := len(g.runs.Runs(0))
+		body := "slot 7 " + emul.Marker("cousins")
+		seen := g.call(http.MethodPost, "/reservations/7", "r1", body, abandon)
+		var answer plain.Answer
+		whole := json.Unmarshal(seen.body, &answer) == nil
+		own := seen.id == "r1" && answer.RequestID == "r1" && answer.BodyHash == plain.BodyHash([]byte(body))
+		return fmt.Sprintf("status=%s outcome=%s end=%s whole=%t own=%t; %s\n", seen.status, seen.outcome, seen.end, whole, own, g.lastRun(before))
+	})
+}
+
+func TestPlatform(t *testing.T) {
+	g := newRig(t)
+	defer func() { g.close() }()
+	datadriven.RunTest(t, "testdata/platform", func(t *testing.T, d *datadriven.TestData) string {
+		switch d.Cmd {
+		case "platform":
+			settings := plat.Settings{Clock: g.clock}
+			d.MaybeScanArgs(t, "rate", &settings.Rate)
+			d.MaybeScanArgs(t, "first-revision", (*uint64)(&settings.FirstRevision))
+			g.serve(plat.New(settings).Handler())
+			return "ok\n"
+		case "put-if":
+			r := g.request(context.Background(), http.MethodPut, d.CmdArgs[0].Key, "", d.Input)
+			r.Header.Set("If-Match", d.CmdArgs[1].Key)
+			response, err := g.client.Do(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer response.Body.Close()
+			return fmt.Sprintf("%d Revision=%s\n", response.StatusCode, response.Header.Get("Revision"))
+		case "put-size":
+			var size int
+			d.ScanArgs(t, "bytes", &size)
+			return g.control(http.MethodPut, d.CmdArgs[0].Key, strings.Repeat("x", size))
+		default:
+			return g.commonStep(d)
+		}
+	})
+}
+
+// TestWatch changes a value, and the faults, while a watch waits.
+func TestWatch(t *testing.T) {
+	g := newRig(t)
+	p := plat.New(plat.Settings{Clock: g.clock})
+	g.serve(p.Handler())
+	defer g.close()
+	p.Put("list/entries", []byte("one"))
+	for _, c := range []struct {
+		name   string
+		faults plat.Faults
+		change func()
+		want   string
+	}{
+		{"change", plat.Faults{}, func() { p.Put("list/entries", []byte("two")) }, "200 Revision=2 two\n"},
+		{"deletion", plat.Faults{}, func() { p.Delete("list/entries") }, "404 Revision=3 absent\n"},
+		{"other value", plat.Faults{}, func() { p.Put("list/other", nil); p.Put("list/entries", []byte("four")) }, "200 Revision=4 four\n"},
+		{"end of staleness", plat.Faults{AsOf: g.clock.Now()}, func() { p.Put("list/entries", []byte("five")); p.SetFaults(plat.Faults{}) }, "200 Revision=5 five\n"},
+		{"reset", plat.Faults{}, func() { p.SetFaults(plat.Faults{Down: plat.Reset}) }, "broken\n"},
+	} {
+		_, newest, _ := p.Get("list/entries")
+		p.SetFaults(c.faults)
+		answers := make(chan string)
+		go func() {
+			answers <- g.control(http.MethodGet, fmt.Sprintf("/v1/values/list/entries?after=%d&wait=60s", newest), "")
+		}()
+		for p.Stats().Watching == 0 {
+			continue
+		}
+		g.clock.Advance(time.Second)
+		c.change()
+		if got := <-answers; got != c.want {
+			t.Errorf("%s: got %q, want %q", c.name, got, c.want)
+		}
+		for p.Stats().Watching != 0 {
+			continue
+		}
+	}
+}
+
+// TestServer refuses and takes connections again on the same address, and stops
+// without cutting off a stream.
+func TestServer(t *testing.T) {
+	g := newRig(t)
+	e := engine.New(engine.Settings{StepTime: time.Millisecond})
+	g.runs = e.Runs()
+	g.serve(e.Handler())
+	defer g.close()
+	if err := g.server.Refuse(); err != nil {
+		t.Fatal(err)
+	}
+	if got := g.control(http.MethodGet, "/v1/load", ""); got != "broken\n" {
+		t.Fatalf("refused server answered %q", got)
+	}
+	if err := g.server.Resume(); err != nil {
+		t.Fatal(err)
+	}
+	stopped := make(chan error, 1)
+	go func() {
+		for len(g.runs.Runs(0)) == 0 {
+			continue
+		}
+		stopped <- g.server.Stop(context.Background())
+	}()
+	s := g.call(http.MethodPost, "/v1/completions", "r1", `{"model":"m","version":"1","prompt":"p","max-tokens":50}`, "")
+	if got := frames(s, "r1", "p", 50); got != "frames=50 own=true done=true" {
+		t.Errorf("stream over a stop: %s, end %s", got, s.end)
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
--- a/io/emul/engine/cache.go
+++ b/io/emul/engine/cache.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -30,7 +31,7 @@
 	gap      int
 	// blocks holds an element of order for each cached hash.
 	blocks map[uint64]*list.Element
-	// order has the hash used last at the front.
+	// order has the hash used last at the front; of one prompt, the first block.
 	order *list.List
 	// events are in the order of their numbers, with gaps.
 	events []event
@@ -47,8 +48,10 @@
 	}
 }
 
-// use returns the number of leading blocks that are cached, and stores the rest.
+// use returns the number of leading blocks that are cached, and stores the rest
+// as far as the capacity goes.
 func (c *cache) use(prefixes []uint64, now time.Time) int {
+	prefixes = prefixes[:min(len(prefixes), c.capacity)]
 	cached := 0
 	for cached < len(prefixes) && c.blocks[prefixes[cached]] != nil {
 		c.order.MoveToFront(c.blocks[prefixes[cached]])
@@ -57,6 +60,10 @@
 	for _, hash := range prefixes[cached:] {
 		c.store(hash, now)
 	}
+	// A block is of no use without those before it: the last one goes first.
+	for _, hash := range slices.Backward(prefixes) {
+		c.order.MoveToFront(c.blocks[hash])
+	}
 	return cached
 }
 
