Follow the table's order of priorities in the engine stand-in

The table's policy says that priority 0 goes first, and the engine stand-in served 9 first, so that quick questions would have waited behind sessions. It serves 0 first now. It also says that it is leaving in its answers, which the attempts already read, and echoes the request id on refusals. Refusing work while leaving was ruled out: the log has to show what still comes.

--- a/io/emul/contract_test.go
+++ b/io/emul/contract_test.go
@@ -88,6 +88,7 @@
 // seen is what a caller saw of one answer.
 type seen struct {
 	status, outcome, id, end string
+	leaving                  bool
 	body                     []byte
 }
 
@@ -106,6 +107,7 @@
 	}
 	defer response.Body.Close()
 	s := seen{status: fmt.Sprint(response.StatusCode), outcome: response.Header.Get("Run-Outcome"), id: response.Header.Get("Request-Id"), end: "clean"}
+	s.leaving = response.Header.Get("Leaving") != ""
 	s.body, err = io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
 		s.end = ending(err)
@@ -265,6 +267,9 @@
 	before := len(g.runs.Runs(0))
 	s := g.call(http.MethodPost, "/v1/completions", id, string(body), abandon)
 	line := fmt.Sprintf("status=%s outcome=%s end=%s ", s.status, s.outcome, s.end)
+	if s.leaving {
+		line += "leaving "
+	}
 	return line + frames(s, id, prompt, tokens) + "; " + g.lastRun(before) + "\n"
 }
 
--- a/io/emul/engine/batch.go
+++ b/io/emul/engine/batch.go
@@ -8,7 +8,7 @@
 
 // sequence is one request in the queue or in the batch.
 type sequence struct {
-	// priority is 0 to 9; 9 goes first.
+	// priority is 0 to 9; 0 goes first.
 	priority int
 	// order numbers the sequences as they came.
 	order uint64
@@ -48,7 +48,7 @@
 	}
 }
 
-// queue is a heap of the waiting sequences: highest priority first, then the
+// queue is a heap of the waiting sequences: lowest priority number first, then the
 // order in which they came.
 type queue []*sequence
 
@@ -56,7 +56,7 @@
 
 func (q queue) Less(i, j int) bool {
 	if q[i].priority != q[j].priority {
-		return q[i].priority > q[j].priority
+		return q[i].priority < q[j].priority
 	}
 	return q[i].order < q[j].order
 }
--- a/io/emul/engine/completion.go
+++ b/io/emul/engine/completion.go
@@ -47,13 +47,18 @@
 		return
 	}
 	id := r.Header.Get("Request-Id")
+	leaving := e.isLeaving()
 	run := e.runs.Add(emul.Run{
-		RequestID: id, State: emul.Received, Time: e.settings.Clock.Now(), Leaving: e.isLeaving(),
+		RequestID: id, State: emul.Received, Time: e.settings.Clock.Now(), Leaving: leaving,
 		Workspace: emul.FindMarker(query.Prompt), Model: query.Model, Version: query.Version, Priority: query.Priority,
 	})
 	if rule.BeforeRun(r.Context()) {
 		return
 	}
+	w.Header().Set("Request-Id", rule.HeaderID(id))
+	if leaving {
+		w.Header().Set("Leaving", "true")
+	}
 	if !e.serves(query.name()) {
 		e.runs.Mark(run, emul.Refused, 0)
 		refuse(w, http.StatusServiceUnavailable, "model is not loaded")
@@ -146,7 +151,6 @@
 type answer struct {
 	w    http.ResponseWriter
 	rule fault.Rule
-	id   string
 	seed uint64
 	// start is the part of a frame before its index.
 	start  []byte
@@ -158,14 +162,13 @@
 func newAnswer(w http.ResponseWriter, rule fault.Rule, id string, seed uint64) *answer {
 	quoted, _ := json.Marshal(rule.BodyID(id)) // a string always has a JSON form
 	start := append([]byte(`data: {"id":`), quoted...)
-	return &answer{w: w, rule: rule, id: id, seed: seed, start: append(start, `,"index":`...)}
+	return &answer{w: w, rule: rule, seed: seed, start: append(start, `,"index":`...)}
 }
 
 // begin sets the header of the answer.
 func (a *answer) begin(load string) {
 	header := a.w.Header()
 	header.Set("Content-Type", "text/event-stream")
-	header.Set("Request-Id", a.rule.HeaderID(a.id))
 	header.Set("Engine-Load", load)
 }
 
--- a/io/emul/engine/engine.go
+++ b/io/emul/engine/engine.go
@@ -130,8 +130,9 @@
 	return &e.runs
 }
 
-// SetLeaving makes the engine report that it is leaving. It goes on taking work,
-// so that its log shows what still comes.
+// SetLeaving makes the engine say that it is leaving, in /v1/load and in the header
+// "Leaving: true" of its answers. It goes on taking work, so that its log shows what
+// still comes.
 func (e *Engine) SetLeaving(leaving bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/io/emul/plain/plain.go
+++ b/io/emul/plain/plain.go
@@ -80,8 +80,9 @@
 	return &s.runs
 }
 
-// SetLeaving makes the service report that it is leaving. It goes on taking work,
-// so that its log shows what still comes.
+// SetLeaving makes the service say that it is leaving, in /v1/load and in the
+// header "Leaving: true" of its answers. It goes on taking work, so that its log
+// shows what still comes.
 func (s *Service) SetLeaving(leaving bool) {
 	s.leaving.Store(leaving)
 }
@@ -182,6 +183,9 @@
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set("Request-Id", rule.HeaderID(run.RequestID))
+	if run.Leaving {
+		header.Set("Leaving", "true")
+	}
 	switch rule.Kind {
 	case fault.DuplicateFrames:
 		fault.AnswerTwice(w, header, body)
