--- a/core/table/manifest.go
+++ b/core/table/manifest.go
@@ -63,6 +63,9 @@
 	baseRow     = "base"
 	authorRow   = "author"
 	noteRow     = "note"
+	// pagesRow is the number of pages, so that a manifest that was cut short is
+	// not taken for a smaller table.
+	pagesRow = "pages"
 )
 
 // manifestFile names the manifest in faults.
@@ -83,6 +86,7 @@
 		{baseRow, strconv.FormatUint(uint64(m.Base), 10)},
 		{authorRow, m.Author},
 		{noteRow, m.Note},
+		{pagesRow, strconv.Itoa(len(m.Pages))},
 	}
 	for _, page := range m.Pages {
 		rows = append(rows, []string{string(page.Sheet), string(page.Digest)})
@@ -102,18 +106,23 @@
 func ParseManifest(data []byte) (Manifest, error) {
 	p := manifestParser{seen: map[string]bool{}}
 	p.read(data)
-	for _, name := range []string{revisionRow, baseRow} {
+	for _, name := range []string{revisionRow, baseRow, pagesRow} {
 		if !p.seen[name] {
 			p.fault(0, name, "is missing", "add the row")
 		}
 	}
+	if listed := len(p.manifest.Pages); p.seen[pagesRow] && p.pages != uint64(listed) {
+		p.fault(0, pagesRow, fmt.Sprintf("says %d where %d are listed", p.pages, listed), "publish the whole manifest")
+	}
 	return p.manifest, p.faults.err()
 }
 
 // manifestParser holds the state of reading a manifest.
 type manifestParser struct {
 	manifest Manifest
-	faults   Faults
+	// pages is what the manifest says, not what it lists.
+	pages  uint64
+	faults Faults
 	// seen has the names of single rows and the sheets and digests of pages.
 	seen map[string]bool
 }
@@ -156,9 +165,11 @@
 	p.seen[key] = true
 	switch name {
 	case revisionRow:
-		p.manifest.Revision = p.number(line, name, value)
+		p.manifest.Revision = ident.Revision(p.number(line, name, value))
 	case baseRow:
-		p.manifest.Base = p.number(line, name, value)
+		p.manifest.Base = ident.Revision(p.number(line, name, value))
+	case pagesRow:
+		p.pages = p.number(line, name, value)
 	case authorRow:
 		p.manifest.Author = value
 	case noteRow:
@@ -168,12 +179,12 @@
 	}
 }
 
-func (p *manifestParser) number(line int, name, value string) ident.Revision {
+func (p *manifestParser) number(line int, name, value string) uint64 {
 	number, err := strconv.ParseUint(value, 10, 63)
 	if err != nil {
-		p.fault(line, name, fmt.Sprintf("%q is not a revision", value), "use a whole number")
+		p.fault(line, name, fmt.Sprintf("%q is not a number", value), "use a whole number")
 	}
-	return ident.Revision(number)
+	return number
 }
 
 func (p *manifestParser) page(line int, sheet, digest string) {
