--- a/core/dedup/book.go
+++ b/core/dedup/book.go
@@ -1,6 +1,8 @@
 package dedup
 
 import (
+	"maps"
+	"slices"
 	"strings"
 
 	"arbutustrestle/core/ident"
@@ -101,11 +103,12 @@
 	return total
 }
 
-// each visits every record of an owner's book, in no order.
+// each visits every record of an owner's book, by epoch and unique part.
 func (b book) each(owner ident.Incarnation, visit func(Key, *record)) {
-	for number, epoch := range b {
-		for unique, held := range epoch {
-			visit(Key{Owner: owner, Epoch: number, Unique: unique}, held)
+	for _, number := range slices.Sorted(maps.Keys(b)) {
+		epoch := b[number]
+		for _, unique := range slices.Sorted(maps.Keys(epoch)) {
+			visit(Key{Owner: owner, Epoch: number, Unique: unique}, epoch[unique])
 		}
 	}
 }
--- a/core/dedup/call.go
+++ b/core/dedup/call.go
@@ -128,6 +128,22 @@
 	return &unsure
 }
 
+// NeedsNewKey reports whether a failure says that the key's call has not run and
+// never will, so that only a try under a new key can succeed. After any other
+// failure the same key is to be used again: a try that was lost on its way may
+// still arrive.
+func NeedsNewKey(f *result.Failure) bool {
+	if f.Outcome != result.NotRun || f.Step != result.StepDedup {
+		return false
+	}
+	switch f.Reason {
+	case result.KeyExpired, result.Draining, result.OwnerGone:
+		return true
+	default:
+		return false
+	}
+}
+
 // refuse returns a refusal that arose at the dedup step.
 func refuse(outcome result.Outcome, reason result.Reason) Refuse {
 	return Refuse{Failure: &result.Failure{Outcome: outcome, Step: result.StepDedup, Reason: reason}}
--- a/core/dedup/handover.go
+++ b/core/dedup/handover.go
@@ -1,6 +1,8 @@
 package dedup
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -80,7 +82,8 @@
 	r.exports++
 	head := Chunk{From: r.self, Oldest: r.oldest, Current: r.current, Complete: true}
 	chunks := r.split(head, r.own, allowed)
-	for owner, i := range r.imports {
+	for _, owner := range slices.SortedFunc(maps.Keys(r.imports), compare) {
+		i := r.imports[owner]
 		head = Chunk{From: owner, Oldest: i.oldest, Current: i.current, Complete: i.complete}
 		chunks = append(chunks, r.split(head, i.book, allowed)...)
 	}
--- a/core/dedup/note.go
+++ b/core/dedup/note.go
@@ -44,8 +44,7 @@
 	if len(n.byOld) <= maxNotes {
 		return
 	}
-	all := n.All(now)
-	first := slices.MinFunc(all, func(a, b Note) int { return a.Expires.Compare(b.Expires) })
+	first := slices.MinFunc(n.All(now), func(a, b Note) int { return a.Expires.Compare(b.Expires) })
 	delete(n.byOld, first.Old)
 }
 
@@ -69,8 +68,11 @@
 		}
 		all = append(all, note)
 	}
-	slices.SortFunc(all, func(a, b Note) int {
-		return cmp.Or(cmp.Compare(a.Old.Instance, b.Old.Instance), cmp.Compare(a.Old.Start, b.Old.Start))
-	})
+	slices.SortFunc(all, func(a, b Note) int { return compare(a.Old, b.Old) })
 	return all
 }
+
+// compare orders incarnations by name and start.
+func compare(a, b ident.Incarnation) int {
+	return cmp.Or(cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.Start, b.Start))
+}
--- /dev/null
+++ b/core/dedup/table_test.go
@@ -0,0 +1,151 @@
+package dedup_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"arbutustrestle/core/dedup"
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/result"
+)
+
+// bench holds an owner "a" and its possible successors "b" and "c".
+type bench struct {
+	now     time.Time
+	records map[string]*dedup.Records
+	chunks  []dedup.Chunk
+}
+
+func incarnation(name string) ident.Incarnation {
+	return ident.Incarnation{Instance: ident.Instance(name), Start: 1}
+}
+
+// key reads "a/0.x" as owner, epoch and unique part.
+func key(text string) dedup.Key {
+	var k dedup.Key
+	owner, rest, _ := strings.Cut(text, "/")
+	_, _ = fmt.Sscanf(rest, "%d.%s", &k.Epoch, &k.Unique)
+	k.Owner = incarnation(owner)
+	return k
+}
+
+// do carries out one operation, such as "a begin a/0.x body".
+func (b *bench) do(op string) string {
+	f := append(strings.Fields(op), "", "", "")
+	if f[0] == "pass" {
+		step, _ := time.ParseDuration(f[1])
+		b.now = b.now.Add(step)
+		return ""
+	}
+	r := b.records[f[0]]
+	allowed := func(w ident.Workspace) bool { return f[2] != "near-only" || w == "near" }
+	switch f[1] {
+	case "begin":
+		workspace := ident.Workspace("near")
+		if strings.HasPrefix(f[3], "far") {
+			workspace = "far"
+		}
+		return describe(r.Begin(b.now, dedup.Call{Key: key(f[2]), Workspace: workspace, Fingerprint: dedup.FingerprintOf(workspace, "POST", "/", []byte(f[3]))}))
+	case "end":
+		r.End(b.now, key(f[2]), dedup.Answer{Outcome: result.ParseOutcome(f[3]), Step: result.StepAttempt, Reason: result.IdleTimeout, Body: []byte(f[4])})
+	case "fill":
+		for i := range 600 {
+			r.Begin(b.now, dedup.Call{Key: key(fmt.Sprint(f[2], i)), Workspace: "near"})
+		}
+	case "strip":
+		r.Strip(allowed)
+	case "export":
+		b.chunks = r.Export(b.now, allowed)
+		return fmt.Sprint(len(b.chunks))
+	case "import": // "b import" takes every chunk twice and backwards, "b import 1" only that one
+		for i := range 2 * len(b.chunks) {
+			at := (2*len(b.chunks) - 1 - i) / 2
+			if f[2] != "" && f[2] != fmt.Sprint(at) {
+				continue
+			}
+			if err := r.Import(b.now, b.chunks[at]); err != nil {
+				return "failed"
+			}
+		}
+		return fmt.Sprint(r.Complete(incarnation("a")))
+	case "usage":
+		return fmt.Sprintf("%+v", r.Usage())
+	}
+	return ""
+}
+
+func describe(d dedup.Decision) string {
+	switch d := d.(type) {
+	case dedup.Replay:
+		return fmt.Sprintf("replay(%s %s)", d.Answer.Outcome, d.Answer.Body)
+	case dedup.Refuse:
+		after := ""
+		if d.Failure.RetryAfter > 0 {
+			after = " after " + d.Failure.RetryAfter.String()
+		}
+		if dedup.NeedsNewKey(d.Failure) {
+			after += " with new key"
+		}
+		return fmt.Sprintf("%s(%s%s)", d.Failure.Reason, d.Failure.Outcome, after)
+	default:
+		return strings.ToLower(strings.TrimPrefix(fmt.Sprintf("%T", d), "dedup."))
+	}
+}
+
+func TestRecords(t *testing.T) {
+	datadriven.RunTest(t, "testdata/records", func(t *testing.T, d *datadriven.TestData) string {
+		b := &bench{now: time.Unix(0, 0), records: map[string]*dedup.Records{}}
+		limits := dedup.Limits{EpochLength: time.Minute, Retention: 3 * time.Minute, MaxAnswer: 8, MaxRecords: 2000}
+		d.MaybeScanArgs(t, "records", &limits.MaxRecords)
+		for _, name := range []string{"a", "b", "c"} {
+			b.records[name] = dedup.NewRecords(incarnation(name), b.now, limits)
+		}
+		var out []string
+		for op := range strings.SplitSeq(strings.ReplaceAll(d.Input, "\n", ";"), ";") {
+			if text := b.do(op); text != "" {
+				out = append(out, text)
+			}
+		}
+		return strings.Join(out, "; ")
+	})
+}
+
+func TestResolve(t *testing.T) {
+	datadriven.RunTest(t, "testdata/resolve", func(t *testing.T, d *datadriven.TestData) string {
+		var out []string
+		for line := range strings.SplitSeq(d.Input, "\n") { // "members a=1 b=2: notes a>b"
+			membersText, notesText, _ := strings.Cut(line, ":")
+			var notes dedup.Notes
+			for note := range strings.FieldsSeq(notesText) {
+				old, successor, _ := strings.Cut(note, ">")
+				notes.Add(time.Unix(0, 0), dedup.Note{Old: incarnation(old), Successor: incarnation(successor), Expires: time.Unix(60, 0)})
+			}
+			members := func(name ident.Instance) (ident.Incarnation, bool) {
+				_, after, found := strings.Cut(membersText, string(name)+"=")
+				switch {
+				case !found:
+					return ident.Incarnation{}, false
+				case after[0] == '?':
+					return ident.Incarnation{}, true
+				}
+				return ident.Incarnation{Instance: name, Start: uint64(after[0] - '0')}, true
+			}
+			r := dedup.Resolver{Self: incarnation("s"), Members: members, Notes: &notes}
+			for _, asked := range []bool{false, true} {
+				switch to := r.Resolve(time.Unix(int64(len(d.CmdArgs))*60, 0), key("a/0.x"), asked).(type) {
+				case dedup.Forward:
+					out = append(out, "forward "+string(to.Incarnation.Instance))
+				case dedup.Gone:
+					out = append(out, to.Failure.Error())
+				default:
+					out = append(out, strings.ToLower(strings.TrimPrefix(fmt.Sprintf("%T", to), "dedup.")))
+				}
+			}
+		}
+		return strings.Join(out, "; ")
+	})
+}
