Prove membership under faults and hold its traffic to the budget

Fault tables drive several states under one virtual clock: crash, one-way cuts, late, doubled and reordered heartbeats, pause together with a crash, leaving under a stale list, and two instances lost at once with a region cut and a restart without a list. They found three faults, mended here: a restarted instance without a list was not told who its peers are, a pause made every peer unreachable at once, and a peer that came back was answered only after four periods. A failed send now makes a peer suspect at once. The causes were summaries every 5 s and their meeting at one entry by rank. Seeds let a new instance find an isolated region.

--- a/core/member/event.go
+++ b/core/member/event.go
@@ -48,6 +48,8 @@
 
 // SendHeartbeat asks for a heartbeat to be sent; a failure comes back as SendFailed.
 type SendHeartbeat struct {
+	// To is empty when only the address is known, as of a seed. Its failure need
+	// not come back.
 	To        ident.Instance
 	Address   netip.AddrPort
 	Heartbeat Heartbeat
--- /dev/null
+++ b/core/member/fault_test.go
@@ -0,0 +1,214 @@
+package member
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"arbutustrestle/core/ident"
+)
+
+// network drives several states under one virtual clock, with a queue of messages.
+type network struct {
+	now   time.Time
+	nodes map[ident.Instance]*node
+	order []ident.Instance
+	queue []message
+	// cuts and catch are patterns such as "west>north-1", of two prefixes of names.
+	cuts   []string
+	catch  string
+	caught []message
+	out    strings.Builder
+}
+
+type node struct {
+	state *State
+	awake time.Time
+}
+
+type message struct {
+	from, to ident.Instance
+	at       time.Time
+	event    Event
+}
+
+const step = 50 * time.Millisecond
+
+func newNetwork() *network {
+	return &network{now: time.UnixMilli(0), nodes: map[ident.Instance]*node{}}
+}
+
+func (m *message) matches(pattern string) bool {
+	from, to, found := strings.Cut(pattern, ">")
+	return found && strings.HasPrefix(string(m.from), from) && strings.HasPrefix(string(m.to), to)
+}
+
+func (n *network) step(id ident.Instance, e Event) {
+	for _, action := range n.nodes[id].state.Step(n.now, e) {
+		m := message{from: id, at: n.now.Add(step)}
+		switch a := action.(type) {
+		case SendHeartbeat:
+			m.to, m.event = a.To, HeartbeatArrived{Heartbeat: a.Heartbeat}
+			n.queue = append(n.queue, m)
+		case SendSummary:
+			m.to, m.event = a.To, SummaryArrived{Summary: a.Summary}
+			n.queue = append(n.queue, m)
+		case Paused:
+			fmt.Fprintf(&n.out, "%s paused for %s\n", id, a.Gap)
+		}
+	}
+}
+
+func (n *network) deliver() {
+	queue := n.queue
+	n.queue = nil
+	for _, m := range queue {
+		to := n.nodes[m.to]
+		cut := false
+		for _, pattern := range n.cuts {
+			cut = cut || m.matches(pattern)
+		}
+		switch {
+		case m.matches(n.catch):
+			n.caught = append(n.caught, m)
+		case cut:
+		case to == nil && n.nodes[m.from] != nil:
+			n.step(m.from, SendFailed{To: m.to})
+		case to == nil:
+		case m.at.After(n.now) || to.awake.After(n.now):
+			n.queue = append(n.queue, m)
+		default:
+			n.step(m.to, m.event)
+		}
+	}
+}
+
+func (n *network) run(d time.Duration) {
+	for end := n.now.Add(d); n.now.Before(end); {
+		n.now = n.now.Add(step)
+		n.deliver()
+		due := n.now.UnixMilli()%TickInterval.Milliseconds() == 0
+		for _, id := range n.order {
+			if v := n.nodes[id]; due && v != nil && !v.awake.After(n.now) {
+				n.step(id, Tick{})
+			}
+		}
+	}
+}
+
+// entryOf describes an instance whose name begins with its region: "west-1".
+func entryOf(id ident.Instance) Entry {
+	region, _, _ := strings.Cut(string(id), "-")
+	return Entry{ID: id, Region: ident.Region(region), Zone: ident.Zone(region + "-a")}
+}
+
+// start starts a run named like "west-1~12".
+func (n *network) start(run string) {
+	name, number, _ := strings.Cut(run, "~")
+	id := ident.Instance(name)
+	if n.nodes[id] == nil {
+		n.order = append(n.order, id)
+	}
+	start, _ := strconv.ParseUint(number, 10, 64)
+	n.nodes[id] = &node{state: New(Options{Self: entryOf(id), Start: start})}
+	n.step(id, LocalChanged{Phase: Ready, Held: Held{Table: 1}})
+}
+
+// list gives a listing of names, of which "west-1!" is leaving, to an instance.
+func (n *network) list(to ident.Instance, revision string, names []string) {
+	number, _ := strconv.Atoi(revision)
+	l := Listing{Revision: ident.Revision(number)}
+	for _, name := range names {
+		id, leaving := strings.CutSuffix(name, "!")
+		e := entryOf(ident.Instance(id))
+		e.Leaving = leaving
+		l.Entries = append(l.Entries, e)
+	}
+	n.step(to, ListingRead{Listing: l})
+}
+
+// print writes what an instance holds of the others in one line.
+func (n *network) print(id ident.Instance) {
+	v := n.nodes[id].state.View()
+	fmt.Fprintf(&n.out, "%s:", id)
+	for i := range v.Members() {
+		m := &v.Members()[i]
+		if m.Entry.ID == id {
+			continue
+		}
+		fmt.Fprintf(&n.out, " %s~%d=%s", m.Entry.ID, m.Start, m.Status)
+		for word, set := range []bool{m.Usable, !m.Listed, m.Leaving} {
+			if set {
+				fmt.Fprintf(&n.out, ",%s", []string{"usable", "unlisted", "leaving"}[word])
+			}
+		}
+	}
+	for _, r := range v.Regions() {
+		fmt.Fprintf(&n.out, " [%s fresh=%t ready=%d", r.Name, r.Fresh, r.Ready)
+		for _, c := range r.Contacts {
+			fmt.Fprintf(&n.out, " %s~%d", c.Incarnation.Instance, c.Incarnation.Start)
+		}
+		n.out.WriteString("]")
+	}
+	fmt.Fprintf(&n.out, " advised=%v stale=%t\n", v.Advised(), v.Stale)
+}
+
+var phases = map[string]Phase{"draining": Draining, "stopped": Stopped}
+
+func (n *network) command(words []string) {
+	id := ident.Instance(words[min(1, len(words)-1)])
+	wait, _ := time.ParseDuration(words[len(words)-1])
+	switch words[0] {
+	case "start":
+		for _, run := range words[1:] {
+			n.start(run)
+		}
+	case "crash":
+		delete(n.nodes, id)
+	case "list": // list TO|all REVISION NAME...
+		for _, to := range n.order {
+			if n.nodes[to] != nil && (id == "all" || id == to) {
+				n.list(to, words[2], words[3:])
+			}
+		}
+	case "run":
+		n.run(wait)
+	case "pause": // The instance steps no more, and messages wait for it.
+		n.nodes[id].awake = n.now.Add(wait)
+	case "phase":
+		n.step(id, LocalChanged{Phase: phases[words[2]], Held: Held{Table: 1}})
+	case "cut":
+		n.cuts = words[1:]
+	case "catch": // Keeps messages back until replay.
+		n.catch = words[1]
+	case "replay": // The newest first, each twice.
+		n.catch = ""
+		for i := 2*len(n.caught) - 1; i >= 0; i-- {
+			n.step(n.caught[i/2].to, n.caught[i/2].event)
+		}
+		n.caught = nil
+	case "view":
+		n.print(id)
+	case "counts":
+		fmt.Fprintf(&n.out, "%+v\n", n.nodes[id].state.Counts())
+	}
+}
+
+func TestFaults(t *testing.T) {
+	datadriven.RunTest(t, "testdata/faults", func(_ *testing.T, d *datadriven.TestData) string {
+		n := newNetwork()
+		for _, line := range strings.Split(d.Input, "\n") {
+			command, _, _ := strings.Cut(line, "#")
+			for _, part := range strings.Split(command, ";") {
+				if words := strings.Fields(part); len(words) > 0 {
+					n.command(words)
+				}
+			}
+		}
+		return n.out.String()
+	})
+}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -43,8 +43,9 @@
 	Unproven Status = iota
 	// Alive instances were heard within the suspicion time.
 	Alive
-	// Suspect instances are silent for some periods, or were last heard before
-	// this process paused. Any newer heartbeat makes them alive again.
+	// Suspect instances are silent for some periods, or have not been heard since a
+	// send to them failed or this process paused. Any newer heartbeat makes them
+	// alive again.
 	Suspect
 	// Unreachable instances are silent for long. They may still run.
 	Unreachable
@@ -109,8 +110,8 @@
 	Echo     Echo
 	Phase    Phase
 	Held     Held
-	// Self describes the sender until the recipient has echoed something of this
-	// run; nil afterwards.
+	// Self describes the sender unless the recipient has lately confirmed a
+	// heartbeat, so that one that restarted without a list can answer.
 	Self *Entry
 	// Payload is opaque here.
 	Payload []byte
--- a/core/member/peer.go
+++ b/core/member/peer.go
@@ -65,7 +65,12 @@
 	for i := range h.Summaries {
 		s.takeSummary(&h.Summaries[i], false)
 	}
+	before := p.status
 	s.refresh(p)
+	if p.status != before {
+		// It waits for an answer, which may not be due for some periods.
+		p.nextSend = s.now
+	}
 	s.act(Heard{Heartbeat: *h})
 }
 
@@ -121,6 +126,7 @@
 	p.sequence = 0
 	p.echoedAt = time.Time{}
 	p.heardAt = time.Time{}
+	p.failedAt = time.Time{}
 	p.left = false
 	p.described = false
 	p.nextSend = s.now
@@ -191,7 +197,12 @@
 }
 
 func (s *State) statusOf(p *peer) Status {
+	// The time in which this process stood still is not the peer's silence.
 	silence := s.now.Sub(p.heardAt)
+	stale := p.heardAt.Before(s.floor)
+	if stale {
+		silence = s.now.Sub(s.floor)
+	}
 	switch {
 	case p.left:
 		return Left
@@ -199,7 +210,7 @@
 		return Unproven
 	case silence > unreachablePeriods*s.period():
 		return Unreachable
-	case silence > suspectPeriods*s.period(), p.heardAt.Before(s.floor):
+	case stale, silence > suspectPeriods*s.period(), p.failedAt.After(p.heardAt):
 		return Suspect
 	default:
 		return Alive
@@ -226,7 +237,7 @@
 	if p.start != 0 {
 		h.Echo = Echo{Start: p.start, Sequence: p.sequence}
 	}
-	if p.echoedAt.IsZero() {
+	if !p.usable {
 		self := s.options.Self
 		h.Self = &self
 	}
--- a/core/member/state.go
+++ b/core/member/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -16,7 +17,7 @@
 	minPeriod = time.Second
 	// periodPerMember bounds the rate of heartbeats: an instance sends, and
 	// hears, one per periodPerMember at most, however large its region is.
-	periodPerMember = 75 * time.Millisecond
+	periodPerMember = 120 * time.Millisecond
 	// suspectPeriods and unreachablePeriods are the silence, in periods, after
 	// which a peer is suspect and unreachable.
 	suspectPeriods     = 3
@@ -40,6 +41,10 @@
 	Self Entry
 	// Start is that of this run's incarnation.
 	Start uint64
+	// Seeds are peer listeners of the own region, from the settings. They are tried
+	// as long as no peer was heard, so that a new instance finds its region without
+	// the platform. There may be none.
+	Seeds []netip.AddrPort
 	// Random spreads the sends; nil means a generator seeded with Start.
 	Random *rand.Rand
 	// PauseAfter is the gap between ticks that counts as a pause; zero means 3 s.
@@ -78,7 +83,8 @@
 	// listed holds the entries of the listing by name; it is replaced, never changed.
 	listed map[ident.Instance]Entry
 	// regions holds the other regions, sorted by name.
-	regions []*region
+	regions   []*region
+	nextSeeds time.Time
 	// failed holds when a send to an instance of another region failed last.
 	failed  map[ident.Instance]time.Time
 	counts  Counts
@@ -197,10 +203,25 @@
 			s.send(p)
 		}
 	}
+	s.trySeeds()
 	s.refreshStale()
 	s.tickRegions()
 }
 
+// trySeeds sends a heartbeat to each seed until a peer was heard.
+func (s *State) trySeeds() {
+	heard := slices.ContainsFunc(s.peers, func(p *peer) bool { return p.start != 0 })
+	if heard || len(s.options.Seeds) == 0 || s.nextSeeds.After(s.now) {
+		return
+	}
+	s.nextSeeds = s.now.Add(s.spread(slowPeriods * minPeriod))
+	for _, address := range s.options.Seeds {
+		self := s.options.Self
+		h := Heartbeat{From: s.incarnation(), Sequence: s.sequenceNow(), Phase: s.local.Phase, Held: s.local.Held, Self: &self}
+		s.act(SendHeartbeat{Address: address, Heartbeat: h})
+	}
+}
+
 // refreshStale ends the time of staleness after a pause: when every peer was
 // heard again, or the silent ones have had the time for it.
 func (s *State) refreshStale() {
--- a/core/member/summary.go
+++ b/core/member/summary.go
@@ -14,9 +14,9 @@
 	// minSummaryPeriod is the shortest time between two summaries to a region, and
 	// between two times that a region's summary is handed on.
 	minSummaryPeriod = 5 * time.Second
-	// summaryPeriodPerMember bounds the bytes of handing on: the instance that a
-	// summary reaches sends it once to each other entry of its region.
-	summaryPeriodPerMember = 150 * time.Millisecond
+	// summaryPeriodPerRegion bounds the bytes of summaries: an instance gets, and
+	// hands on, one per summaryPeriodPerRegion in the mean.
+	summaryPeriodPerRegion = time.Second
 	// freshSummaryPeriods is the age, in the longest summary period seen, up to
 	// which a region counts as heard.
 	freshSummaryPeriods = 3
@@ -55,6 +55,8 @@
 	relayAgain time.Time
 	// sequence is that of the last summary sent there.
 	sequence uint64
+	// rounds counts the summaries sent there.
+	rounds   uint64
 	nextSend time.Time
 }
 
@@ -63,14 +65,14 @@
 	sequence    uint64
 }
 
-// SummaryPeriod returns the time between two summaries that a region of the
-// given number of entries sends to each other region.
-func SummaryPeriod(entries int) time.Duration {
-	return max(minSummaryPeriod, time.Duration(entries)*summaryPeriodPerMember)
+// SummaryPeriod returns the time between two summaries that a region sends to
+// each other one when there are so many regions.
+func SummaryPeriod(regions int) time.Duration {
+	return max(minSummaryPeriod, time.Duration(regions)*summaryPeriodPerRegion)
 }
 
 func (s *State) summaryPeriod() time.Duration {
-	return SummaryPeriod(len(s.peers) + 1)
+	return SummaryPeriod(len(s.regions) + 1)
 }
 
 // region finds or adds another region; it returns nil for the own one, and when
@@ -196,6 +198,7 @@
 }
 
 func (s *State) sendSummary(r *region, ready []ident.Instance) {
+	r.rounds++
 	to, address, found := s.target(r)
 	if !found {
 		return
@@ -210,7 +213,7 @@
 		Contacts: s.contacts(r, ready),
 		Payload:  s.local.SummaryPayload,
 	}
-	s.act(SendSummary{To: to.Instance, Region: r.name, Address: address, Summary: sum})
+	s.act(SendSummary{To: to, Region: r.name, Address: address, Summary: sum})
 }
 
 // contacts chooses other entries for each region, so that the forwarded requests
@@ -235,35 +238,51 @@
 	return list
 }
 
-// target chooses the entry of another region to which its summary goes: by rank
-// among those listed, so that the summaries of all regions don't meet at one
-// entry, passing over those where a send failed lately. When all have failed, the
-// first one is tried on, so that a healed partition is noticed.
-func (s *State) target(r *region) (ident.Incarnation, netip.AddrPort, bool) {
-	var ids, working []ident.Instance
-	for _, e := range s.listing.Entries {
-		if e.Region == r.name && !e.Leaving {
-			ids = append(ids, e.ID)
+// target chooses the entry of another region to which its summary goes. Handing
+// it on costs that entry a message to each of its peers, so that the summaries of
+// all regions go around the region at the same distance from each other: of 3
+// regions, in one of 9 entries, the second begins at entry 3 and goes on to 4.
+// Those where a send failed lately are passed over. When all have failed one is
+// tried all the same, so that a healed partition is noticed.
+func (s *State) target(r *region) (ident.Instance, netip.AddrPort, bool) {
+	candidates := s.candidates(r)
+	count := len(candidates)
+	if count == 0 {
+		return "", netip.AddrPort{}, false
+	}
+	before := 0
+	for _, other := range s.regions {
+		if other.name < s.options.Self.Region {
+			before++
 		}
 	}
-	for _, c := range r.summary.Contacts {
-		ids = append(ids, c.Incarnation.Instance)
+	first := before*count/(len(s.regions)+1) + int(r.rounds%uint64(count))
+	for i := range candidates {
+		c := &candidates[(first+i)%count]
+		if s.works(c.ID) {
+			return c.ID, c.Peer, true
+		}
 	}
-	for _, id := range ids {
-		if s.works(id) {
-			working = append(working, id)
+	c := &candidates[first%count]
+	return c.ID, c.Peer, true
+}
+
+// candidates returns the entries of another region that may be sent a summary, in
+// the order of the listing, or the contacts when the listing has none.
+func (s *State) candidates(r *region) []Entry {
+	var list []Entry
+	for _, e := range s.listing.Entries {
+		if e.Region == r.name && !e.Leaving {
+			list = append(list, e)
 		}
 	}
-	if len(working) == 0 {
-		working = ids
+	if len(list) > 0 {
+		return list
 	}
-	first, found := rank.First(string(s.options.Self.Region), working)
 	for _, c := range r.summary.Contacts {
-		if found && c.Incarnation.Instance == first {
-			return c.Incarnation, c.Peer, true
-		}
+		list = append(list, Entry{ID: c.Incarnation.Instance, Peer: c.Peer})
 	}
-	return ident.Incarnation{Instance: first}, s.listed[first].Peer, found
+	return list
 }
 
 // works reports whether no send to an instance of another region failed lately.
@@ -299,7 +318,7 @@
 func (s *State) hurry(id ident.Instance) {
 	for _, r := range s.regions {
 		next, _, found := s.target(r)
-		if found && s.listed[id].Region == r.name && s.works(next.Instance) {
+		if found && s.listed[id].Region == r.name && s.works(next) {
 			r.nextSend = s.now.Add(min(hurryAfter, max(0, r.nextSend.Sub(s.now))))
 		}
 	}
