--- /dev/null
+++ b/cmd/arbutustrestle/main.go
@@ -0,0 +1,22 @@
+// Command arbutustrestle runs an entry instance, and holds the operators' commands.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"arbutustrestle/io/cmds"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	for _, c := range cmds.All() {
+		subcommands.Register(c, "")
+	}
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
--- /dev/null
+++ b/core/node/event.go
@@ -0,0 +1,167 @@
+package node
+
+import (
+	"net/netip"
+	"time"
+
+	"arbutustrestle/core/dedup"
+	"arbutustrestle/core/feed"
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/load"
+	"arbutustrestle/core/member"
+	"arbutustrestle/core/share"
+)
+
+// Event is something that Node.Step takes in.
+type Event interface{ isEvent() }
+
+// Tick lets time pass. It is due every member.TickInterval.
+type Tick struct {
+	// Usage and Notes are what the next heartbeats tell.
+	Usage []share.Usage
+	Notes []dedup.Note
+}
+
+// HeartbeatArrived brings a heartbeat of a peer.
+type HeartbeatArrived struct{ Heartbeat member.Heartbeat }
+
+// SummaryArrived brings a summary that came straight from another region.
+type SummaryArrived struct{ Summary member.Summary }
+
+// AnnouncementArrived brings what a peer says that it holds.
+type AnnouncementArrived struct {
+	Instance ident.Instance
+	Held     member.Held
+}
+
+// SendFailed reports that nothing could be delivered to an instance.
+type SendFailed struct{ To ident.Instance }
+
+// FeedAnswered brings an answer to a ReadPlatform or AskPeer.
+type FeedAnswered struct{ Event feed.Event }
+
+// LoadRead answers a PollLoad.
+type LoadRead struct {
+	Upstream ident.Upstream
+	Report   load.Report
+}
+
+// LoadFailed ends a PollLoad without an answer.
+type LoadFailed struct{ Upstream ident.Upstream }
+
+// PhaseChanged says that the instance drains, or stops.
+type PhaseChanged struct{ Phase member.Phase }
+
+func (Tick) isEvent()                {}
+func (HeartbeatArrived) isEvent()    {}
+func (SummaryArrived) isEvent()      {}
+func (AnnouncementArrived) isEvent() {}
+func (SendFailed) isEvent()          {}
+func (FeedAnswered) isEvent()        {}
+func (LoadRead) isEvent()            {}
+func (LoadFailed) isEvent()          {}
+func (PhaseChanged) isEvent()        {}
+
+// Action is something that the embedding program does after Node.Step.
+type Action interface{ isAction() }
+
+// SendHeartbeat asks for a heartbeat to be sent; a failure comes back as SendFailed.
+type SendHeartbeat struct{ member.SendHeartbeat }
+
+// SendSummary asks for a summary to be sent; a failure comes back as SendFailed.
+type SendSummary struct{ member.SendSummary }
+
+// SendAnnouncement asks for peers to be told what is held here.
+type SendAnnouncement struct {
+	To   []netip.AddrPort
+	Held member.Held
+}
+
+// ReadPlatform asks for a read of the platform.
+type ReadPlatform struct{ feed.ReadPlatform }
+
+// AskPeer asks for a value to be fetched from a peer.
+type AskPeer struct {
+	feed.AskPeer
+	Address netip.AddrPort
+}
+
+// PollLoad asks for an upstream's load to be read.
+type PollLoad struct {
+	Upstream ident.Upstream
+	Address  netip.AddrPort
+}
+
+// Publish brings a new view in force.
+type Publish struct{ View *View }
+
+// Heard brings what a peer's heartbeat told beside its membership.
+type Heard struct {
+	From   ident.Instance
+	Gossip Gossip
+}
+
+// Refused reports a published value that was not taken.
+type Refused struct{ feed.Refused }
+
+// BecameReady is given once: the instance may take traffic.
+type BecameReady struct{ Source feed.Source }
+
+// Paused reports that the process stood still.
+type Paused struct{ Gap time.Duration }
+
+func (SendHeartbeat) isAction()    {}
+func (SendSummary) isAction()      {}
+func (SendAnnouncement) isAction() {}
+func (ReadPlatform) isAction()     {}
+func (AskPeer) isAction()          {}
+func (PollLoad) isAction()         {}
+func (Publish) isAction()          {}
+func (Heard) isAction()            {}
+func (Refused) isAction()          {}
+func (BecameReady) isAction()      {}
+func (Paused) isAction()           {}
+
+// Gossip is what the entries of a region tell each other beside their membership.
+type Gossip struct {
+	Loads []UpstreamLoad
+	Usage []share.Usage
+	Notes []dedup.Note
+}
+
+// UpstreamLoad is a load report that the sender has read.
+type UpstreamLoad struct {
+	Upstream ident.Upstream
+	Report   load.Report
+}
+
+// RegionLoad is the free capacity of a region, as its summary tells it.
+type RegionLoad struct {
+	Models   []ModelLoad
+	Services []ServiceLoad
+}
+
+// ModelLoad is a region's free capacity for one model.
+type ModelLoad struct {
+	Model ident.Model
+	Free  float64
+	Slots float64
+	Wait  time.Duration
+}
+
+// ServiceLoad is a region's free capacity for one plain service.
+type ServiceLoad struct {
+	Service ident.Service
+	Free    float64
+	Slots   float64
+	Wait    time.Duration
+}
+
+// Codec writes and reads what heartbeats and summaries carry as opaque payloads.
+// Times on the sender's clock are written as ages.
+type Codec interface {
+	EncodeGossip(now time.Time, g Gossip) []byte
+	DecodeGossip(now time.Time, payload []byte) (Gossip, error)
+	EncodeLoad(l RegionLoad) []byte
+	DecodeLoad(payload []byte) (RegionLoad, error)
+}
--- /dev/null
+++ b/core/node/node.go
@@ -0,0 +1,331 @@
+package node
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"arbutustrestle/core/feed"
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/list"
+	"arbutustrestle/core/load"
+	"arbutustrestle/core/member"
+	"arbutustrestle/core/table"
+)
+
+// Options are the settings of a Node.
+type Options struct {
+	// Self is this instance, from its settings.
+	Self member.Entry
+	// Start is that of this run's incarnation.
+	Start uint64
+	Codec Codec
+}
+
+// Node is the control state of one entry instance. It is not safe for concurrent
+// use; the views that it publishes are.
+type Node struct {
+	options Options
+	member  *member.State
+	feed    *feed.State
+	phase   member.Phase
+	// members is the membership view that feed was last told of.
+	members *member.View
+	table   *table.Table
+	pool    upstreams
+	meters  meters
+	regions map[ident.Region]RegionLoad
+	// loadDue is when this instance next makes its payloads.
+	loadDue time.Time
+	view    *View
+	// stale is set when the view has to be made anew.
+	stale   bool
+	actions []Action
+}
+
+// payloadInterval is the time between two payloads, and between two polls of an
+// upstream.
+const payloadInterval = time.Second
+
+// New returns the control state of an instance that holds nothing yet.
+func New(o Options) *Node {
+	self := ident.Incarnation{Instance: o.Self.ID, Start: o.Start}
+	n := &Node{
+		options: o,
+		member: member.New(member.Options{
+			Self:   o.Self,
+			Start:  o.Start,
+			Random: rand.New(rand.NewPCG(o.Start, 1)),
+		}),
+		feed: feed.New(feed.Options{
+			Instance:  o.Self.ID,
+			Zone:      o.Self.Zone,
+			Region:    o.Self.Region,
+			Random:    rand.New(rand.NewPCG(o.Start, 2)),
+			CheckList: checkList,
+		}),
+		pool:    upstreams{byID: map[ident.Upstream]*Upstream{}},
+		regions: map[ident.Region]RegionLoad{},
+	}
+	n.members = n.member.View()
+	n.view = &View{Self: self, Zone: o.Self.Zone, Region: o.Self.Region, Members: n.members}
+	return n
+}
+
+// checkList refuses a list that can't be read whole.
+func checkList(key feed.Key, data []byte) error {
+	if key == feed.EntriesKey {
+		_, err := list.ParseEntries(data)
+		return err
+	}
+	_, err := list.ParseUpstreams(data)
+	return err
+}
+
+// View returns the view published last.
+func (n *Node) View() *View {
+	return n.view
+}
+
+// Status returns what is held of the published values.
+func (n *Node) Status() feed.Status {
+	return n.feed.Status()
+}
+
+// Counts returns the events that were not taken, by reason.
+func (n *Node) Counts() (member.Counts, feed.Counts) {
+	return n.member.Counts(), n.feed.Counts()
+}
+
+// Value returns a published value for a peer that asks; see feed.State.Value.
+func (n *Node) Value(key feed.Key, after ident.Revision) (feed.Value, bool) {
+	return n.feed.Value(key, after)
+}
+
+// Step takes in an event and returns what is to be done. The returned slice is
+// valid until the next step.
+func (n *Node) Step(now time.Time, event Event) []Action {
+	n.actions = n.actions[:0]
+	switch e := event.(type) {
+	case Tick:
+		n.tick(now, e)
+	case HeartbeatArrived:
+		n.stepMember(now, member.HeartbeatArrived{Heartbeat: e.Heartbeat})
+	case SummaryArrived:
+		n.stepMember(now, member.SummaryArrived{Summary: e.Summary})
+	case AnnouncementArrived:
+		n.stepFeed(now, feed.PeerHas{Instance: e.Instance, Held: e.Held})
+	case SendFailed:
+		n.stepMember(now, member.SendFailed{To: e.To})
+	case FeedAnswered:
+		n.stepFeed(now, e.Event)
+	case LoadRead:
+		n.pool.observe(now, UpstreamLoad(e), true)
+	case LoadFailed:
+		n.pool.polled(e.Upstream)
+	case PhaseChanged:
+		n.setPhase(now, e.Phase)
+	}
+	n.followMembers(now)
+	n.publish()
+	return n.actions
+}
+
+func (n *Node) act(a Action) {
+	n.actions = append(n.actions, a)
+}
+
+func (n *Node) tick(now time.Time, e Tick) {
+	if !now.Before(n.loadDue) {
+		n.loadDue = now.Add(payloadInterval)
+		n.setLocal(now, e)
+		n.pollLoads(now)
+	}
+	n.stepMember(now, member.Tick{})
+	n.stepFeed(now, feed.Tick{})
+}
+
+// setLocal makes the payloads of the heartbeats and summaries that follow.
+func (n *Node) setLocal(now time.Time, e Tick) {
+	gossip := Gossip{Loads: n.pool.ownReports(), Usage: e.Usage, Notes: e.Notes}
+	n.stepMember(now, member.LocalChanged{
+		Phase:          n.phase,
+		Held:           n.feed.Held(),
+		Payload:        n.options.Codec.EncodeGossip(now, gossip),
+		SummaryPayload: n.options.Codec.EncodeLoad(n.view.regionLoad(now)),
+	})
+}
+
+func (n *Node) setPhase(now time.Time, phase member.Phase) {
+	if phase <= n.phase {
+		return
+	}
+	n.phase = phase
+	n.stale = true
+	n.setLocal(now, Tick{})
+}
+
+func (n *Node) stepMember(now time.Time, event member.Event) {
+	for _, action := range n.member.Step(now, event) {
+		switch a := action.(type) {
+		case member.SendHeartbeat:
+			n.act(SendHeartbeat{a})
+		case member.SendSummary:
+			n.act(SendSummary{a})
+		case member.Heard:
+			n.hear(now, a.Heartbeat)
+		case member.RegionHeard:
+			n.hearRegion(a.Summary)
+		case member.Paused:
+			n.act(Paused{Gap: a.Gap})
+		}
+	}
+}
+
+// hear takes in what a heartbeat carries. A payload that can't be read is left: the
+// heartbeat itself still proves its sender alive.
+func (n *Node) hear(now time.Time, h member.Heartbeat) {
+	gossip, err := n.options.Codec.DecodeGossip(now, h.Payload)
+	if err != nil {
+		return
+	}
+	for _, l := range gossip.Loads {
+		n.pool.observe(now, l, false)
+	}
+	n.act(Heard{From: h.From.Instance, Gossip: gossip})
+}
+
+func (n *Node) hearRegion(s member.Summary) {
+	l, err := n.options.Codec.DecodeLoad(s.Payload)
+	if err != nil {
+		return
+	}
+	n.regions[s.Region] = l
+	n.stale = true
+}
+
+func (n *Node) stepFeed(now time.Time, event feed.Event) {
+	for _, action := range n.feed.Step(now, event) {
+		switch a := action.(type) {
+		case feed.ReadPlatform:
+			n.act(ReadPlatform{a})
+		case feed.AskPeer:
+			n.askPeer(now, a)
+		case feed.Announce:
+			n.announce(a)
+		case feed.TableInForce:
+			n.table = a.Table
+			n.stale = true
+		case feed.ListInForce:
+			n.takeList(now, a)
+		case feed.Refused:
+			n.act(Refused{a})
+		case feed.BecameReady:
+			n.phase = max(n.phase, member.Ready)
+			n.stale = true
+			n.setLocal(now, Tick{})
+			n.act(BecameReady{Source: a.Source})
+		}
+	}
+}
+
+func (n *Node) askPeer(now time.Time, a feed.AskPeer) {
+	m, found := n.member.View().Member(a.Instance)
+	if !found {
+		n.stepFeed(now, feed.PeerFailed{Instance: a.Instance, Key: a.Key})
+		return
+	}
+	n.act(AskPeer{AskPeer: a, Address: m.Entry.Peer})
+}
+
+func (n *Node) announce(a feed.Announce) {
+	announcement := SendAnnouncement{Held: a.Held}
+	for _, id := range a.To {
+		if m, found := n.member.View().Member(id); found {
+			announcement.To = append(announcement.To, m.Entry.Peer)
+		}
+	}
+	n.act(announcement)
+}
+
+func (n *Node) takeList(now time.Time, a feed.ListInForce) {
+	n.stale = true
+	if a.Key == feed.EntriesKey {
+		entries, err := list.ParseEntries(a.Value.Data)
+		if err != nil {
+			return
+		}
+		listing := member.Listing{Revision: a.Value.Revision, Entries: entries}
+		n.stepMember(now, member.ListingRead{Listing: listing})
+		return
+	}
+	rows, err := list.ParseUpstreams(a.Value.Data)
+	if err != nil {
+		return
+	}
+	n.pool.take(now, rows)
+}
+
+// followMembers tells the feed of a changed membership.
+func (n *Node) followMembers(now time.Time) {
+	v := n.member.View()
+	if v == n.members {
+		return
+	}
+	n.members = v
+	n.stale = true
+	peers, expected := feed.PeersOf(v)
+	n.stepFeed(now, feed.Members{Peers: peers, Expected: expected})
+}
+
+// publish makes the view anew when something that it shows has changed.
+func (n *Node) publish() {
+	if !n.stale {
+		return
+	}
+	n.stale = false
+	alive := len(n.members.Alive())
+	v := &View{
+		Self:      n.view.Self,
+		Zone:      n.options.Self.Zone,
+		Region:    n.options.Self.Region,
+		Phase:     n.phase,
+		Table:     n.table,
+		Members:   n.members,
+		upstreams: n.pool.listed(n.table, alive),
+	}
+	r := routes{view: v, meters: &n.meters, remotes: n.remotes}
+	r.build()
+	n.view = v
+	n.act(Publish{View: v})
+}
+
+// pollLoads asks for the load of the upstreams that this instance polls for its
+// region.
+func (n *Node) pollLoads(now time.Time) {
+	alive := slices.Clone(n.members.Alive())
+	for _, u := range n.pool.due(now, n.options.Self.ID, alive) {
+		n.act(PollLoad{Upstream: u.ID, Address: u.Address})
+	}
+}
+
+// modelOrService names what a region is asked for; one of the two is set.
+type modelOrService struct {
+	model   ident.Model
+	service ident.Service
+}
+
+// find returns a region's load for a model or a plain service.
+func (l RegionLoad) find(w modelOrService) (load.Cell, bool) {
+	for _, m := range l.Models {
+		if w.service == "" && m.Model == w.model {
+			return load.Cell{Free: m.Free, Wait: m.Wait}, true
+		}
+	}
+	for _, s := range l.Services {
+		if w.service != "" && s.Service == w.service {
+			return load.Cell{Free: s.Free, Wait: s.Wait}, true
+		}
+	}
+	return load.Cell{}, false
+}
--- /dev/null
+++ b/core/node/region.go
@@ -0,0 +1,64 @@
+package node
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/load"
+	"arbutustrestle/core/route"
+)
+
+// regionLoad sums up the free capacity of the own region for its summary.
+func (v *View) regionLoad(now time.Time) RegionLoad {
+	var l RegionLoad
+	for _, model := range slices.Sorted(maps.Keys(v.modelIn)) {
+		total := load.Sum(now, v.modelIn[model].Upstreams)
+		l.Models = append(l.Models, ModelLoad{Model: model, Free: total.Free, Slots: total.Slots, Wait: total.Wait})
+	}
+	for _, service := range slices.Sorted(maps.Keys(v.serviceIn)) {
+		total := load.Sum(now, v.serviceIn[service].Upstreams)
+		l.Services = append(l.Services, ServiceLoad{Service: service, Free: total.Free, Slots: total.Slots, Wait: total.Wait})
+	}
+	return l
+}
+
+// remotes returns the other regions that serve a model or a plain service and that
+// the table lets this region send to.
+func (n *Node) remotes(model ident.Model, service ident.Service) []route.Remote {
+	var remotes []route.Remote
+	own := n.options.Self.Region
+	for i := range n.members.Regions() {
+		region := &n.members.Regions()[i]
+		share, allowed := n.table.Share(own, region.Name)
+		if !allowed || !region.Fresh || len(region.Contacts) == 0 {
+			continue
+		}
+		cell, serves := n.regions[region.Name].find(modelOrService{model, service})
+		if !serves {
+			continue
+		}
+		cell.Region = region.Name
+		cell.AsOf = region.MadeAt
+		remotes = append(remotes, route.Remote{
+			Cell:     cell,
+			Cost:     share.Cost,
+			MaxShare: float64(share.MaxPercent) / 100,
+			Senders:  n.senders(region.Name),
+		})
+	}
+	return remotes
+}
+
+// senders estimates how many entries may send to a region: the alive ones of this
+// region, and as many for each other region that the table lets send there.
+func (n *Node) senders(to ident.Region) int {
+	regions := 0
+	for _, from := range n.table.Regions() {
+		if _, allowed := n.table.Share(from, to); allowed && from != to {
+			regions++
+		}
+	}
+	return max(1, regions) * max(1, len(n.members.Alive()))
+}
--- a/io/config/config.go
+++ b/io/config/config.go
@@ -22,10 +22,16 @@
 	// ID is a valid name and the one under which the platform lists the instance.
 	ID   ident.Instance
 	Zone ident.Zone
+	// Region is the one that holds Zone. The instance needs it before it has read a
+	// table; a table in force that says otherwise stops it from serving.
+	Region ident.Region
 	// Caller, Peer and Admin are the addresses of the three listeners. Each is a
 	// definite address with a definite port, and no two are equal, since others
 	// reach the instance under them.
 	Caller, Peer, Admin netip.AddrPort
+	// PeerListen is where the peers' listener is opened. It differs from Peer only
+	// where an address is translated on the way.
+	PeerListen netip.AddrPort
 	// Platform has one or more addresses of the platform's HTTP service.
 	Platform []netip.AddrPort
 	LogLevel zerolog.Level
@@ -71,9 +77,11 @@
 	return []key{
 		{path{"instance", "id"}, "", name(&e.ID)},
 		{path{"instance", "zone"}, "", name(&e.Zone)},
+		{path{"instance", "region"}, "", name(&e.Region)},
 		{path{"instance", "caller-address"}, "", address(&e.Caller)},
 		{path{"instance", "peer-address"}, "", address(&e.Peer)},
 		{path{"instance", "admin-address"}, "", address(&e.Admin)},
+		{path{"instance", "peer-listen-address"}, same, addressOrSame(&e.PeerListen)},
 		{path{"platform", "addresses"}, "", addresses(&e.Platform)},
 		{path{"log", "level"}, "info", level(&e.LogLevel)},
 		{path{"timeouts", "header"}, "5s", duration(&e.Timeouts.Header, time.Millisecond, time.Minute)},
@@ -111,6 +119,9 @@
 	var e Entry
 	r := newReader(file, data)
 	r.readAll(entryKeys(&e))
+	if !e.PeerListen.IsValid() {
+		e.PeerListen = e.Peer
+	}
 	r.checkRoles(e)
 	e.origin = r.fault(path{"instance", "zone"}, "", "")
 	return e, r.sorted()
@@ -143,10 +154,17 @@
 
 // CheckAgainst reports what the settings name and the table does not have.
 func (e Entry) CheckAgainst(t *table.Table) table.Faults {
-	if _, ok := t.RegionOf(e.Zone); ok {
+	fault := e.origin
+	region, known := t.RegionOf(e.Zone)
+	if known && region == e.Region {
 		return nil
 	}
-	fault := e.origin
+	if known {
+		fault.Column = path{"instance", "region"}.String()
+		fault.Problem = fmt.Sprintf("%q is not the region of zone %q, which is %q", e.Region, e.Zone, region)
+		fault.Remedy = "correct it here or in zones.csv"
+		return table.Faults{fault}
+	}
 	fault.Problem = fmt.Sprintf("%q is not a zone of the table", e.Zone)
 	fault.Remedy = "correct it or add it to zones.csv"
 	return table.Faults{fault}
--- a/io/config/config_test.go
+++ b/io/config/config_test.go
@@ -14,7 +14,7 @@
 // The cases are whole settings files. "usual" puts a sound [instance] section and
 // [platform] section before them.
 func TestParseEntry(t *testing.T) {
-	usual := "[instance]\nid = entry-1\nzone = west-1\ncaller-address = 10.0.0.1:1\npeer-address = 10.0.0.1:2\nadmin-address = 10.0.0.1:3\n[platform]\naddresses = 10.0.0.9:1\n"
+	usual := "[instance]\nid = entry-1\nzone = west-1\nregion = west\ncaller-address = 10.0.0.1:1\npeer-address = 10.0.0.1:2\nadmin-address = 10.0.0.1:3\n[platform]\naddresses = 10.0.0.9:1\n"
 	datadriven.RunTest(t, "testdata/entry", func(_ *testing.T, d *datadriven.TestData) string {
 		text := d.Input + "\n"
 		if d.Cmd == "usual" {
@@ -24,7 +24,7 @@
 		if len(faults) > 0 {
 			return faults.Error() + "\n"
 		}
-		return fmt.Sprintf("%s %s %s %s %s %v %s\n%+v\n%+v\n", e.ID, e.Zone, e.Caller, e.Peer, e.Admin, e.Platform, e.LogLevel, e.Timeouts, e.Limits)
+		return fmt.Sprintf("%s %s %s %s %s %s %v %s\n%+v\n%+v\n", e.ID, e.Zone, e.Region, e.Caller, e.Peer, e.Admin, e.Platform, e.LogLevel, e.Timeouts, e.Limits)
 	})
 }
 
--- a/io/config/value.go
+++ b/io/config/value.go
@@ -52,6 +52,19 @@
 	}
 }
 
+// same stands for the address of the key that this one belongs to.
+const same = "same"
+
+// addressOrSame leaves the address as it is for "same".
+func addressOrSame(into *netip.AddrPort) value {
+	return func(text string) (string, string) {
+		if text == same {
+			return "", ""
+		}
+		return address(into)(text)
+	}
+}
+
 // addresses reads a list that is separated by commas or spaces.
 func addresses(into *[]netip.AddrPort) value {
 	return func(text string) (string, string) {
--- /dev/null
+++ b/io/daemon/run.go
@@ -0,0 +1,60 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"arbutustrestle/io/config"
+)
+
+const (
+	// startTimeout bounds the opening of the listeners.
+	startTimeout = 10 * time.Second
+	// stopTimeout bounds the closing of the listeners after a drain.
+	stopTimeout = 10 * time.Second
+)
+
+// Run runs an entry instance until it has been told to stop, by SIGTERM, SIGINT or
+// an operator's drain, and has drained. A second signal ends it at once. It
+// returns an error when it couldn't start, or was ended before it had drained.
+func Run(settings config.Entry, log io.Writer) error {
+	var drain *Drain
+	app := fx.New(
+		fx.Supply(settings),
+		fx.Provide(func() io.Writer { return log }),
+		fx.Provide(newDrain),
+		parts,
+		fx.Populate(&drain),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+	)
+	if err := app.Err(); err != nil {
+		return errors.Annotate(err, "put the instance together")
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(signals)
+	if err := start(app); err != nil {
+		return errors.Trace(err)
+	}
+	drained := drain.await(signals)
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	if err := app.Stop(ctx); err != nil {
+		return errors.Annotate(err, "stop")
+	}
+	return errors.Trace(drained)
+}
+
+func start(app *fx.App) error {
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	return errors.Annotate(app.Start(ctx), "start")
+}
--- /dev/null
+++ b/io/daemon/serve.go
@@ -0,0 +1,133 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+
+	"arbutustrestle/io/admin"
+	"arbutustrestle/io/config"
+	"arbutustrestle/io/entry"
+	"arbutustrestle/io/link"
+	"arbutustrestle/io/loop"
+	"arbutustrestle/io/metric"
+)
+
+// servers are the listeners of an instance and what serves them.
+type servers struct {
+	settings config.Entry
+	caller   *http.Server
+	admin    *http.Server
+	peer     *link.Server
+	loop     *loop.Loop
+	pool     *link.Pool
+	log      zerolog.Logger
+
+	// cancel ends the loop and the links.
+	cancel context.CancelFunc
+	work   sync.WaitGroup
+}
+
+// serverNeeds are the parts that the listeners lead to.
+type serverNeeds struct {
+	fx.In
+
+	Settings config.Entry
+	Core     *entry.Core
+	Peer     *link.Server
+	Loop     *loop.Loop
+	Pool     *link.Pool
+	Metrics  *metric.Set
+	Log      zerolog.Logger
+	Drain    *Drain
+}
+
+func newServers(n serverNeeds) *servers {
+	status := &admin.Handler{
+		Settings: n.Settings,
+		Core:     n.Core,
+		Loop:     n.Loop,
+		Metrics:  n.Metrics,
+		Drain:    n.Drain.Start,
+	}
+	return &servers{
+		settings: n.Settings,
+		caller: &http.Server{
+			Handler:           n.Core.Handler(),
+			ReadHeaderTimeout: n.Settings.Timeouts.Header,
+			IdleTimeout:       n.Settings.Timeouts.Idle,
+			MaxHeaderBytes:    n.Settings.Limits.HeaderBytes,
+			ErrorLog:          nil,
+		},
+		admin: &http.Server{
+			Handler:           status.Router(),
+			ReadHeaderTimeout: n.Settings.Timeouts.Header,
+			IdleTimeout:       n.Settings.Timeouts.Idle,
+		},
+		peer: n.Peer,
+		loop: n.Loop,
+		pool: n.Pool,
+		log:  n.Log,
+	}
+}
+
+// register ties the listeners to the start and stop of the program.
+func register(lifecycle fx.Lifecycle, s *servers) {
+	lifecycle.Append(fx.Hook{OnStart: s.start, OnStop: s.stop})
+}
+
+// start opens all three listeners before anything is served, so that an address
+// that is taken ends the start.
+func (s *servers) start(ctx context.Context) error {
+	var listeners []net.Listener
+	for _, address := range []netip.AddrPort{s.settings.Caller, s.settings.PeerListen, s.settings.Admin} {
+		var config net.ListenConfig
+		l, err := config.Listen(ctx, "tcp", address.String())
+		if err != nil {
+			closeAll(listeners)
+			return errors.Annotatef(err, "listen on %s; check that no other process uses it", address)
+		}
+		listeners = append(listeners, l)
+	}
+	running, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.work.Go(func() { s.loop.Run(running) })
+	s.work.Go(func() { s.report(s.peer.Serve(running, listeners[1])) })
+	s.work.Go(func() { s.report(s.caller.Serve(limit(listeners[0], s.settings.Limits.Connections))) })
+	s.work.Go(func() { s.report(s.admin.Serve(listeners[2])) })
+	s.log.Info().
+		Str("caller-address", s.settings.Caller.String()).
+		Str("peer-address", s.settings.Peer.String()).
+		Str("admin-address", s.settings.Admin.String()).
+		Str("incarnation", s.peer.Self.Incarnation.String()).
+		Msg("listening")
+	return nil
+}
+
+func closeAll(listeners []net.Listener) {
+	for _, l := range listeners {
+		_ = l.Close()
+	}
+}
+
+func (s *servers) report(err error) {
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		s.log.Error().Err(err).Msg("a listener ended")
+	}
+}
+
+// stop closes the listeners after a drain, when no request is left.
+func (s *servers) stop(ctx context.Context) error {
+	err := s.caller.Shutdown(ctx)
+	s.cancel()
+	s.pool.Close()
+	_ = s.admin.Close()
+	s.work.Wait()
+	return errors.Annotate(err, "close the callers' listener")
+}
--- /dev/null
+++ b/io/entry/admit.go
@@ -0,0 +1,220 @@
+package entry
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"arbutustrestle/core/admit"
+	"arbutustrestle/core/clock"
+	"arbutustrestle/core/load"
+	"arbutustrestle/core/node"
+	"arbutustrestle/core/result"
+	"arbutustrestle/core/share"
+)
+
+// limitFilter holds a workspace to its limits over all instances.
+type limitFilter struct {
+	core *Core
+}
+
+// Apply refuses with WorkspaceLimit. A forwarded request was counted where it came
+// in.
+func (f *limitFilter) Apply(ctx context.Context, c *Call, next Next) *result.Failure {
+	if len(c.VisitedRegions) > 0 && !c.keyed() {
+		return next(ctx, c)
+	}
+	row, _ := c.View.Table.Workspace(c.Workspace)
+	limits := share.Limits{
+		RequestsPerSecond: row.RequestsPerSecond,
+		InFlight:          float64(row.InFlight),
+		TokensPerSecond:   row.TokensPerSecond,
+	}
+	if failure := f.core.Shares.Admit(f.core.Clock.Now(), c.Workspace, limits); failure != nil {
+		return failure
+	}
+	if limits != (share.Limits{}) {
+		defer f.core.Shares.Release(c.Workspace)
+	}
+	failure := next(ctx, c)
+	f.core.Shares.Tokens(f.core.Clock.Now(), c.Workspace, c.Tokens)
+	return failure
+}
+
+// Gates holds one gate for each group of upstreams. It is safe for concurrent use.
+type Gates struct {
+	clock  clock.Clock
+	random *Random
+
+	mu sync.Mutex
+	// gates has one for each group that was ever in force.
+	gates map[string]*gate
+}
+
+// gate is an admission gate with those who wait at it.
+type gate struct {
+	admit admit.Gate
+
+	mu sync.Mutex
+	// waiting has a channel for each ticket in the queue; it is closed when the
+	// ticket is admitted.
+	waiting map[admit.Ticket]chan struct{}
+}
+
+// NewGates returns gates that admit everything until Resize is called.
+func NewGates(c clock.Clock, random *Random) *Gates {
+	return &Gates{clock: c, random: random, gates: map[string]*gate{}}
+}
+
+func (g *Gates) gate(name string) *gate {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	known := g.gates[name]
+	if known == nil {
+		known = &gate{waiting: map[admit.Ticket]chan struct{}{}}
+		g.gates[name] = known
+	}
+	return known
+}
+
+// Resize gives each gate this instance's part of its group's slots. It is called
+// whenever a view is published.
+func (g *Gates) Resize(v *node.View) {
+	if v.Table == nil {
+		return
+	}
+	entries := max(1, len(v.Members.Alive()))
+	now := g.clock.Now()
+	for name, group := range v.Groups() {
+		slots := load.Sum(now, group.Upstreams).Slots / float64(entries)
+		gate := g.gate(name)
+		gate.admit.Configure(v.Table.Policy())
+		gate.wake(gate.admit.Resize(now, slots))
+	}
+}
+
+// GateLoad is what is admitted and waiting at one gate.
+type GateLoad struct {
+	Group    string `json:"group"`
+	Admitted int    `json:"admitted"`
+	Waiting  int    `json:"waiting"`
+}
+
+// Loads returns the load of each gate, by the name of its group.
+func (g *Gates) Loads() []GateLoad {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	loads := make([]GateLoad, 0, len(g.gates))
+	for _, name := range slices.Sorted(maps.Keys(g.gates)) {
+		admitted, waiting := g.gates[name].admit.Load()
+		loads = append(loads, GateLoad{Group: name, Admitted: admitted, Waiting: waiting})
+	}
+	return loads
+}
+
+// wake tells those whose tickets were admitted.
+func (g *gate) wake(tickets []admit.Ticket) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, t := range tickets {
+		g.channel(t, func(ch chan struct{}) { close(ch) })
+		delete(g.waiting, t)
+	}
+}
+
+// channel uses the channel of a ticket, which either side may be the first to ask
+// for. The lock is held.
+func (g *gate) channel(t admit.Ticket, use func(chan struct{})) {
+	ch, found := g.waiting[t]
+	if !found {
+		ch = make(chan struct{})
+		g.waiting[t] = ch
+	}
+	use(ch)
+}
+
+// admitFilter lets a request in when this instance's part of the capacity allows.
+type admitFilter struct {
+	core *Core
+}
+
+// Apply passes on a request that is admitted. One that isn't goes on only to see
+// whether another region takes it.
+func (f *admitFilter) Apply(ctx context.Context, c *Call, next Next) *result.Failure {
+	group, found := f.group(c)
+	if !found {
+		return refuse(result.StepAdmit, result.NoUpstream)
+	}
+	g := f.core.Gates.gate(group.Name)
+	c.full = f.offer(ctx, g, c)
+	if c.full != nil {
+		return next(ctx, c)
+	}
+	defer func() { g.wake(g.admit.Release(f.core.Clock.Now(), c.Class)) }()
+	return next(ctx, c)
+}
+
+func (f *admitFilter) group(c *Call) (*node.Group, bool) {
+	if c.Service != "" {
+		return c.View.ServiceGroup(c.Service)
+	}
+	return c.View.ModelGroup(c.Model)
+}
+
+// offer returns nil once the request is admitted, and why it isn't otherwise.
+func (f *admitFilter) offer(ctx context.Context, g *gate, c *Call) *result.Failure {
+	request := admit.Request{Class: c.Class, Forwarded: len(c.Visited) > 0, Deadline: c.Deadline}
+	now := f.core.Clock.Now()
+	var verdict admit.Verdict
+	f.core.Random.With(func(source *rand.Rand) { verdict = g.admit.Offer(now, source, request) })
+	switch v := verdict.(type) {
+	case admit.Refused:
+		return v.Failure
+	case admit.Queued:
+		return f.wait(ctx, g, v, now)
+	default:
+		return nil
+	}
+}
+
+// wait waits in the queue, until the request is admitted or its time there is over.
+func (f *admitFilter) wait(ctx context.Context, g *gate, q admit.Queued, now time.Time) *result.Failure {
+	var admitted chan struct{}
+	g.mu.Lock()
+	g.channel(q.Ticket, func(ch chan struct{}) { admitted = ch })
+	g.mu.Unlock()
+	timer := time.NewTimer(q.Until.Sub(now))
+	defer timer.Stop()
+	select {
+	case <-admitted:
+		return nil
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return f.leave(ctx, g, q, admitted)
+}
+
+// leave takes a ticket out of the queue. It may have been admitted at that very
+// moment, in which case the request goes on.
+func (f *admitFilter) leave(ctx context.Context, g *gate, q admit.Queued, admitted chan struct{}) *result.Failure {
+	var failure *result.Failure
+	f.core.Random.With(func(source *rand.Rand) {
+		failure = g.admit.Expire(f.core.Clock.Now(), source, q.Ticket)
+	})
+	if failure == nil {
+		<-admitted
+		return nil
+	}
+	g.mu.Lock()
+	delete(g.waiting, q.Ticket)
+	g.mu.Unlock()
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		failure.Reason = result.CallerGone
+	}
+	return failure
+}
--- /dev/null
+++ b/io/entry/advice.go
@@ -0,0 +1,143 @@
+package entry
+
+import (
+	"net/netip"
+	"slices"
+
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/member"
+	"arbutustrestle/core/node"
+	"arbutustrestle/core/rank"
+	"arbutustrestle/core/reside"
+	"arbutustrestle/core/result"
+)
+
+// advisedEntry is an entry that a caller may use, the better one first.
+type advisedEntry struct {
+	Instance    ident.Instance `json:"instance"`
+	Incarnation string         `json:"incarnation"`
+	Address     netip.AddrPort `json:"address"`
+	Zone        ident.Zone     `json:"zone"`
+	Region      ident.Region   `json:"region"`
+}
+
+// maxAdvised bounds the entries in one answer.
+const maxAdvised = 4
+
+// adviceFailure says why nobody can be advised; nil when somebody may be.
+func adviceFailure(v *node.View, w ident.Workspace) *result.Failure {
+	if v.Table == nil {
+		f := refuse(result.StepIdentify, result.NotReady)
+		f.RetryAfter = notReadyRetry
+		return f
+	}
+	row, found := v.Table.Workspace(w)
+	if !found {
+		return refuse(result.StepIdentify, result.UnknownWorkspace)
+	}
+	if len(row.Regions) == 0 && len(row.Zones) == 0 {
+		return refuse(result.StepResidency, result.NoPlaceAllowed)
+	}
+	return nil
+}
+
+// advise returns the entries that a workspace's callers should use: those of its
+// home region first, each region's in the order of the workspace's ranking, so
+// that one workspace's callers meet at one entry.
+func (c *Core) advise(v *node.View, w ident.Workspace) []advisedEntry {
+	if v.Table == nil {
+		return nil
+	}
+	var entries []advisedEntry
+	for _, region := range regionsByHome(v, w) {
+		entries = append(entries, c.adviseRegion(v, w, region)...)
+		if len(entries) >= maxAdvised {
+			return entries[:maxAdvised]
+		}
+	}
+	return entries
+}
+
+// regionsByHome returns the workspace's home, then this region, then the others.
+func regionsByHome(v *node.View, w ident.Workspace) []ident.Region {
+	var regions []ident.Region
+	if row, found := v.Table.Workspace(w); found {
+		regions = append(regions, row.Home)
+	}
+	regions = append(regions, v.Region)
+	for i := range v.Members.Regions() {
+		regions = append(regions, v.Members.Regions()[i].Name)
+	}
+	var unique []ident.Region
+	for _, r := range regions {
+		if !slices.Contains(unique, r) {
+			unique = append(unique, r)
+		}
+	}
+	return unique
+}
+
+func (c *Core) adviseRegion(v *node.View, w ident.Workspace, region ident.Region) []advisedEntry {
+	var entries []advisedEntry
+	if region == v.Region {
+		entries = ownEntries(v)
+	} else {
+		entries = contactEntries(v, region)
+	}
+	entries = slices.DeleteFunc(entries, func(e advisedEntry) bool {
+		return reside.Allowed(v.Table, w, reside.Place{Zone: e.Zone, Region: e.Region}) != reside.Inside
+	})
+	slices.SortFunc(entries, func(a, b advisedEntry) int {
+		if rank.Before(string(w), a.Instance, b.Instance) {
+			return -1
+		}
+		return 1
+	})
+	return entries
+}
+
+func ownEntries(v *node.View) []advisedEntry {
+	var entries []advisedEntry
+	for _, id := range v.Members.Advised() {
+		m, found := v.Members.Member(id)
+		if !found {
+			continue
+		}
+		entries = append(entries, advisedEntry{
+			Instance:    id,
+			Incarnation: m.Incarnation().String(),
+			Address:     m.Entry.Caller,
+			Zone:        m.Entry.Zone,
+			Region:      m.Entry.Region,
+		})
+	}
+	return entries
+}
+
+func contactEntries(v *node.View, region ident.Region) []advisedEntry {
+	known, found := v.Members.Region(region)
+	if !found {
+		return nil
+	}
+	var entries []advisedEntry
+	for _, contact := range known.Contacts {
+		entries = append(entries, advisedEntry{
+			Instance:    contact.Incarnation.Instance,
+			Incarnation: contact.Incarnation.String(),
+			Address:     contact.Caller,
+			Zone:        contact.Zone,
+			Region:      region,
+		})
+	}
+	return entries
+}
+
+// keyPrefix returns what the keys of a workspace's calls may start with here. It is
+// empty when this instance may not hold the workspace's records.
+func (c *Core) keyPrefix(v *node.View, w ident.Workspace) string {
+	place := reside.Place{Zone: c.Zone, Region: c.Region}
+	if v.Phase != member.Ready || reside.Allowed(v.Table, w, place) != reside.Inside {
+		return ""
+	}
+	return c.Records.Prefix()
+}
--- /dev/null
+++ b/io/entry/early.go
@@ -0,0 +1,122 @@
+package entry
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/member"
+	"arbutustrestle/core/reside"
+	"arbutustrestle/core/result"
+	"arbutustrestle/core/table"
+)
+
+const (
+	// notReadyRetry is when a caller may come back to a starting instance.
+	notReadyRetry = 2 * time.Second
+	// drainingRetry is when a caller may come back, to another instance.
+	drainingRetry = time.Second
+)
+
+// readyFilter refuses requests before a table is in force and during a shutdown.
+type readyFilter struct{}
+
+// Apply refuses with NotReady or Draining.
+func (*readyFilter) Apply(ctx context.Context, c *Call, next Next) *result.Failure {
+	if c.View.Table == nil || c.View.Phase == member.Starting {
+		f := refuse(result.StepIdentify, result.NotReady)
+		f.RetryAfter = notReadyRetry
+		return f
+	}
+	if c.View.Phase >= member.Draining && !c.acceptedWhileDraining() {
+		f := refuse(result.StepIdentify, result.Draining)
+		f.RetryAfter = drainingRetry
+		return f
+	}
+	return next(ctx, c)
+}
+
+// acceptedWhileDraining reports whether a request still passes during a shutdown: a
+// keyed call, because only the records here can tell whether it has run. The
+// records themselves refuse new keys then.
+func (c *Call) acceptedWhileDraining() bool {
+	return c.Key != "" && c.View.Phase == member.Draining
+}
+
+// classifyFilter looks up what the table says of the request.
+type classifyFilter struct {
+	core *Core
+}
+
+// Apply refuses what no row of the table names.
+func (f *classifyFilter) Apply(ctx context.Context, c *Call, next Next) *result.Failure {
+	if c.Service == "" {
+		c.Repeatable = true
+		return next(ctx, c)
+	}
+	path, _, _ := strings.Cut(c.Path, "?")
+	call, found := c.View.Table.Call(c.Service, c.Method, path)
+	if !found {
+		return refuse(result.StepIdentify, result.UnknownCall)
+	}
+	c.Repeatable = call.Repeatable
+	if latest := f.core.Clock.Now().Add(call.Timeout); c.Deadline.IsZero() || latest.Before(c.Deadline) {
+		c.Deadline = latest
+	}
+	return next(ctx, c)
+}
+
+// residencyFilter refuses a request whose data may not be here, before its body is
+// read.
+type residencyFilter struct {
+	core *Core
+}
+
+// Apply refuses with the reason that package reside gives.
+func (f *residencyFilter) Apply(ctx context.Context, c *Call, next Next) *result.Failure {
+	place := reside.Place{Zone: f.core.Zone, Region: f.core.Region}
+	verdict := reside.Allowed(c.View.Table, c.Workspace, place)
+	if verdict != reside.Inside {
+		return refuse(result.StepResidency, verdict.Reason())
+	}
+	return next(ctx, c)
+}
+
+// places answers the routing's questions about where a request's data may be.
+type places struct {
+	table     *table.Table
+	workspace ident.Workspace
+	region    ident.Region
+}
+
+// AllowsZone reports whether a zone of the own region is allowed.
+func (p places) AllowsZone(zone ident.Zone) bool {
+	place := reside.Place{Zone: zone, Region: p.region}
+	return reside.Allowed(p.table, p.workspace, place) == reside.Inside
+}
+
+// AllowsRegion reports whether some zone of a region is allowed.
+func (p places) AllowsRegion(region ident.Region) bool {
+	return reside.Reaches(p.table, p.workspace, region)
+}
+
+// deadlineFilter gives a request its deadline, and ends it when that passes.
+type deadlineFilter struct {
+	core *Core
+}
+
+// Apply refuses a request that came too late.
+func (f *deadlineFilter) Apply(ctx context.Context, c *Call, next Next) *result.Failure {
+	now := f.core.Clock.Now()
+	timeout := c.View.Table.Policy().Classes[c.Class].Timeout
+	if latest := now.Add(timeout); c.Deadline.IsZero() || latest.Before(c.Deadline) {
+		c.Deadline = latest
+	}
+	if !c.Deadline.After(now) {
+		return refuse(result.StepDeadline, result.DeadlinePassed)
+	}
+	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
+	defer cancel()
+	return next(ctx, c)
+}
--- /dev/null
+++ b/io/entry/http.go
@@ -0,0 +1,240 @@
+package entry
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/juju/errors"
+
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/result"
+	"arbutustrestle/core/table"
+)
+
+// requestIDBytes is the length of a request id before it is written in hexadecimal.
+const requestIDBytes = 16
+
+// Handler returns the callers' interface.
+func (c *Core) Handler() http.Handler {
+	r := mux.NewRouter()
+	// Cleaning would redirect a call to another path than the one that the caller
+	// named; the table decides which paths are calls.
+	r.SkipClean(true)
+	r.UseEncodedPath()
+	r.Path("/v1/entry").Methods(http.MethodGet).HandlerFunc(c.handleAdvice)
+	r.Path("/v1/completions").Methods(http.MethodPost).HandlerFunc(c.handleCompletion)
+	r.PathPrefix("/v1/services/{service}/").HandlerFunc(c.handleService)
+	r.NotFoundHandler = http.HandlerFunc(c.handleUnknown)
+	r.MethodNotAllowedHandler = http.HandlerFunc(c.handleUnknown)
+	return r
+}
+
+func (c *Core) handleUnknown(w http.ResponseWriter, r *http.Request) {
+	sink := c.newSink(w)
+	f := refuse(result.StepIdentify, result.BadRequest)
+	if strings.HasPrefix(r.URL.Path, "/v1/services/") {
+		f.Reason = result.UnknownCall
+	}
+	c.Metrics.Ended(f)
+	sink.fail(f, refusalDetail{})
+}
+
+func (c *Core) handleCompletion(w http.ResponseWriter, r *http.Request) {
+	call, sink, failure := c.identify(w, r)
+	if failure == nil {
+		failure = identifyClass(call, r)
+	}
+	call.Path = "/v1/completions"
+	c.serveHTTP(r, call, sink, failure)
+}
+
+func (c *Core) handleService(w http.ResponseWriter, r *http.Request) {
+	call, sink, failure := c.identify(w, r)
+	call.Class = table.ServiceCall
+	name := mux.Vars(r)["service"]
+	call.Service = ident.Service(name)
+	call.Key = r.Header.Get(headerKey)
+	call.Path = strings.TrimPrefix(r.URL.EscapedPath(), "/v1/services/"+name)
+	if r.URL.RawQuery != "" {
+		call.Path += "?" + r.URL.RawQuery
+	}
+	if failure == nil && !ident.ValidName(name) {
+		failure = refuse(result.StepIdentify, result.BadRequest)
+	}
+	c.serveHTTP(r, call, sink, failure)
+}
+
+// serveHTTP passes a caller's request through the filters and gives the final word.
+func (c *Core) serveHTTP(r *http.Request, call *Call, sink *httpSink, failure *result.Failure) {
+	if failure == nil {
+		failure = c.Serve(r.Context(), call)
+	} else {
+		c.Metrics.Ended(failure)
+	}
+	if failure == nil {
+		sink.finish()
+		return
+	}
+	sink.fail(failure, c.detail(call, failure))
+}
+
+// detail tells the caller of a refused request how to do better.
+func (c *Core) detail(call *Call, f *result.Failure) refusalDetail {
+	switch f.Reason {
+	case result.KeyRequired, result.KeyExpired:
+		return refusalDetail{KeyPrefix: c.Records.Prefix()}
+	case result.PlaceForbidden, result.Draining, result.NotReady:
+		return refusalDetail{Entries: c.advise(call.View, call.Workspace)}
+	default:
+		return refusalDetail{}
+	}
+}
+
+func (c *Core) newSink(w http.ResponseWriter) *httpSink {
+	view := c.Views.View()
+	sink := &httpSink{
+		writer:     w,
+		controller: http.NewResponseController(w),
+		clock:      c.Clock,
+		requestID:  c.newRequestID(),
+		idle:       c.Limits.WriteTimeout,
+	}
+	if view.Table != nil {
+		sink.revision = view.Table.Version().Revision
+	}
+	return sink
+}
+
+func (c *Core) newRequestID() string {
+	var id [requestIDBytes]byte
+	for i := 0; i < requestIDBytes; i += 8 {
+		number := c.Random.Uint64()
+		for k := range 8 {
+			id[i+k] = byte(number >> (8 * k))
+		}
+	}
+	return hex.EncodeToString(id[:])
+}
+
+func validRequestID(id string) bool {
+	raw, err := hex.DecodeString(id)
+	return err == nil && len(raw) == requestIDBytes
+}
+
+// identify takes from the headers what every request has.
+func (c *Core) identify(w http.ResponseWriter, r *http.Request) (*Call, *httpSink, *result.Failure) {
+	sink := c.newSink(w)
+	call := &Call{
+		ID:        sink.requestID,
+		Workspace: ident.Workspace(r.Header.Get(headerWorkspace)),
+		Session:   r.Header.Get(headerSession),
+		Method:    r.Method,
+		Header:    r.Header,
+		Length:    int(max(0, r.ContentLength)),
+		View:      c.Views.View(),
+		Answer:    sink,
+	}
+	call.Source = &httpSource{request: r, sink: sink, limit: int64(c.Limits.BodyBytes), timeout: c.Limits.BodyTimeout}
+	if r.ContentLength > int64(c.Limits.BodyBytes) {
+		return call, sink, refuse(result.StepIdentify, result.BodyTooLarge)
+	}
+	if !ident.ValidName(string(call.Workspace)) || len(call.Session) > maxSessionLength {
+		return call, sink, refuse(result.StepIdentify, result.BadRequest)
+	}
+	timeout, ok := parseTimeout(r.Header.Get(headerTimeout))
+	if !ok {
+		return call, sink, refuse(result.StepIdentify, result.BadRequest)
+	}
+	if timeout > 0 {
+		call.Deadline = c.Clock.Now().Add(timeout)
+	}
+	return call, sink, nil
+}
+
+// maxSessionLength bounds a session's name, in bytes.
+const maxSessionLength = 256
+
+// parseTimeout reads a duration such as "30s" or "1500ms"; an empty one is zero.
+func parseTimeout(text string) (time.Duration, bool) {
+	if text == "" {
+		return 0, true
+	}
+	timeout, err := time.ParseDuration(text)
+	return timeout, err == nil && timeout > 0
+}
+
+// identifyClass reads the class of a completion; a plan is the default.
+func identifyClass(call *Call, r *http.Request) *result.Failure {
+	call.Class = table.Plan
+	text := r.Header.Get(headerClass)
+	if text == "" {
+		return nil
+	}
+	class, known := table.ParseClass(text)
+	if !known || class == table.AnyClass || class == table.ServiceCall {
+		return refuse(result.StepIdentify, result.BadRequest)
+	}
+	call.Class = class
+	return nil
+}
+
+// httpSource reads a caller's body.
+type httpSource struct {
+	request *http.Request
+	sink    *httpSink
+	limit   int64
+	timeout time.Duration
+}
+
+// Read returns the whole body, within its bounds of size and time.
+func (s *httpSource) Read(context.Context) ([]byte, *result.Failure) {
+	_ = s.sink.controller.SetReadDeadline(time.Now().Add(s.timeout))
+	body, err := io.ReadAll(http.MaxBytesReader(s.sink.writer, s.request.Body, s.limit))
+	// Without this the deadline would end the watch on the caller's connection.
+	_ = s.sink.controller.SetReadDeadline(time.Time{})
+	if err == nil {
+		return body, nil
+	}
+	var tooLarge *http.MaxBytesError
+	f := refuse(result.StepIdentify, result.BadRequest)
+	switch {
+	case errors.As(err, &tooLarge):
+		f.Reason = result.BodyTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		f.Reason = result.BodyTooSlow
+	case s.request.Context().Err() != nil || errors.Is(err, io.ErrUnexpectedEOF):
+		f.Reason = result.CallerGone
+	}
+	return nil, f
+}
+
+func (c *Core) handleAdvice(w http.ResponseWriter, r *http.Request) {
+	workspace := ident.Workspace(r.URL.Query().Get("workspace"))
+	view := c.Views.View()
+	sink := c.newSink(w)
+	if !ident.ValidName(string(workspace)) {
+		sink.fail(refuse(result.StepIdentify, result.BadRequest), refusalDetail{})
+		return
+	}
+	if f := adviceFailure(view, workspace); f != nil {
+		c.Metrics.Ended(f)
+		sink.fail(f, refusalDetail{})
+		return
+	}
+	header := w.Header()
+	sink.setCommon(header)
+	header.Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(struct {
+		Workspace     ident.Workspace `json:"workspace"`
+		TableRevision ident.Revision  `json:"table-revision"`
+		Entries       []advisedEntry  `json:"entries"`
+		KeyPrefix     string          `json:"key-prefix,omitempty"`
+	}{workspace, sink.revision, c.advise(view, workspace), c.keyPrefix(view, workspace)})
+}
--- /dev/null
+++ b/io/entry/peer.go
@@ -0,0 +1,315 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/result"
+	"arbutustrestle/core/table"
+	"arbutustrestle/io/link"
+	"arbutustrestle/io/upcall"
+	"arbutustrestle/io/wire"
+)
+
+// frameBytes bounds the data in one frame between entries.
+const frameBytes = 16 << 10
+
+// errFrame means that a peer sent a frame of another request, or out of order.
+var errFrame = errors.New("a frame of another request, or out of order")
+
+// frameWriter writes the frames of one direction of a forwarded request.
+type frameWriter struct {
+	stream    *link.Stream
+	requestID string
+	// sequence is that of the next frame.
+	sequence uint64
+	// length counts the data bytes sent.
+	length uint64
+}
+
+func (w *frameWriter) send(f *wire.Frame) error {
+	f.RequestId = w.requestID
+	f.Sequence = w.sequence
+	w.sequence++
+	return w.stream.Send(f)
+}
+
+func (w *frameWriter) data(p []byte) error {
+	for len(p) > 0 {
+		n := min(len(p), frameBytes)
+		if err := w.send(&wire.Frame{Kind: &wire.Frame_Data{Data: p[:n]}}); err != nil {
+			return err
+		}
+		w.length += uint64(n)
+		p = p[n:]
+	}
+	return nil
+}
+
+func (w *frameWriter) end(f *result.Failure, trailerPeer string) error {
+	end := &wire.End{Length: w.length, Failure: failureToWire(f), Peer: trailerPeer}
+	return w.send(&wire.Frame{Kind: &wire.Frame_End{End: end}})
+}
+
+// frameReader reads the frames of one direction and checks that they belong to
+// the request and come in order.
+type frameReader struct {
+	stream    *link.Stream
+	requestID string
+	sequence  uint64
+	length    uint64
+}
+
+// next returns the next frame. The error is errFrame, or of the connection.
+func (r *frameReader) next() (*wire.Frame, error) {
+	var f wire.Frame
+	if err := r.stream.Receive(&f); err != nil {
+		return nil, err
+	}
+	if f.GetRequestId() != r.requestID || f.GetSequence() != r.sequence {
+		return nil, errFrame
+	}
+	r.sequence++
+	r.length += uint64(len(f.GetData()))
+	if end := f.GetEnd(); end != nil && end.GetLength() != r.length {
+		return nil, errFrame
+	}
+	return &f, nil
+}
+
+// peerSource reads the body of a forwarded request. The peer sends it only after
+// the verdict that accepts the request.
+type peerSource struct {
+	stream  *link.Stream
+	request *wire.Forward
+	limit   int
+	// decided is true once a verdict was sent.
+	decided bool
+	// cancel ends the request when the forwarding entry closes the stream.
+	cancel context.CancelCauseFunc
+	// done is set when the answer is complete, after which the stream's end is no
+	// reason to cancel.
+	done atomic.Bool
+}
+
+// Read accepts the request and reads its body.
+func (s *peerSource) Read(context.Context) ([]byte, *result.Failure) {
+	if int(s.request.GetBodyLength()) > s.limit {
+		return nil, refuse(result.StepIdentify, result.BodyTooLarge)
+	}
+	s.decided = true
+	if err := s.stream.Send(&wire.Verdict{RequestId: s.request.GetRequestId(), Accepted: true}); err != nil {
+		return nil, s.gone(err)
+	}
+	s.stream.SetReadDeadline(time.Now().Add(peerBodyTimeout))
+	body, failure := s.readBody()
+	s.stream.SetReadDeadline(time.Time{})
+	if failure == nil {
+		go s.watch()
+	}
+	return body, failure
+}
+
+func (s *peerSource) readBody() ([]byte, *result.Failure) {
+	reader := frameReader{stream: s.stream, requestID: s.request.GetRequestId()}
+	body := make([]byte, 0, s.request.GetBodyLength())
+	for {
+		f, err := reader.next()
+		if err != nil {
+			return nil, s.gone(err)
+		}
+		body = append(body, f.GetData()...)
+		if len(body) > s.limit {
+			return nil, refuse(result.StepIdentify, result.BodyTooLarge)
+		}
+		if f.GetEnd() != nil {
+			return body, nil
+		}
+	}
+}
+
+func (s *peerSource) gone(err error) *result.Failure {
+	f := refuse(result.StepIdentify, result.CallerGone)
+	f.Cause = err
+	return f
+}
+
+// watch notices that the forwarding entry gave up: nothing more is due on the
+// stream, so whatever Receive returns ends the request.
+func (s *peerSource) watch() {
+	var unexpected wire.Frame
+	err := s.stream.Receive(&unexpected)
+	if s.done.Load() {
+		return
+	}
+	s.cancel(errors.Annotate(err, "the forwarding entry closed the stream"))
+}
+
+// peerSink passes an answer back to the forwarding entry.
+type peerSink struct {
+	frames frameWriter
+	idle   time.Duration
+	begun  bool
+}
+
+// Begin sends the status and the headers.
+func (s *peerSink) Begin(h upcall.Head) error {
+	s.begun = true
+	s.extend()
+	head := &wire.Head{Status: uint32(h.Status), Headers: headersToWire(h.Header)}
+	return s.frames.send(&wire.Frame{Kind: &wire.Frame_Head{Head: head}})
+}
+
+// Write sends the next bytes.
+func (s *peerSink) Write(p []byte) error {
+	s.extend()
+	return s.frames.data(p)
+}
+
+func (s *peerSink) extend() {
+	s.frames.stream.SetDeadline(time.Now().Add(s.idle))
+}
+
+// peerBodyTimeout bounds the time in which a peer sends a body it has at hand.
+const peerBodyTimeout = 10 * time.Second
+
+// Peers serves the requests that other entries forward. Its fields are set before
+// the first use.
+type Peers struct {
+	Core *Core
+}
+
+// Forward serves one forwarded request.
+func (p *Peers) Forward(ctx context.Context, s *link.Stream, f *wire.Forward) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	source := &peerSource{stream: s, request: f, limit: p.Core.Limits.BodyBytes, cancel: cancel}
+	sink := &peerSink{
+		frames: frameWriter{stream: s, requestID: f.GetRequestId()},
+		idle:   p.Core.Limits.WriteTimeout,
+	}
+	c, failure := p.call(f, source, sink)
+	if failure == nil {
+		failure = p.Core.Serve(ctx, c)
+	}
+	source.done.Store(true)
+	p.finish(source, sink, c, failure)
+}
+
+// finish sends the last word: a verdict when the request was refused before its
+// body was read, else the closing frame.
+func (p *Peers) finish(source *peerSource, sink *peerSink, c *Call, f *result.Failure) {
+	if f != nil && f.Peer == "" {
+		f.Peer = string(p.Core.Self.Instance)
+	}
+	sink.extend()
+	if !source.decided {
+		verdict := &wire.Verdict{RequestId: source.request.GetRequestId(), Failure: failureToWire(f)}
+		_ = source.stream.Send(verdict)
+		return
+	}
+	_ = sink.frames.end(f, c.Peer)
+}
+
+// call makes the request that a Forward message describes. It is refused when it
+// was here before, has no hops left, or was decided on a newer table than the one
+// in force here.
+func (p *Peers) call(f *wire.Forward, source Source, sink upcall.Sink) (*Call, *result.Failure) {
+	view := p.Core.Views.View()
+	c := &Call{
+		ID:         f.GetRequestId(),
+		Workspace:  ident.Workspace(f.GetWorkspace()),
+		Class:      table.Class(f.GetClass()),
+		Model:      ident.Model(f.GetModel()),
+		Service:    ident.Service(f.GetService()),
+		Method:     f.GetMethod(),
+		Path:       f.GetPath(),
+		Header:     headersFromWire(f.GetHeaders()),
+		Session:    f.GetSession(),
+		Key:        f.GetKey(),
+		Owned:      f.GetKey() != "",
+		Length:     int(f.GetBodyLength()),
+		Repeatable: f.GetKey() == "",
+		Deadline:   p.Core.Clock.Now().Add(time.Duration(f.GetRemainingMs()) * time.Millisecond),
+		View:       view,
+		Source:     source,
+		Answer:     sink,
+	}
+	for _, v := range f.GetVisited() {
+		c.Visited = append(c.Visited, ident.Instance(v))
+	}
+	for _, v := range f.GetVisitedRegions() {
+		c.VisitedRegions = append(c.VisitedRegions, ident.Region(v))
+	}
+	return c, p.check(c, ident.Revision(f.GetTableRevision()))
+}
+
+func (p *Peers) check(c *Call, revision ident.Revision) *result.Failure {
+	if !validRequestID(c.ID) || c.Class == table.AnyClass || c.Class >= table.ClassCount {
+		return refuse(result.StepIdentify, result.BadRequest)
+	}
+	for _, v := range c.Visited {
+		if v == p.Core.Self.Instance {
+			return refuse(result.StepForward, result.HopLimit)
+		}
+	}
+	if c.View.Table == nil {
+		return refuse(result.StepForward, result.NotReady)
+	}
+	if len(c.Visited) > c.View.Table.Policy().MaxHops {
+		return refuse(result.StepForward, result.HopLimit)
+	}
+	if revision > c.View.Table.Version().Revision {
+		return refuse(result.StepForward, result.OlderTable)
+	}
+	return nil
+}
+
+func headersToWire(h http.Header) []*wire.Header {
+	var list []*wire.Header
+	for name, values := range h {
+		if isPrivateHeader(name) {
+			continue
+		}
+		for _, v := range values {
+			list = append(list, &wire.Header{Name: name, Value: v})
+		}
+	}
+	return list
+}
+
+func headersFromWire(list []*wire.Header) http.Header {
+	h := make(http.Header, len(list))
+	for _, f := range list {
+		h.Add(f.GetName(), f.GetValue())
+	}
+	return h
+}
+
+func failureToWire(f *result.Failure) *wire.Failure {
+	if f == nil {
+		return nil
+	}
+	return &wire.Failure{
+		Outcome:      f.Outcome.String(),
+		Step:         f.Step.String(),
+		Reason:       f.Reason.String(),
+		Peer:         f.Peer,
+		RetryAfterMs: uint64(f.RetryAfter.Milliseconds()),
+	}
+}
+
+func failureFromWire(f *wire.Failure) *result.Failure {
+	return &result.Failure{
+		Outcome:    result.ParseOutcome(f.GetOutcome()),
+		Step:       result.ParseStep(f.GetStep()),
+		Reason:     result.ParseReason(f.GetReason()),
+		Peer:       f.GetPeer(),
+		RetryAfter: time.Duration(f.GetRetryAfterMs()) * time.Millisecond,
+	}
+}
--- /dev/null
+++ b/io/entry/records.go
@@ -0,0 +1,150 @@
+package entry
+
+import (
+	"sync"
+
+	"arbutustrestle/core/clock"
+	"arbutustrestle/core/dedup"
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/member"
+)
+
+// Records lets many goroutines use the idempotency records of this incarnation,
+// and wait for calls that run.
+type Records struct {
+	clock clock.Clock
+
+	mu      sync.Mutex
+	records *dedup.Records
+	notes   dedup.Notes
+	// running has a channel for each key that runs here; it is closed at its end.
+	running map[dedup.Key]chan struct{}
+}
+
+// NewRecords returns the empty records of an incarnation that starts now.
+func NewRecords(self ident.Incarnation, c clock.Clock, limits dedup.Limits) *Records {
+	return &Records{
+		clock:   c,
+		records: dedup.NewRecords(self, c.Now(), limits),
+		running: map[dedup.Key]chan struct{}{},
+	}
+}
+
+// Prefix returns what the keys start with that callers may mint now.
+func (r *Records) Prefix() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.records.Prefix(r.clock.Now())
+}
+
+// Epoch returns the current key epoch.
+func (r *Records) Epoch() uint32 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.records.Epoch(r.clock.Now())
+}
+
+// Usage returns how full the records are.
+func (r *Records) Usage() dedup.Usage {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.records.Advance(r.clock.Now())
+	return r.records.Usage()
+}
+
+// begin decides about one try. For Join it also returns what is closed when the
+// earlier try has ended.
+func (r *Records) begin(c dedup.Call) (dedup.Decision, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	decision := r.records.Begin(r.clock.Now(), c)
+	switch decision.(type) {
+	case dedup.Run:
+		r.running[c.Key] = make(chan struct{})
+	case dedup.Join:
+		return decision, r.running[c.Key]
+	}
+	return decision, nil
+}
+
+// end records how a call ended that begin told to run.
+func (r *Records) end(k dedup.Key, a dedup.Answer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.records.End(r.clock.Now(), k, a)
+	close(r.running[k])
+	delete(r.running, k)
+}
+
+// resolve finds where the records of a key are.
+func (r *Records) resolve(self ident.Incarnation, v *member.View, k dedup.Key, asked bool) dedup.Destination {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	resolver := dedup.Resolver{Self: self, Members: membersOf(v), Notes: &r.notes}
+	return resolver.Resolve(r.clock.Now(), k, asked)
+}
+
+// membersOf looks up incarnations in a membership view. The run of an instance in
+// another region isn't known here, only that it is listed.
+func membersOf(v *member.View) dedup.Members {
+	return func(id ident.Instance) (ident.Incarnation, bool) {
+		if m, found := v.Member(id); found {
+			if m.Start == 0 {
+				return ident.Incarnation{}, true
+			}
+			return m.Incarnation(), true
+		}
+		_, found := v.Entry(id)
+		return ident.Incarnation{}, found
+	}
+}
+
+// Note takes in a forwarding note.
+func (r *Records) Note(n dedup.Note) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.notes.Add(r.clock.Now(), n)
+}
+
+// FindNote returns the note on an incarnation that stopped.
+func (r *Records) FindNote(old ident.Incarnation) (dedup.Note, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.notes.Find(r.clock.Now(), old)
+}
+
+// Notes returns the notes that are held, for the heartbeats.
+func (r *Records) Notes() []dedup.Note {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.notes.All(r.clock.Now())
+}
+
+// Export seals the records and returns them in chunks for a successor.
+func (r *Records) Export(allowed func(ident.Workspace) bool) []dedup.Chunk {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.records.Export(r.clock.Now(), allowed)
+}
+
+// Import takes in one chunk of a stopping instance; see dedup.Records.Import for
+// the errors.
+func (r *Records) Import(c dedup.Chunk) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.records.Import(r.clock.Now(), c)
+}
+
+// Complete reports whether every key of a stopped incarnation is held here.
+func (r *Records) Complete(owner ident.Incarnation) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.records.Complete(owner)
+}
+
+// Strip drops the answers of workspaces whose data may not be here any more.
+func (r *Records) Strip(allowed func(ident.Workspace) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.records.Strip(allowed)
+}
--- /dev/null
+++ b/io/entry/route.go
@@ -0,0 +1,257 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/load"
+	"arbutustrestle/core/node"
+	"arbutustrestle/core/reside"
+	"arbutustrestle/core/result"
+	"arbutustrestle/core/retry"
+	"arbutustrestle/core/route"
+	"arbutustrestle/io/upcall"
+)
+
+// routeFilter chooses where a request goes, makes the attempts, and retries out of
+// the budget. It is the last filter.
+type routeFilter struct {
+	core      *Core
+	forwarder *forwarder
+}
+
+// journey is what a request has been through in the routeFilter.
+type journey struct {
+	call     *Call
+	request  route.Request
+	attempts int
+}
+
+// Apply attempts the request until it is answered or may not be tried again.
+func (f *routeFilter) Apply(ctx context.Context, c *Call, _ Next) *result.Failure {
+	f.core.Retries.Request(f.core.Clock.Now())
+	j := &journey{call: c}
+	for {
+		failure, final := f.try(ctx, j)
+		if failure == nil || final {
+			return failure
+		}
+		j.attempts++
+		again, stop := f.decide(j, failure)
+		if stop != nil {
+			return stop
+		}
+		f.core.Metrics.Retried(failure)
+		if !pause(ctx, again) {
+			return failure
+		}
+	}
+}
+
+func (f *routeFilter) decide(j *journey, failure *result.Failure) (time.Duration, *result.Failure) {
+	call := retry.Call{
+		Repeatable: j.call.Repeatable,
+		Streamed:   j.call.Begun,
+		Attempts:   j.attempts,
+		Deadline:   j.call.Deadline,
+	}
+	var decision retry.Decision
+	f.core.Random.With(func(source *rand.Rand) {
+		decision = f.core.Retries.Decide(f.core.Clock.Now(), source, call, failure)
+	})
+	switch d := decision.(type) {
+	case retry.Again:
+		return d.After, nil
+	case retry.Stop:
+		return 0, d.Failure
+	default:
+		return 0, failure
+	}
+}
+
+// pause waits before a further attempt, and reports false when the request ended.
+func pause(ctx context.Context, wait time.Duration) bool {
+	if wait == 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// try makes one attempt or forward on the state in force now: the table may have
+// changed while the request waited. A final failure is not to be retried.
+func (f *routeFilter) try(ctx context.Context, j *journey) (failure *result.Failure, final bool) {
+	c := j.call
+	c.View = f.core.Views.View()
+	if reside.Allowed(c.View.Table, c.Workspace, reside.Place{Zone: f.core.Zone, Region: f.core.Region}) != reside.Inside {
+		return refuse(result.StepRoute, result.PlaceForbidden), true
+	}
+	view, found := f.view(c)
+	if !found {
+		return refuse(result.StepRoute, result.NoUpstream), true
+	}
+	f.prepare(j)
+	var decision route.Decision
+	f.core.Random.With(func(source *rand.Rand) {
+		decision = route.Pick(f.core.Clock.Now(), source, view, &j.request)
+	})
+	switch d := decision.(type) {
+	case *route.Attempt:
+		return f.attempt(ctx, j, d), false
+	case *route.Forward:
+		return f.forward(ctx, j, d.Region), false
+	case *route.Refuse:
+		return d.Failure, true
+	default:
+		return refuse(result.StepRoute, result.NoUpstream), true
+	}
+}
+
+func (f *routeFilter) view(c *Call) (*route.View, bool) {
+	if c.Service != "" {
+		return c.View.Service(c.Service)
+	}
+	return c.View.Model(c.Model, c.Class)
+}
+
+// prepare fills in what the choice reads. A keyed call stays in the region of its
+// key's owner, and so does a request that was forwarded.
+func (f *routeFilter) prepare(j *journey) {
+	c := j.call
+	r := &j.request
+	r.Places = places{table: c.View.Table, workspace: c.Workspace, region: f.core.Region}
+	r.Affinity = c.prompt.Affinity
+	r.Prefix = c.prompt.Prefix
+	r.MaxWait = c.View.Table.Policy().Classes[c.Class].MaxWait
+	r.Full = c.full
+	if len(r.Visited) == 0 && (len(c.Visited) > 0 || c.keyed()) {
+		r.Visited = append(r.Visited, c.VisitedRegions...)
+		r.Visited = append(r.Visited, f.core.Region)
+	}
+}
+
+// attempt calls one upstream and tells what it learned of its load.
+func (f *routeFilter) attempt(ctx context.Context, j *journey, d *route.Attempt) *result.Failure {
+	c := j.call
+	upstream, found := c.View.Upstream(d.Upstream.ID)
+	if !found {
+		return refuse(result.StepRoute, result.NoUpstream)
+	}
+	j.request.Tried = append(j.request.Tried, d.Upstream.ID)
+	a := f.describe(c, upstream, d.Version)
+	started := f.core.Clock.Now()
+	d.Upstream.Begin(started)
+	report, failure := f.core.Upcall.Do(ctx, a, c.Answer)
+	f.learn(d.Upstream, started, report, failure)
+	c.Begun = c.Begun || report.Begun
+	c.Tokens += report.Frames
+	c.Peer = string(d.Upstream.ID)
+	return failure
+}
+
+func (f *routeFilter) describe(c *Call, u *node.Upstream, version ident.Version) *upcall.Attempt {
+	a := &upcall.Attempt{
+		RequestID:   c.ID,
+		Upstream:    u.ID,
+		Address:     u.Address,
+		Method:      c.Method,
+		Path:        c.Path,
+		Header:      forwardedHeader(c.Header),
+		Body:        c.Body,
+		Repeatable:  c.Repeatable,
+		Streamed:    c.Service == "",
+		IdleTimeout: c.View.Table.Policy().IdleTimeout,
+	}
+	if c.Service == "" {
+		priority := c.View.Table.Policy().Classes[c.Class].Priority
+		a.Body = completionBody(c.Body, version, priority)
+	} else if c.Key != "" {
+		a.Header.Set(headerKey, c.Key)
+	}
+	return a
+}
+
+// learn passes on what an attempt showed of its upstream.
+func (f *routeFilter) learn(u *load.Upstream, started time.Time, report upcall.Report, failure *result.Failure) {
+	now := f.core.Clock.Now()
+	if report.Frames > 0 {
+		u.FirstToken(now, report.FirstByte)
+	}
+	if l, ok := parseLoad(report.Load, now); ok {
+		u.Observe(now, l)
+	}
+	if report.Leaving {
+		u.Leave()
+	}
+	u.End(now, endingOf(failure), now.Sub(started), report.Frames)
+}
+
+func endingOf(failure *result.Failure) load.Ending {
+	if failure == nil {
+		return load.Answered
+	}
+	switch failure.Reason {
+	case result.CallerGone, result.DeadlinePassed:
+		return load.Cancelled
+	case result.UpstreamRefused, result.UpstreamLeaving:
+		return load.Refused
+	default:
+		return load.Failed
+	}
+}
+
+// parseLoad reads a load header such as "running=3 waiting=1 slots=8".
+func parseLoad(text string, now time.Time) (load.Report, bool) {
+	report := load.Report{AsOf: now}
+	if text == "" {
+		return report, false
+	}
+	n, err := fmt.Sscanf(strings.TrimSpace(text), "running=%d waiting=%d slots=%d", &report.Running, &report.Waiting, &report.Slots)
+	return report, err == nil && n == 3 && report.Running >= 0 && report.Waiting >= 0 && report.Slots > 0
+}
+
+// forward sends the request to an entry of another region. When that entry did not
+// take it, the request stays here.
+func (f *routeFilter) forward(ctx context.Context, j *journey, region ident.Region) *result.Failure {
+	j.request.Visited = append(j.request.Visited, f.core.Region, region)
+	t, found := f.contact(j.call, region)
+	if !found {
+		return refuse(result.StepForward, result.PeerUnreachable)
+	}
+	return f.forwarder.forward(ctx, j.call, t)
+}
+
+// contact draws one of the region's entries in a zone that is allowed.
+func (f *routeFilter) contact(c *Call, region ident.Region) (target, bool) {
+	known, found := c.View.Members.Region(region)
+	if !found {
+		return target{}, false
+	}
+	var targets []target
+	for _, contact := range known.Contacts {
+		place := reside.Place{Zone: contact.Zone, Region: region}
+		if reside.Allowed(c.View.Table, c.Workspace, place) != reside.Inside {
+			continue
+		}
+		targets = append(targets, target{
+			instance: contact.Incarnation.Instance,
+			region:   region,
+			zone:     contact.Zone,
+			address:  contact.Peer,
+		})
+	}
+	if len(targets) == 0 {
+		return target{}, false
+	}
+	return targets[f.core.Random.Uint64()%uint64(len(targets))], true
+}
--- /dev/null
+++ b/io/fleet/relay.go
@@ -0,0 +1,151 @@
+package fleet
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/juju/errors"
+)
+
+// Relay passes TCP connections on to a target, until it is cut. A cut relay goes on
+// accepting and holding connections, but nothing passes any more in the cut
+// direction, as on a network that drops packets.
+type Relay struct {
+	listener net.Listener
+	target   netip.AddrPort
+
+	mu sync.Mutex
+	// changed is signalled when a direction is cut or healed.
+	changed *sync.Cond
+	// in is cut towards the target, out is cut back from it.
+	in, out bool
+	closed  bool
+	conns   map[net.Conn]struct{}
+}
+
+// NewRelay returns a relay that listens on a free loopback port.
+func NewRelay(target netip.AddrPort) (*Relay, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	r := &Relay{listener: l, target: target, conns: map[net.Conn]struct{}{}}
+	r.changed = sync.NewCond(&r.mu)
+	go r.accept()
+	return r, nil
+}
+
+// Address returns where the relay listens.
+func (r *Relay) Address() netip.AddrPort {
+	return r.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Cut sets which directions are cut: towards the target, and back from it.
+func (r *Relay) Cut(in, out bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.in = in
+	r.out = out
+	r.changed.Broadcast()
+}
+
+// Close ends the relay and its connections.
+func (r *Relay) Close() {
+	r.mu.Lock()
+	r.closed = true
+	for c := range r.conns {
+		_ = c.Close()
+	}
+	r.changed.Broadcast()
+	r.mu.Unlock()
+	_ = r.listener.Close()
+}
+
+func (r *Relay) accept() {
+	for {
+		conn, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.serve(conn)
+	}
+}
+
+func (r *Relay) serve(caller net.Conn) {
+	if !r.keep(caller) {
+		return
+	}
+	defer r.drop(caller)
+	target, err := net.Dial("tcp", r.target.String())
+	if err != nil {
+		return
+	}
+	if !r.keep(target) {
+		return
+	}
+	defer r.drop(target)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.pump(target, caller, &r.in)
+	}()
+	r.pump(caller, target, &r.out)
+	<-done
+}
+
+// pump copies one direction while it is not cut. What was read when the cut came
+// is held until it heals.
+func (r *Relay) pump(to, from net.Conn, cut *bool) {
+	// Each side's end is passed on only while the direction is open.
+	defer func() {
+		if r.waitOpen(cut) {
+			_ = to.Close()
+		}
+	}()
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if !r.waitOpen(cut) {
+			return
+		}
+		if n > 0 {
+			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
+				_ = from.Close()
+				return
+			}
+		}
+		if errors.Is(err, io.EOF) || err != nil {
+			return
+		}
+	}
+}
+
+// waitOpen waits while a direction is cut, and reports false when the relay closed.
+func (r *Relay) waitOpen(cut *bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for *cut && !r.closed {
+		r.changed.Wait()
+	}
+	return !r.closed
+}
+
+func (r *Relay) keep(c net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		_ = c.Close()
+		return false
+	}
+	r.conns[c] = struct{}{}
+	return true
+}
+
+func (r *Relay) drop(c net.Conn) {
+	_ = c.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.conns, c)
+}
--- /dev/null
+++ b/io/loop/handover.go
@@ -0,0 +1,134 @@
+package loop
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"arbutustrestle/core/dedup"
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/member"
+	"arbutustrestle/core/node"
+	"arbutustrestle/core/rank"
+	"arbutustrestle/core/reside"
+	"arbutustrestle/io/link"
+	"arbutustrestle/io/wire"
+)
+
+const (
+	// chunkTimeout bounds the time for one chunk of a handover.
+	chunkTimeout = 5 * time.Second
+	// successorTries is the number of members that are asked to be the successor.
+	successorTries = 3
+)
+
+// Handover takes the records of a stopping instance. It answers that it accepted
+// them only when it holds all of them.
+func (h *Handler) Handover(_ context.Context, s *link.Stream, m *wire.Handover) {
+	log := h.Loop.parts.Log
+	from, err := ident.ParseIncarnation(m.GetIncarnation())
+	if err != nil || from != s.Peer.Incarnation {
+		return
+	}
+	if err := h.receiveChunks(s); err != nil {
+		log.Warn().Err(err).Str("step", "handover").Str("peer", from.String()).Msg("records not taken over")
+		return
+	}
+	accepted := h.Records.Complete(from)
+	log.Info().Str("step", "handover").Str("peer", from.String()).Bool("complete", accepted).Msg("records taken over")
+	s.SetDeadline(time.Now().Add(chunkTimeout))
+	_ = s.Send(&wire.Handed{Accepted: accepted})
+}
+
+func (h *Handler) receiveChunks(s *link.Stream) error {
+	for {
+		s.SetReadDeadline(time.Now().Add(chunkTimeout))
+		var m wire.Chunk
+		if err := s.Receive(&m); err != nil {
+			return errors.Trace(err)
+		}
+		chunk, err := wire.ChunkFromWire(&m)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		if err := h.Records.Import(chunk); err != nil {
+			return errors.Trace(err)
+		}
+		if m.GetLast() {
+			return nil
+		}
+	}
+}
+
+// HandOver seals the records and gives them to another entry of the region, and
+// returns the note that says so. It returns an error when none took them all; the
+// records' keys are then answered with an unknown outcome once this process is gone.
+func (l *Loop) HandOver(ctx context.Context, retention time.Duration) (dedup.Note, error) {
+	v := l.View()
+	successors := successorsOf(v)
+	if len(successors) == 0 {
+		return dedup.Note{}, errors.NotFoundf("another entry in %s to take the records over", v.Region)
+	}
+	var last error
+	for _, m := range successors {
+		if last = l.handOverTo(ctx, v, m); last == nil {
+			expires := l.parts.Clock.Now().Add(retention)
+			return dedup.Note{Old: v.Self, Successor: m.Incarnation(), Expires: expires}, nil
+		}
+		l.parts.Log.Warn().Err(last).Str("step", "handover").Str("peer", string(m.Entry.ID)).Msg("records not handed over")
+	}
+	return dedup.Note{}, errors.Trace(last)
+}
+
+// successorsOf returns the members that may take the records over, best first.
+func successorsOf(v *node.View) []*member.Member {
+	var ids []ident.Instance
+	for _, id := range v.Members.Advised() {
+		if m, found := v.Members.Member(id); found && m.Usable && id != v.Self.Instance {
+			ids = append(ids, id)
+		}
+	}
+	var members []*member.Member
+	for _, id := range rank.Top("successor "+v.Self.String(), ids, successorTries) {
+		m, _ := v.Members.Member(id)
+		members = append(members, m)
+	}
+	return members
+}
+
+func (l *Loop) handOverTo(ctx context.Context, v *node.View, m *member.Member) error {
+	place := reside.Place{Zone: m.Entry.Zone, Region: m.Entry.Region}
+	chunks := l.parts.Records.Export(func(w ident.Workspace) bool {
+		return reside.Allowed(v.Table, w, place) == reside.Inside
+	})
+	s, err := l.parts.Pool.Handover(ctx, m.Entry.Peer)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer s.Close()
+	if s.Peer.Incarnation != m.Incarnation() {
+		return errors.NotFoundf("incarnation %s", m.Incarnation())
+	}
+	for i := range chunks {
+		s.SetDeadline(time.Now().Add(chunkTimeout))
+		message := wire.ChunkToWire(chunks[i])
+		message.Last = i == len(chunks)-1
+		if err := s.Send(message); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return l.awaitHanded(s)
+}
+
+func (l *Loop) awaitHanded(s *link.Stream) error {
+	s.SetDeadline(time.Now().Add(chunkTimeout))
+	var reply wire.Handed
+	if err := s.Receive(&reply); err != nil {
+		return errors.Trace(err)
+	}
+	if !reply.GetAccepted() {
+		return errors.Errorf("%s does not hold all records", s.Peer.Incarnation)
+	}
+	return nil
+}
--- /dev/null
+++ b/io/loop/loop.go
@@ -0,0 +1,247 @@
+// Package loop runs the control state of an entry instance on one goroutine:
+// events of links, timers and the platform go in, and its actions are carried out
+// by others. Traffic reads the view that it publishes.
+package loop
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"arbutustrestle/core/clock"
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/member"
+	"arbutustrestle/core/node"
+	"arbutustrestle/core/retry"
+	"arbutustrestle/core/share"
+	"arbutustrestle/io/entry"
+	"arbutustrestle/io/link"
+	"arbutustrestle/io/metric"
+	"arbutustrestle/io/plat"
+	"arbutustrestle/io/upcall"
+)
+
+// queueLength is the number of events that may wait for the control goroutine.
+const queueLength = 4096
+
+// beatInterval is the time between two exchanges of workspace claims.
+const beatInterval = time.Second
+
+// Parts are what the loop works with. All are set before Run and do not change.
+type Parts struct {
+	Node     *node.Node
+	Clock    clock.Clock
+	Log      zerolog.Logger
+	Metrics  *metric.Set
+	Pool     *link.Pool
+	Platform []*plat.Client
+	Loads    *upcall.LoadReader
+	Records  *entry.Records
+	Gates    *entry.Gates
+	Shares   *share.Ledger
+	Retries  *retry.Budget
+}
+
+// Loop carries events to the control state and its actions out of it.
+type Loop struct {
+	parts  Parts
+	events chan node.Event
+	// questions run on the control goroutine.
+	questions chan func(*node.Node)
+	view      atomic.Pointer[node.View]
+	// stopped is closed when the control goroutine has ended.
+	stopped chan struct{}
+	// work counts the goroutines that carry out actions.
+	work sync.WaitGroup
+
+	// The fields below belong to the control goroutine.
+
+	// beatDue is when the workspace claims are next exchanged.
+	beatDue time.Time
+	usage   []share.Usage
+	// peers are those that were alive in the last view.
+	peers []ident.Instance
+	// revision is that of the table in the last view.
+	revision ident.Revision
+
+	sendMu sync.Mutex
+	// sending holds the addresses to which a notice is being written, so that a peer
+	// that hangs holds one goroutine and not one for each heartbeat.
+	sending map[netip.AddrPort]struct{}
+}
+
+// New returns a loop that is not running yet.
+func New(p Parts) *Loop {
+	l := &Loop{
+		parts:     p,
+		events:    make(chan node.Event, queueLength),
+		questions: make(chan func(*node.Node)),
+		stopped:   make(chan struct{}),
+		sending:   map[netip.AddrPort]struct{}{},
+	}
+	l.view.Store(p.Node.View())
+	return l
+}
+
+// View returns the view published last.
+func (l *Loop) View() *node.View {
+	return l.view.Load()
+}
+
+// Run drives the control state until the context ends.
+func (l *Loop) Run(ctx context.Context) {
+	defer l.work.Wait()
+	defer close(l.stopped)
+	ticker := time.NewTicker(member.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			l.step(ctx, l.tick())
+		case event := <-l.events:
+			l.step(ctx, event)
+		case ask := <-l.questions:
+			ask(l.parts.Node)
+		}
+	}
+}
+
+// Post gives an event to the control goroutine, and waits for room in its queue.
+func (l *Loop) Post(event node.Event) {
+	select {
+	case l.events <- event:
+	case <-l.stopped:
+	}
+}
+
+// Offer gives an event to the control goroutine unless its queue is full.
+func (l *Loop) Offer(event node.Event) {
+	select {
+	case l.events <- event:
+	default:
+		l.parts.Metrics.Events.Add("control-queue-full", 1)
+	}
+}
+
+// Ask runs a function on the control goroutine. It returns an error when the
+// context or the loop ends first.
+func (l *Loop) Ask(ctx context.Context, question func(*node.Node)) error {
+	answered := make(chan struct{})
+	wrapped := func(n *node.Node) {
+		question(n)
+		close(answered)
+	}
+	select {
+	case l.questions <- wrapped:
+		<-answered
+		return nil
+	case <-ctx.Done():
+		return errors.Annotate(ctx.Err(), "ask the control state")
+	case <-l.stopped:
+		return errors.New("the control state has stopped")
+	}
+}
+
+// tick makes the event of the ticker, with what the next heartbeats are to tell.
+func (l *Loop) tick() node.Tick {
+	now := l.parts.Clock.Now()
+	if !now.Before(l.beatDue) {
+		l.beatDue = now.Add(beatInterval)
+		l.usage = l.parts.Shares.Beat(now, l.parts.Node.View().Self.Instance, l.peers)
+		l.parts.Gates.Resize(l.parts.Node.View())
+	}
+	return node.Tick{Usage: l.usage, Notes: l.parts.Records.Notes()}
+}
+
+func (l *Loop) step(ctx context.Context, event node.Event) {
+	for _, action := range l.parts.Node.Step(l.parts.Clock.Now(), event) {
+		l.carryOut(ctx, action)
+	}
+}
+
+func (l *Loop) carryOut(ctx context.Context, action node.Action) {
+	switch a := action.(type) {
+	case node.SendHeartbeat:
+		l.notify(ctx, a.To, a.Address, heartbeatNotice(a.Heartbeat))
+	case node.SendSummary:
+		l.notify(ctx, a.To, a.Address, summaryNotice(a.Summary))
+	case node.SendAnnouncement:
+		l.announce(ctx, a)
+	case node.ReadPlatform:
+		l.work.Go(func() { l.readPlatform(ctx, a) })
+	case node.AskPeer:
+		l.work.Go(func() { l.askPeer(ctx, a) })
+	case node.PollLoad:
+		l.work.Go(func() { l.pollLoad(ctx, a) })
+	case node.Publish:
+		l.publish(a.View)
+	case node.Heard:
+		l.hear(a)
+	case node.Refused:
+		l.refused(a)
+	case node.BecameReady:
+		l.parts.Log.Info().Str("source", a.Source.String()).Msg("ready")
+	case node.Paused:
+		l.parts.Metrics.Events.Add("process-paused", 1)
+		l.parts.Log.Warn().Dur("gap", a.Gap).Msg("the process stood still")
+	}
+}
+
+// publish brings a view in force for traffic, and what depends on it.
+func (l *Loop) publish(v *node.View) {
+	l.view.Store(v)
+	l.followPeers(v)
+	if v.Table == nil {
+		return
+	}
+	l.parts.Gates.Resize(v)
+	revision := v.Table.Version().Revision
+	if revision == l.revision {
+		return
+	}
+	l.revision = revision
+	policy := v.Table.Policy()
+	l.parts.Retries.Configure(float64(policy.RetryBudgetPercent), policy.MaxAttempts)
+	l.parts.Records.Strip(v.Allows)
+	l.parts.Log.Info().Uint64("revision", uint64(revision)).Msg("table in force")
+}
+
+// followPeers forgets the claims and links of peers that have gone.
+func (l *Loop) followPeers(v *node.View) {
+	var peers []ident.Instance
+	for _, id := range v.Members.Alive() {
+		if id != v.Self.Instance {
+			peers = append(peers, id)
+		}
+	}
+	for _, old := range l.peers {
+		if _, listed := v.Members.Member(old); !listed {
+			l.parts.Shares.Forget(old)
+		}
+	}
+	l.peers = peers
+}
+
+func (l *Loop) hear(h node.Heard) {
+	l.parts.Shares.Hear(h.From, h.Gossip.Usage)
+	for _, n := range h.Gossip.Notes {
+		l.parts.Records.Note(n)
+	}
+}
+
+func (l *Loop) refused(r node.Refused) {
+	l.parts.Metrics.Events.Add("value-refused-"+r.Verdict.String(), 1)
+	l.parts.Log.Error().
+		Str("key", string(r.Key)).
+		Str("version", r.Version.String()).
+		Str("verdict", r.Verdict.String()).
+		AnErr("problem", r.Err).
+		Msg("published value refused; what was in force stays")
+}
--- /dev/null
+++ b/io/loop/send.go
@@ -0,0 +1,127 @@
+package loop
+
+import (
+	"context"
+	"net/netip"
+
+	"arbutustrestle/core/feed"
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/member"
+	"arbutustrestle/core/node"
+	"arbutustrestle/io/plat"
+	"arbutustrestle/io/wire"
+)
+
+func heartbeatNotice(h member.Heartbeat) *wire.Notice {
+	return &wire.Notice{Kind: &wire.Notice_Heartbeat{Heartbeat: wire.HeartbeatToWire(h)}}
+}
+
+func summaryNotice(s member.Summary) *wire.Notice {
+	return &wire.Notice{Kind: &wire.Notice_Summary{Summary: wire.SummaryToWire(s)}}
+}
+
+func announcementNotice(self ident.Incarnation, h member.Held) *wire.Notice {
+	return &wire.Notice{Kind: &wire.Notice_Announcement{Announcement: &wire.Announcement{
+		Incarnation:       self.String(),
+		TableRevision:     uint64(h.Table),
+		EntriesRevision:   uint64(h.Entries),
+		UpstreamsRevision: uint64(h.Upstreams),
+	}}}
+}
+
+// notify sends a notice in the background. One that finds the peer still busy with
+// the last is dropped: the next heartbeat says the same and more.
+func (l *Loop) notify(ctx context.Context, to ident.Instance, address netip.AddrPort, n *wire.Notice) {
+	if !l.beginSend(address) {
+		l.parts.Metrics.Events.Add("notice-dropped", 1)
+		return
+	}
+	l.work.Go(func() {
+		defer l.endSend(address)
+		if err := l.parts.Pool.Notify(ctx, address, n); err != nil {
+			l.parts.Metrics.Events.Add("notice-failed", 1)
+			l.parts.Log.Debug().Err(err).Str("step", "notify").Str("peer", string(to)).Msg("notice not sent")
+			if to != "" {
+				l.Offer(node.SendFailed{To: to})
+			}
+		}
+	})
+}
+
+func (l *Loop) beginSend(address netip.AddrPort) bool {
+	l.sendMu.Lock()
+	defer l.sendMu.Unlock()
+	_, busy := l.sending[address]
+	l.sending[address] = struct{}{}
+	return !busy
+}
+
+func (l *Loop) endSend(address netip.AddrPort) {
+	l.sendMu.Lock()
+	defer l.sendMu.Unlock()
+	delete(l.sending, address)
+}
+
+func (l *Loop) announce(ctx context.Context, a node.SendAnnouncement) {
+	n := announcementNotice(l.parts.Node.View().Self, a.Held)
+	for _, address := range a.To {
+		l.notify(ctx, "", address, n)
+	}
+}
+
+// readPlatform reads a value from the first platform address that answers.
+func (l *Loop) readPlatform(ctx context.Context, a node.ReadPlatform) {
+	l.parts.Metrics.Events.Add("platform-reads", 1)
+	var last error
+	for _, client := range l.parts.Platform {
+		reply, err := client.Read(ctx, string(a.Key), a.After, a.Wait)
+		if err == nil {
+			l.Post(node.FeedAnswered{Event: feedEvent(a.Key, reply)})
+			return
+		}
+		last = err
+	}
+	l.parts.Metrics.Events.Add("platform-read-failures", 1)
+	if ctx.Err() == nil {
+		l.parts.Log.Warn().Err(last).Str("step", "read").Str("peer", "platform").Str("key", string(a.Key)).Msg("platform not read")
+	}
+	l.Post(node.FeedAnswered{Event: feed.PlatformFailed{Key: a.Key}})
+}
+
+func feedEvent(key feed.Key, reply plat.Reply) feed.Event {
+	switch r := reply.(type) {
+	case plat.Found:
+		value := feed.Value{Revision: r.Value.Revision, Data: r.Value.Body}
+		return feed.PlatformAnswered{Key: key, Answer: feed.Found, Value: value}
+	case plat.Unchanged:
+		return feed.PlatformAnswered{Key: key, Answer: feed.Unchanged}
+	case plat.Absent:
+		return feed.PlatformAnswered{Key: key, Answer: feed.Absent}
+	case plat.Limited:
+		return feed.PlatformFailed{Key: key, RetryAfter: r.RetryAfter}
+	default:
+		return feed.PlatformFailed{Key: key}
+	}
+}
+
+func (l *Loop) askPeer(ctx context.Context, a node.AskPeer) {
+	question := &wire.Fetch{Key: string(a.Key), After: uint64(a.After)}
+	v, err := l.parts.Pool.Fetch(ctx, a.Address, question)
+	if err != nil || v.GetKey() != string(a.Key) {
+		l.parts.Metrics.Events.Add("peer-fetch-failures", 1)
+		l.Post(node.FeedAnswered{Event: feed.PeerFailed{Instance: a.Instance, Key: a.Key}})
+		return
+	}
+	value := feed.Value{Revision: ident.Revision(v.GetRevision()), Data: v.GetBody()}
+	l.Post(node.FeedAnswered{Event: feed.PeerAnswered{Instance: a.Instance, Key: a.Key, Found: v.GetFound(), Value: value}})
+}
+
+func (l *Loop) pollLoad(ctx context.Context, a node.PollLoad) {
+	report, err := l.parts.Loads.Read(ctx, a.Address)
+	if err != nil {
+		l.parts.Metrics.Events.Add("load-poll-failures", 1)
+		l.Post(node.LoadFailed{Upstream: a.Upstream})
+		return
+	}
+	l.Post(node.LoadRead{Upstream: a.Upstream, Report: report})
+}
--- /dev/null
+++ b/io/loop/serve.go
@@ -0,0 +1,95 @@
+package loop
+
+import (
+	"context"
+
+	"arbutustrestle/core/feed"
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/member"
+	"arbutustrestle/core/node"
+	"arbutustrestle/io/entry"
+	"arbutustrestle/io/link"
+	"arbutustrestle/io/wire"
+)
+
+// Handler serves what peers open: control messages go to the loop, requests to the
+// filters.
+type Handler struct {
+	Loop    *Loop
+	Records *entry.Records
+	Peers   *entry.Peers
+}
+
+var _ link.Handler = (*Handler)(nil)
+
+// Notify takes a heartbeat, a summary or an announcement. What names another sender
+// than the link is dropped.
+func (h *Handler) Notify(from link.Identity, n *wire.Notice) {
+	event := noticeEvent(from, n)
+	if event == nil {
+		h.Loop.parts.Metrics.Events.Add("notice-not-valid", 1)
+		return
+	}
+	h.Loop.Offer(event)
+}
+
+func noticeEvent(from link.Identity, n *wire.Notice) node.Event {
+	switch kind := n.GetKind().(type) {
+	case *wire.Notice_Heartbeat:
+		heartbeat, err := wire.HeartbeatFromWire(kind.Heartbeat)
+		if err != nil || heartbeat.From != from.Incarnation {
+			return nil
+		}
+		return node.HeartbeatArrived{Heartbeat: heartbeat}
+	case *wire.Notice_Summary:
+		summary, err := wire.SummaryFromWire(kind.Summary)
+		if err != nil {
+			return nil
+		}
+		return node.SummaryArrived{Summary: summary}
+	case *wire.Notice_Announcement:
+		return node.AnnouncementArrived{Instance: from.Incarnation.Instance, Held: member.Held{
+			Table:     ident.Revision(kind.Announcement.GetTableRevision()),
+			Entries:   ident.Revision(kind.Announcement.GetEntriesRevision()),
+			Upstreams: ident.Revision(kind.Announcement.GetUpstreamsRevision()),
+		}}
+	default:
+		return nil
+	}
+}
+
+// Fetch returns a published value that is held here.
+func (h *Handler) Fetch(ctx context.Context, _ link.Identity, f *wire.Fetch) *wire.Value {
+	reply := &wire.Value{Key: f.GetKey()}
+	err := h.Loop.Ask(ctx, func(n *node.Node) {
+		value, found := n.Value(feed.Key(f.GetKey()), ident.Revision(f.GetAfter()))
+		if !found {
+			return
+		}
+		reply.Found = true
+		reply.Revision = uint64(value.Revision)
+		reply.Body = value.Data
+	})
+	if err != nil {
+		return &wire.Value{Key: f.GetKey()}
+	}
+	return reply
+}
+
+// Locate returns the note on an incarnation that stopped.
+func (h *Handler) Locate(_ link.Identity, l *wire.Locate) *wire.Located {
+	old, err := ident.ParseIncarnation(l.GetIncarnation())
+	if err != nil {
+		return &wire.Located{}
+	}
+	note, found := h.Records.FindNote(old)
+	if !found {
+		return &wire.Located{}
+	}
+	return &wire.Located{Found: true, Note: wire.NoteToWire(h.Loop.parts.Clock.Now(), note)}
+}
+
+// Forward serves a forwarded request.
+func (h *Handler) Forward(ctx context.Context, s *link.Stream, f *wire.Forward) {
+	h.Peers.Forward(ctx, s, f)
+}
--- /dev/null
+++ b/io/upcall/load.go
@@ -0,0 +1,82 @@
+package upcall
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+
+	"arbutustrestle/core/clock"
+	"arbutustrestle/core/load"
+)
+
+const (
+	loadTimeout  = 2 * time.Second
+	maxLoadBytes = 64 << 10
+)
+
+// LoadReader reads the load that upstreams report of themselves. It is safe for
+// concurrent use.
+type LoadReader struct {
+	clock  clock.Clock
+	client http.Client
+}
+
+// NewLoadReader returns a reader with connections of its own, so that a poll never
+// waits behind traffic.
+func NewLoadReader(c clock.Clock) *LoadReader {
+	return &LoadReader{clock: c, client: http.Client{Transport: newTransport(false), Timeout: loadTimeout}}
+}
+
+// Close drops the connections that are kept.
+func (r *LoadReader) Close() {
+	r.client.CloseIdleConnections()
+}
+
+// Read returns an upstream's report. Its time is that of the question, since the
+// upstream's clock can't be compared with this one.
+func (r *LoadReader) Read(ctx context.Context, address netip.AddrPort) (load.Report, error) {
+	asked := r.clock.Now()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+"/v1/load", nil)
+	if err != nil {
+		return load.Report{}, errors.Trace(err)
+	}
+	response, err := r.client.Do(request)
+	if err != nil {
+		return load.Report{}, errors.Annotatef(err, "read the load of %s", address)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return load.Report{}, errors.Errorf("read the load of %s: status %d", address, response.StatusCode)
+	}
+	report, err := decodeLoad(response.Body)
+	report.AsOf = asked
+	return report, errors.Annotatef(err, "decode the load of %s", address)
+}
+
+func decodeLoad(body io.Reader) (load.Report, error) {
+	var reply struct {
+		Running         int     `json:"running"`
+		Waiting         int     `json:"waiting"`
+		Slots           int     `json:"slots"`
+		TokensPerSecond float64 `json:"tokens-per-second"`
+		Leaving         bool    `json:"leaving"`
+	}
+	if err := json.NewDecoder(io.LimitReader(body, maxLoadBytes)).Decode(&reply); err != nil {
+		return load.Report{}, errors.Trace(err)
+	}
+	if reply.Running < 0 || reply.Waiting < 0 || reply.Slots < 0 || reply.TokensPerSecond < 0 {
+		return load.Report{}, errors.NotValidf("negative load")
+	}
+	return load.Report{
+		Running:         reply.Running,
+		Waiting:         reply.Waiting,
+		Slots:           reply.Slots,
+		TokensPerSecond: reply.TokensPerSecond,
+		Leaving:         reply.Leaving,
+	}, nil
+}
--- /dev/null
+++ b/io/wire/codec.go
@@ -0,0 +1,195 @@
+// Package wire holds the messages between entry instances, and their conversion to
+// and from the types of the core.
+package wire
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
+
+	"arbutustrestle/core/dedup"
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/load"
+	"arbutustrestle/core/node"
+	"arbutustrestle/core/share"
+)
+
+// Codec writes and reads the payloads of heartbeats and summaries with protobuf.
+type Codec struct{}
+
+var _ node.Codec = Codec{}
+
+// EncodeGossip writes times as ages, since two machines' clocks are not compared.
+func (Codec) EncodeGossip(now time.Time, g node.Gossip) []byte {
+	message := &Gossip{}
+	for _, l := range g.Loads {
+		message.Loads = append(message.Loads, loadToWire(now, l))
+	}
+	for _, u := range g.Usage {
+		message.Usage = append(message.Usage, usageToWire(u))
+	}
+	for _, n := range g.Notes {
+		message.Notes = append(message.Notes, NoteToWire(now, n))
+	}
+	return encode(message)
+}
+
+// DecodeGossip returns a NotValid error for a payload that no instance writes.
+func (Codec) DecodeGossip(now time.Time, payload []byte) (node.Gossip, error) {
+	var message Gossip
+	if err := proto.Unmarshal(payload, &message); err != nil {
+		return node.Gossip{}, errors.NewNotValid(err, "gossip")
+	}
+	var g node.Gossip
+	for _, l := range message.GetLoads() {
+		g.Loads = append(g.Loads, loadFromWire(now, l))
+	}
+	for _, u := range message.GetUsage() {
+		g.Usage = append(g.Usage, usageFromWire(u))
+	}
+	for _, n := range message.GetNotes() {
+		note, err := NoteFromWire(now, n)
+		if err != nil {
+			return node.Gossip{}, errors.Trace(err)
+		}
+		g.Notes = append(g.Notes, note)
+	}
+	return g, nil
+}
+
+// EncodeLoad writes the free capacity of a region.
+func (Codec) EncodeLoad(l node.RegionLoad) []byte {
+	message := &RegionLoad{}
+	for _, m := range l.Models {
+		message.Models = append(message.Models, &ModelLoad{
+			Model: string(m.Model), FreeSlots: uint32(m.Free), Slots: uint32(m.Slots), WaitMs: milliseconds(m.Wait),
+		})
+	}
+	for _, s := range l.Services {
+		message.Models = append(message.Models, &ModelLoad{
+			Service: string(s.Service), FreeSlots: uint32(s.Free), Slots: uint32(s.Slots), WaitMs: milliseconds(s.Wait),
+		})
+	}
+	return encode(message)
+}
+
+// DecodeLoad returns a NotValid error for a payload that no instance writes.
+func (Codec) DecodeLoad(payload []byte) (node.RegionLoad, error) {
+	var message RegionLoad
+	if err := proto.Unmarshal(payload, &message); err != nil {
+		return node.RegionLoad{}, errors.NewNotValid(err, "region load")
+	}
+	var l node.RegionLoad
+	for _, m := range message.GetModels() {
+		free := float64(m.GetFreeSlots())
+		slots := float64(m.GetSlots())
+		wait := time.Duration(m.GetWaitMs()) * time.Millisecond
+		if m.GetService() != "" {
+			l.Services = append(l.Services, node.ServiceLoad{Service: ident.Service(m.GetService()), Free: free, Slots: slots, Wait: wait})
+			continue
+		}
+		l.Models = append(l.Models, node.ModelLoad{Model: ident.Model(m.GetModel()), Free: free, Slots: slots, Wait: wait})
+	}
+	return l, nil
+}
+
+// encode writes a message of this package; these always can be written.
+func encode(m proto.Message) []byte {
+	data, err := proto.Marshal(m)
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+func milliseconds(d time.Duration) uint32 {
+	return uint32(max(0, d.Milliseconds()))
+}
+
+func loadToWire(now time.Time, l node.UpstreamLoad) *UpstreamLoad {
+	return &UpstreamLoad{
+		Upstream:        string(l.Upstream),
+		Running:         uint32(l.Report.Running),
+		Waiting:         uint32(l.Report.Waiting),
+		Slots:           uint32(l.Report.Slots),
+		TokensPerSecond: uint32(l.Report.TokensPerSecond),
+		Leaving:         l.Report.Leaving,
+		AgeMs:           milliseconds(now.Sub(l.Report.AsOf)),
+	}
+}
+
+func loadFromWire(now time.Time, l *UpstreamLoad) node.UpstreamLoad {
+	return node.UpstreamLoad{
+		Upstream: ident.Upstream(l.GetUpstream()),
+		Report: load.Report{
+			Running:         int(l.GetRunning()),
+			Waiting:         int(l.GetWaiting()),
+			Slots:           int(l.GetSlots()),
+			TokensPerSecond: float64(l.GetTokensPerSecond()),
+			Leaving:         l.GetLeaving(),
+			AsOf:            now.Add(-time.Duration(l.GetAgeMs()) * time.Millisecond),
+		},
+	}
+}
+
+func usageToWire(u share.Usage) *Usage {
+	return &Usage{
+		Workspace:      string(u.Workspace),
+		RequestsHeld:   float32(u.Requests.Held),
+		RequestsWanted: float32(u.Requests.Wanted),
+		InFlightHeld:   float32(u.InFlight.Held),
+		InFlightWanted: float32(u.InFlight.Wanted),
+		TokensHeld:     float32(u.Tokens.Held),
+		TokensWanted:   float32(u.Tokens.Wanted),
+	}
+}
+
+func usageFromWire(u *Usage) share.Usage {
+	return share.Usage{
+		Workspace: ident.Workspace(u.GetWorkspace()),
+		Requests:  claimFromWire(u.GetRequestsHeld(), u.GetRequestsWanted()),
+		InFlight:  claimFromWire(u.GetInFlightHeld(), u.GetInFlightWanted()),
+		Tokens:    claimFromWire(u.GetTokensHeld(), u.GetTokensWanted()),
+	}
+}
+
+// claimFromWire keeps what isn't a number, or negative, out of the sums.
+func claimFromWire(held, wanted float32) share.Claim {
+	clean := func(f float32) float64 {
+		if f > 0 && f < maxClaim {
+			return float64(f)
+		}
+		return 0
+	}
+	return share.Claim{Held: clean(held), Wanted: clean(wanted)}
+}
+
+// maxClaim bounds a claim that a peer can make, in units of its limit.
+const maxClaim = 1e9
+
+// maxNoteTime bounds how long a peer can make an instance hold a note.
+const maxNoteTime = 24 * time.Hour
+
+// NoteToWire writes a note with the time that is left of it.
+func NoteToWire(now time.Time, n dedup.Note) *Note {
+	return &Note{
+		Old:         n.Old.String(),
+		Successor:   n.Successor.String(),
+		RemainingMs: uint64(max(0, n.Expires.Sub(now).Milliseconds())),
+	}
+}
+
+// NoteFromWire returns a NotValid error when an incarnation can't be read.
+func NoteFromWire(now time.Time, n *Note) (dedup.Note, error) {
+	old, err := ident.ParseIncarnation(n.GetOld())
+	if err != nil {
+		return dedup.Note{}, errors.Trace(err)
+	}
+	successor, err := ident.ParseIncarnation(n.GetSuccessor())
+	if err != nil {
+		return dedup.Note{}, errors.Trace(err)
+	}
+	remaining := time.Duration(min(n.GetRemainingMs(), uint64(maxNoteTime.Milliseconds()))) * time.Millisecond
+	return dedup.Note{Old: old, Successor: successor, Expires: now.Add(remaining)}, nil
+}
--- /dev/null
+++ b/io/wire/handover.go
@@ -0,0 +1,106 @@
+package wire
+
+import (
+	"github.com/juju/errors"
+
+	"arbutustrestle/core/dedup"
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/result"
+)
+
+// ChunkToWire writes a part of a handover.
+func ChunkToWire(c dedup.Chunk) *Chunk {
+	message := &Chunk{
+		From:     c.From.String(),
+		Via:      c.Via.String(),
+		Export:   c.Export,
+		Number:   uint32(c.Number),
+		Total:    uint32(c.Total),
+		Complete: c.Complete,
+		Oldest:   c.Oldest,
+		Current:  c.Current,
+	}
+	for _, h := range c.Records {
+		message.Records = append(message.Records, &Record{
+			Epoch:       h.Epoch,
+			Unique:      h.Unique,
+			Workspace:   string(h.Workspace),
+			Fingerprint: h.Fingerprint[:],
+			Running:     h.Running,
+			Answer:      answerToWire(h.Answer),
+		})
+	}
+	return message
+}
+
+// ChunkFromWire returns a NotValid error for what no instance writes.
+func ChunkFromWire(m *Chunk) (dedup.Chunk, error) {
+	from, err := ident.ParseIncarnation(m.GetFrom())
+	if err != nil {
+		return dedup.Chunk{}, errors.Trace(err)
+	}
+	via, err := ident.ParseIncarnation(m.GetVia())
+	if err != nil {
+		return dedup.Chunk{}, errors.Trace(err)
+	}
+	c := dedup.Chunk{
+		From:     from,
+		Via:      via,
+		Export:   m.GetExport(),
+		Number:   int(m.GetNumber()),
+		Total:    int(m.GetTotal()),
+		Complete: m.GetComplete(),
+		Oldest:   m.GetOldest(),
+		Current:  m.GetCurrent(),
+	}
+	for _, r := range m.GetRecords() {
+		handed := dedup.Handed{
+			Epoch:     r.GetEpoch(),
+			Unique:    r.GetUnique(),
+			Workspace: ident.Workspace(r.GetWorkspace()),
+			Running:   r.GetRunning(),
+			Answer:    answerFromWire(r.GetAnswer()),
+		}
+		if copy(handed.Fingerprint[:], r.GetFingerprint()) != len(handed.Fingerprint) {
+			return dedup.Chunk{}, errors.NotValidf("fingerprint in a handover")
+		}
+		c.Records = append(c.Records, handed)
+	}
+	return c, nil
+}
+
+func answerToWire(a *dedup.Answer) *Answer {
+	if a == nil {
+		return nil
+	}
+	message := &Answer{
+		Outcome: a.Outcome.String(),
+		Step:    a.Step.String(),
+		Reason:  a.Reason.String(),
+		Peer:    a.Peer,
+		Status:  uint32(a.Status),
+		Body:    a.Body,
+	}
+	for _, f := range a.Header {
+		message.Headers = append(message.Headers, &Header{Name: f.Name, Value: f.Value})
+	}
+	return message
+}
+
+func answerFromWire(m *Answer) *dedup.Answer {
+	if m == nil {
+		return nil
+	}
+	a := &dedup.Answer{
+		Outcome: result.ParseOutcome(m.GetOutcome()),
+		Step:    result.ParseStep(m.GetStep()),
+		Reason:  result.ParseReason(m.GetReason()),
+		Peer:    m.GetPeer(),
+		Status:  int(m.GetStatus()),
+		Body:    m.GetBody(),
+	}
+	for _, f := range m.GetHeaders() {
+		a.Header = append(a.Header, dedup.Field{Name: f.GetName(), Value: f.GetValue()})
+	}
+	return a
+}
