Add the phases of a graceful shutdown and the tracking of leaving upstreams

Cause: a planned stop may cut off no request, and an upstream that leaves must get no new work within seconds though the published list may be stale for hours. Change: shutdown phases as explicit state, ended by what is in flight and not by a grace time; a stream longer than expected is reported and waited for, a second SIGTERM only shortens waits. Leaving upstreams are known by the list, by their own word, or by two failures in a row. Ruled out: letting a failing upstream in again by a request that tries it out.

--- /dev/null
+++ b/core/drain/drain_test.go
@@ -0,0 +1,167 @@
+package drain_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"arbutustrestle/core/drain"
+	"arbutustrestle/core/ident"
+)
+
+func Example() {
+	var d drain.Drain
+	now := time.Unix(0, 0)
+	d.Step(now, drain.Flight{Requests: 1, LastDeadline: now.Add(20 * time.Second)})
+	for _, e := range []drain.Event{drain.Stop{}, drain.Tick{}, drain.HandedOver{Attempt: 1, Complete: true}, drain.Flight{}} {
+		for _, a := range d.Step(now, e) {
+			fmt.Printf("%s %s %T\n", now.Sub(time.Unix(0, 0)), d.Phase(), a)
+		}
+		now = now.Add(3 * time.Second)
+	}
+	// Output:
+	// 0s announced drain.Announce
+	// 3s handing-over drain.RefuseNew
+	// 3s handing-over drain.HandOver
+	// 9s gone drain.Exit
+}
+
+// TestDrain reads operations such as "2s flight 3 1 60s": at two seconds, three
+// requests, one of them keyed, the last deadline at one minute.
+func TestDrain(t *testing.T) {
+	datadriven.RunTest(t, "testdata/drain", func(t *testing.T, c *datadriven.TestData) string {
+		var d drain.Drain
+		var out []string
+		for op := range strings.SplitSeq(strings.ReplaceAll(c.Input, "\n", ";"), ";") {
+			f := strings.Fields(op)
+			at, _ := time.ParseDuration(f[0])
+			var e drain.Event = drain.Tick{}
+			switch f[1] {
+			case "stop":
+				e = drain.Stop{}
+			case "abort":
+				e = drain.Abort{}
+			case "handed-over":
+				e = drain.HandedOver{Attempt: int(f[2][0] - '0'), Complete: f[3] == "complete"}
+			case "flight":
+				var flight drain.Flight
+				var last string
+				_, _ = fmt.Sscan(strings.Join(f[2:], " "), &flight.Requests, &flight.Keyed, &last)
+				deadline, _ := time.ParseDuration(last)
+				flight.LastDeadline = time.Unix(0, 0).Add(deadline)
+				e = flight
+			}
+			actions := ""
+			before := d.Phase()
+			for _, a := range d.Step(time.Unix(0, 0).Add(at), e) {
+				if r, ok := a.(drain.Report); ok {
+					actions += fmt.Sprintf("Report{%d %s} ", r.Requests, r.LastDeadline.Sub(time.Unix(0, 0)))
+					continue
+				}
+				actions += strings.TrimPrefix(fmt.Sprintf("%T%+v ", a, a), "drain.")
+			}
+			if actions != "" || d.Phase() != before {
+				out = append(out, strings.TrimSpace(fmt.Sprintf("%s %s %s", f[0], d.Phase(), actions)))
+			}
+		}
+		return strings.Join(out, "; ")
+	})
+}
+
+// TestNoNewWorkUnderStaleList holds the published list at "live" while an upstream
+// leaves at the second second. Its load is polled each second with a timeout of one.
+func TestNoNewWorkUnderStaleList(t *testing.T) {
+	const few, tick, leaves = 5 * time.Second, 100 * time.Millisecond, 2 * time.Second
+	for name, answers := range map[string]func(*drain.Leaving, time.Time, bool){
+		"says so in its load report": func(l *drain.Leaving, now time.Time, poll bool) {
+			if poll {
+				l.Step(drain.Word{Upstream: "u", Leaving: true, AsOf: now})
+			}
+		},
+		"says so in a header": func(l *drain.Leaving, _ time.Time, poll bool) {
+			if !poll {
+				l.Step(drain.Word{Upstream: "u", Leaving: true})
+			}
+		},
+		"is closed": func(l *drain.Leaving, _ time.Time, _ bool) { l.Step(drain.Failed{Upstream: "u"}) },
+		"hangs": func(l *drain.Leaving, now time.Time, poll bool) { // requests wait far longer than a poll
+			if poll && now.After(time.Unix(0, 0).Add(leaves+time.Second)) { // the first poll has timed out
+
+				l.Step(drain.Failed{Upstream: "u"})
+			}
+		},
+	} {
+		var l drain.Leaving
+		last := time.Duration(0)
+		l.Step(drain.Listed{Upstream: "u"})
+		for since := time.Duration(0); since < time.Minute; since += tick {
+			now := time.Unix(0, 0).Add(since)
+			if since%time.Second == 0 {
+				l.Step(drain.Listed{Upstream: "u"})
+				if since <= leaves {
+					l.Step(drain.Word{Upstream: "u", AsOf: now})
+				} else {
+					answers(&l, now, true)
+				}
+			}
+			if l.Check("u") == drain.Takes {
+				last = since
+				if since > leaves {
+					answers(&l, now, false)
+				}
+			}
+		}
+		t.Logf("%s: last new work %s after it left", name, last-leaves)
+		if last-leaves > few {
+			t.Errorf("%s: new work for %s", name, last-leaves)
+		}
+	}
+}
+
+func TestLeavingSigns(t *testing.T) {
+	var l drain.Leaving
+	at := func(second int64) time.Time { return time.Unix(second, 0) }
+	for i, c := range []struct {
+		sign drain.Sign
+		want drain.Why
+	}{
+		{drain.Failed{Upstream: "other"}, drain.ByList},
+		{drain.Listed{Upstream: "u"}, drain.Takes},
+		{drain.Failed{Upstream: "u"}, drain.Takes},
+		{drain.Failed{Upstream: "u"}, drain.ByFailure},
+		{drain.Word{Upstream: "u", AsOf: at(5)}, drain.Takes},
+		{drain.Word{Upstream: "u", Leaving: true, AsOf: at(9)}, drain.ByWord},
+		{drain.Word{Upstream: "u", AsOf: at(7)}, drain.ByWord}, // late
+		{drain.Word{Upstream: "u"}, drain.ByWord},              // an answer without the header
+		{drain.Listed{Upstream: "u"}, drain.ByWord},            // a stale list
+		{drain.Word{Upstream: "u", AsOf: at(11)}, drain.Takes}, // replaced under the same name
+		{drain.Listed{Upstream: "u", Leaving: true}, drain.ByList},
+		{drain.Word{Upstream: "u", AsOf: at(12)}, drain.ByList},
+		{drain.Delisted{Upstream: "u"}, drain.ByList},
+	} {
+		l.Step(c.sign)
+		if got := l.Check("u"); got != c.want {
+			t.Errorf("sign %d: got %s, want %s", i, got, c.want)
+		}
+	}
+}
+
+func BenchmarkCheck(b *testing.B) {
+	for _, size := range []int{100, 1700} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			var l drain.Leaving
+			names := make([]ident.Upstream, size)
+			for i := range names {
+				names[i] = ident.Upstream(fmt.Sprintf("engine-%d", i))
+				l.Step(drain.Listed{Upstream: names[i]})
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				l.Check(names[i%size])
+			}
+		})
+	}
+}
