Add a client that checks each answer, and a load tool

Measuring the system and testing it both need a caller that asks which entry to use, checks that each answer is whole and its own, and never sends a call twice by itself. io/bench has that client and a bounded load; "standin load" runs it. With requests made by http.NewRequest, a keyed call on a reused connection that broke ran twice and looked whole (TestFaults: "received 2 times" for close-after-read and reset); without GetBody it is received once and its outcome is unknown. A test also showed that a server closed just after it began to listen still took a connection; its listener is closed at once now. The fault tables have a line for each fault, with the same cases as before.

--- /dev/null
+++ b/cmd/standin/load.go
@@ -0,0 +1,190 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/netip"
+	"os"
+	"os/signal"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/juju/errors"
+
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/table"
+	"arbutustrestle/io/bench"
+	"arbutustrestle/io/emul/engine"
+	"arbutustrestle/io/emul/plain"
+)
+
+const loadUsage = `load [flags]
+Sends requests as callers do and checks that each answer is whole and its own. It
+asks the platform's directory (-platform), or the entries given (-entries), which
+entry to use; with -direct it calls engines or services without an entry. Prints a
+table, or JSON with -json. Times are in milliseconds and count from the moment at
+which a request was due. Exits 0 when each request was answered whole or not run, 1
+when the end of one is unknown or nothing could be sent, 2 on bad flags.
+`
+
+// loadCommand sends a load.
+type loadCommand struct {
+	load      bench.Load
+	platform  addressFlag
+	checkText bool
+	json      bool
+}
+
+// Name is "load".
+func (c *loadCommand) Name() string { return "load" }
+
+// Synopsis describes the command in a line.
+func (c *loadCommand) Synopsis() string {
+	return "send requests as callers do, check and time the answers"
+}
+
+// Usage describes the command.
+func (c *loadCommand) Usage() string { return loadUsage }
+
+// SetFlags registers the flags.
+func (c *loadCommand) SetFlags(f *flag.FlagSet) {
+	l := &c.load
+	f.Var(&c.platform, "platform", "`ip:port` of the platform whose directory names the entries")
+	f.Func("entries", "`ip:port` of entries to ask, with commas between", addresses(&l.Entries))
+	f.Func("direct", "`ip:port` of engines or services to call without an entry", addresses(&l.Direct))
+	l.Mix = perClass{table.Quick: 60, table.Plan: 25, table.Session: 15}
+	f.Var((*perClass)(&l.Mix), "mix", "weight of each `class=n`")
+	l.Tokens = perClass{table.Quick: 32, table.Plan: 256, table.Session: 128}
+	f.Var((*perClass)(&l.Tokens), "tokens", "tokens of an answer, `class=n`")
+	l.PromptBytes = perClass{table.Quick: 200, table.Plan: 4000, table.Session: 2000, table.ServiceCall: 200}
+	f.Var((*perClass)(&l.PromptBytes), "prompt-bytes", "bytes of a prompt or body, `class=n`")
+	f.Func("workspaces", "`names` of workspaces with commas between", func(text string) error {
+		l.Workspaces = nil
+		for _, name := range strings.Split(text, ",") {
+			l.Workspaces = append(l.Workspaces, ident.Workspace(name))
+		}
+		return nil
+	})
+	f.StringVar((*string)(&l.Model), "model", "planner", "`name` of the model")
+	f.StringVar((*string)(&l.Version), "version", "", "`version` of the model, with -direct")
+	f.StringVar((*string)(&l.Service), "service", "", "`name` of the service")
+	f.StringVar(&l.Path, "path", "/", "`path` of service calls")
+	f.BoolVar(&l.Keyed, "keyed", false, "give each service call an idempotency key")
+	f.IntVar(&l.Workers, "workers", 16, "requests that run at once")
+	f.Float64Var(&l.Rate, "rate", 0, "requests a second; 0 sends as fast as the workers can")
+	f.IntVar(&l.Count, "count", 1000, "requests to send at most")
+	f.DurationVar(&l.Duration, "duration", time.Minute, "time to send at most")
+	f.DurationVar(&l.Timeout, "timeout", time.Minute, "time for one try")
+	f.IntVar(&l.Tries, "tries", 3, "tries of a request that was not run")
+	f.Uint64Var(&l.Seed, "seed", 1, "seed of the random choices")
+	f.BoolVar(&c.checkText, "check-text", false, "compare each answer with what a stand-in must have answered")
+	f.BoolVar(&c.json, "json", false, "print JSON")
+}
+
+// perClass is a flag such as "quick=60,plan=20" that sets some classes.
+type perClass [table.ClassCount]int
+
+// String gives the form that Set reads.
+func (p *perClass) String() string {
+	var list []string
+	for class, number := range p {
+		if number != 0 {
+			list = append(list, fmt.Sprintf("%s=%d", table.Class(class), number))
+		}
+	}
+	return strings.Join(list, ",")
+}
+
+// Set replaces the numbers of all classes.
+func (p *perClass) Set(text string) error {
+	*p = perClass{}
+	for _, item := range strings.Split(text, ",") {
+		name, value, _ := strings.Cut(item, "=")
+		class, known := table.ParseClass(name)
+		number, err := strconv.ParseUint(value, 10, 31)
+		if !known || err != nil {
+			return errors.NotValidf("%q, which is not class=number,", item)
+		}
+		p[class] = int(number)
+	}
+	return nil
+}
+
+// addresses returns the function of a flag that takes several addresses.
+func addresses(list *[]netip.AddrPort) func(string) error {
+	return func(text string) error {
+		*list = nil
+		for _, item := range strings.Split(text, ",") {
+			address, err := netip.ParseAddrPort(item)
+			if err != nil {
+				return errors.Trace(err)
+			}
+			*list = append(*list, address)
+		}
+		return nil
+	}
+}
+
+// Execute sends the load; SIGTERM and SIGINT end it early.
+func (c *loadCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() > 0 {
+		f.Usage()
+		return subcommands.ExitUsageError
+	}
+	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	report, err := c.run(ctx)
+	if err == nil {
+		err = c.print(report)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "standin load:", err)
+		if errors.Is(err, errors.NotValid) {
+			return subcommands.ExitUsageError
+		}
+		return subcommands.ExitFailure
+	}
+	if report.Requests == 0 || report.Unknown() > 0 {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *loadCommand) run(ctx context.Context) (*bench.Report, error) {
+	var client bench.Client
+	defer client.Close()
+	if c.platform.IsValid() {
+		entries, err := client.Directory(ctx, c.platform.AddrPort)
+		if err != nil {
+			return nil, errors.Annotate(err, "directory")
+		}
+		c.load.Entries = entries
+	}
+	if c.checkText {
+		c.load.Check = standInAnswer
+	}
+	return c.load.Run(ctx, &client)
+}
+
+func (c *loadCommand) print(report *bench.Report) error {
+	if !c.json {
+		return report.WriteTable(os.Stdout)
+	}
+	return errors.Trace(json.NewEncoder(os.Stdout).Encode(report))
+}
+
+// standInAnswer reports whether the answer is the one of a stand-in to the request.
+func standInAnswer(q *bench.Request, a *bench.Answer) bool {
+	if q.Class == table.ServiceCall {
+		var answer plain.Answer
+		err := json.Unmarshal(a.Text, &answer)
+		return err == nil && answer.BodyHash == plain.BodyHash(q.Body) && answer.RequestID == a.RequestID
+	}
+	want := engine.Expected(a.RequestID, q.Prompt, q.MaxTokens)
+	return strings.Join(want, "") == string(a.Text)
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"flag"
+	"log"
 	"os"
 
 	"github.com/google/subcommands"
@@ -18,6 +19,10 @@
 	subcommands.Register(&unitCommand{kind: kindEngine}, "stand-ins")
 	subcommands.Register(&unitCommand{kind: kindService}, "stand-ins")
 	subcommands.Register(&allCommand{}, "stand-ins")
+	subcommands.Register(&loadCommand{}, "load")
 	flag.Parse()
+	// The HTTP library writes to the standard logger.
+	log.SetFlags(0)
+	log.SetOutput(newLogger())
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- /dev/null
+++ b/io/bench/bench_test.go
@@ -0,0 +1,242 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/result"
+	"arbutustrestle/core/table"
+	"arbutustrestle/io/emul"
+	"arbutustrestle/io/emul/engine"
+	"arbutustrestle/io/emul/fault"
+	"arbutustrestle/io/emul/plain"
+)
+
+func serve(t *testing.T, handler http.Handler) netip.AddrPort {
+	server, err := emul.Listen(netip.MustParseAddrPort("127.0.0.1:0"), handler)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	return server.Addr()
+}
+
+// TestFaults calls an engine and a service under each fault: what the client says
+// must never claim more than what the log of the stand-in shows.
+func TestFaults(t *testing.T) {
+	e := engine.New(engine.Settings{})
+	s := plain.New(plain.Settings{})
+	engineAt, serviceAt := serve(t, e.Handler()), serve(t, s.Handler())
+	var client Client
+	call := func(t *testing.T, cmd string, rule fault.Rule) string {
+		q := &Request{RequestID: "r1", Model: "m", Version: "1", Prompt: "p", MaxTokens: 4, Class: table.Plan, Keep: true, Timeout: time.Minute}
+		to, faults, runs := engineAt, e.Faults(), e.Runs()
+		if cmd == "service" {
+			to, faults, runs = serviceAt, s.Faults(), s.Runs()
+			q = &Request{RequestID: "r1", Class: table.ServiceCall, Method: http.MethodPost, Path: "/reservations", Key: "k", Timeout: time.Minute}
+		}
+		faults.Put(rule)
+		before := uint64(len(runs.Runs(0)))
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		if rule.Kind == fault.HangAfterRun || rule.Kind == fault.HangBeforeFirstByte {
+			go func() {
+				ready := func(run emul.Run) bool { return run.Ran() || rule.Kind == fault.HangBeforeFirstByte }
+				for !slices.ContainsFunc(runs.Runs(before), ready) {
+					continue
+				}
+				cancel()
+			}()
+		}
+		answer, failed := client.Call(ctx, to, q)
+		seen := runs.Runs(before)
+		ran := slices.ContainsFunc(seen, emul.Run.Ran)
+		received := fmt.Sprintf("tokens=%d; received %d times, ran %t\n", answer.Tokens, len(seen), ran)
+		if failed == nil {
+			own := cmd == "service" || string(answer.Text) == strings.Join(engine.Expected("r1", "p", 4), "")
+			return fmt.Sprintf("whole, own=%t ", own) + received
+		}
+		if failed.Outcome == result.NotRun && ran {
+			t.Errorf("%s: said to be not run, and ran", rule.Kind)
+		}
+		return fmt.Sprintf("%s %s, ", failed.Outcome, failed.Reason) + received
+	}
+	datadriven.RunTest(t, "testdata/faults", func(t *testing.T, d *datadriven.TestData) string {
+		var text strings.Builder
+		for _, line := range strings.Split(d.Input, "\n") {
+			var rule fault.Rule
+			if err := json.Unmarshal([]byte(line), &rule); err != nil {
+				t.Fatal(err)
+			}
+			text.WriteString(rule.Kind.String() + ": " + call(t, d.Cmd, rule))
+		}
+		return text.String()
+	})
+}
+
+// TestNoListener gives up a call to an address where nobody listens as not run.
+func TestNoListener(t *testing.T) {
+	server, err := emul.Listen(netip.MustParseAddrPort("127.0.0.1:0"), http.NotFoundHandler())
+	if err != nil {
+		t.Fatal(err)
+	}
+	server.Close()
+	var client Client
+	_, failed := client.Call(context.Background(), server.Addr(), &Request{Class: table.Quick})
+	if failed == nil || failed.Outcome != result.NotRun || failed.Reason != result.ConnectFailed {
+		t.Fatal(failed)
+	}
+}
+
+// gate is the callers' interface of an entry, cut down: it refuses some calls, then
+// passes them to an engine or service as they are.
+type gate struct {
+	mu       sync.Mutex
+	address  netip.AddrPort
+	refusals []string
+	upstream netip.AddrPort
+	asked    int
+	keys     []string
+}
+
+func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r.URL.Path == "/v1/entry" {
+		g.asked++
+		emul.WriteJSON(w, http.StatusOK, Advice{Entries: []Place{{Address: g.address}}, KeyPrefix: fmt.Sprintf("owner.%d.", g.asked)})
+		return
+	}
+	g.keys = append(g.keys, r.Header.Get("Idempotency-Key"))
+	if len(g.refusals) > 0 {
+		outcome, reason, _ := strings.Cut(g.refusals[0], " ")
+		g.refusals = g.refusals[1:]
+		w.Header().Set("Run-Outcome", outcome)
+		w.Header().Set("Run-Reason", reason)
+		emul.WriteJSON(w, http.StatusServiceUnavailable, struct {
+			RetryAfterMS int64 `json:"retry-after-ms"`
+		}{1})
+		return
+	}
+	var client Client
+	name, err := ident.ParseIncarnation("entry-1~00c0ffee00c0ffee")
+	if err != nil {
+		panic(err)
+	}
+	q := &Request{RequestID: name.String(), Class: table.ServiceCall, Method: r.Method, Path: "/", Keep: true}
+	answer, failed := client.Call(r.Context(), g.upstream, q)
+	if failed != nil {
+		panic(failed)
+	}
+	w.Header().Set("Request-Id", answer.RequestID)
+	w.Header().Set("Trailer", "Run-Outcome")
+	_, _ = w.Write(answer.Text)
+	w.Header().Set("Run-Outcome", "done")
+}
+
+// TestRetry tries again only what was not run, and asks again when the advice no
+// longer holds.
+func TestRetry(t *testing.T) {
+	for _, c := range []struct {
+		refusals               []string
+		whole, notRun, unknown int
+		asked, sent            int
+		lastKey                string
+	}{
+		{nil, 1, 0, 0, 1, 1, "owner.1.1-0"},
+		{[]string{"not-run class-full", "not-run overloaded"}, 1, 0, 0, 1, 3, "owner.1.1-0"},
+		{[]string{"not-run draining"}, 1, 0, 0, 2, 2, "owner.2.1-0"},
+		{[]string{"not-run class-full", "not-run class-full", "not-run class-full", "not-run class-full"}, 0, 1, 0, 1, 3, "owner.1.1-0"},
+		{[]string{"unknown owner-gone"}, 0, 0, 1, 1, 1, "owner.1.1-0"},
+		{[]string{"odd class-full"}, 0, 0, 1, 1, 1, "owner.1.1-0"},
+	} {
+		g := &gate{refusals: c.refusals, upstream: serve(t, plain.New(plain.Settings{}).Handler())}
+		g.address = serve(t, g)
+		load := Load{
+			Entries: []netip.AddrPort{g.address}, Workspaces: []ident.Workspace{"cousins"}, Service: "bookings", Path: "/", Keyed: true,
+			Workers: 1, Count: 1, Duration: time.Minute, Timeout: time.Minute, Tries: 3, Seed: 1,
+		}
+		load.Mix[table.ServiceCall] = 1
+		var client Client
+		report, err := load.Run(context.Background(), &client)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := *report.Classes["service"]
+		if got.Whole != c.whole || got.NotRun != c.notRun || got.Unknown != c.unknown || got.Retries != c.sent-1 {
+			t.Errorf("%v: report %+v", c.refusals, got)
+		}
+		if g.asked != c.asked || len(g.keys) != c.sent || g.keys[c.sent-1] != c.lastKey {
+			t.Errorf("%v: asked %d times, keys %v", c.refusals, g.asked, g.keys)
+		}
+	}
+}
+
+// TestLoad sends a mix at several engines and compares each text.
+func TestLoad(t *testing.T) {
+	load := Load{
+		Workspaces: []ident.Workspace{"cousins", "exchange"}, Model: "m", Version: "1",
+		Workers: 8, Rate: 10_000, Count: 300, Duration: time.Minute, Timeout: time.Minute, Tries: 1,
+		Check: func(q *Request, a *Answer) bool {
+			return string(a.Text) == strings.Join(engine.Expected(a.RequestID, q.Prompt, q.MaxTokens), "")
+		},
+	}
+	for class := table.Quick; class <= table.Session; class++ {
+		load.Mix[class], load.Tokens[class], load.PromptBytes[class] = 1, 20, 300
+	}
+	engines := []*engine.Engine{engine.New(engine.Settings{}), engine.New(engine.Settings{})}
+	for _, e := range engines {
+		load.Direct = append(load.Direct, serve(t, e.Handler()))
+	}
+	var client Client
+	report, err := load.Run(context.Background(), &client)
+	if err != nil {
+		t.Fatal(err)
+	}
+	whole, tokens := 0, 0
+	for _, c := range report.Classes {
+		whole += c.Whole
+		tokens += c.Tokens
+	}
+	if whole != 300 || tokens != 300*20 || len(report.Reasons) != 0 {
+		t.Errorf("%d whole answers, %d tokens, %v", whole, tokens, report.Reasons)
+	}
+	for _, e := range engines {
+		if runs := e.Runs().Runs(0); len(runs) != 150 || runs[0].Workspace == "" {
+			t.Errorf("an engine has %d runs", len(runs))
+		}
+	}
+	load.Workers = 0
+	if _, err := load.Run(context.Background(), &client); err == nil {
+		t.Error("a load without workers was run")
+	}
+}
+
+// BenchmarkCall gives the cost of one streamed token: client, engine and loopback.
+func BenchmarkCall(b *testing.B) {
+	server := httptest.NewServer(engine.New(engine.Settings{Slots: 1000}).Handler())
+	defer server.Close()
+	to := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	var client Client
+	const tokens = 100
+	b.ReportAllocs()
+	for b.Loop() {
+		q := &Request{RequestID: "r1", Model: "m", Version: "1", Prompt: "p", MaxTokens: tokens, Class: table.Plan}
+		if _, failed := client.Call(context.Background(), to, q); failed != nil {
+			b.Fatal(failed)
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/tokens, "ns/token")
+}
--- a/io/emul/contract_test.go
+++ b/io/emul/contract_test.go
@@ -21,6 +21,7 @@
 	"arbutustrestle/core/clock"
 	"arbutustrestle/io/emul"
 	"arbutustrestle/io/emul/engine"
+	"arbutustrestle/io/emul/fault"
 	"arbutustrestle/io/emul/plain"
 	"arbutustrestle/io/emul/plat"
 )
@@ -92,14 +93,13 @@
 	body                     []byte
 }
 
-// call sends a request and reads its answer. With abandon set, the caller goes
-// away once the log shows that state.
-func (g *rig) call(method, path, id, body, abandon string) seen {
+// call sends a request and reads its answer. Under a fault that hangs, the caller
+// goes away once the log shows how far the request got.
+func (g *rig) call(method, path, id, body, kind string) seen {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	if abandon != "" {
-		before := uint64(len(g.runs.Runs(0)))
-		go g.abandon(cancel, before, emul.RunState(abandon))
+	if strings.HasPrefix(kind, "hang") {
+		go g.abandon(cancel, uint64(len(g.runs.Runs(0))), kind == fault.HangAfterRun.String())
 	}
 	response, err := g.client.Do(g.request(ctx, method, path, id, body))
 	if err != nil {
@@ -118,16 +118,34 @@
 	return s
 }
 
-func (g *rig) abandon(cancel func(), before uint64, state emul.RunState) {
+func (g *rig) abandon(cancel func(), before uint64, ran bool) {
 	for {
 		runs := g.runs.Runs(before)
-		if len(runs) > 0 && runs[0].State == state {
+		if len(runs) > 0 && (!ran || runs[0].Ran()) {
 			cancel()
 			return
 		}
 	}
 }
 
+// underFaults makes one call under each rule of the input, a line each.
+func (g *rig) underFaults(d *datadriven.TestData, call func(kind string) string) string {
+	var text strings.Builder
+	for _, line := range strings.Split(d.Input, "\n") {
+		var rule fault.Rule
+		if err := json.Unmarshal([]byte(line), &rule); err != nil {
+			g.t.Fatal(err)
+		}
+		if got := g.control(http.MethodPut, "/v1/faults", `{"faults":[`+line+`]}`); !strings.HasPrefix(got, "200") {
+			g.t.Fatal(got)
+		}
+		before := len(g.runs.Runs(0))
+		seen := call(rule.Kind.String())
+		text.WriteString(rule.Kind.String() + ": " + seen + "; " + g.lastRun(before) + "\n")
+	}
+	return text.String()
+}
+
 func ending(err error) string {
 	switch {
 	case errors.Is(err, context.Canceled):
@@ -209,7 +227,10 @@
 		g.serve(e.Handler())
 		return "ok\n"
 	case "complete":
-		return g.complete(d)
+		before := len(g.runs.Runs(0))
+		return g.complete(d, "") + "; " + g.lastRun(before) + "\n"
+	case "faults":
+		return g.underFaults(d, func(kind string) string { return g.complete(d, kind) })
 	default:
 		return g.commonStep(d)
 	}
@@ -242,21 +263,14 @@
 	}
 }
 
-// complete asks for a completion and tells what the caller and the log saw.
-func (g *rig) complete(d *datadriven.TestData) string {
-	id, model, version, word, abandon, tokens, blocks := "r1", "m", "1", "plan", "", 3, 0
+// complete asks for a completion and tells what the caller saw.
+func (g *rig) complete(d *datadriven.TestData, kind string) string {
+	id, model, version, word, tokens, blocks := "r1", "m", "1", "plan", 3, 0
 	d.MaybeScanArgs(g.t, "id", &id)
 	d.MaybeScanArgs(g.t, "model", &model)
 	d.MaybeScanArgs(g.t, "version", &version)
 	d.MaybeScanArgs(g.t, "word", &word)
-	d.MaybeScanArgs(g.t, "abandon", &abandon)
-	d.MaybeScanArgs(g.t, "tokens", &tokens)
 	d.MaybeScanArgs(g.t, "blocks", &blocks)
-	if d.HasArg("faults") {
-		if text := g.control(http.MethodPut, "/v1/faults", d.Input); !strings.HasPrefix(text, "200") {
-			return text
-		}
-	}
 	prompt := word + emul.Marker("cousins") + strings.Repeat("x", blocks*engine.BlockBytes)
 	body, _ := json.Marshal(struct {
 		Model     string `json:"model"`
@@ -264,13 +278,12 @@
 		Prompt    string `json:"prompt"`
 		MaxTokens int    `json:"max-tokens"`
 	}{model, version, prompt, tokens})
-	before := len(g.runs.Runs(0))
-	s := g.call(http.MethodPost, "/v1/completions", id, string(body), abandon)
+	s := g.call(http.MethodPost, "/v1/completions", id, string(body), kind)
 	line := fmt.Sprintf("status=%s outcome=%s end=%s ", s.status, s.outcome, s.end)
 	if s.leaving {
 		line += "leaving "
 	}
-	return line + frames(s, id, prompt, tokens) + "; " + g.lastRun(before) + "\n"
+	return line + frames(s, id, prompt, tokens)
 }
 
 func TestService(t *testing.T) {
@@ -280,21 +293,17 @@
 	g.serve(s.Handler())
 	defer g.close()
 	datadriven.RunTest(t, "testdata/service", func(t *testing.T, d *datadriven.TestData) string {
-		if d.Cmd != "call" {
+		if d.Cmd != "faults" {
 			return g.commonStep(d)
 		}
-		abandon := ""
-		d.MaybeScanArgs(t, "abandon", &abandon)
-		if d.HasArg("faults") {
-			g.control(http.MethodPut, "/v1/faults", d.Input)
-		}
-		before := len(g.runs.Runs(0))
 		body := "slot 7 " + emul.Marker("cousins")
-		seen := g.call(http.MethodPost, "/reservations/7", "r1", body, abandon)
-		var answer plain.Answer
-		whole := json.Unmarshal(seen.body, &answer) == nil
-		own := seen.id == "r1" && answer.RequestID == "r1" && answer.BodyHash == plain.BodyHash([]byte(body))
-		return fmt.Sprintf("status=%s outcome=%s end=%s whole=%t own=%t; %s\n", seen.status, seen.outcome, seen.end, whole, own, g.lastRun(before))
+		return g.underFaults(d, func(kind string) string {
+			seen := g.call(http.MethodPost, "/reservations/7", "r1", body, kind)
+			var answer plain.Answer
+			whole := json.Unmarshal(seen.body, &answer) == nil
+			own := seen.id == "r1" && answer.RequestID == "r1" && answer.BodyHash == plain.BodyHash([]byte(body))
+			return fmt.Sprintf("status=%s outcome=%s end=%s whole=%t own=%t", seen.status, seen.outcome, seen.end, whole, own)
+		})
 	})
 }
 
--- a/io/emul/server.go
+++ b/io/emul/server.go
@@ -68,7 +68,8 @@
 }
 
 // Refuse closes the listener, so that new connections are refused. Connections
-// that are open stay open.
+// that are open stay open. The server itself closes a listener only once it has
+// begun to accept.
 func (s *Server) Refuse() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -94,6 +95,7 @@
 // Stop refuses new connections and waits for the requests that run, until the
 // context ends; then it cuts off the rest and returns the context's error.
 func (s *Server) Stop(ctx context.Context) error {
+	_ = s.Refuse()
 	err := s.server.Shutdown(ctx)
 	s.cancel()
 	if err != nil {
@@ -104,6 +106,7 @@
 
 // Close cuts off everything at once, as a killed process would.
 func (s *Server) Close() {
+	_ = s.Refuse()
 	s.cancel()
 	_ = s.server.Close()
 }
