--- a/core/member/fault_test.go
+++ b/core/member/fault_test.go
@@ -179,6 +179,8 @@
 		n.run(wait)
 	case "pause": // The instance steps no more, and messages wait for it.
 		n.nodes[id].awake = n.now.Add(wait)
+	case "fail": // fail FROM TO: a forwarded request could not be delivered.
+		n.step(id, SendFailed{To: ident.Instance(words[2])})
 	case "phase":
 		n.step(id, LocalChanged{Phase: phases[words[2]], Held: Held{Table: 1}})
 	case "cut":
