Check the peers' listening address against the other roles

The settings gained an address on which the peers' listener is opened when it is not the published one. The check for two roles on one address did not know it, so the same address could be given to the callers' or the admin listener and the fault showed only when the second listener failed. It is now compared with the others whenever it differs from the peer address.

--- a/io/config/config.go
+++ b/io/config/config.go
@@ -129,14 +129,18 @@
 
 // checkRoles reports an address that has two uses.
 func (r *reader) checkRoles(e Entry) {
-	roles := []struct {
+	type role struct {
 		path    path
 		address netip.AddrPort
-	}{
+	}
+	roles := []role{
 		{path{"instance", "caller-address"}, e.Caller},
 		{path{"instance", "peer-address"}, e.Peer},
 		{path{"instance", "admin-address"}, e.Admin},
 	}
+	if e.PeerListen != e.Peer {
+		roles = append(roles, role{path{"instance", "peer-listen-address"}, e.PeerListen})
+	}
 	for i, role := range roles {
 		if !role.address.IsValid() {
 			continue
