Compare what callers were told with what ran

A load that only checks answers cannot see a call that ran twice behind one answer. The load tool can now send each keyed call again through the other advised entries, which must give the first answer again, and compare the logs of the services with what each caller was told: once when the answer came, never after "not run", at most once when unknown. Counting in the service alone was ruled out, since it does not know what callers heard. It reads the directory again when no entry answers, so that it survives the replacement of every entry. A request to which no entry could be advised counts as not run.

--- a/cmd/standin/load.go
+++ b/cmd/standin/load.go
@@ -29,13 +29,15 @@
 entry to use; with -direct it calls engines or services without an entry. Prints a
 table, or JSON with -json. Times are in milliseconds and count from the moment at
 which a request was due. Exits 0 when each request was answered whole or not run, 1
-when the end of one is unknown or nothing could be sent, 2 on bad flags.
+when the end of one is unknown, a key's runs don't agree with what its caller was told
+or nothing could be sent, 2 on bad flags.
 `
 
 // loadCommand sends a load.
 type loadCommand struct {
 	load      bench.Load
 	platform  addressFlag
+	services  []netip.AddrPort
 	checkText bool
 	json      bool
 }
@@ -75,13 +77,15 @@
 	f.StringVar((*string)(&l.Service), "service", "", "`name` of the service")
 	f.StringVar(&l.Path, "path", "/", "`path` of service calls")
 	f.BoolVar(&l.Keyed, "keyed", false, "give each service call an idempotency key")
+	f.IntVar(&l.Repeat, "repeat", 0, "times that each keyed call is sent again through other entries")
+	f.Func("verify", "`ip:port` of service stand-ins whose logs are compared with what callers were told of their keyed calls", addresses(&c.services))
 	f.IntVar(&l.Workers, "workers", 16, "requests that run at once")
 	f.Float64Var(&l.Rate, "rate", 0, "requests a second; 0 sends as fast as the workers can")
 	f.IntVar(&l.Count, "count", 1000, "requests to send at most")
 	f.DurationVar(&l.Duration, "duration", time.Minute, "time to send at most")
 	f.DurationVar(&l.Timeout, "timeout", time.Minute, "time for one try")
 	f.IntVar(&l.Tries, "tries", 3, "tries of a request that was not run")
-	f.Uint64Var(&l.Seed, "seed", 1, "seed of the random choices")
+	f.Uint64Var(&l.Seed, "seed", 0, "seed of the random choices, keys and request ids; 0 draws one")
 	f.BoolVar(&c.checkText, "check-text", false, "compare each answer with what a stand-in must have answered")
 	f.BoolVar(&c.json, "json", false, "print JSON")
 }
@@ -149,30 +153,43 @@
 		}
 		return subcommands.ExitFailure
 	}
-	if report.Requests == 0 || report.Unknown() > 0 {
+	if report.Requests == 0 || report.Unknown() > 0 || len(report.KeyFaults) > 0 {
 		return subcommands.ExitFailure
 	}
 	return subcommands.ExitSuccess
 }
 
-func (c *loadCommand) run(ctx context.Context) (*bench.Report, error) {
+func (c *loadCommand) run(ctx context.Context) (*loadReport, error) {
 	var client bench.Client
 	defer client.Close()
-	if c.platform.IsValid() {
-		entries, err := client.Directory(ctx, c.platform.AddrPort)
-		if err != nil {
-			return nil, errors.Annotate(err, "directory")
-		}
-		c.load.Entries = entries
-	}
+	c.load.Platform = c.platform.AddrPort
 	if c.checkText {
 		c.load.Check = standInAnswer
 	}
-	return c.load.Run(ctx, &client)
+	ends := newKeyEnds()
+	if len(c.services) > 0 {
+		c.load.Ended = ends.add
+	}
+	report, err := c.load.Run(ctx, &client)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	ran, err := runsByKey(ctx, &client, c.services)
+	return &loadReport{Report: report, KeyFaults: ends.compare(ran)}, errors.Trace(err)
+}
+
+// loadReport is what the command prints.
+type loadReport struct {
+	*bench.Report
+	// KeyFaults has the calls whose end doesn't agree with the services' logs.
+	KeyFaults []keyFault `json:"key-faults"`
 }
 
-func (c *loadCommand) print(report *bench.Report) error {
+func (c *loadCommand) print(report *loadReport) error {
 	if !c.json {
+		for _, fault := range report.KeyFaults {
+			fmt.Printf("key %s: told %s, ran %d times\n", fault.Key, fault.Told, fault.Ran)
+		}
 		return report.WriteTable(os.Stdout)
 	}
 	return errors.Trace(json.NewEncoder(os.Stdout).Encode(report))
--- a/io/bench/bench_test.go
+++ b/io/bench/bench_test.go
@@ -22,6 +22,7 @@
 	"arbutustrestle/io/emul/engine"
 	"arbutustrestle/io/emul/fault"
 	"arbutustrestle/io/emul/plain"
+	"arbutustrestle/io/emul/plat"
 )
 
 func serve(t *testing.T, handler http.Handler) netip.AddrPort {
@@ -154,18 +155,24 @@
 		whole, notRun, unknown int
 		asked, sent            int
 		lastKey                string
+		repeat                 int
 	}{
-		{nil, 1, 0, 0, 1, 1, "owner.1.1-0"},
-		{[]string{"not-run class-full", "not-run overloaded"}, 1, 0, 0, 1, 3, "owner.1.1-0"},
-		{[]string{"not-run draining"}, 1, 0, 0, 2, 2, "owner.2.1-0"},
-		{[]string{"not-run class-full", "not-run class-full", "not-run class-full", "not-run class-full"}, 0, 1, 0, 1, 3, "owner.1.1-0"},
-		{[]string{"unknown owner-gone"}, 0, 0, 1, 1, 1, "owner.1.1-0"},
-		{[]string{"odd class-full"}, 0, 0, 1, 1, 1, "owner.1.1-0"},
+		{nil, 1, 0, 0, 1, 1, "owner.1.1-0", 0},
+		{[]string{"not-run class-full", "not-run overloaded"}, 1, 0, 0, 1, 3, "owner.1.1-0", 0},
+		{[]string{"not-run draining"}, 1, 0, 0, 2, 2, "owner.2.1-0", 0},
+		{[]string{"not-run class-full", "not-run class-full", "not-run class-full", "not-run class-full"}, 0, 1, 0, 1, 3, "owner.1.1-0", 0},
+		{[]string{"unknown owner-gone"}, 0, 0, 1, 1, 1, "owner.1.1-0", 0},
+		{[]string{"odd class-full"}, 0, 0, 1, 1, 1, "owner.1.1-0", 0},
+		// This entry runs a repeated call again, which shows in the answer.
+		{nil, 0, 0, 1, 1, 2, "owner.1.1-0", 1},
 	} {
 		g := &gate{refusals: c.refusals, upstream: serve(t, plain.New(plain.Settings{}).Handler())}
 		g.address = serve(t, g)
+		// The entry given is gone; the directory names the one that is there.
+		gone, directory := serve(t, http.NotFoundHandler()), plat.New(plat.Settings{})
+		directory.Put("directory", []byte(`["`+g.address.String()+`"]`))
 		load := Load{
-			Entries: []netip.AddrPort{g.address}, Workspaces: []ident.Workspace{"cousins"}, Service: "bookings", Path: "/", Keyed: true,
+			Entries: []netip.AddrPort{gone}, Platform: serve(t, directory.Handler()), Repeat: c.repeat, Workspaces: []ident.Workspace{"cousins"}, Service: "bookings", Path: "/", Keyed: true,
 			Workers: 1, Count: 1, Duration: time.Minute, Timeout: time.Minute, Tries: 3, Seed: 1,
 		}
 		load.Mix[table.ServiceCall] = 1
@@ -175,7 +182,7 @@
 			t.Fatal(err)
 		}
 		got := *report.Classes["service"]
-		if got.Whole != c.whole || got.NotRun != c.notRun || got.Unknown != c.unknown || got.Retries != c.sent-1 {
+		if got.Whole != c.whole || got.NotRun != c.notRun || got.Unknown != c.unknown || got.Retries != c.sent-1-c.repeat {
 			t.Errorf("%v: report %+v", c.refusals, got)
 		}
 		if g.asked != c.asked || len(g.keys) != c.sent || g.keys[c.sent-1] != c.lastKey {
--- a/io/bench/client.go
+++ b/io/bench/client.go
@@ -28,7 +28,7 @@
 	// readBytes is the size of the buffer of a running call.
 	readBytes = 16 << 10
 	// maxReplyBytes bounds an answer that isn't a stream.
-	maxReplyBytes = 16 << 20
+	maxReplyBytes = 64 << 20
 )
 
 // Client calls entries, or engines and services directly. Its zero value is ready;
@@ -63,7 +63,7 @@
 // is the platform's or the network's.
 func (c *Client) Directory(ctx context.Context, platform netip.AddrPort) ([]netip.AddrPort, error) {
 	var list []netip.AddrPort
-	err := c.get(ctx, platform, "/v1/directory", &list)
+	err := c.Get(ctx, platform, "/v1/directory", &list)
 	return list, errors.Trace(err)
 }
 
@@ -92,11 +92,13 @@
 // *result.Failure.
 func (c *Client) Ask(ctx context.Context, entry netip.AddrPort, workspace ident.Workspace) (Advice, error) {
 	var advice Advice
-	err := c.get(ctx, entry, "/v1/entry?workspace="+url.QueryEscape(string(workspace)), &advice)
+	err := c.Get(ctx, entry, "/v1/entry?workspace="+url.QueryEscape(string(workspace)), &advice)
 	return advice, errors.Trace(err)
 }
 
-func (c *Client) get(ctx context.Context, address netip.AddrPort, path string, value any) error {
+// Get reads a JSON document from an address into the value. An answer with another
+// status than 200 is a *result.Failure; other errors are the network's or JSON's.
+func (c *Client) Get(ctx context.Context, address netip.AddrPort, path string, value any) error {
 	c.once.Do(c.start)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+path, nil)
 	if err != nil {
--- a/io/bench/load.go
+++ b/io/bench/load.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -32,10 +33,12 @@
 // Load is what to send. Run sends until Count requests were sent or Duration is
 // over, whichever comes first.
 type Load struct {
-	// Entries are asked which entry to use. With Direct set, requests go to these
+	// Entries are asked which entry to use. With Platform set, its directory names
+	// them, again when none of them answers. With Direct set, requests go to these
 	// engines or services in turn instead, without an entry.
-	Entries []netip.AddrPort
-	Direct  []netip.AddrPort
+	Entries  []netip.AddrPort
+	Platform netip.AddrPort
+	Direct   []netip.AddrPort
 
 	// Mix gives each class its weight.
 	Mix [table.ClassCount]int
@@ -51,6 +54,9 @@
 	Path string
 	// Keyed gives each service call an idempotency key.
 	Keyed bool
+	// Repeat sends each keyed call that was answered that many times more, through
+	// the advised entries in turn; each answer has to be the first one again.
+	Repeat int
 
 	// Workers is the number of requests that run at once.
 	Workers int
@@ -65,10 +71,14 @@
 	// Tries bounds the tries of a request; only one that was not run is tried again,
 	// after the time that its answer names.
 	Tries int
-	Seed  uint64
+	// Seed also makes the keys and request ids; 0 draws one.
+	Seed uint64
 	// Check, when it is set, gets each whole answer with its text kept, and reports
 	// whether it is the right one.
 	Check func(q *Request, a *Answer) bool
+	// Ended, when it is set, gets the end of each request; the failure is nil for a
+	// whole answer. It is called by many goroutines.
+	Ended func(q *Request, a Answer, f *result.Failure)
 }
 
 // validate returns a NotValid error for what can't be run.
@@ -83,7 +93,7 @@
 	switch {
 	case weight == 0:
 		return errors.NotValidf("mix without a class")
-	case len(l.Entries) == 0 && len(l.Direct) == 0:
+	case len(l.Entries) == 0 && len(l.Direct) == 0 && !l.Platform.IsValid():
 		return errors.NotValidf("load without an address")
 	case len(l.Workspaces) == 0:
 		return errors.NotValidf("load without a workspace")
@@ -104,6 +114,7 @@
 	load   *Load
 	client *Client
 	places places
+	seed   uint64
 	// next numbers the requests.
 	next    atomic.Int64
 	started time.Time
@@ -119,8 +130,11 @@
 	if err := l.validate(); err != nil {
 		return nil, errors.Trace(err)
 	}
-	r := &run{load: l, client: client, started: time.Now()}
-	r.places = places{client: client, entries: l.Entries, known: map[ident.Workspace]Advice{}}
+	r := &run{load: l, client: client, seed: l.Seed, started: time.Now()}
+	if r.seed == 0 {
+		r.seed = rand.Uint64()
+	}
+	r.places = places{client: client, platform: l.Platform, entries: l.Entries, known: map[ident.Workspace]Advice{}}
 	for i := range r.tallies {
 		r.tallies[i] = newTally()
 	}
@@ -135,7 +149,7 @@
 
 // work sends requests one after the other until the load is over.
 func (r *run) work(ctx context.Context, worker uint64) {
-	random := rand.New(rand.NewPCG(r.load.Seed, worker))
+	random := rand.New(rand.NewPCG(r.seed, worker))
 	tally := r.tallies[worker%tallyCount]
 	for {
 		number := r.next.Add(1) - 1
@@ -183,24 +197,33 @@
 		begun := time.Now()
 		answer, failed := r.try(ctx, q, number)
 		if failed == nil {
-			late := begun.Sub(due)
-			t.whole(q.Class, answer, late)
+			t.whole(q.Class, answer, begun.Sub(due))
+			r.ended(q, answer, nil)
 			return
 		}
-		final := failed.Outcome != result.NotRun || try >= r.load.Tries
+		final := failed.Outcome != result.NotRun || try >= r.load.Tries || !r.waitRetry(ctx, q, failed)
 		t.failed(q.Class, failed, final)
 		if final {
+			r.ended(q, answer, failed)
 			return
 		}
-		r.places.learn(q.Workspace, failed.Reason)
-		wait := failed.RetryAfter
-		if wait <= 0 {
-			wait = defaultPause
-		}
-		if !pause(ctx, min(wait, maxPause)) {
-			t.failed(q.Class, failed, true)
-			return
-		}
+	}
+}
+
+// waitRetry waits for the time that the answer names. It returns false when the
+// load ends before.
+func (r *run) waitRetry(ctx context.Context, q *Request, failed *result.Failure) bool {
+	r.places.learn(q.Workspace, failed.Reason)
+	wait := failed.RetryAfter
+	if wait <= 0 {
+		wait = defaultPause
+	}
+	return pause(ctx, min(wait, maxPause))
+}
+
+func (r *run) ended(q *Request, a Answer, f *result.Failure) {
+	if r.load.Ended != nil {
+		r.load.Ended(q, a, f)
 	}
 }
 
@@ -214,12 +237,31 @@
 	if failed == nil && r.load.Check != nil && !r.load.Check(q, &answer) {
 		failed = failure(result.AnswerMismatch, errors.New("the answer is not the request's own"))
 	}
+	if failed == nil && q.Key != "" {
+		failed = r.repeat(ctx, q, &answer)
+	}
 	return answer, failed
 }
 
+// repeat sends a keyed call again and compares the answers. A refusal of a repeat
+// doesn't change what is known of the first one.
+func (r *run) repeat(ctx context.Context, q *Request, first *Answer) *result.Failure {
+	for i := range r.load.Repeat {
+		to := r.places.other(q.Workspace, i+1)
+		if len(r.load.Direct) > 0 || !to.IsValid() {
+			return nil
+		}
+		again, failed := r.client.Call(ctx, to, q)
+		if failed == nil && !bytes.Equal(again.Text, first.Text) {
+			return failure(result.AnswerMismatch, errors.New("a repeated call got another answer"))
+		}
+	}
+	return nil
+}
+
 // address returns where to send the request, and completes its key.
 func (r *run) address(ctx context.Context, q *Request, number int64) (netip.AddrPort, *result.Failure) {
-	unique := strconv.FormatUint(r.load.Seed, 36) + "-" + strconv.FormatInt(number, 36)
+	unique := strconv.FormatUint(r.seed, 36) + "-" + strconv.FormatInt(number, 36)
 	if len(r.load.Direct) > 0 {
 		q.RequestID, q.Version = "load-"+unique, r.load.Version
 		if r.load.Keyed {
@@ -244,7 +286,7 @@
 		Workspace: l.Workspaces[random.IntN(len(l.Workspaces))],
 		Class:     l.pick(random),
 		Timeout:   l.Timeout,
-		Keep:      l.Check != nil,
+		Keep:      l.Check != nil || l.Repeat > 0,
 	}
 	text := r.filler(q.Workspace, l.PromptBytes[q.Class]) + strconv.FormatInt(number, 36)
 	if q.Class == table.ServiceCall {
--- a/io/bench/places.go
+++ b/io/bench/places.go
@@ -14,10 +14,12 @@
 // places remembers which entry each workspace was told to use.
 type places struct {
 	client *Client
-	// entries are asked in turn.
-	entries []netip.AddrPort
+	// platform may be the zero address.
+	platform netip.AddrPort
 
 	mu sync.Mutex
+	// entries are asked in turn.
+	entries []netip.AddrPort
 	// known holds advice with at least one entry.
 	known map[ident.Workspace]Advice
 	turn  int
@@ -32,28 +34,58 @@
 	if found {
 		return advice, nil
 	}
-	var last error
-	for range p.entries {
-		advice, last = p.ask(ctx, workspace)
-		if last == nil {
-			p.mu.Lock()
-			p.known[workspace] = advice
-			p.mu.Unlock()
-			return advice, nil
+	advice, last := p.askAll(ctx, workspace)
+	if last != nil && p.platform.IsValid() {
+		if last = p.readDirectory(ctx); last == nil {
+			advice, last = p.askAll(ctx, workspace)
 		}
 	}
+	if last == nil {
+		p.mu.Lock()
+		p.known[workspace] = advice
+		p.mu.Unlock()
+		return advice, nil
+	}
 	var failed *result.Failure
 	if errors.As(last, &failed) {
+		failed.Outcome = result.NotRun // the request itself was not sent
 		return Advice{}, failed
 	}
 	return Advice{}, &result.Failure{Outcome: result.NotRun, Step: result.StepRoute, Reason: result.ConnectFailed, Cause: last}
 }
 
-func (p *places) ask(ctx context.Context, workspace ident.Workspace) (Advice, error) {
+// askAll asks the entries in turn until one answers, and returns the error of the
+// last one.
+func (p *places) askAll(ctx context.Context, workspace ident.Workspace) (Advice, error) {
 	p.mu.Lock()
-	first := p.entries[p.turn%len(p.entries)]
-	p.turn++
+	count := len(p.entries)
 	p.mu.Unlock()
+	err := errors.NotFoundf("entry to ask")
+	var advice Advice
+	for i := 0; i < count && err != nil; i++ {
+		advice, err = p.ask(ctx, workspace)
+	}
+	return advice, err
+}
+
+// readDirectory replaces the entries by those in the platform's directory.
+func (p *places) readDirectory(ctx context.Context) error {
+	entries, err := p.client.Directory(ctx, p.platform)
+	if err != nil {
+		return errors.Annotate(err, "directory")
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.entries = entries
+	return nil
+}
+
+// ask asks the next entry.
+func (p *places) ask(ctx context.Context, workspace ident.Workspace) (Advice, error) {
+	first, err := p.nextEntry()
+	if err != nil {
+		return Advice{}, err
+	}
 	advice, err := p.client.Ask(ctx, first, workspace)
 	if err != nil {
 		return advice, errors.Trace(err)
@@ -71,6 +103,28 @@
 	return advice, errors.Trace(err)
 }
 
+func (p *places) nextEntry() (netip.AddrPort, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.entries) == 0 {
+		return netip.AddrPort{}, errors.NotFoundf("entry to ask")
+	}
+	p.turn++
+	return p.entries[p.turn%len(p.entries)], nil
+}
+
+// other returns the address of an entry that the workspace may use, going round
+// by the number, or the zero address when none is known.
+func (p *places) other(workspace ident.Workspace, number int) netip.AddrPort {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	entries := p.known[workspace].Entries
+	if len(entries) == 0 {
+		return netip.AddrPort{}
+	}
+	return entries[number%len(entries)].Address
+}
+
 // learn forgets the advice for a workspace when the reason says that it no longer
 // holds.
 func (p *places) learn(workspace ident.Workspace, reason result.Reason) {
