Stop stand-ins without waiting for those that only wait

A platform with entries connected always has watches waiting, so each of its stops took the whole stop timeout and ended as a failure. Requests that only wait (watches, hanging faults) now end when the stop begins, while streams and calls are still finished. A handler that gave up because its context ended could also look like one that answered with an empty 200; its connection is cut now. Ending all requests on a stop was ruled out, since a stop of an engine must finish its streams.

--- a/io/emul/contract_test.go
+++ b/io/emul/contract_test.go
@@ -408,3 +408,40 @@
 		t.Error(err)
 	}
 }
+
+// TestStopWaiting stops servers whose requests only wait: those end without an
+// answer, and the stop waits for none.
+func TestStopWaiting(t *testing.T) {
+	g := newRig(t)
+	p, hanging := plat.New(plat.Settings{}), plat.New(plat.Settings{})
+	hanging.SetFaults(plat.Faults{Hang: true})
+	s := plain.New(plain.Settings{})
+	s.Faults().Put(fault.Rule{Kind: fault.HangAfterRun})
+	for _, c := range []struct {
+		name, path string
+		handler    http.Handler
+		waits      func() bool
+	}{
+		{"watch", "/v1/values/k?after=0&wait=60s", p.Handler(), func() bool { return p.Stats().Watching == 1 }},
+		{"hanging platform", "/v1/values/k", hanging.Handler(), nil},
+		{"hanging service", "/k", s.Handler(), func() bool { return len(s.Runs().Runs(0)) == 1 }},
+	} {
+		arrived := make(chan struct{})
+		g.serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			close(arrived)
+			c.handler.ServeHTTP(w, r)
+		}))
+		answers := make(chan string, 1)
+		go func() { answers <- g.control(http.MethodGet, c.path, "") }()
+		<-arrived
+		for c.waits != nil && !c.waits() {
+			continue
+		}
+		if err := g.server.Stop(context.Background()); err != nil {
+			t.Errorf("%s: %v", c.name, err)
+		}
+		if got := <-answers; got != "broken\n" {
+			t.Errorf("%s: got %q", c.name, got)
+		}
+	}
+}
--- a/io/emul/engine/completion.go
+++ b/io/emul/engine/completion.go
@@ -29,7 +29,6 @@
 	Prompt    string `json:"prompt"`
 	MaxTokens int    `json:"max-tokens"`
 	Priority  int    `json:"priority"`
-	Session   string `json:"session"`
 }
 
 // name returns "model@version".
@@ -52,7 +51,7 @@
 		RequestID: id, State: emul.Received, Time: e.settings.Clock.Now(), Leaving: leaving,
 		Workspace: emul.FindMarker(query.Prompt), Model: query.Model, Version: query.Version, Priority: query.Priority,
 	})
-	if rule.BeforeRun(r.Context()) {
+	if rule.BeforeRun(r.Context(), w) {
 		return
 	}
 	w.Header().Set("Request-Id", rule.HeaderID(id))
--- a/io/emul/fault/conn.go
+++ b/io/emul/fault/conn.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"arbutustrestle/io/emul"
 )
 
 // maxOversizeBytes bounds an answer "without end".
@@ -38,14 +40,23 @@
 
 // BeforeRun carries out the faults between reading and running. It reports
 // whether the request is over.
-func (r Rule) BeforeRun(ctx context.Context) bool {
+func (r Rule) BeforeRun(ctx context.Context, w http.ResponseWriter) bool {
 	if r.Kind != HangBeforeFirstByte {
 		return false
 	}
-	<-ctx.Done()
+	hang(ctx, w)
 	return true
 }
 
+// hang waits until the caller has gone or the stand-in stops, and closes.
+func hang(ctx context.Context, w http.ResponseWriter) {
+	select {
+	case <-ctx.Done():
+	case <-emul.Stopping(ctx):
+	}
+	Close(w)
+}
+
 // BeforeAnswer carries out the faults that take the place of the whole answer to
 // a request that has run. It reports whether the request is over.
 func (r Rule) BeforeAnswer(ctx context.Context, w http.ResponseWriter) bool {
@@ -54,7 +65,7 @@
 		Close(w)
 		return true
 	case HangAfterRun:
-		<-ctx.Done()
+		hang(ctx, w)
 		return true
 	case Reset:
 		if r.Frames > 0 {
--- a/io/emul/plain/plain.go
+++ b/io/emul/plain/plain.go
@@ -137,7 +137,7 @@
 		BodyHash:  BodyHash(body),
 	}
 	run.Sequence = s.runs.Add(run)
-	if rule.BeforeRun(r.Context()) {
+	if rule.BeforeRun(r.Context(), w) {
 		return
 	}
 	s.work(r.Context(), run)
--- a/io/emul/plat/faults.go
+++ b/io/emul/plat/faults.go
@@ -117,8 +117,10 @@
 			case <-changed:
 				continue
 			case <-r.Context().Done():
-				return true
+			case <-emul.Stopping(r.Context()):
 			}
+			fault.Close(w)
+			return true
 		case faults.Slow > 0:
 			timer := time.NewTimer(faults.Slow)
 			defer timer.Stop()
--- a/io/emul/plat/serve.go
+++ b/io/emul/plat/serve.go
@@ -89,6 +89,9 @@
 		}
 		select {
 		case <-changed:
+		case <-emul.Stopping(ctx):
+			fault.Close(w)
+			return
 		case <-ctx.Done():
 			w.Header().Set("Revision", strconv.FormatUint(uint64(seen.revision), 10))
 			w.WriteHeader(http.StatusNotModified)
--- a/io/emul/server.go
+++ b/io/emul/server.go
@@ -19,10 +19,13 @@
 
 // Server serves one handler on one address.
 type Server struct {
-	// server, address and cancel do not change after Listen.
+	// The next fields do not change after Listen.
 	server  *http.Server
 	address netip.AddrPort
-	cancel  context.CancelFunc
+	// cancel ends the contexts of all requests.
+	cancel context.CancelFunc
+	// release ends the requests that only wait.
+	release context.CancelFunc
 
 	mu sync.Mutex
 	// listener is nil while connections are refused.
@@ -33,21 +36,45 @@
 // that of the network.
 func Listen(address netip.AddrPort, handler http.Handler) (*Server, error) {
 	ctx, cancel := context.WithCancel(context.Background())
+	stopping, release := context.WithCancel(context.Background())
+	ctx = context.WithValue(ctx, stoppingKey{}, stopping.Done())
 	s := &Server{
-		cancel: cancel,
+		cancel:  cancel,
+		release: release,
 		server: &http.Server{
-			Handler:           handler,
+			Handler:           abortCancelled(handler),
 			ReadHeaderTimeout: headerTimeout,
 			BaseContext:       func(net.Listener) context.Context { return ctx },
 		},
 	}
 	if err := s.listen(address); err != nil {
 		cancel()
+		release()
 		return nil, err
 	}
 	return s, nil
 }
 
+// abortCancelled cuts the connection of a request whose context ended, so that a
+// handler that gave up never looks like one that answered.
+func abortCancelled(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		handler.ServeHTTP(w, r)
+		if r.Context().Err() != nil {
+			panic(http.ErrAbortHandler)
+		}
+	})
+}
+
+type stoppingKey struct{}
+
+// Stopping returns a channel that is closed when the server of the request begins
+// to stop. A request that only waits ends then; one that works is finished.
+func Stopping(ctx context.Context) <-chan struct{} {
+	stopping, _ := ctx.Value(stoppingKey{}).(<-chan struct{})
+	return stopping
+}
+
 func (s *Server) listen(address netip.AddrPort) error {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
@@ -96,17 +123,19 @@
 // context ends; then it cuts off the rest and returns the context's error.
 func (s *Server) Stop(ctx context.Context) error {
 	_ = s.Refuse()
+	s.release()
 	err := s.server.Shutdown(ctx)
-	s.cancel()
 	if err != nil {
 		_ = s.server.Close()
 	}
+	s.cancel()
 	return errors.Trace(err)
 }
 
 // Close cuts off everything at once, as a killed process would.
 func (s *Server) Close() {
 	_ = s.Refuse()
-	s.cancel()
 	_ = s.server.Close()
+	s.release()
+	s.cancel()
 }
