Order engines, drain by phases, and table the outcomes of an attempt

Cause: engines were never told which models to load, a stopping instance refused work at once that callers had just been sent with, and nothing showed that an attempt's claim of its outcome holds under faults.

--- a/core/node/event.go
+++ b/core/node/event.go
@@ -9,6 +9,7 @@
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/load"
 	"arbutustrestle/core/member"
+	"arbutustrestle/core/order"
 	"arbutustrestle/core/share"
 )
 
@@ -38,14 +39,32 @@
 type SendFailed struct{ To ident.Instance }
 
 // FeedAnswered brings an answer to a ReadPlatform or AskPeer.
-type FeedAnswered struct{ Event feed.Event }
+type FeedAnswered struct {
+	Event feed.Event
+	// Asked is when the question was sent.
+	Asked time.Time
+}
 
 // LoadRead answers a PollLoad.
 type LoadRead struct {
 	Upstream ident.Upstream
 	Report   load.Report
+	Models   Models
+}
+
+// Models is what an engine says of the orders that it has had.
+type Models struct {
+	// Known is false for an upstream that serves every model, or none.
+	Known bool
+	// Loaded holds names of the form "model@version", sorted.
+	Loaded []string
+	// HighestFence is the highest fencing number seen; zero when it keeps none.
+	HighestFence ident.Revision
 }
 
+// OrderAnswered ends a SendOrder.
+type OrderAnswered struct{ order.Answered }
+
 // LoadFailed ends a PollLoad without an answer.
 type LoadFailed struct{ Upstream ident.Upstream }
 
@@ -60,6 +79,7 @@
 func (FeedAnswered) isEvent()        {}
 func (LoadRead) isEvent()            {}
 func (LoadFailed) isEvent()          {}
+func (OrderAnswered) isEvent()       {}
 func (PhaseChanged) isEvent()        {}
 
 // Action is something that the embedding program does after Node.Step.
@@ -92,6 +112,15 @@
 	Address  netip.AddrPort
 }
 
+// SendOrder asks for an order to be sent to an engine, once, and not after SendBy.
+type SendOrder struct {
+	order.Send
+	Address netip.AddrPort
+}
+
+// OrderHeld reports that an order is due and why it isn't sent.
+type OrderHeld struct{ order.Hold }
+
 // Publish brings a new view in force.
 type Publish struct{ View *View }
 
@@ -116,6 +145,8 @@
 func (ReadPlatform) isAction()     {}
 func (AskPeer) isAction()          {}
 func (PollLoad) isAction()         {}
+func (SendOrder) isAction()        {}
+func (OrderHeld) isAction()        {}
 func (Publish) isAction()          {}
 func (Heard) isAction()            {}
 func (Refused) isAction()          {}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -10,6 +10,7 @@
 	"arbutustrestle/core/list"
 	"arbutustrestle/core/load"
 	"arbutustrestle/core/member"
+	"arbutustrestle/core/order"
 	"arbutustrestle/core/table"
 )
 
@@ -33,6 +34,7 @@
 	members *member.View
 	table   *table.Table
 	pool    upstreams
+	orders  orders
 	meters  meters
 	regions map[ident.Region]RegionLoad
 	// loadDue is when this instance next makes its payloads.
@@ -65,6 +67,7 @@
 			CheckList: checkList,
 		}),
 		pool:    upstreams{byID: map[ident.Upstream]*Upstream{}},
+		orders:  orders{orderer: order.NewOrderer(o.Self.ID, order.Limits{})},
 		regions: map[ident.Region]RegionLoad{},
 	}
 	n.members = n.member.View()
@@ -119,10 +122,14 @@
 		n.stepMember(now, member.SendFailed{To: e.To})
 	case FeedAnswered:
 		n.stepFeed(now, e.Event)
+		n.confirmList(now, e)
 	case LoadRead:
-		n.pool.observe(now, UpstreamLoad(e), true)
+		n.pool.observe(now, UpstreamLoad{Upstream: e.Upstream, Report: e.Report}, true)
+		n.orderReport(now, e)
 	case LoadFailed:
 		n.pool.polled(e.Upstream)
+	case OrderAnswered:
+		n.stepOrder(now, e.Answered)
 	case PhaseChanged:
 		n.setPhase(now, e.Phase)
 	}
@@ -140,6 +147,8 @@
 		n.loadDue = now.Add(payloadInterval)
 		n.setLocal(now, e)
 		n.pollLoads(now)
+		n.pollOrders(now)
+		n.stepOrder(now, order.Tick{})
 	}
 	n.stepMember(now, member.Tick{})
 	n.stepFeed(now, feed.Tick{})
@@ -257,13 +266,16 @@
 		}
 		listing := member.Listing{Revision: a.Value.Revision, Entries: entries}
 		n.stepMember(now, member.ListingRead{Listing: listing})
+		n.listForOrders(now, listing)
 		return
 	}
 	rows, err := list.ParseUpstreams(a.Value.Data)
 	if err != nil {
 		return
 	}
+	before := n.pool.byID
 	n.pool.take(now, rows)
+	n.forgetEngines(now, before)
 }
 
 // followMembers tells the feed of a changed membership.
--- a/core/node/pool.go
+++ b/core/node/pool.go
@@ -116,6 +116,7 @@
 
 // observe takes in a report that was polled here, or heard from a peer.
 func (p *upstreams) observe(now time.Time, l UpstreamLoad, own bool) {
+	_, waits := p.asked[l.Upstream]
 	if own {
 		p.polled(l.Upstream)
 	}
@@ -124,7 +125,8 @@
 		return
 	}
 	u.Load.Observe(now, l.Report)
-	if !own {
+	// A report that was read for an order is not this instance's to hand on.
+	if !own || !waits {
 		return
 	}
 	if p.own == nil {
--- a/io/daemon/drain.go
+++ b/io/daemon/drain.go
@@ -10,35 +10,47 @@
 	"github.com/rs/zerolog"
 
 	"arbutustrestle/core/clock"
+	"arbutustrestle/core/drain"
 	"arbutustrestle/core/member"
 	"arbutustrestle/core/node"
 	"arbutustrestle/io/entry"
 	"arbutustrestle/io/loop"
-	"arbutustrestle/io/metric"
 )
 
 const (
-	// pollInterval is how often a drain looks whether the last request has ended.
-	pollInterval = 50 * time.Millisecond
-	// announceTime is how long an instance goes on after its records were handed over,
-	// so that its peers hear of the successor and of its end.
-	announceTime = 2 * time.Second
+	// flightInterval is how often a drain looks at what is in flight.
+	flightInterval = 50 * time.Millisecond
+	// farewellTime is how long an instance goes on after its last request, so that
+	// its peers hear of its successor and of its end.
+	farewellTime = 1500 * time.Millisecond
 )
 
-// Drain stops an instance without cutting off a request.
+// Drain carries out the graceful shutdown of an instance.
 type Drain struct {
-	loop    *loop.Loop
-	records *entry.Records
-	metrics *metric.Set
-	clock   clock.Clock
-	log     zerolog.Logger
+	loop  *loop.Loop
+	core  *entry.Core
+	clock clock.Clock
+	log   zerolog.Logger
 
 	once    sync.Once
 	started chan struct{}
+
+	// The fields below belong to the goroutine of await.
+
+	state drain.Drain
+	// ended has the result of the handover that runs.
+	ended chan drain.HandedOver
 }
 
-func newDrain(l *loop.Loop, r *entry.Records, m *metric.Set, c clock.Clock, log zerolog.Logger) *Drain {
-	return &Drain{loop: l, records: r, metrics: m, clock: c, log: log, started: make(chan struct{})}
+func newDrain(l *loop.Loop, core *entry.Core, c clock.Clock, log zerolog.Logger) *Drain {
+	return &Drain{
+		loop:    l,
+		core:    core,
+		clock:   c,
+		log:     log,
+		started: make(chan struct{}),
+		ended:   make(chan drain.HandedOver, 1),
+	}
 }
 
 // Start begins the drain; further calls do nothing.
@@ -46,8 +58,8 @@
 	d.once.Do(func() { close(d.started) })
 }
 
-// await waits for the reason to drain and drains. The error says that a second
-// signal cut it short.
+// await waits for the reason to drain and drains. A second signal shortens the
+// waits, and a third one ends it at once; the error says what that cut off.
 func (d *Drain) await(signals <-chan os.Signal) error {
 	select {
 	case <-signals:
@@ -56,61 +68,81 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		d.run(ctx)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-signals:
-		return errors.Errorf("ended by a second signal with %s requests in flight", d.metrics.InFlight)
+	d.configure()
+	ticker := time.NewTicker(flightInterval)
+	defer ticker.Stop()
+	exit := d.step(ctx, drain.Stop{})
+	for repeated := 0; exit == nil; {
+		select {
+		case <-ticker.C:
+			exit = d.step(ctx, d.core.Flight())
+		case e := <-d.ended:
+			exit = d.step(ctx, e)
+		case <-signals:
+			repeated++
+			exit = d.step(ctx, repeatedSignal(repeated))
+		}
 	}
+	return d.leave(exit)
 }
 
-// run leaves the advice to callers, finishes what runs, and hands the records over.
-func (d *Drain) run(ctx context.Context) {
-	d.log.Info().Str("in-flight", d.metrics.InFlight.String()).Msg("draining")
-	d.loop.Post(node.PhaseChanged{Phase: member.Draining})
-	d.finish(ctx)
-	d.handOver(ctx)
-	// Peers' views go on naming this instance for a moment; what they still send is
-	// refused as not run.
-	pause(ctx, announceTime)
-	d.finish(ctx)
-	d.loop.Post(node.PhaseChanged{Phase: member.Stopped})
-	pause(ctx, pollInterval)
-	d.log.Info().Msg("drained")
+// repeatedSignal returns the event of a signal after the first.
+func repeatedSignal(count int) drain.Event {
+	if count == 1 {
+		return drain.Stop{}
+	}
+	return drain.Abort{}
 }
 
-func (d *Drain) finish(ctx context.Context) {
-	for d.metrics.InFlight.Value() > 0 && pause(ctx, pollInterval) {
-		continue
+// configure takes the operator's bound from the table in force.
+func (d *Drain) configure() {
+	if t := d.loop.View().Table; t != nil {
+		d.state.Limits.Expected = t.Policy().GracefulShutdown
 	}
 }
 
-func (d *Drain) handOver(ctx context.Context) {
-	v := d.loop.View()
-	if v.Table == nil || d.records.Usage().Records == 0 {
-		return
+// step gives an event to the state and carries out its actions. It returns the
+// action that ends the drain.
+func (d *Drain) step(ctx context.Context, event drain.Event) *drain.Exit {
+	for _, action := range d.state.Step(d.clock.Now(), event) {
+		switch a := action.(type) {
+		case drain.Announce:
+			d.log.Info().Int("in-flight", d.core.Flight().Requests).Msg("draining")
+			d.loop.Post(node.PhaseChanged{Phase: member.Draining})
+		case drain.RefuseNew:
+			d.core.RefuseNew(a.RetryAfter)
+		case drain.HandOver:
+			go d.handOver(ctx, a)
+		case drain.Report:
+			d.log.Warn().Int("in-flight", a.Requests).Time("last-deadline", a.LastDeadline).Msg("requests outlast the expected time of the shutdown")
+		case drain.Exit:
+			return &a
+		}
 	}
-	note, err := d.loop.HandOver(ctx, v.Table.Policy().RecordRetention)
-	if err != nil {
-		d.log.Warn().Err(err).Str("step", "handover").Msg("records not handed over; repeated keys will be answered with an unknown outcome")
-		return
-	}
-	d.records.Note(note)
-	d.log.Info().Str("peer", note.Successor.String()).Msg("records handed over")
+	return nil
 }
 
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
+// handOver gives the records to a successor, another one with each attempt.
+func (d *Drain) handOver(ctx context.Context, a drain.HandOver) {
+	err := d.loop.HandOver(ctx, a.Attempt)
+	if err != nil {
+		d.log.Warn().Err(err).Str("step", "handover").Int("attempt", a.Attempt).Msg("records not handed over")
+	}
 	select {
-	case <-timer.C:
-		return true
+	case d.ended <- drain.HandedOver{Attempt: a.Attempt, Complete: err == nil}:
 	case <-ctx.Done():
-		return false
 	}
 }
+
+// leave says goodbye to the peers and reports what was cut off.
+func (d *Drain) leave(exit *drain.Exit) error {
+	if exit.Cut > 0 {
+		return errors.Errorf("ended with %d requests in flight", exit.Cut)
+	}
+	// The next heartbeats name the successor of the records.
+	time.Sleep(farewellTime)
+	d.loop.Post(node.PhaseChanged{Phase: member.Stopped})
+	time.Sleep(flightInterval)
+	d.log.Info().Msg("drained")
+	return nil
+}
--- a/io/daemon/parts.go
+++ b/io/daemon/parts.go
@@ -45,6 +45,7 @@
 		newLinkServer,
 		newServers,
 		upcall.NewLoadReader,
+		upcall.NewOrders,
 		metric.NewSet,
 		entry.NewGates,
 		loop.New,
@@ -120,6 +121,7 @@
 	Pool     *link.Pool
 	Platform []*plat.Client
 	Loads    *upcall.LoadReader
+	Orders   *upcall.Orders
 	Records  *entry.Records
 	Gates    *entry.Gates
 	Shares   *share.Ledger
@@ -135,6 +137,7 @@
 		Pool:     n.Pool,
 		Platform: n.Platform,
 		Loads:    n.Loads,
+		Orders:   n.Orders,
 		Records:  n.Records,
 		Gates:    n.Gates,
 		Shares:   n.Shares,
--- a/io/entry/core.go
+++ b/io/entry/core.go
@@ -58,14 +58,15 @@
 	Retries *retry.Budget
 	Random  *Random
 
-	chain Next
+	chain  Next
+	flight flight
 }
 
 // Start links the filters. It is called once, before the first request.
 func (c *Core) Start() {
 	forwarder := &forwarder{core: c}
 	c.chain = Chain(
-		&readyFilter{},
+		&readyFilter{core: c},
 		&classifyFilter{core: c},
 		&residencyFilter{core: c},
 		&deadlineFilter{core: c},
@@ -81,6 +82,8 @@
 func (c *Core) Serve(ctx context.Context, call *Call) *result.Failure {
 	c.Metrics.InFlight.Add(1)
 	defer c.Metrics.InFlight.Add(-1)
+	c.flight.begin()
+	defer c.flight.end()
 	started := c.Clock.Now()
 	f := c.chain(ctx, call)
 	if f != nil && call.keyed() && !call.asked {
--- a/io/entry/early.go
+++ b/io/entry/early.go
@@ -12,38 +12,32 @@
 	"arbutustrestle/core/table"
 )
 
-const (
-	// notReadyRetry is when a caller may come back to a starting instance.
-	notReadyRetry = 2 * time.Second
-	// drainingRetry is when a caller may come back, to another instance.
-	drainingRetry = time.Second
-)
+// notReadyRetry is when a caller may come back to a starting instance.
+const notReadyRetry = 2 * time.Second
 
 // readyFilter refuses requests before a table is in force and during a shutdown.
-type readyFilter struct{}
+type readyFilter struct {
+	core *Core
+}
 
-// Apply refuses with NotReady or Draining.
-func (*readyFilter) Apply(ctx context.Context, c *Call, next Next) *result.Failure {
+// Apply refuses with NotReady or Draining. During a shutdown a keyed call still
+// passes, because only the records here can tell whether it has run; the records
+// themselves refuse new keys then.
+func (f *readyFilter) Apply(ctx context.Context, c *Call, next Next) *result.Failure {
 	if c.View.Table == nil || c.View.Phase == member.Starting {
-		f := refuse(result.StepIdentify, result.NotReady)
-		f.RetryAfter = notReadyRetry
-		return f
+		failure := refuse(result.StepIdentify, result.NotReady)
+		failure.RetryAfter = notReadyRetry
+		return failure
 	}
-	if c.View.Phase >= member.Draining && !c.acceptedWhileDraining() {
-		f := refuse(result.StepIdentify, result.Draining)
-		f.RetryAfter = drainingRetry
-		return f
+	retryAfter := time.Duration(f.core.flight.retryAfter.Load())
+	if retryAfter > 0 && c.Key == "" {
+		failure := refuse(result.StepIdentify, result.Draining)
+		failure.RetryAfter = retryAfter
+		return failure
 	}
 	return next(ctx, c)
 }
 
-// acceptedWhileDraining reports whether a request still passes during a shutdown: a
-// keyed call, because only the records here can tell whether it has run. The
-// records themselves refuse new keys then.
-func (c *Call) acceptedWhileDraining() bool {
-	return c.Key != "" && c.View.Phase == member.Draining
-}
-
 // classifyFilter looks up what the table says of the request.
 type classifyFilter struct {
 	core *Core
@@ -116,6 +110,7 @@
 	if !c.Deadline.After(now) {
 		return refuse(result.StepDeadline, result.DeadlinePassed)
 	}
+	f.core.flight.until(c.Deadline)
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
 	return next(ctx, c)
--- a/io/loop/handover.go
+++ b/io/loop/handover.go
@@ -61,24 +61,27 @@
 	}
 }
 
-// HandOver seals the records and gives them to another entry of the region, and
-// returns the note that says so. It returns an error when none took them all; the
-// records' keys are then answered with an unknown outcome once this process is gone.
-func (l *Loop) HandOver(ctx context.Context, retention time.Duration) (dedup.Note, error) {
+// HandOver seals the records and gives them to another entry of the region, the next
+// best with each attempt from 1 on; the heartbeats that follow name it. It returns
+// an error when that entry did not take them all; the records' keys are then
+// answered with an unknown outcome once this process is gone.
+func (l *Loop) HandOver(ctx context.Context, attempt int) error {
 	v := l.View()
+	if l.parts.Records.Usage().Records == 0 || v.Table == nil {
+		return nil
+	}
 	successors := successorsOf(v)
 	if len(successors) == 0 {
-		return dedup.Note{}, errors.NotFoundf("another entry in %s to take the records over", v.Region)
+		return errors.NotFoundf("another entry in %s to take the records over", v.Region)
 	}
-	var last error
-	for _, m := range successors {
-		if last = l.handOverTo(ctx, v, m); last == nil {
-			expires := l.parts.Clock.Now().Add(retention)
-			return dedup.Note{Old: v.Self, Successor: m.Incarnation(), Expires: expires}, nil
-		}
-		l.parts.Log.Warn().Err(last).Str("step", "handover").Str("peer", string(m.Entry.ID)).Msg("records not handed over")
+	m := successors[(attempt-1)%len(successors)]
+	if err := l.handOverTo(ctx, v, m); err != nil {
+		return errors.Annotatef(err, "hand over to %s", m.Entry.ID)
 	}
-	return dedup.Note{}, errors.Trace(last)
+	expires := l.parts.Clock.Now().Add(v.Table.Policy().RecordRetention)
+	l.parts.Records.Note(dedup.Note{Old: v.Self, Successor: m.Incarnation(), Expires: expires})
+	l.parts.Log.Info().Str("step", "handover").Str("peer", string(m.Entry.ID)).Msg("records handed over")
+	return nil
 }
 
 // successorsOf returns the members that may take the records over, best first.
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -41,6 +41,7 @@
 	Pool     *link.Pool
 	Platform []*plat.Client
 	Loads    *upcall.LoadReader
+	Orders   *upcall.Orders
 	Records  *entry.Records
 	Gates    *entry.Gates
 	Shares   *share.Ledger
@@ -180,6 +181,10 @@
 		l.work.Go(func() { l.askPeer(ctx, a) })
 	case node.PollLoad:
 		l.work.Go(func() { l.pollLoad(ctx, a) })
+	case node.SendOrder:
+		l.work.Go(func() { l.sendOrder(ctx, a) })
+	case node.OrderHeld:
+		l.orderHeld(a)
 	case node.Publish:
 		l.publish(a.View)
 	case node.Heard:
--- a/io/loop/send.go
+++ b/io/loop/send.go
@@ -72,14 +72,16 @@
 // readPlatform reads a value from the first platform address that answers.
 func (l *Loop) readPlatform(ctx context.Context, a node.ReadPlatform) {
 	l.parts.Metrics.Events.Add("platform-reads", 1)
+	asked := l.parts.Clock.Now()
 	var last error
 	for _, client := range l.parts.Platform {
 		reply, err := client.Read(ctx, string(a.Key), a.After, a.Wait)
 		if err == nil {
-			l.Post(node.FeedAnswered{Event: feedEvent(a.Key, reply)})
+			l.Post(node.FeedAnswered{Event: feedEvent(a.Key, reply), Asked: asked})
 			return
 		}
 		last = err
+		asked = l.parts.Clock.Now()
 	}
 	l.parts.Metrics.Events.Add("platform-read-failures", 1)
 	if ctx.Err() == nil {
@@ -117,11 +119,28 @@
 }
 
 func (l *Loop) pollLoad(ctx context.Context, a node.PollLoad) {
-	report, err := l.parts.Loads.Read(ctx, a.Address)
+	report, models, err := l.parts.Loads.Read(ctx, a.Address)
 	if err != nil {
 		l.parts.Metrics.Events.Add("load-poll-failures", 1)
 		l.Post(node.LoadFailed{Upstream: a.Upstream})
 		return
 	}
-	l.Post(node.LoadRead{Upstream: a.Upstream, Report: report})
+	l.Post(node.LoadRead{Upstream: a.Upstream, Report: report, Models: models})
+}
+
+// sendOrder sends an order. An answer that doesn't come leaves the order to be sent
+// again: it states the wanted end, so that coming twice does no harm.
+func (l *Loop) sendOrder(ctx context.Context, a node.SendOrder) {
+	l.parts.Metrics.Events.Add("orders-sent", 1)
+	answered, err := l.parts.Orders.Send(ctx, a.Address, a.Send)
+	if err != nil {
+		l.parts.Metrics.Events.Add("order-failures", 1)
+		l.parts.Log.Warn().Err(err).Str("step", "order").Str("peer", string(a.Upstream)).Msg("order not confirmed")
+	}
+	l.Post(node.OrderAnswered{Answered: answered})
+}
+
+func (l *Loop) orderHeld(a node.OrderHeld) {
+	l.parts.Metrics.Events.Add("order-held-"+a.Why.String(), 1)
+	l.parts.Log.Info().Str("step", "order").Str("peer", string(a.Upstream)).Str("reason", a.Why.String()).Msg("order held back")
 }
--- a/io/upcall/load.go
+++ b/io/upcall/load.go
@@ -6,12 +6,15 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
 
 	"arbutustrestle/core/clock"
+	"arbutustrestle/core/ident"
 	"arbutustrestle/core/load"
+	"arbutustrestle/core/node"
 )
 
 const (
@@ -37,46 +40,58 @@
 	r.client.CloseIdleConnections()
 }
 
-// Read returns an upstream's report. Its time is that of the question, since the
-// upstream's clock can't be compared with this one.
-func (r *LoadReader) Read(ctx context.Context, address netip.AddrPort) (load.Report, error) {
+// Read returns an upstream's report of its load and models. Its time is that of the
+// question, since the upstream's clock can't be compared with this one.
+func (r *LoadReader) Read(ctx context.Context, address netip.AddrPort) (load.Report, node.Models, error) {
 	asked := r.clock.Now()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+"/v1/load", nil)
 	if err != nil {
-		return load.Report{}, errors.Trace(err)
+		return load.Report{}, node.Models{}, errors.Trace(err)
 	}
 	response, err := r.client.Do(request)
 	if err != nil {
-		return load.Report{}, errors.Annotatef(err, "read the load of %s", address)
+		return load.Report{}, node.Models{}, errors.Annotatef(err, "read the load of %s", address)
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		return load.Report{}, errors.Errorf("read the load of %s: status %d", address, response.StatusCode)
+		return load.Report{}, node.Models{}, errors.Errorf("read the load of %s: status %d", address, response.StatusCode)
 	}
-	report, err := decodeLoad(response.Body)
-	report.AsOf = asked
-	return report, errors.Annotatef(err, "decode the load of %s", address)
-}
-
-func decodeLoad(body io.Reader) (load.Report, error) {
-	var reply struct {
-		Running         int     `json:"running"`
-		Waiting         int     `json:"waiting"`
-		Slots           int     `json:"slots"`
-		TokensPerSecond float64 `json:"tokens-per-second"`
-		Leaving         bool    `json:"leaving"`
-	}
-	if err := json.NewDecoder(io.LimitReader(body, maxLoadBytes)).Decode(&reply); err != nil {
-		return load.Report{}, errors.Trace(err)
-	}
-	if reply.Running < 0 || reply.Waiting < 0 || reply.Slots < 0 || reply.TokensPerSecond < 0 {
-		return load.Report{}, errors.NotValidf("negative load")
+	reply, err := decodeLoad(response.Body)
+	if err != nil {
+		return load.Report{}, node.Models{}, errors.Annotatef(err, "decode the load of %s", address)
 	}
-	return load.Report{
+	report := load.Report{
 		Running:         reply.Running,
 		Waiting:         reply.Waiting,
 		Slots:           reply.Slots,
 		TokensPerSecond: reply.TokensPerSecond,
 		Leaving:         reply.Leaving,
-	}, nil
+		AsOf:            asked,
+	}
+	slices.Sort(reply.Loaded)
+	models := node.Models{Known: reply.Loaded != nil, Loaded: reply.Loaded, HighestFence: reply.HighestFence}
+	return report, models, nil
+}
+
+// loadMessage is an upstream's answer to a poll. Loaded is missing when it serves
+// every model.
+type loadMessage struct {
+	Running         int            `json:"running"`
+	Waiting         int            `json:"waiting"`
+	Slots           int            `json:"slots"`
+	TokensPerSecond float64        `json:"tokens-per-second"`
+	Leaving         bool           `json:"leaving"`
+	Loaded          []string       `json:"loaded"`
+	HighestFence    ident.Revision `json:"highest-fence"`
+}
+
+func decodeLoad(body io.Reader) (loadMessage, error) {
+	var reply loadMessage
+	if err := json.NewDecoder(io.LimitReader(body, maxLoadBytes)).Decode(&reply); err != nil {
+		return loadMessage{}, errors.Trace(err)
+	}
+	if reply.Running < 0 || reply.Waiting < 0 || reply.Slots < 0 || reply.TokensPerSecond < 0 {
+		return loadMessage{}, errors.NotValidf("negative load")
+	}
+	return reply, nil
 }
