Leave room in the keyed records for every workspace

Cause: one workspace with many keyed calls could fill an entry's records for the whole retention time, after which each other workspace's reservations were refused. Change: a workspace may hold no more than what is free besides, in records and in bytes, so that the greediest ends with half; the accounting moves into a type of its own. Ruled out: a fixed part for each of 1,300 workspaces, which would refuse ordinary bursts.

--- a/core/dedup/book.go
+++ b/core/dedup/book.go
@@ -22,28 +22,28 @@
 	answer *Answer
 }
 
-// size returns what the record counts towards Limits.MaxBytes.
-func (held *record) size(unique string) int {
+// size returns what the record takes, but for the room reserved while it runs.
+func (kept *record) size(unique string) held {
 	size := recordBytes + len(unique)
-	if held.answer != nil {
-		size += held.answer.size()
+	if kept.answer != nil {
+		size += kept.answer.size()
 	}
-	return size
+	return held{records: 1, bytes: size}
 }
 
 // repeat decides a repeated try of a key that is held.
-func (held *record) repeat(c Call) Decision {
+func (kept *record) repeat(c Call) Decision {
 	switch {
-	case held.fingerprint != c.Fingerprint:
+	case kept.fingerprint != c.Fingerprint:
 		// This body has not run, but the call that the key stands for may have: a
 		// caller that rebuilt its body on a retry must not read that it hasn't.
 		return refuse(result.Unknown, result.KeyReused)
-	case held.running:
+	case kept.running:
 		return Join{}
-	case held.answer == nil:
+	case kept.answer == nil:
 		return refuse(result.Unknown, result.AnswerNotKept)
 	default:
-		return Replay{Answer: held.answer}
+		return Replay{Answer: kept.answer}
 	}
 }
 
@@ -57,14 +57,14 @@
 }
 
 // put adds the record of a key.
-func (b book) put(k Key, held *record) {
+func (b book) put(k Key, kept *record) {
 	epoch := b[k.Epoch]
 	if epoch == nil {
 		epoch = map[string]*record{}
 		b[k.Epoch] = epoch
 	}
 	// The clone keeps the request's header buffer from being held.
-	epoch[strings.Clone(k.Unique)] = held
+	epoch[strings.Clone(k.Unique)] = kept
 }
 
 // remove takes out the record of a key.
@@ -76,31 +76,25 @@
 	}
 }
 
-// drop takes out a whole epoch, but for the calls that still run in it, and
-// returns what the dropped records held.
-func (b book) drop(epoch uint32) usage {
-	var dropped usage
-	for unique, held := range b[epoch] {
-		if held.running {
+// drop takes out a whole epoch, but for the calls that still run in it.
+func (b book) drop(epoch uint32, s *space) {
+	for unique, kept := range b[epoch] {
+		if kept.running {
 			continue
 		}
-		dropped.records++
-		dropped.bytes += held.size(unique)
+		s.remove(kept.workspace, kept.size(unique))
 		b.remove(Key{Epoch: epoch, Unique: unique})
 	}
-	return dropped
 }
 
-// usage returns what all records of the book hold.
-func (b book) usage() usage {
-	var total usage
+// clear takes out every record.
+func (b book) clear(s *space) {
 	for _, epoch := range b {
-		for unique, held := range epoch {
-			total.records++
-			total.bytes += held.size(unique)
+		for unique, kept := range epoch {
+			s.remove(kept.workspace, kept.size(unique))
 		}
 	}
-	return total
+	clear(b)
 }
 
 // each visits every record of an owner's book, by epoch and unique part.
--- a/core/dedup/handover.go
+++ b/core/dedup/handover.go
@@ -96,8 +96,8 @@
 	head.Export = r.exports
 	chunks := []Chunk{head}
 	size := 0
-	b.each(head.From, func(k Key, held *record) {
-		if !allowed(held.workspace) {
+	b.each(head.From, func(k Key, kept *record) {
+		if !allowed(kept.workspace) {
 			head.Complete = false
 			return
 		}
@@ -107,14 +107,14 @@
 			last = &chunks[len(chunks)-1]
 			size = 0
 		}
-		size += held.size(k.Unique)
+		size += kept.size(k.Unique).bytes
 		last.Records = append(last.Records, Handed{
 			Epoch:       k.Epoch,
 			Unique:      k.Unique,
-			Workspace:   held.workspace,
-			Fingerprint: held.fingerprint,
-			Running:     held.running,
-			Answer:      held.answer,
+			Workspace:   kept.workspace,
+			Fingerprint: kept.fingerprint,
+			Running:     kept.running,
+			Answer:      kept.answer,
 		})
 	})
 	for i := range chunks {
@@ -158,25 +158,38 @@
 		return errors.NotValidf("unique part in a handover")
 	}
 	k := Key{Owner: owner, Epoch: h.Epoch, Unique: h.Unique}
-	held := i.book.find(k)
-	if held != nil && (h.Running || !held.running) {
+	kept := i.book.find(k)
+	if kept != nil {
+		if kept.running && !h.Running {
+			r.replace(kept, h)
+		}
 		return nil
 	}
-	fresh := &record{workspace: h.Workspace, fingerprint: h.Fingerprint, running: h.Running, answer: h.Answer}
-	if held != nil {
-		r.count(-1, recordBytes-held.size(h.Unique))
-	}
-	if !r.hasRoom(fresh.size(h.Unique)-recordBytes, importShare) {
-		fresh.answer = nil
-	}
-	if held == nil && !r.hasRoom(len(h.Unique), importShare) {
+	fresh := &record{workspace: h.Workspace, fingerprint: h.Fingerprint, running: h.Running}
+	size := fresh.size(h.Unique)
+	if !r.space.fits(size, r.limits, importShare) {
 		return errors.QuotaLimitExceededf("records of %s at its successor", owner)
 	}
 	i.book.put(k, fresh)
-	r.count(1, fresh.size(h.Unique)-recordBytes)
+	r.space.add(h.Workspace, size)
+	r.replace(fresh, h)
 	return nil
 }
 
+// replace takes over how a handed call ended, without its answer when there is no
+// room for that.
+func (r *Records) replace(kept *record, h Handed) {
+	kept.running = h.Running
+	if h.Answer == nil || kept.stripped {
+		return
+	}
+	size := held{bytes: h.Answer.size()}
+	if r.space.fits(size, r.limits, importShare) {
+		kept.answer = h.Answer
+		r.space.add(kept.workspace, size)
+	}
+}
+
 // receive notes that a chunk was taken in whole.
 func (i *imported) receive(c Chunk) {
 	if i.complete {
@@ -205,8 +218,8 @@
 	if i == nil {
 		return refuse(result.Unknown, result.OwnerGone)
 	}
-	if held := i.book.find(c.Key); held != nil {
-		decision := held.repeat(c)
+	if kept := i.book.find(c.Key); kept != nil {
+		decision := kept.repeat(c)
 		if _, running := decision.(Join); running {
 			return refuse(result.Unknown, result.OwnerGone)
 		}
--- a/core/dedup/records.go
+++ b/core/dedup/records.go
@@ -84,17 +84,7 @@
 	own     book
 	// imports never holds self.
 	imports map[ident.Incarnation]*imported
-	usage   usage
-}
-
-// usage sums up what own and imported records hold.
-type usage struct {
-	records int
-	running int
-	// bytes includes reserved.
-	bytes int
-	// reserved is the space kept free for the answers of running calls.
-	reserved int
+	space   space
 }
 
 // NewRecords returns the empty records of an incarnation that starts now.
@@ -119,7 +109,7 @@
 
 // Usage returns how full the records are.
 func (r *Records) Usage() Usage {
-	return Usage{Records: r.usage.records, Running: r.usage.running, Bytes: r.usage.bytes, Imports: len(r.imports)}
+	return Usage{Records: r.space.total.records, Running: r.space.running, Bytes: r.space.total.bytes, Imports: len(r.imports)}
 }
 
 // Prefix returns the prefix of the keys that callers may mint now.
@@ -152,8 +142,8 @@
 	if c.Key.Owner != r.self {
 		return r.beginImported(c)
 	}
-	if held := r.own.find(c.Key); held != nil {
-		return held.repeat(c)
+	if kept := r.own.find(c.Key); kept != nil {
+		return kept.repeat(c)
 	}
 	switch {
 	case c.Key.Epoch > r.current:
@@ -171,13 +161,14 @@
 
 // beginNew records a key that is not held, if there is room.
 func (r *Records) beginNew(now time.Time, c Call) Decision {
-	if !r.hasRoom(len(c.Key.Unique)+r.limits.MaxAnswer, 1) {
+	size := held{records: 1, bytes: recordBytes + len(c.Key.Unique) + r.limits.MaxAnswer}
+	if !r.space.fits(size, r.limits, 1) || !r.space.mayGrow(c.Workspace, r.limits) {
 		return refuseLater(result.RecordsFull, r.roomAfter(now))
 	}
 	r.own.put(c.Key, &record{workspace: c.Workspace, fingerprint: c.Fingerprint, running: true})
-	r.usage.running++
-	r.usage.reserved += r.limits.MaxAnswer
-	r.count(1, len(c.Key.Unique)+r.limits.MaxAnswer)
+	r.space.running++
+	r.space.reserved += r.limits.MaxAnswer
+	r.space.add(c.Workspace, size)
 	return Run{}
 }
 
@@ -189,25 +180,25 @@
 	if k.Owner != r.self {
 		return
 	}
-	held := r.own.find(k)
-	if held == nil || !held.running {
+	kept := r.own.find(k)
+	if kept == nil || !kept.running {
 		return
 	}
-	held.running = false
-	r.usage.running--
-	r.usage.reserved -= r.limits.MaxAnswer
-	r.usage.bytes -= r.limits.MaxAnswer
+	kept.running = false
+	r.space.running--
+	r.space.reserved -= r.limits.MaxAnswer
+	r.space.remove(kept.workspace, held{bytes: r.limits.MaxAnswer})
 	if a.Outcome == result.NotRun || k.Epoch < r.oldest {
 		r.own.remove(k)
-		r.count(-1, -len(k.Unique))
+		r.space.remove(kept.workspace, kept.size(k.Unique))
 		return
 	}
-	if held.stripped || a.size() > r.limits.MaxAnswer {
+	if kept.stripped || a.size() > r.limits.MaxAnswer {
 		return
 	}
-	kept := a
-	held.answer = &kept
-	r.usage.bytes += kept.size()
+	answer := a
+	kept.answer = &answer
+	r.space.add(kept.workspace, held{bytes: answer.size()})
 }
 
 // Advance moves the epochs on and drops those past their retention. Begin and End
@@ -223,11 +214,11 @@
 	// A key may begin in an epoch until openEpochs later, and is kept from there.
 	ended := (elapsed-r.limits.Retention)/length - openEpochs
 	for oldest := uint32(max(ended, 0)); r.oldest < oldest; r.oldest++ {
-		r.usage.subtract(r.own.drop(r.oldest))
+		r.own.drop(r.oldest, &r.space)
 	}
 	for owner, i := range r.imports {
 		if !now.Before(i.expires) {
-			r.usage.subtract(i.book.usage())
+			i.book.clear(&r.space)
 			delete(r.imports, owner)
 		}
 	}
@@ -236,14 +227,14 @@
 // Strip drops the answers of the workspaces that may no longer be kept here; how
 // the call ended is kept.
 func (r *Records) Strip(allowed func(ident.Workspace) bool) {
-	strip := func(_ Key, held *record) {
-		if allowed(held.workspace) {
+	strip := func(_ Key, kept *record) {
+		if allowed(kept.workspace) {
 			return
 		}
-		held.stripped = true
-		if held.answer != nil {
-			r.usage.bytes -= held.answer.size()
-			held.answer = nil
+		kept.stripped = true
+		if kept.answer != nil {
+			r.space.remove(kept.workspace, held{bytes: kept.answer.size()})
+			kept.answer = nil
 		}
 	}
 	r.own.each(r.self, strip)
@@ -252,17 +243,9 @@
 	}
 }
 
-// hasRoom reports whether one more record of the given variable size fits into
-// the limits divided by share.
-func (r *Records) hasRoom(size, share int) bool {
-	records := r.usage.records * share
-	bytes := (r.usage.bytes + recordBytes + size) * share
-	return records < r.limits.MaxRecords && bytes <= r.limits.MaxBytes
-}
-
 // roomAfter estimates when a new key will find room.
 func (r *Records) roomAfter(now time.Time) time.Duration {
-	if r.usage.records < r.limits.MaxRecords && r.usage.reserved > r.limits.MaxBytes/2 {
+	if r.space.total.records < r.limits.MaxRecords && r.space.reserved > r.limits.MaxBytes/2 {
 		return retryAfterFull
 	}
 	epochs := time.Duration(r.oldest + 1 + openEpochs)
@@ -270,18 +253,6 @@
 	return max(drop.Sub(now), retryAfterFull)
 }
 
-// count adds records, and their variable size, to the usage.
-func (r *Records) count(records, size int) {
-	r.usage.records += records
-	r.usage.bytes += records*recordBytes + size
-}
-
-// subtract takes dropped records out of the usage.
-func (u *usage) subtract(dropped usage) {
-	u.records -= dropped.records
-	u.bytes -= dropped.bytes
-}
-
 // refuseLater returns a refusal of a key that never ran, with a time to come back.
 func refuseLater(reason result.Reason, after time.Duration) Refuse {
 	refusal := refuse(result.NotRun, reason)
