Let the retention of records and the wait of orderers follow the table

Cause: both are rows of the table, but the two parts took them at their start only, so that an edited row would have changed nothing. Change: SetRetention and SetTakeOver. A shorter retention drops epochs at once, which gives unknown and never a second run; a longer one brings none back. Two table cases show it.

--- a/core/dedup/records.go
+++ b/core/dedup/records.go
@@ -224,6 +224,14 @@
 	}
 }
 
+// SetRetention changes the least time for which a record is kept. A shorter one
+// drops epochs sooner, whose keys are refused as Unknown from then on; a longer one
+// brings none back.
+func (r *Records) SetRetention(now time.Time, retention time.Duration) {
+	r.limits.Retention = orDefault(retention, defaultRetention)
+	r.Advance(now)
+}
+
 // Strip drops the answers of the workspaces that may no longer be kept here; how
 // the call ended is kept.
 func (r *Records) Strip(allowed func(ident.Workspace) bool) {
--- a/core/dedup/table_test.go
+++ b/core/dedup/table_test.go
@@ -56,6 +56,9 @@
 		for i := range 600 {
 			r.Begin(b.now, dedup.Call{Key: key(fmt.Sprint(f[2], i)), Workspace: "near"})
 		}
+	case "retention":
+		keep, _ := time.ParseDuration(f[2])
+		r.SetRetention(b.now, keep)
 	case "strip":
 		r.Strip(allowed)
 	case "export":
--- a/core/order/order.go
+++ b/core/order/order.go
@@ -57,6 +57,10 @@
 	defaultPause      = 5 * time.Second
 )
 
+// MinTakeOver is the shortest safe wait to take over with the default limits: by
+// then, whoever holds an earlier list has sent the last order by it.
+const MinTakeOver = defaultListAge + defaultSendWithin
+
 // refreshPause is the least time between two Refresh actions.
 const refreshPause = 5 * time.Second
 
@@ -129,6 +133,12 @@
 	return &Orderer{self: self, limits: limits.withDefaults()}
 }
 
+// SetTakeOver changes the wait after each new list. One that is too short to be
+// safe is lengthened, by default to MinTakeOver.
+func (o *Orderer) SetTakeOver(wait time.Duration) {
+	o.limits.TakeOver = max(wait, o.limits.ListAge+o.limits.SendWithin)
+}
+
 // OrdererOf returns the instance that orders an engine by the list in force, and
 // false when there is none.
 func (o *Orderer) OrdererOf(u ident.Upstream) (ident.Instance, bool) {
--- a/core/order/order_test.go
+++ b/core/order/order_test.go
@@ -64,6 +64,9 @@
 				a := order.Answered{Upstream: ident.Upstream(f[3]), Accepted: f[4] == "accepted"}
 				_, _ = fmt.Sscan(f[5], &a.HighestFence)
 				e = a
+			case "take-over":
+				wait, _ := time.ParseDuration(f[3])
+				orderers[f[1]].SetTakeOver(wait)
 			case "removed":
 				e = order.Removed{Upstream: ident.Upstream(f[3])}
 			}
