Prove published values under faults and hold reads and delay to the target

Fault tables drive six feeds and a platform under one virtual clock: an old, absent or refusing platform, restarts of one and of all, doubled and late answers, a bad table, a conflict, a rollback as a new revision, lost pages, readers cut off. They found that a table whose pages are lost kept a starting instance from ever being ready; it is now set aside for a lower one that peers have in force, and a stalled candidate does not block the start. Lists now come first, as the list of entries tells how many share the platform's reads: a lone instance took over 5 s to start at the pace meant for 370. The pace follows the fleet now, from the listed entries in each zone.

--- a/core/feed/event.go
+++ b/core/feed/event.go
@@ -17,8 +17,13 @@
 // Members brings the alive entries of the own region, whenever they change.
 type Members struct {
 	Peers []Peer
-	// Expected is the number of other entries that the list names in this region.
+	// Expected is the number of other entries that the list names in this region as
+	// staying.
 	Expected int
+	// Fleet is the number of entries that the list names in all regions, and Readers
+	// that of the readers among them. Zero means that they are not known yet.
+	Fleet   int
+	Readers int
 }
 
 // PeerHas brings what a peer announced between two heartbeats.
--- a/core/feed/example_test.go
+++ b/core/feed/example_test.go
@@ -30,6 +30,9 @@
 					case a.Wait == 0:
 						next = append(next, feed.PlatformAnswered{Key: a.Key, Answer: feed.Found, Value: value})
 					}
+				case feed.ListInForce:
+					// The list tells how many entries share the platform's reads.
+					next = append(next, feed.Members{Fleet: 1, Readers: 1})
 				case feed.TableInForce:
 					fmt.Println("in force:", a.Table.Version().Revision)
 				case feed.BecameReady:
@@ -42,7 +45,7 @@
 	}
 	// Output:
 	// in force: 1
-	// ready: platform-only
+	// ready: both
 }
 
 // publish puts the table that follows a revision on a platform.
--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -57,6 +57,17 @@
 	Held   member.Held
 }
 
+// MembersOf returns what a view says of the other entries.
+func MembersOf(v *member.View) Members {
+	var m Members
+	for _, entries := range v.Zones() {
+		m.Fleet += entries
+		m.Readers += min(entries, readersPerZone)
+	}
+	m.Peers, m.Expected = PeersOf(v)
+	return m
+}
+
 // PeersOf returns the other alive entries of a view, and the number of other
 // entries of the region that are listed as staying.
 func PeersOf(v *member.View) (peers []Peer, expected int) {
--- /dev/null
+++ b/core/feed/fleet_test.go
@@ -0,0 +1,278 @@
+package feed_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"arbutustrestle/core/feed"
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/member"
+	"arbutustrestle/core/table"
+)
+
+const (
+	peerDelay     = 2 * time.Millisecond
+	platformDelay = 5 * time.Millisecond
+	platformLook  = 50 * time.Millisecond
+	region        = ident.Region("west")
+)
+
+// fleet drives the states of some instances and a platform under one virtual
+// clock of milliseconds.
+type fleet struct {
+	now      time.Time
+	random   *rand.Rand
+	nodes    []*node
+	queue    map[int64][]func()
+	ticks    time.Duration
+	values   map[feed.Key]feed.Value
+	saved    map[feed.Key]feed.Value // served while old is set
+	old      bool
+	down     bool
+	refusing bool
+	doubling bool
+	// unheard is how long a starting instance hears of no peer.
+	unheard time.Duration
+	reads   []time.Time
+	out     strings.Builder
+}
+
+type node struct {
+	id     ident.Instance
+	zone   ident.Zone
+	region int
+	// state is nil while the instance is down.
+	state  *feed.State
+	lostAt time.Time
+	// hearsAt is when the instance begins to hear its peers.
+	hearsAt time.Time
+	// cut keeps the instance from the platform.
+	cut       bool
+	table     ident.Revision
+	lists     map[feed.Key]ident.Revision
+	readyFrom feed.Source
+}
+
+// newFleet makes instances such as "e01-2", the second one in zone 1 of region 0.
+func newFleet(regions, zones, each int) *fleet {
+	f := &fleet{now: time.UnixMilli(0), random: rand.New(rand.NewPCG(1, 2)), queue: map[int64][]func(){}, values: map[feed.Key]feed.Value{}, ticks: member.TickInterval}
+	for i := range regions * zones * each {
+		r, z := i/each/zones, i/each%zones+1
+		id := ident.Instance(fmt.Sprintf("e%d%d-%d", r, z, i%each+1))
+		f.nodes = append(f.nodes, &node{id: id, zone: ident.Zone(fmt.Sprintf("z%d-%d", r, z)), region: r})
+	}
+	f.lists(1)
+	return f
+}
+
+func (f *fleet) lists(revision ident.Revision) {
+	for _, key := range []feed.Key{feed.EntriesKey, feed.UpstreamsKey(region)} {
+		f.values[key] = feed.Value{Revision: revision, Data: []byte("[]")}
+	}
+}
+
+// publish puts a table on the platform that follows a revision.
+func (f *fleet) publish(base ident.Revision, sheets []table.Sheet) {
+	pages := table.Split(sheets, table.PageBytes)
+	for _, p := range pages {
+		f.values[feed.PageKey(p.Ref.Digest)] = feed.Value{Revision: 1, Data: p.Data}
+	}
+	m := table.NewManifest(base, "ann", "", pages)
+	f.values[feed.ManifestKey] = feed.Value{Revision: f.values[feed.ManifestKey].Revision + 1, Data: m.Encode()}
+}
+
+func (f *fleet) after(d time.Duration, run func()) {
+	at := f.now.Add(max(d, time.Millisecond)).UnixMilli()
+	f.queue[at] = append(f.queue[at], run)
+}
+
+func (f *fleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(time.Millisecond) {
+		at := f.now.UnixMilli()
+		for _, run := range f.queue[at] {
+			run()
+		}
+		delete(f.queue, at)
+	}
+}
+
+// named returns the instances whose names begin so, or all.
+func (f *fleet) named(prefix string) []*node {
+	var list []*node
+	for _, n := range f.nodes {
+		if prefix == "all" || strings.HasPrefix(string(n.id), prefix) {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+func (f *fleet) start(n *node) {
+	n.state = feed.New(feed.Options{Instance: n.id, Zone: n.zone, Region: region, Random: rand.New(rand.NewPCG(f.random.Uint64(), 3))})
+	n.hearsAt = f.now.Add(f.unheard)
+	n.table, n.lists = 0, map[feed.Key]ident.Revision{}
+	run := n.state
+	repeat := func(event func() feed.Event, wait func() time.Duration) {
+		var again func()
+		again = func() {
+			if n.state == run {
+				f.step(n, event())
+				f.after(wait(), again)
+			}
+		}
+		f.after(time.Duration(f.random.Int64N(int64(f.ticks))), again)
+	}
+	repeat(func() feed.Event { return feed.Tick{} }, func() time.Duration { return f.ticks })
+	repeat(func() feed.Event { return f.membersOf(n) }, func() time.Duration { return max(f.ticks, f.period()) })
+}
+
+func (f *fleet) crash(n *node) {
+	n.state = nil
+	n.lostAt = f.now
+}
+
+func (f *fleet) period() time.Duration {
+	return member.Period(len(f.nodes) / (f.nodes[len(f.nodes)-1].region + 1))
+}
+
+// membersOf returns what an instance holds of its region: a crashed one for three
+// more periods, though it does not answer.
+func (f *fleet) membersOf(n *node) feed.Members {
+	var m feed.Members
+	zones := map[ident.Zone]int{}
+	for _, p := range f.nodes {
+		zones[p.zone]++
+		if p == n || p.region != n.region {
+			continue
+		}
+		m.Expected++
+		peer := feed.Peer{Instance: p.id, Zone: p.zone, Usable: true}
+		if p.state != nil {
+			peer.Held = p.state.Held()
+		}
+		if f.now.Before(n.hearsAt) {
+			continue
+		}
+		if p.state != nil || !p.lostAt.IsZero() && f.now.Sub(p.lostAt) <= 3*f.period() {
+			m.Peers = append(m.Peers, peer)
+		}
+	}
+	if n.state.Held().Entries == 0 {
+		return m
+	}
+	m.Fleet = len(f.nodes)
+	for _, count := range zones {
+		m.Readers += min(count, 2)
+	}
+	return m
+}
+
+func (f *fleet) step(n *node, e feed.Event) {
+	run := n.state
+	if run == nil {
+		return
+	}
+	for _, action := range append([]feed.Action{}, run.Step(f.now, e)...) {
+		switch a := action.(type) {
+		case feed.ReadPlatform:
+			f.reads = append(f.reads, f.now)
+			f.after(platformDelay, func() { f.answer(n, run, a) })
+		case feed.AskPeer:
+			f.after(peerDelay, func() { f.ask(n, run, a) })
+		case feed.Announce:
+			for _, id := range a.To {
+				f.after(peerDelay, func() { f.step(f.named(string(id))[0], feed.PeerHas{Instance: n.id, Held: a.Held}) })
+			}
+		case feed.TableInForce:
+			if a.Table.Version().Revision <= n.table {
+				fmt.Fprintf(&f.out, "%s went from %d to %d\n", n.id, n.table, a.Table.Version().Revision)
+			}
+			n.table = a.Table.Version().Revision
+		case feed.ListInForce:
+			if a.Value.Revision <= n.lists[a.Key] {
+				fmt.Fprintf(&f.out, "%s went from %d to %d of %s\n", n.id, n.lists[a.Key], a.Value.Revision, a.Key)
+			}
+			n.lists[a.Key] = a.Value.Revision
+		case feed.BecameReady:
+			n.readyFrom = a.Source
+			for _, p := range f.nodes {
+				if p.state != nil && p.table > n.table {
+					fmt.Fprintf(&f.out, "%s is ready with %d, %s has %d\n", n.id, n.table, p.id, p.table)
+				}
+			}
+		case feed.Refused:
+			line, _, _ := strings.Cut(fmt.Sprint(a.Err), "\n")
+			fmt.Fprintf(&f.out, "%s refused revision %d, %s: %s\n", n.id, a.Version.Revision, a.Verdict, line)
+		}
+	}
+}
+
+// deliver brings an answer to the run that asked, and once more when answers are
+// doubled, 3 s later.
+func (f *fleet) deliver(n *node, run *feed.State, e feed.Event) {
+	step := func() {
+		if n.state == run {
+			f.step(n, e)
+		}
+	}
+	step()
+	if f.doubling {
+		f.after(3*time.Second, step)
+	}
+}
+
+// answer plays the platform: it answers a read, keeps it waiting or fails it.
+func (f *fleet) answer(n *node, run *feed.State, r feed.ReadPlatform) {
+	v, found := f.values[r.Key]
+	if f.old {
+		v, found = f.saved[r.Key]
+	}
+	switch {
+	case f.down || n.cut:
+		f.deliver(n, run, feed.PlatformFailed{Key: r.Key})
+	case f.refusing:
+		f.deliver(n, run, feed.PlatformFailed{Key: r.Key, RetryAfter: 2 * time.Second})
+	case !found:
+		f.deliver(n, run, feed.PlatformAnswered{Key: r.Key, Answer: feed.Absent})
+	case v.Revision > r.After:
+		f.deliver(n, run, feed.PlatformAnswered{Key: r.Key, Answer: feed.Found, Value: v})
+	case r.Wait <= 0:
+		f.deliver(n, run, feed.PlatformAnswered{Key: r.Key, Answer: feed.Unchanged})
+	default:
+		r.Wait -= platformLook
+		f.after(platformLook, func() { f.answer(n, run, r) })
+	}
+}
+
+func (f *fleet) ask(n *node, run *feed.State, a feed.AskPeer) {
+	var answer feed.Event = feed.PeerFailed{Instance: a.Instance, Key: a.Key}
+	if p := f.named(string(a.Instance))[0]; p.state != nil {
+		v, found := p.state.Value(a.Key, a.After)
+		answer = feed.PeerAnswered{Instance: a.Instance, Key: a.Key, Found: found, Value: v}
+	}
+	f.after(peerDelay, func() { f.deliver(n, run, answer) })
+}
+
+// everywhere reports whether every running instance has a revision in force.
+func (f *fleet) everywhere(revision ident.Revision) bool {
+	for _, n := range f.nodes {
+		if n.state != nil && n.state.Held().Table < revision {
+			return false
+		}
+	}
+	return true
+}
+
+// worstSecond returns the highest number of reads in any second.
+func worstSecond(reads []time.Time) int {
+	first, most := 0, 0
+	for i, at := range reads {
+		for at.Sub(reads[first]) >= time.Second {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
--- a/core/feed/platform.go
+++ b/core/feed/platform.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"arbutustrestle/core/ident"
+	"arbutustrestle/core/member"
 )
 
 const (
@@ -24,20 +25,24 @@
 	// fails, before it is spread by half either way.
 	minBackoff = time.Second
 	maxBackoff = 30 * time.Second
-	// readerGap and otherGap are the mean time between two reads of one instance at
-	// their fastest; readerBurst and otherBurst are how many may go at once. With
-	// two readers in each of 48 zones and 274 other instances that all read without
-	// a break, it is less than 2,000 reads in any second.
-	readerGap   = 100 * time.Millisecond
-	otherGap    = 500 * time.Millisecond
-	readerBurst = 2
-	otherBurst  = 1
+	// readerGap and otherGap, times the readers and the entries of the fleet, are
+	// the time between two reads of one instance at its fastest. What is not used is
+	// saved for one tick, or for one read. When two readers in each of 48 zones and
+	// 274 other instances all read without a break, it is less than 2,000 reads in
+	// any second.
+	readerGap = 1100 * time.Microsecond
+	otherGap  = 1400 * time.Microsecond
+	// minGap is the shortest time between reads in a small fleet.
+	minGap = 10 * time.Millisecond
+	// unknownFleet is the number of entries assumed before the list is known.
+	unknownFleet = 370
 )
 
 // The watched values, as indexes of State.watches.
 const (
-	watchManifest = iota
-	watchEntries
+	// The entries come first, as they tell how fast this instance may read.
+	watchEntries = iota
+	watchManifest
 	watchUpstreams
 	watchCount
 )
@@ -125,15 +130,25 @@
 }
 
 func (s *State) refill() {
-	gap, burst := otherGap, float64(otherBurst)
-	if s.reader {
-		gap, burst = readerGap, readerBurst
-	}
+	gap := s.gap()
+	burst := max(1, member.TickInterval.Seconds()/gap.Seconds())
 	earned := s.now.Sub(s.platform.refilled).Seconds() / gap.Seconds()
 	s.platform.credit = min(burst, s.platform.credit+earned)
 	s.platform.refilled = s.now
 }
 
+// gap returns the time between two reads at the fastest.
+func (s *State) gap() time.Duration {
+	switch {
+	case s.fleet == 0:
+		return unknownFleet * otherGap
+	case s.reader:
+		return max(minGap, time.Duration(s.readers)*readerGap)
+	default:
+		return max(minGap, time.Duration(s.fleet)*otherGap)
+	}
+}
+
 func (s *State) spend() {
 	s.platform.credit--
 	s.counts.PlatformReads++
--- a/core/feed/sheets.go
+++ b/core/feed/sheets.go
@@ -72,6 +72,8 @@
 	reading bool
 	lostAt  time.Time
 	retryAt time.Time
+	// failures counts the platform's answers without the page.
+	failures int
 }
 
 func (h *sheets) page(digest table.Digest) ([]byte, bool) {
@@ -194,8 +196,15 @@
 	s.announce(c.from)
 }
 
-// park sets the candidate aside when none of its pages came for a while and peers
-// have a lower table in force that is newer than the one here.
+// stalled reports whether none of the candidate's pages came for a while, now or
+// when it was parked. An instance does not wait for it to become ready.
+func (s *State) stalled() bool {
+	c := s.sheets.candidate
+	return s.now.Sub(c.progress) >= parkAfter || c.version == s.sheets.parked.version
+}
+
+// park sets a stalled candidate aside when peers have a lower table in force that
+// is newer than the one here.
 func (s *State) park() {
 	c := s.sheets.candidate
 	if s.now.Sub(c.progress) < parkAfter {
@@ -209,8 +218,7 @@
 	s.sheets.candidate = nil
 }
 
-// unpark makes the parked candidate the candidate again. Its version stays noted
-// as parked, so that the instance does not wait for it to become ready.
+// unpark makes the parked candidate the candidate again.
 func (s *State) unpark() {
 	p := &s.sheets.parked
 	if p.value.Data == nil || s.now.Before(p.until) {
@@ -264,7 +272,9 @@
 	f := c.missing[digest]
 	if from == "" {
 		f.reading = false
-		f.retryAt = s.now.Add(askAgainAfter + s.upTo(askAgainAfter))
+		wait := min(maxBackoff, minBackoff<<min(f.failures, 5))
+		f.failures++
+		f.retryAt = s.now.Add(wait + s.upTo(wait))
 		f.question.tried = nil
 		return
 	}
--- a/core/feed/state.go
+++ b/core/feed/state.go
@@ -77,11 +77,14 @@
 	// now never decreases.
 	now   time.Time
 	ready bool
-	// watches holds the manifest, the entries and the upstreams, in this order.
+	// watches holds the entries, the manifest and the upstreams, in this order.
 	watches  [watchCount]watch
 	platform platform
 	peers    []Peer
 	expected int
+	// fleet and readers are as in Members.
+	fleet   int
+	readers int
 	// reader is set when this instance is one of its zone's readers, lonely when it
 	// hears no other entry.
 	reader bool
@@ -131,8 +134,8 @@
 		s.peerFailed(e.Instance, e.Key)
 	}
 	s.planQuestions()
-	s.planPages()
 	s.planReads()
+	s.planPages()
 	s.checkReady()
 	return s.actions
 }
@@ -212,6 +215,8 @@
 	watched := s.watching()
 	s.peers = m.Peers
 	s.expected = m.Expected
+	s.fleet = m.Fleet
+	s.readers = m.Readers
 	s.lonely = len(m.Peers) == 0
 	s.counted = s.watches[watchEntries].value.Revision > 0
 	zone := []ident.Instance{s.options.Instance}
@@ -305,7 +310,7 @@
 	if s.sheets.inForce.Revision == 0 {
 		return false
 	}
-	if c := s.sheets.candidate; c != nil && c.version != s.sheets.parked.version {
+	if s.sheets.candidate != nil && !s.stalled() {
 		return false
 	}
 	for i := range s.watches {
--- a/core/member/state.go
+++ b/core/member/state.go
@@ -82,6 +82,8 @@
 	listing Listing
 	// listed holds the entries of the listing by name; it is replaced, never changed.
 	listed map[ident.Instance]Entry
+	// zones counts them by zone; it is replaced, never changed.
+	zones map[ident.Zone]int
 	// regions holds the other regions, sorted by name.
 	regions   []*region
 	nextSeeds time.Time
@@ -262,12 +264,14 @@
 	}
 	s.listing = l
 	s.listed = make(map[ident.Instance]Entry, len(l.Entries))
+	s.zones = map[ident.Zone]int{}
 	for _, p := range s.peers {
 		p.listed = false
 		p.leaving = false
 	}
 	for _, e := range l.Entries {
 		s.listed[e.ID] = e
+		s.zones[e.Zone]++
 		switch {
 		case e.ID == s.options.Self.ID:
 			s.options.Self.Leaving = e.Leaving
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -64,6 +64,7 @@
 	// regions is sorted by name.
 	regions []Region
 	listed  map[ident.Instance]Entry
+	zones   map[ident.Zone]int
 }
 
 // Members returns every instance of the own region that is listed or heard, this
@@ -101,6 +102,12 @@
 	return e, found
 }
 
+// Zones returns the number of listed entries in each zone of all regions. It must
+// not be changed.
+func (v *View) Zones() map[ident.Zone]int {
+	return v.zones
+}
+
 // Alive returns the names of the alive members in any phase, this instance
 // included, sorted: the candidates for ranking in the own region.
 func (v *View) Alive() []ident.Instance {
@@ -139,6 +146,7 @@
 		advised:  make([]ident.Instance, 0, len(s.peers)+1),
 		regions:  make([]Region, 0, len(s.regions)),
 		listed:   s.listed,
+		zones:    s.zones,
 	}
 	v.Self = s.selfMember()
 	self := false
