Keep the reads under way from growing with doubled answers

Each answer of the platform began the next read of its key. An answer now ends the read under way only if it can be its own: a found revision above the one asked after, or "unchanged" after at least half of the wait. Numbering the reads was ruled out, as every embedder would have to carry the number. Steps now return slices of their own: one that was reused broke an embedder that steps again while it goes through the actions. Regions that are neither listed nor heard are forgotten after ten minutes, like instances.

--- a/core/feed/feed_test.go
+++ b/core/feed/feed_test.go
@@ -82,7 +82,7 @@
 			fmt.Fprintf(&f.out, "%s ready from %s\n", n.id, n.readyFrom)
 		case "counts":
 			c := n.state.Counts()
-			fmt.Fprintf(&f.out, "stale=%d conflicts=%d refused=%d\n", c.StaleAnswers, c.Conflicts, c.RefusedTables)
+			fmt.Fprintf(&f.out, "reads=%d stale=%d conflicts=%d refused=%d\n", c.PlatformReads, c.StaleAnswers, c.Conflicts, c.RefusedTables)
 		}
 	}
 }
--- a/core/feed/platform.go
+++ b/core/feed/platform.go
@@ -19,8 +19,6 @@
 	electedSpread = 500 * time.Millisecond
 	// absentEvery is how often an absent value is read again.
 	absentEvery = 2 * time.Second
-	// unheldEvery spaces the watches of a platform that does not wait.
-	unheldEvery = 5 * time.Second
 	// minBackoff and maxBackoff bound the time between reads of a platform that
 	// fails, before it is spread by half either way.
 	minBackoff = time.Second
@@ -62,6 +60,8 @@
 	// lostAt is zero when no read is under way.
 	readAt time.Time
 	lostAt time.Time
+	// after and waited are what it asked for.
+	after  ident.Revision
 	waited time.Duration
 	// nextRead is when the next read is due.
 	nextRead time.Time
@@ -100,6 +100,7 @@
 		wait = watchWait
 	}
 	w.readAt = s.now
+	w.after = w.seen
 	w.waited = wait
 	w.lostAt = s.now.Add(wait + lostAfter)
 	s.spend()
@@ -165,10 +166,12 @@
 		return
 	}
 	w := &s.watches[i]
-	w.lostAt = time.Time{}
 	w.answered = true
 	w.absent = e.Answer == Absent
-	w.nextRead = s.afterAnswer(w, e.Answer)
+	if w.ends(s.now, e) {
+		w.lostAt = time.Time{}
+		w.nextRead = s.afterAnswer(w, e.Answer)
+	}
 	if e.Answer != Found {
 		return
 	}
@@ -179,19 +182,29 @@
 	s.takeValue(i, e.Value, "")
 }
 
+// ends reports whether an answer can be that of the read under way. Others are late
+// or doubled, or of a read made elsewhere in the instance: were the next read to
+// begin at each of them, the reads under way would grow in number.
+func (w *watch) ends(now time.Time, e PlatformAnswered) bool {
+	switch e.Answer {
+	case Found:
+		return e.Value.Revision > w.after || w.after == 0
+	case Unchanged:
+		return now.Sub(w.readAt) >= w.waited/2
+	default:
+		return true
+	}
+}
+
 // afterAnswer returns when the value may be read again.
 func (s *State) afterAnswer(w *watch, answer Answer) time.Time {
 	if !s.watching() {
 		return w.readAt.Add(checkEvery*3/4 + s.upTo(checkEvery/2))
 	}
-	switch {
-	case answer == Absent:
+	if answer == Absent {
 		return s.now.Add(absentEvery + s.upTo(absentEvery))
-	case answer == Unchanged && s.now.Sub(w.readAt) < w.waited/2:
-		return s.now.Add(unheldEvery + s.upTo(unheldEvery))
-	default:
-		return s.now
 	}
+	return s.now
 }
 
 func (s *State) platformFailed(e PlatformFailed) {
--- a/core/feed/state.go
+++ b/core/feed/state.go
@@ -113,10 +113,9 @@
 	return s
 }
 
-// Step takes in an event and returns what is to be done. The returned slice is
-// valid until the next step.
+// Step takes in an event and returns what is to be done.
 func (s *State) Step(now time.Time, event Event) []Action {
-	s.actions = s.actions[:0]
+	s.actions = nil
 	s.advance(now)
 	switch e := event.(type) {
 	case Tick:
--- a/core/member/state.go
+++ b/core/member/state.go
@@ -118,11 +118,10 @@
 	return s.counts
 }
 
-// Step takes in an event and returns what is to be done. The returned slice is
-// valid until the next step. A time before that of an earlier step counts as
-// that step's time.
+// Step takes in an event and returns what is to be done. A time before that of an
+// earlier step counts as that step's time.
 func (s *State) Step(now time.Time, event Event) []Action {
-	s.actions = s.actions[:0]
+	s.actions = nil
 	s.advance(now)
 	switch e := event.(type) {
 	case Tick:
@@ -269,6 +268,9 @@
 		p.listed = false
 		p.leaving = false
 	}
+	for _, r := range s.regions {
+		r.listed = false
+	}
 	for _, e := range l.Entries {
 		s.listed[e.ID] = e
 		s.zones[e.Zone]++
@@ -278,7 +280,9 @@
 		case e.Region == s.options.Self.Region:
 			s.list(e)
 		default:
-			s.region(e.Region)
+			if r := s.region(e.Region); r != nil {
+				r.listed = true
+			}
 		}
 	}
 	s.changed = true
@@ -315,7 +319,7 @@
 	return p
 }
 
-// forget drops peers that are neither listed nor heard for a long time.
+// forget drops peers and regions that are neither listed nor heard for a long time.
 func (s *State) forget() {
 	s.peers = slices.DeleteFunc(s.peers, func(p *peer) bool {
 		quiet := s.now.Sub(p.heardAt) > forgetAfter && s.now.Sub(p.addedAt) > forgetAfter
@@ -323,6 +327,11 @@
 		s.changed = s.changed || drop
 		return drop
 	})
+	s.regions = slices.DeleteFunc(s.regions, func(r *region) bool {
+		drop := !r.listed && s.now.Sub(r.madeAt) > forgetAfter
+		s.changed = s.changed || drop
+		return drop
+	})
 }
 
 func comparePeer(p *peer, id ident.Instance) int {
--- a/core/member/summary.go
+++ b/core/member/summary.go
@@ -37,6 +37,8 @@
 // region is what is held of another region.
 type region struct {
 	name ident.Region
+	// listed is set when the newest listing has entries there.
+	listed bool
 	// summary is the newest one; its Origin is zero when none was heard.
 	summary Summary
 	// madeAt is when the summary was made, not counting its time on the way.
