Report the processor time per token of a load

The cost of an entry is the processor time per streamed token of client, entry and stand-in together, against the same without the entry, in one run. The load tool now takes the processes by name and pid and reports their time from /proc beside its own. Timing the programs from outside was ruled out, since start and idle time would count too.

--- a/cmd/standin/load.go
+++ b/cmd/standin/load.go
@@ -38,6 +38,7 @@
 	load      bench.Load
 	platform  addressFlag
 	services  []netip.AddrPort
+	processes processes
 	checkText bool
 	json      bool
 }
@@ -79,6 +80,8 @@
 	f.BoolVar(&l.Keyed, "keyed", false, "give each service call an idempotency key")
 	f.IntVar(&l.Repeat, "repeat", 0, "times that each keyed call is sent again through other entries")
 	f.Func("verify", "`ip:port` of service stand-ins whose logs are compared with what callers were told of their keyed calls", addresses(&c.services))
+	c.processes = processes{}
+	f.Var(c.processes, "processes", "`name=pid` of processes whose processor time to report, with commas between")
 	f.IntVar(&l.Workers, "workers", 16, "requests that run at once")
 	f.Float64Var(&l.Rate, "rate", 0, "requests a second; 0 sends as fast as the workers can")
 	f.IntVar(&l.Count, "count", 1000, "requests to send at most")
@@ -170,19 +173,33 @@
 	if len(c.services) > 0 {
 		c.load.Ended = ends.add
 	}
+	before, err := c.processes.times()
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
 	report, err := c.load.Run(ctx, &client)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	after, err := c.processes.times()
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
 	ran, err := runsByKey(ctx, &client, c.services)
-	return &loadReport{Report: report, KeyFaults: ends.compare(ran)}, errors.Trace(err)
+	load := time.Duration(report.ProcessorSeconds * float64(time.Second))
+	return &loadReport{
+		Report:    report,
+		KeyFaults: ends.compare(ran),
+		Processor: newProcessorReport(before, after, load, report.Tokens),
+	}, errors.Trace(err)
 }
 
 // loadReport is what the command prints.
 type loadReport struct {
 	*bench.Report
 	// KeyFaults has the calls whose end doesn't agree with the services' logs.
-	KeyFaults []keyFault `json:"key-faults"`
+	KeyFaults []keyFault      `json:"key-faults"`
+	Processor processorReport `json:"processor"`
 }
 
 func (c *loadCommand) print(report *loadReport) error {
@@ -190,7 +207,9 @@
 		for _, fault := range report.KeyFaults {
 			fmt.Printf("key %s: told %s, ran %d times\n", fault.Key, fault.Told, fault.Ran)
 		}
-		return report.WriteTable(os.Stdout)
+		err := report.WriteTable(os.Stdout)
+		fmt.Printf("processor seconds: %v; %.2f us per token\n", report.Processor.Seconds, report.Processor.MicrosPerToken)
+		return errors.Trace(err)
 	}
 	return errors.Trace(json.NewEncoder(os.Stdout).Encode(report))
 }
--- a/io/bench/report.go
+++ b/io/bench/report.go
@@ -142,8 +142,10 @@
 	// ProcessorSeconds is what this process used, system time included.
 	ProcessorSeconds float64 `json:"processor-seconds"`
 	Requests         int     `json:"requests"`
-	RequestsPerS     float64 `json:"requests-per-second"`
-	TokensPerS       float64 `json:"tokens-per-second"`
+	// Tokens counts those of whole answers.
+	Tokens       int     `json:"tokens"`
+	RequestsPerS float64 `json:"requests-per-second"`
+	TokensPerS   float64 `json:"tokens-per-second"`
 	// Classes has the classes of the mix by name.
 	Classes map[string]*ClassReport `json:"classes"`
 	// Reasons counts the tries that failed.
@@ -167,7 +169,6 @@
 		Classes:          map[string]*ClassReport{},
 		Reasons:          map[string]int{},
 	}
-	tokens := 0
 	for class, weight := range r.load.Mix {
 		if weight == 0 {
 			continue
@@ -175,7 +176,7 @@
 		c := r.classReport(class)
 		report.Classes[table.Class(class).String()] = c
 		report.Requests += c.Whole + c.NotRun + c.Unknown
-		tokens += c.Tokens
+		report.Tokens += c.Tokens
 	}
 	for _, t := range r.tallies {
 		for reason, count := range t.reasons {
@@ -183,7 +184,7 @@
 		}
 	}
 	report.RequestsPerS = float64(report.Requests) / elapsed.Seconds()
-	report.TokensPerS = float64(tokens) / elapsed.Seconds()
+	report.TokensPerS = float64(report.Tokens) / elapsed.Seconds()
 	return report
 }
 
@@ -219,10 +220,11 @@
 		}
 		_, _ = fmt.Fprintln(t)
 	}
+	err := t.Flush()
 	for _, name := range slices.Sorted(maps.Keys(r.Reasons)) {
-		_, _ = fmt.Fprintf(t, "%s\t%d\t\n", name, r.Reasons[name])
+		_, _ = fmt.Fprintf(w, "failed tries: %d %s\n", r.Reasons[name], name)
 	}
-	return errors.Trace(t.Flush())
+	return errors.Trace(err)
 }
 
 // processorTime returns the processor time of this process so far.
