Test that an abandoned answer frees its slot in the engine stand-in

That closing a connection cancels the request was built but had no test of its own. The new one leaves a long answer of an engine with one slot, and expects the next request to be answered whole and the log to say that the first was cancelled before its end.

--- a/cmd/standin/all.go
+++ b/cmd/standin/all.go
@@ -84,7 +84,7 @@
 func (u *unit) setAll(values map[string]string, keys []string) error {
 	kept := *u
 	f := newFlagSet()
-	u.register(f)
+	u.register(f) // sets each field to its default
 	*u = kept
 	for _, key := range keys {
 		if f.Lookup(key) == nil {
--- a/io/emul/contract_test.go
+++ b/io/emul/contract_test.go
@@ -409,6 +409,27 @@
 	}
 }
 
+// TestCancel leaves an engine in the middle of a long answer, which frees the slot
+// for the request that waits.
+func TestCancel(t *testing.T) {
+	g := newRig(t)
+	e := engine.New(engine.Settings{Slots: 1, StepTime: 10 * time.Microsecond})
+	g.runs = e.Runs()
+	g.serve(e.Handler())
+	defer g.close()
+	long := `{"model":"m","version":"1","prompt":"p","max-tokens":65536}`
+	if s := g.call(http.MethodPost, "/v1/completions", "r1", long, fault.HangAfterRun.String()); s.end == "clean" {
+		t.Error("the long answer came to its end")
+	}
+	s := g.call(http.MethodPost, "/v1/completions", "r2", `{"model":"m","version":"1","prompt":"p","max-tokens":3}`, "")
+	if got := frames(s, "r2", "p", 3); got != "frames=3 own=true done=true" {
+		t.Error(got)
+	}
+	if first := g.runs.Runs(0)[0]; first.State != emul.Cancelled || first.Frames == 65536 {
+		t.Errorf("%+v", first)
+	}
+}
+
 // TestStopWaiting stops servers whose requests only wait: those end without an
 // answer, and the stop waits for none.
 func TestStopWaiting(t *testing.T) {
