--- a/core/feed/feed_test.go
+++ b/core/feed/feed_test.go
@@ -142,6 +142,13 @@
 	f.crash(f.nodes[slices.IndexFunc(f.nodes, func(n *node) bool { return n.state.Status().Reader })])
 	change("one row", 2, append(workspaces, "one-more"))
 	change("all rows", 3, others)
+	f.lists(2)
+	phase("the lists change", 10*time.Second)
+	for _, n := range f.nodes {
+		if n.state != nil && n.state.Held().Entries != 2 {
+			t.Errorf("%s has list %d", n.id, n.state.Held().Entries)
+		}
+	}
 	f.command("crash e01")
 	phase("a zone is lost", time.Minute)
 	f.command("platform down")
--- a/core/feed/question.go
+++ b/core/feed/question.go
@@ -13,6 +13,10 @@
 	questionTimeout = 3 * time.Second
 	// askAgainAfter is how long after all its holders failed a value is asked for again.
 	askAgainAfter = 2 * time.Second
+	// ownReadSpread spreads the own reads of the list of entries; ownReadWait is the
+	// time after which peers are asked for it.
+	ownReadSpread = 2 * time.Second
+	ownReadWait   = 4 * time.Second
 	// refusedRetry is how long after a refusal the same revision is not asked for.
 	refusedRetry = 30 * time.Second
 )
@@ -85,15 +89,32 @@
 			continue
 		}
 		if q.since.IsZero() {
-			q.since = s.now
-			q.otherZoneAt = s.now.Add(otherZoneDelay + s.upTo(otherZoneSpread))
+			s.learn(i, w)
 		}
-		if q.asked == "" && !s.now.Before(q.retryAt) {
+		if q.asked == "" && !s.now.Before(q.retryAt) && !s.readsItself(i, q) {
 			s.ask(i, w)
 		}
 	}
 }
 
+// learn notes that peers have a newer value.
+func (s *State) learn(i int, w *watch) {
+	q := &w.question
+	q.since = s.now
+	q.otherZoneAt = s.now.Add(otherZoneDelay + s.upTo(otherZoneSpread))
+	if own := s.now.Add(s.upTo(ownReadSpread)); i == watchEntries && own.Before(w.nextRead) {
+		w.nextRead = own
+	}
+}
+
+// readsItself reports whether a value is left to the own read for now. The list of
+// entries of all regions is large: a reader that gave it to its zone would spend
+// more bytes on it than on all else, while a read of each entry is cheap.
+func (s *State) readsItself(i int, q *question) bool {
+	waits := s.now.Sub(q.since) < ownReadWait
+	return i == watchEntries && waits && s.ready && s.platform.failures == 0
+}
+
 func (s *State) refusedLately(i int, newest ident.Revision) bool {
 	same := newest == s.sheets.refused.Revision
 	return i == watchManifest && same && s.now.Sub(s.sheets.refusedAt) < refusedRetry
