--- a/core/member/bench_test.go
+++ b/core/member/bench_test.go
@@ -108,78 +108,61 @@
 }
 
 // TestControlTraffic holds the traffic of the busiest entry of a region of the
-// mean size to the target; BenchmarkControlTraffic has other sizes.
+// mean size to the target; BenchmarkFleet has other sizes.
 func TestControlTraffic(t *testing.T) {
 	if _, most, _ := fleet(26).traffic(30); most > targetControlBytes {
 		t.Errorf("%.0f B/s of %d", most, targetControlBytes)
 	}
 }
 
-func BenchmarkControlTraffic(b *testing.B) {
-	eachSize(b, func(b *testing.B, n *network, _ *State) {
-		mean, most, messages := n.traffic(60)
-		b.ReportMetric(mean, "mean-B/s")
-		b.ReportMetric(most, "busiest-B/s")
-		b.ReportMetric(messages, "fleet-messages/s")
-	})
-}
-
-func eachSize(b *testing.B, run func(b *testing.B, n *network, s *State)) {
-	for _, size := range []int{9, 26, 65, 120} {
+// BenchmarkFleet reports the traffic, and the bytes that one state holds, its view
+// included.
+func BenchmarkFleet(b *testing.B) {
+	for _, size := range sizes {
 		b.Run(fmt.Sprintf("entries=%d", size), func(b *testing.B) {
+			before := heap()
 			n := fleet(size)
-			b.ReportAllocs()
-			run(b, n, n.nodes["r00-004"].state)
+			n.queue = nil
+			b.ReportMetric(float64(heap()-before)/float64(len(n.nodes)), "B/state")
+			mean, most, messages := n.traffic(60)
+			b.ReportMetric(mean, "mean-B/s")
+			b.ReportMetric(most, "busiest-B/s")
+			b.ReportMetric(messages, "fleet-messages/s")
 		})
 	}
 }
 
-func BenchmarkTick(b *testing.B) {
-	eachSize(b, func(b *testing.B, n *network, s *State) {
-		for b.Loop() {
-			n.now = n.now.Add(TickInterval)
-			s.Step(n.now, Tick{})
-		}
-	})
-}
+var sizes = []int{9, 26, 65, 120}
 
-func BenchmarkHeartbeat(b *testing.B) {
-	eachSize(b, func(b *testing.B, n *network, s *State) {
+// BenchmarkDecisions measures each decision at one entry of the region.
+func BenchmarkDecisions(b *testing.B) {
+	for _, size := range sizes {
+		n := fleet(size)
+		s := n.nodes["r00-004"].state
 		p := s.find("r00-001")
-		h := Heartbeat{From: ident.Incarnation{Instance: "r00-001", Start: p.start}, Sequence: p.sequence, Phase: Ready, Held: p.held}
-		for b.Loop() {
-			h.Sequence++
-			h.Echo = Echo{Start: s.options.Start, Sequence: p.sent}
-			s.Step(n.now, HeartbeatArrived{Heartbeat: h})
-		}
-	})
-}
-
-func BenchmarkViewBuild(b *testing.B) {
-	eachSize(b, func(b *testing.B, _ *network, s *State) {
-		for b.Loop() {
-			s.buildView()
+		run := ident.Incarnation{Instance: "r00-001", Start: p.start}
+		h := Heartbeat{From: run, Sequence: p.sequence, Phase: Ready, Held: p.held}
+		for _, decision := range []struct {
+			name string
+			run  func()
+		}{
+			{"tick", func() { n.now = n.now.Add(TickInterval); s.Step(n.now, Tick{}) }},
+			{"heartbeat", func() {
+				h.Sequence++
+				h.Echo = Echo{Start: s.options.Start, Sequence: p.sent}
+				s.Step(n.now, HeartbeatArrived{Heartbeat: h})
+			}},
+			{"view-build", func() { s.buildView() }},
+			{"view-lookup", func() { s.View().Run(run) }},
+		} {
+			b.Run(fmt.Sprintf("%s/entries=%d", decision.name, size), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					decision.run()
+				}
+			})
 		}
-	})
-}
-
-func BenchmarkViewLookup(b *testing.B) {
-	eachSize(b, func(b *testing.B, _ *network, s *State) {
-		run := ident.Incarnation{Instance: "r00-001", Start: 1<<60 + 1}
-		for b.Loop() {
-			s.View().Run(run)
-		}
-	})
-}
-
-// BenchmarkHeld reports the bytes that one state holds, its view included.
-func BenchmarkHeld(b *testing.B) {
-	before := heap()
-	eachSize(b, func(b *testing.B, n *network, _ *State) {
-		n.queue = nil
-		b.ReportMetric(float64(heap()-before)/float64(len(n.nodes)), "B/state")
-		runtime.KeepAlive(n)
-	})
+	}
 }
 
 func heap() uint64 {
--- a/core/member/fault_test.go
+++ b/core/member/fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"strconv"
 	"strings"
 	"testing"
@@ -52,10 +53,10 @@
 		m := message{from: id, at: n.now.Add(step)}
 		switch a := action.(type) {
 		case SendHeartbeat:
-			m.to, m.event = a.To, HeartbeatArrived{Heartbeat: a.Heartbeat}
+			m.to, m.event = n.at(a.Address), HeartbeatArrived{Heartbeat: a.Heartbeat}
 			n.queue = append(n.queue, m)
 		case SendSummary:
-			m.to, m.event = a.To, SummaryArrived{Summary: a.Summary}
+			m.to, m.event = n.at(a.Address), SummaryArrived{Summary: a.Summary}
 			n.queue = append(n.queue, m)
 		case Paused:
 			fmt.Fprintf(&n.out, "%s paused for %s\n", id, a.Gap)
@@ -103,18 +104,25 @@
 // entryOf describes an instance whose name begins with its region: "west-1".
 func entryOf(id ident.Instance) Entry {
 	region, _, _ := strings.Cut(string(id), "-")
-	return Entry{ID: id, Region: ident.Region(region), Zone: ident.Zone(region + "-a")}
+	address := netip.AddrPortFrom(netip.AddrFrom16([16]byte([]byte(fmt.Sprintf("%-16s", id)))), 1)
+	return Entry{ID: id, Region: ident.Region(region), Zone: ident.Zone(region + "-a"), Peer: address}
 }
 
-// start starts a run named like "west-1~12".
-func (n *network) start(run string) {
+// at returns the instance that has an address, as entryOf gives it.
+func (n *network) at(address netip.AddrPort) ident.Instance {
+	name := address.Addr().As16()
+	return ident.Instance(strings.TrimSpace(string(name[:])))
+}
+
+// start starts a run named like "west-1~12", which may have a seed.
+func (n *network) start(run string, seeds ...netip.AddrPort) {
 	name, number, _ := strings.Cut(run, "~")
 	id := ident.Instance(name)
 	if n.nodes[id] == nil {
 		n.order = append(n.order, id)
 	}
 	start, _ := strconv.ParseUint(number, 10, 64)
-	n.nodes[id] = &node{state: New(Options{Self: entryOf(id), Start: start})}
+	n.nodes[id] = &node{state: New(Options{Self: entryOf(id), Start: start, Seeds: seeds})}
 	n.step(id, LocalChanged{Phase: Ready, Held: Held{Table: 1}})
 }
 
@@ -167,6 +175,8 @@
 		for _, run := range words[1:] {
 			n.start(run)
 		}
+	case "seed": // seed RUN SEED
+		n.start(words[1], entryOf(ident.Instance(words[2])).Peer)
 	case "crash":
 		delete(n.nodes, id)
 	case "list": // list TO|all REVISION NAME...
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -217,10 +217,10 @@
 		Table:   r.summary.Table,
 		Payload: r.summary.Payload,
 	}
-	for _, c := range r.summary.Contacts {
-		if s.works(c.Incarnation.Instance) {
-			view.Contacts = append(view.Contacts, c)
-		}
+	failed := func(c Contact) bool { return !s.works(c.Incarnation.Instance) }
+	view.Contacts = r.summary.Contacts
+	if slices.ContainsFunc(view.Contacts, failed) {
+		view.Contacts = slices.DeleteFunc(slices.Clone(view.Contacts), failed)
 	}
 	return view
 }
