Let admission, load, retries and routing follow the table's policy

Change: classes and rules come from core/table; load reports have the operator's freshness and ramp; retries their percentage; routing its margin; core/trial runs the decisions under a virtual clock. Ruled out: a second set of class names beside the table's.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -8,15 +8,18 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"arbutustrestle/core/result"
+	"arbutustrestle/core/table"
 )
 
 // Request is what admission has to know of a request.
 type Request struct {
-	Class Class
+	// Class is Quick, Plan, Session or ServiceCall.
+	Class table.Class
 	// Forwarded requests come from another region. They leave room for the own ones
 	// and don't queue.
 	Forwarded bool
@@ -27,6 +30,9 @@
 // forwardedRoom is the part of the slots that is kept from forwarded requests.
 const forwardedRoom = 0.1
 
+// quickSmoothing is the weight of one arrival in the average use of quick questions.
+const quickSmoothing = 0.02
+
 // Ticket names a request that waits in the queue of a Gate.
 type Ticket uint64
 
@@ -43,6 +49,8 @@
 type Queued struct {
 	Ticket Ticket
 	Until  time.Time
+	// Expected is the projected wait.
+	Expected time.Duration
 }
 
 // Refused is the final answer.
@@ -55,21 +63,23 @@
 func (Refused) verdict()  {}
 
 // Gate shares an entry's part of a pool's slots between classes. It is safe for
-// concurrent use. Its zero value admits everything until Resize is called.
+// concurrent use. Its zero value has the default policy and admits everything until
+// Resize is called.
 type Gate struct {
-	// Rules replaces the default rules when it isn't nil.
-	Rules *[classCount]Rule
-
-	mu    sync.Mutex
-	sized bool
+	mu sync.Mutex
+	// policy is nil until Configure is called.
+	policy *table.Policy
+	sized  bool
 	// slots is this entry's part of the pool.
 	slots float64
 	// inFlight counts the admitted requests by class; total is their sum.
-	inFlight [classCount]int
+	inFlight [table.ClassCount]int
 	total    int
-	queues   [classCount]queue
+	queues   [table.ClassCount]queue
 	last     Ticket
-	drain    drain
+	// quick is a moving average of the quick questions in flight, taken at arrivals.
+	quick float64
+	drain drain
 }
 
 // queue holds the waiting requests of one class, the oldest first.
@@ -82,6 +92,13 @@
 	until  time.Time
 }
 
+// Configure sets the treatment of the classes and the bounds of Retry-After.
+func (g *Gate) Configure(policy *table.Policy) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.policy = policy
+}
+
 // Resize sets this entry's part of the pool's slots. It returns the tickets that
 // this admits.
 func (g *Gate) Resize(now time.Time, slots float64) []Ticket {
@@ -100,8 +117,8 @@
 	if !r.Deadline.IsZero() && !now.Before(r.Deadline) {
 		return Refused{&result.Failure{Outcome: result.NotRun, Step: result.StepAdmit, Reason: result.DeadlinePassed}}
 	}
-	class := min(r.Class, classCount-1)
-	g.drain.arrive(now)
+	class := min(r.Class, table.ServiceCall)
+	g.quick += quickSmoothing * (float64(g.inFlight[table.Quick]) - g.quick)
 	if r.Forwarded && float64(g.total+1) > g.slots*(1-forwardedRoom) && g.sized {
 		return g.refuse(now, random, result.Overloaded)
 	}
@@ -109,25 +126,27 @@
 		g.admit(class)
 		return Admitted{}
 	}
-	until := now.Add(g.rule(class).Patience)
+	until := now.Add(g.rules().Classes[class].MaxWait)
 	if !r.Deadline.IsZero() && r.Deadline.Before(until) {
 		until = r.Deadline
 	}
-	if r.Forwarded || g.expected(now, class).After(until) {
+	q := &g.queues[class]
+	crowded := len(q.waiting) >= g.rules().Classes[class].QueueLength
+	expected := g.expected(now, class)
+	if r.Forwarded || crowded || now.Add(expected).After(until) {
 		return g.refuse(now, random, result.ClassFull)
 	}
 	g.last++
-	q := &g.queues[class]
 	q.waiting = append(q.waiting, waiter{ticket: g.last, until: until})
-	return Queued{Ticket: g.last, Until: until}
+	return Queued{Ticket: g.last, Until: until, Expected: expected}
 }
 
 // Release notes that an admitted request has ended, and returns the tickets of the
 // requests that are admitted in its place.
-func (g *Gate) Release(now time.Time, class Class) []Ticket {
+func (g *Gate) Release(now time.Time, class table.Class) []Ticket {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	class = min(class, classCount-1)
+	class = min(class, table.ServiceCall)
 	if g.inFlight[class] > 0 {
 		g.inFlight[class]--
 		g.total--
@@ -136,21 +155,45 @@
 	return g.grant(now)
 }
 
-// Expire ends the wait of a ticket: its time is over or its caller went away. It
+// Expire ends the wait of a ticket whose time is over with the final answer. It
 // returns nil for a ticket that isn't waiting, such as one that was admitted.
 func (g *Gate) Expire(now time.Time, random *rand.Rand, ticket Ticket) *result.Failure {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if !g.remove(ticket) {
+		return nil
+	}
+	return g.refuse(now, random, result.ClassFull).Failure
+}
+
+// Cancel ends the wait of a ticket whose request went elsewhere or whose caller
+// left. It reports false for one that isn't waiting: if it was admitted meanwhile,
+// Release must follow.
+func (g *Gate) Cancel(ticket Ticket) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.remove(ticket)
+}
+
+func (g *Gate) remove(ticket Ticket) bool {
 	for class := range g.queues {
 		q := &g.queues[class]
 		for i := range q.waiting {
 			if q.waiting[i].ticket == ticket {
-				q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
-				return g.refuse(now, random, result.ClassFull).Failure
+				q.waiting = slices.Delete(q.waiting, i, i+1)
+				return true
 			}
 		}
 	}
-	return nil
+	return false
+}
+
+// RetryAfter books the return of a caller whom another step refuses for want of
+// capacity, and returns when to come back.
+func (g *Gate) RetryAfter(now time.Time, random *rand.Rand) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.drain.comeBack(now, random, g.rules())
 }
 
 // Load returns the requests admitted and waiting, for the claim on the pool that
@@ -165,10 +208,10 @@
 }
 
 // InFlight returns the admitted requests of a class.
-func (g *Gate) InFlight(class Class) int {
+func (g *Gate) InFlight(class table.Class) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.inFlight[min(class, classCount-1)]
+	return g.inFlight[min(class, table.ServiceCall)]
 }
 
 func (g *Gate) refuse(now time.Time, random *rand.Rand, reason result.Reason) Refused {
@@ -176,11 +219,11 @@
 		Outcome:    result.NotRun,
 		Step:       result.StepAdmit,
 		Reason:     reason,
-		RetryAfter: g.drain.comeBack(now, random),
+		RetryAfter: g.drain.comeBack(now, random, g.rules()),
 	}}
 }
 
-func (g *Gate) admit(class Class) {
+func (g *Gate) admit(class table.Class) {
 	g.inFlight[class]++
 	g.total++
 }
--- a/core/admit/drain.go
+++ b/core/admit/drain.go
@@ -3,14 +3,15 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"arbutustrestle/core/table"
 )
 
 const (
 	// drainWindow is the time over which the rate of ended requests is measured.
 	drainWindow = 10 * time.Second
-	// minRetryAfter and maxRetryAfter bound the time that refused callers are told.
-	minRetryAfter = time.Second
-	maxRetryAfter = 30 * time.Second
+	// longest is the projected time of what isn't expected to happen.
+	longest = time.Hour
 )
 
 // drain measures how fast requests end and books the return of refused callers, so
@@ -52,10 +53,6 @@
 	return r.count / window.Seconds()
 }
 
-func (d *drain) arrive(now time.Time) {
-	d.ended.decay(now)
-}
-
 func (d *drain) end(now time.Time) {
 	d.ended.add(now)
 }
@@ -66,30 +63,31 @@
 		return 0
 	}
 	perSecond := d.ended.perSecond(now)
-	if perSecond <= 0 {
-		return maxRetryAfter
+	if requests >= perSecond*longest.Seconds() {
+		return longest
 	}
-	return seconds(min(maxRetryAfter.Seconds(), requests/perSecond))
+	return time.Duration(requests / perSecond * float64(time.Second))
 }
 
 // comeBack books the return of one refused caller. Each takes the time in which
-// one request ends; when more have been booked than fit before maxRetryAfter, the
-// rest is spread over its second half.
-func (d *drain) comeBack(now time.Time, random *rand.Rand) time.Duration {
-	earliest := now.Add(minRetryAfter)
+// one request ends; when more have been booked than fit before the policy's longest
+// time, the rest is spread over its second half.
+func (d *drain) comeBack(now time.Time, random *rand.Rand, policy *table.Policy) time.Duration {
+	shortest := policy.RetryAfterMin
+	earliest := now.Add(shortest)
 	if d.booked.Before(earliest) {
 		d.booked = earliest
 	}
-	latest := now.Add(maxRetryAfter)
-	if !d.booked.Before(latest) {
-		half := maxRetryAfter / 2
-		return half + time.Duration(random.Int64N(int64(half)))
+	if latest := now.Add(policy.RetryAfterMax); d.booked.After(latest) {
+		half := policy.RetryAfterMax / 2
+		return half + spread(random, half)
 	}
 	after := d.booked.Sub(now)
 	d.booked = d.booked.Add(d.time(now, 1))
-	return after + time.Duration(random.Int64N(int64(minRetryAfter)))
+	return after + spread(random, shortest)
 }
 
-func seconds(s float64) time.Duration {
-	return time.Duration(s * float64(time.Second))
+// spread draws a time below a bound.
+func spread(random *rand.Rand, bound time.Duration) time.Duration {
+	return time.Duration(random.Int64N(max(1, int64(bound))))
 }
--- a/core/load/load.go
+++ b/core/load/load.go
@@ -20,27 +20,53 @@
 	// defaultHold is assumed as the time for which a request holds a slot until
 	// one has been observed.
 	defaultHold = 5 * time.Second
-	// staleAfter is the age from which a report of load is no longer believed.
-	staleAfter = 10 * time.Second
 	// nominalTokens is the length of the answer for which upstreams' paces are
 	// compared.
 	nominalTokens = 100
+	// targetFirst and targetBetween are the times to the first token and between
+	// tokens above which an upstream counts as slow.
+	targetFirst   = 1900 * time.Millisecond
+	targetBetween = 69 * time.Millisecond
 	// smoothing is the weight of a new observation in the moving averages.
 	smoothing = 0.2
 	// refusedHold is the first pause after an upstream refused a request.
 	refusedHold = 250 * time.Millisecond
 	// failedHold is the first pause after a connection or an answer failed.
 	failedHold = time.Second
+	// failuresToHold is the number of failed answers in a row that begin a pause.
+	failuresToHold = 3
+	// maxDoublings keeps the pauses from overflowing.
+	maxDoublings = 8
+	// probeGap is the time between two probes of an upstream after a pause.
+	probeGap = time.Second
 	// maxHold is the longest pause after failures in a row.
 	maxHold = 15 * time.Second
-	// rampTime is how long a returned upstream takes to get its whole share.
-	rampTime = 20 * time.Second
 	// rampStart is the share of its slots that a returned upstream starts with.
 	rampStart = 0.15
 	// rampAfter is the shortest absence after which an upstream counts as cold.
 	rampAfter = 5 * time.Second
 )
 
+// Settings holds what is known of an upstream besides its load. Zero fields stand
+// for the defaults.
+type Settings struct {
+	// Slots is how many requests run at once, until a report says otherwise.
+	Slots int
+	// Entries is how many entry instances send to the upstream. Each request that
+	// this one sent after the last report stands for as many of theirs.
+	Entries int
+	// Freshness is the age up to which a report of load is believed.
+	Freshness time.Duration
+	// RampUp is how long a returned upstream takes to get its whole share; negative
+	// for no ramp.
+	RampUp time.Duration
+}
+
+const (
+	defaultFreshness = 3 * time.Second
+	defaultRampUp    = 10 * time.Second
+)
+
 // Report is what an upstream says of its own load.
 type Report struct {
 	Running int
@@ -75,13 +101,9 @@
 type Upstream struct {
 	ID   ident.Upstream
 	Zone ident.Zone
-	// Slots is how many requests run at once, until a report says otherwise.
-	Slots int
-	// Entries is how many entry instances send to this upstream. Each request that
-	// this one sent after the last report stands for as many of theirs. Zero is one.
-	Entries int
 
-	mu sync.Mutex
+	mu       sync.Mutex
+	settings Settings
 	// report is the last one believed; its AsOf never decreases.
 	report Report
 	// leaving is never reset by a report: only Return does that.
@@ -94,19 +116,33 @@
 	pace  time.Duration
 	// failures counts the failures since the last answer.
 	failures int
-	// held is when the pause after failures ends.
+	// held is when the pause after failures ends, or when the next probe after it may
+	// be sent; zero for an upstream that has answered since.
 	held time.Time
+	// pausedUntil is when the last pause ends.
+	pausedUntil time.Time
 	// failing is when the first of the failures in a row happened.
 	failing time.Time
 	// returned is when the ramp began; zero for an upstream that is warm.
 	returned time.Time
 }
 
-// Begin notes that an attempt was sent.
+// Configure sets what is known of the upstream besides its load.
+func (u *Upstream) Configure(s Settings) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.settings = s
+}
+
+// Begin notes that an attempt was sent. The first one after a pause is a probe, and
+// holds off the others until it is answered.
 func (u *Upstream) Begin(now time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.own.add(now, 1)
+	if !u.held.IsZero() && !now.Before(u.held) {
+		u.held = now.Add(probeGap)
+	}
 }
 
 // FirstToken notes the time that the first token of an answer took, queueing
@@ -115,6 +151,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.first = average(u.first, max(0, took-u.queue(now)))
+	u.succeeded(now)
 }
 
 // End notes that an attempt ended. The time it took and the tokens of its answer
@@ -134,32 +171,43 @@
 }
 
 func (u *Upstream) answered(now time.Time, took time.Duration, tokens int) {
-	if u.failures > 0 && now.Sub(u.failing) >= rampAfter {
-		u.returned = now
-	}
-	u.failures = 0
-	u.held = time.Time{}
+	u.succeeded(now)
 	u.hold = average(u.hold, took)
 	if tokens > 1 {
 		u.pace = average(u.pace, max(0, took-u.first)/time.Duration(tokens))
 	}
 }
 
+// succeeded ends the pauses. An upstream that failed for long comes back cold.
+func (u *Upstream) succeeded(now time.Time) {
+	if !u.held.IsZero() && now.Sub(u.failing) >= rampAfter {
+		u.returned = now
+	}
+	u.failures = 0
+	u.held = time.Time{}
+}
+
 // failed lengthens the pause with each failure in a row: 1, 2, 4 … times first.
+// One or two failed answers begin none: they may be the request's own fault.
 func (u *Upstream) failed(now time.Time, first time.Duration) {
 	if u.failures == 0 {
 		u.failing = now
 	}
-	if u.failures > 0 && now.Before(u.held) {
+	if first == failedHold && u.failures+1 < failuresToHold {
+		u.failures++
+		return
+	}
+	if now.Before(u.pausedUntil) {
 		// Attempts that were already under way when the pause began add nothing.
 		return
 	}
 	pause := maxHold
-	if u.failures < 8 {
+	if u.failures < maxDoublings {
 		pause = min(maxHold, first<<u.failures)
 	}
 	u.failures++
-	u.held = now.Add(pause)
+	u.pausedUntil = now.Add(pause)
+	u.held = u.pausedUntil
 }
 
 // Observe takes in a report. One that is older than the last believed is ignored,
@@ -167,7 +215,8 @@
 func (u *Upstream) Observe(now time.Time, r Report) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.leaving = u.leaving || r.Leaving
+	// A report from before the upstream's return tells of the run that has ended.
+	u.leaving = u.leaving || (r.Leaving && !r.AsOf.Before(u.returned))
 	if r.AsOf.After(now) {
 		r.AsOf = now
 	}
--- a/core/load/wait.go
+++ b/core/load/wait.go
@@ -3,8 +3,8 @@
 import "time"
 
 // Usable reports whether a new attempt may go to the upstream: it isn't leaving
-// and isn't in a pause after failures. After the pause one attempt at a time is
-// let through until one is answered.
+// and isn't in a pause after failures. After the pause one probe at a time is let
+// through until one is answered.
 func (u *Upstream) Usable(now time.Time) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -12,10 +12,21 @@
 }
 
 func (u *Upstream) usable(now time.Time) bool {
-	if u.leaving || now.Before(u.held) {
-		return false
-	}
-	return u.failures == 0 || u.own.inFlight == 0
+	return !u.leaving && !now.Before(u.held)
+}
+
+// LastResort reports whether an attempt may be made although the upstream is in a
+// pause after failures, because there is no other: it still tells its load. Requests
+// that make any upstream fail can then not keep all others from being served.
+func (u *Upstream) LastResort(now time.Time) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return !u.leaving && u.reported(now)
+}
+
+// reported reports whether the last report is recent enough to be believed.
+func (u *Upstream) reported(now time.Time) bool {
+	return !u.report.AsOf.IsZero() && now.Sub(u.report.AsOf) <= u.freshness()
 }
 
 // Projection is what one further request would meet at an upstream.
@@ -35,13 +46,22 @@
 		return Projection{}, false
 	}
 	wait := u.queue(now)
-	crowding := time.Duration(u.occupied(now)) * tieBreak
-	return Projection{Wait: wait, Total: wait + u.first + nominalTokens*u.pace + crowding}, true
+	crowding := time.Duration(u.occupied(now) * float64(perOccupied))
+	return Projection{Wait: wait, Total: wait + crowding + u.slowness()}, true
 }
 
-// tieBreak is what each occupied slot adds to the total, so that of two upstreams
-// with free slots the emptier one is preferred.
-const tieBreak = 20 * time.Millisecond
+// perOccupied is what each occupied slot adds to the time of a nominal answer,
+// since a larger batch takes longer steps.
+const perOccupied = 250 * time.Millisecond
+
+// slowness is what the upstream exceeds the targets by, for an answer of nominal
+// length. Within the targets upstreams don't differ: the averages depend on what
+// each was asked, and noise would outweigh the load.
+func (u *Upstream) slowness() time.Duration {
+	first := max(0, u.first-targetFirst)
+	between := max(0, u.pace-targetBetween)
+	return first + nominalTokens*between
+}
 
 // queue projects the wait for a slot: for 10 requests on 8 slots that each hold
 // for 4 s, a slot falls free every 0.5 s, and the next request waits for 3 of them.
@@ -63,11 +83,11 @@
 // the number of entries that do the same.
 func (u *Upstream) occupied(now time.Time) float64 {
 	own := float64(u.own.inFlight)
-	if u.report.AsOf.IsZero() || now.Sub(u.report.AsOf) > staleAfter {
-		return own * float64(max(1, u.Entries))
+	if !u.reported(now) {
+		return own * float64(max(1, u.settings.Entries))
 	}
 	reported := float64(u.report.Running + u.report.Waiting)
-	since := float64(u.own.since(now, u.report.AsOf)) * float64(max(1, u.Entries))
+	since := float64(u.own.since(now, u.report.AsOf)) * float64(max(1, u.settings.Entries))
 	return max(own, reported+since)
 }
 
@@ -75,8 +95,8 @@
 	if u.report.Slots > 0 {
 		return float64(u.report.Slots)
 	}
-	if u.Slots > 0 {
-		return float64(u.Slots)
+	if u.settings.Slots > 0 {
+		return float64(u.settings.Slots)
 	}
 	return defaultSlots
 }
@@ -86,15 +106,30 @@
 	return max(1, u.slots()*u.warmth(now))
 }
 
-// warmth rises from rampStart to 1 over rampTime.
+// warmth rises from rampStart to 1 over the ramp.
 func (u *Upstream) warmth(now time.Time) float64 {
-	if u.returned.IsZero() {
+	ramp := u.rampUp()
+	if u.returned.IsZero() || ramp <= 0 {
 		return 1
 	}
-	part := float64(now.Sub(u.returned)) / float64(rampTime)
+	part := float64(now.Sub(u.returned)) / float64(ramp)
 	return min(1, rampStart+(1-rampStart)*max(0, part))
 }
 
+func (u *Upstream) freshness() time.Duration {
+	if u.settings.Freshness == 0 {
+		return defaultFreshness
+	}
+	return u.settings.Freshness
+}
+
+func (u *Upstream) rampUp() time.Duration {
+	if u.settings.RampUp == 0 {
+		return defaultRampUp
+	}
+	return u.settings.RampUp
+}
+
 // Total is the load of a set of upstreams.
 type Total struct {
 	// Slots counts those of usable upstreams, fewer during their ramps.
@@ -107,6 +142,16 @@
 	Usable int
 }
 
+// ownReserve is the part of a region's slots that isn't offered to other regions.
+const ownReserve = 0.1
+
+// Spare returns the free slots that a region offers to the others. What it needs
+// for its own requests isn't part of them, so that the loss of one region doesn't
+// take the next one down.
+func (t Total) Spare() float64 {
+	return max(0, t.Free-ownReserve*t.Slots)
+}
+
 // Sum adds up the load of upstreams, for admission and for the summary that other
 // regions get.
 func Sum(now time.Time, list []*Upstream) Total {
@@ -120,7 +165,7 @@
 func (u *Upstream) addTo(now time.Time, t *Total) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.leaving || now.Before(u.held) {
+	if !u.usable(now) {
 		return
 	}
 	slots := u.effectiveSlots(now)
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -14,11 +14,12 @@
 const (
 	// budgetWindow is the time over which requests are counted.
 	budgetWindow = 10 * time.Second
-	// defaultPercent and defaultFloor make the budget of a zero Budget.
+	// defaultPercent of the recent requests may be retried under a zero Budget.
 	defaultPercent = 10
-	defaultFloor   = 1.0
-	// maxAttempts bounds the attempts of one request.
-	maxAttempts = 3
+	// floorPerSecond is the number of retries a second that few requests earn.
+	floorPerSecond = 1.0
+	// defaultAttempts bounds the attempts of one request under a zero Budget.
+	defaultAttempts = 3
 	// firstBackoff doubles with each further retry; the second attempt of a request
 	// goes elsewhere and doesn't wait.
 	firstBackoff = 50 * time.Millisecond
@@ -27,13 +28,11 @@
 // Budget bounds an entry's retries to a part of its recent requests. It is safe for
 // concurrent use; its zero value works.
 type Budget struct {
-	// Percent of the recent requests may be retried; zero is the default.
-	Percent float64
-	// Floor is the number of retries a second that is always allowed; zero is the
-	// default.
-	Floor float64
-
 	mu sync.Mutex
+	// configured is set once Configure was called; until then the defaults hold.
+	configured bool
+	percent    float64
+	attempts   int
 	// credit is never negative and never above what the window earns.
 	credit float64
 	// recent counts the requests of the window, decaying.
@@ -41,13 +40,24 @@
 	at     time.Time
 }
 
+// Configure sets the part of the recent requests, in percent, that may be retried,
+// and the most attempts of one request, the first included. Zero percent stops all
+// retries.
+func (b *Budget) Configure(percent float64, attempts int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.configured = true
+	b.percent = percent
+	b.attempts = attempts
+}
+
 // Request earns the part of a retry that a new request brings.
 func (b *Budget) Request(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
 	b.recent++
-	b.credit = min(b.credit+b.percent()/100, b.most())
+	b.credit = min(b.credit+b.part(), b.most())
 }
 
 // Call is what the decision has to know of a request.
@@ -86,13 +96,18 @@
 // Decide decides about a request whose last attempt ended with a failure. It takes
 // the retry that it allows out of the budget.
 func (b *Budget) Decide(now time.Time, random *rand.Rand, c Call, last *result.Failure) Decision {
-	if c.Streamed || !mayRepeat(c, last) || !worthwhile(last.Reason) || c.Attempts >= maxAttempts {
+	if c.Streamed || !mayRepeat(c, last) || !worthwhile(last.Reason) {
 		return Stop{last}
 	}
 	after := backoff(random, c.Attempts)
 	if !c.Deadline.IsZero() && now.Add(after+c.Expected).After(c.Deadline) {
 		return Stop{last}
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.Attempts >= b.maxAttempts() {
+		return Stop{last}
+	}
 	if !b.take(now) {
 		return Stop{&result.Failure{
 			Outcome:    last.Outcome,
@@ -106,6 +121,18 @@
 	return Again{After: after}
 }
 
+// Hedge reports whether a second attempt may be started beside one that has not
+// answered yet, and takes it out of the budget. Only calls that may be repeated are
+// hedged.
+func (b *Budget) Hedge(now time.Time, c Call) bool {
+	if !c.Repeatable || c.Streamed {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return c.Attempts < b.maxAttempts() && b.take(now)
+}
+
 // mayRepeat is the rule on which at most one run rests.
 func mayRepeat(c Call, last *result.Failure) bool {
 	return last.Outcome == result.NotRun || c.Repeatable
@@ -134,8 +161,6 @@
 
 // take spends one retry, and reports false when there is none.
 func (b *Budget) take(now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	b.advance(now)
 	if b.credit < 1 {
 		return false
@@ -148,7 +173,7 @@
 func (b *Budget) advance(now time.Time) {
 	if b.at.IsZero() {
 		b.at = now
-		b.credit = max(1, b.floor())
+		b.credit = b.floor()
 		return
 	}
 	age := now.Sub(b.at)
@@ -162,19 +187,28 @@
 
 // most is the credit that may be saved up.
 func (b *Budget) most() float64 {
-	return max(1, b.floor()) + b.recent*b.percent()/100
+	return max(b.floor(), b.recent*b.part())
 }
 
-func (b *Budget) percent() float64 {
-	if b.Percent > 0 {
-		return b.Percent
+// part is what one request earns.
+func (b *Budget) part() float64 {
+	if b.configured {
+		return b.percent / 100
 	}
-	return defaultPercent
+	return defaultPercent / 100.0
 }
 
+// floor is the number of retries a second that few requests earn as well.
 func (b *Budget) floor() float64 {
-	if b.Floor > 0 {
-		return b.Floor
+	if b.part() <= 0 {
+		return 0
+	}
+	return floorPerSecond
+}
+
+func (b *Budget) maxAttempts() int {
+	if b.configured {
+		return b.attempts
 	}
-	return defaultFloor
+	return defaultAttempts
 }
--- a/core/route/local.go
+++ b/core/route/local.go
@@ -6,16 +6,24 @@
 	"time"
 
 	"arbutustrestle/core/rank"
+	"arbutustrestle/core/table"
 )
 
+// affinityGain is how much worse than the best an upstream may be and still be
+// taken for a session or prefix that it has served. Reading a prompt anew costs
+// more engine time than the wait costs, so that the cheaper way waits longer.
+var affinityGain = [...]time.Duration{
+	table.Latency: 400 * time.Millisecond,
+	table.Cost:    time.Second,
+}
+
 const (
-	// affinityGain is how much worse than the best an upstream may be and still be
-	// taken for a session or prefix that it has served.
-	affinityGain = 400 * time.Millisecond
 	// cachedGain is added to that when the upstream said that it has the prefix.
 	cachedGain = 200 * time.Millisecond
 	// samples is the number of upstreams drawn at random and compared.
 	samples = 2
+	// maxSamples bounds how many are drawn as long as none has a free slot.
+	maxSamples = 16
 )
 
 // choice is the best upstream found so far.
@@ -25,13 +33,17 @@
 	// wait is the projected wait there; cost is what choices are compared by.
 	wait time.Duration
 	cost time.Duration
+	// resort is set for an upstream that is taken because there is no other.
+	resort bool
 }
 
-// pickLocal finds an upstream in the own region: the one that the affinity names,
-// and two at random, compared by their projected times.
+// pickLocal finds an upstream in the own region: the one that the affinity names
+// and two at random, compared by their projected times. Close to capacity most are
+// full, so that more are drawn until one has a free slot. The first one found is
+// taken rather than the best of all, which the other instances would find as well.
 func pickLocal(now time.Time, random *rand.Rand, v *View, r *Request) choice {
 	var best choice
-	if r.Full != nil {
+	if r.Full != nil || r.Queued > 0 {
 		return best
 	}
 	version := pickVersion(random, v.Versions, r)
@@ -40,15 +52,32 @@
 	}
 	home := homeOf(version, r)
 	if home != nil {
-		best.consider(now, v, r, home, affinityGain)
+		best.consider(now, v, r, home, affinityGain[v.Objective])
 	}
 	list := version.Attempts
-	for range samples {
+	for drawn := range min(maxSamples, len(list)) {
+		if drawn >= samples && best.attempt != nil && best.wait == 0 {
+			break
+		}
 		best.sample(now, v, r, list, random.IntN(len(list)), home)
 	}
+	if best.attempt == nil {
+		best.lastResort(now, r, list, random.IntN(len(list)))
+	}
 	return best
 }
 
+// lastResort takes the first upstream that is alive although it fails.
+func (c *choice) lastResort(now time.Time, r *Request, list []Attempt, first int) {
+	for i := range list {
+		a := &list[(first+i)%len(list)]
+		if r.eligible(a) && a.Upstream.LastResort(now) {
+			*c = choice{attempt: a, resort: true}
+			return
+		}
+	}
+}
+
 // sample considers the first eligible attempt at or after a place in the list.
 func (c *choice) sample(now time.Time, v *View, r *Request, list []Attempt, at int, home *Attempt) {
 	for range list {
--- a/core/route/remote.go
+++ b/core/route/remote.go
@@ -4,21 +4,21 @@
 	"math/rand/v2"
 	"slices"
 	"time"
-)
 
-// gain is how much better another region must be before a request goes there, so
-// that two regions of like load don't exchange requests.
-const gain = 50 * time.Millisecond
+	"arbutustrestle/core/table"
+)
 
 // prefersRemote compares the waits by the deployment's objective.
-func prefersRemote(o Objective, r *Request, local choice, remote *Remote) bool {
-	if local.attempt == nil {
+func prefersRemote(v *View, r *Request, local choice, remote *Remote) bool {
+	if r.Queued > 0 {
+		local.wait = r.Queued
+	} else if local.attempt == nil || local.resort {
 		return true
 	}
-	if o == Cost {
+	if v.Objective == table.Cost {
 		return r.MaxWait > 0 && local.wait > r.MaxWait
 	}
-	return local.wait > remote.Cell.Wait+remote.Cost+gain
+	return local.wait > remote.Cell.Wait+remote.Cost+v.Margin
 }
 
 // pickRemote returns the best region that may have the request, or nil.
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -10,16 +10,7 @@
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/load"
 	"arbutustrestle/core/result"
-)
-
-// Objective is what a deployment weighs most.
-type Objective uint8
-
-const (
-	// Latency sends a request away as soon as it is expected to be faster there.
-	Latency Objective = iota
-	// Cost keeps a request until the own region can't serve it in time.
-	Cost
+	"arbutustrestle/core/table"
 )
 
 // Places tells where a workspace's data may be processed.
@@ -34,7 +25,10 @@
 // immutable once it is in use, but for the loads that its upstreams track.
 type View struct {
 	Region    ident.Region
-	Objective Objective
+	Objective table.Objective
+	// Margin is how much better another region must be before a request goes there,
+	// so that two regions of like load don't exchange requests.
+	Margin time.Duration
 	// Versions with a weight of zero get no traffic.
 	Versions []Version
 	// Remotes holds the other regions that serve the model.
@@ -75,7 +69,8 @@
 	Senders int
 }
 
-// Request is what a decision has to know of a request.
+// Request is what a decision has to know of a request. The same value is used for
+// all decisions about one request.
 type Request struct {
 	Places Places
 	// Affinity is the session or the prompt prefix that should find its cache; empty
@@ -91,12 +86,19 @@
 	Visited []ident.Region
 	// MaxWait is the longest wait for a slot that still makes sense; zero is no bound.
 	MaxWait time.Duration
+	// Queued is the projected wait of a request in the queue of admission; zero for
+	// one that isn't queued. Such a request is sent away or goes on waiting.
+	Queued time.Duration
 	// Full is why the own region doesn't admit the request; nil when it does. Such a
 	// request is sent away or refused with it.
 	Full *result.Failure
+
+	// counted is set once the meter has counted the request, so that a Request that
+	// is used for several decisions counts once.
+	counted bool
 }
 
-// Decision is one of *Attempt, *Forward and *Refuse.
+// Decision is one of *Attempt, *Forward, *Refuse and *Wait.
 type Decision interface {
 	decision()
 }
@@ -117,41 +119,46 @@
 	Failure *result.Failure
 }
 
+// Wait leaves the request in the queue of admission.
+type Wait struct{}
+
+func (*Wait) decision()    {}
 func (*Attempt) decision() {}
 func (*Forward) decision() {}
 func (*Refuse) decision()  {}
 
 // Pick decides where a request goes next. The view's meter counts the decision.
 func Pick(now time.Time, random *rand.Rand, v *View, r *Request) Decision {
-	if v.Meter != nil && len(r.Visited) == 0 && len(r.Tried) == 0 {
+	if v.Meter != nil && len(r.Visited) == 0 && !r.counted {
 		v.Meter.earn(now, v.Remotes)
+		r.counted = true
 	}
 	local := pickLocal(now, random, v, r)
 	remote := pickRemote(now, random, v, r)
-	if remote != nil && prefersRemote(v.Objective, r, local, remote) {
+	if remote != nil && prefersRemote(v, r, local, remote) {
 		v.Meter.spend(remote)
 		return &Forward{Region: remote.Cell.Region}
 	}
 	if r.Full != nil {
 		return &Refuse{Failure: r.Full}
 	}
+	if r.Queued > 0 {
+		return &Wait{}
+	}
 	if local.attempt == nil {
-		return refuse(result.NoUpstream, noUpstreamRetry)
+		return refuse(result.NoUpstream)
 	}
 	if r.MaxWait > 0 && local.wait > r.MaxWait {
-		return refuse(result.Overloaded, local.wait-r.MaxWait)
+		return refuse(result.Overloaded)
 	}
 	return local.attempt
 }
 
-// noUpstreamRetry is when a caller may ask again for what nothing serves now.
-const noUpstreamRetry = 2 * time.Second
-
-func refuse(reason result.Reason, after time.Duration) *Refuse {
+// refuse leaves RetryAfter to admission, which knows who else was told to come back.
+func refuse(reason result.Reason) *Refuse {
 	return &Refuse{Failure: &result.Failure{
-		Outcome:    result.NotRun,
-		Step:       result.StepRoute,
-		Reason:     reason,
-		RetryAfter: after,
+		Outcome: result.NotRun,
+		Step:    result.StepRoute,
+		Reason:  reason,
 	}}
 }
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -9,6 +9,7 @@
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/load"
 	"arbutustrestle/core/result"
+	"arbutustrestle/core/table"
 )
 
 var start = time.Unix(1_000_000, 0)
@@ -28,9 +29,8 @@
 	list := make([]*load.Upstream, count)
 	for i := range list {
 		list[i] = &load.Upstream{
-			ID:    ident.Upstream(fmt.Sprintf("engine-%d", i)),
-			Zone:  ident.Zone(fmt.Sprintf("zone-%d", i%3)),
-			Slots: 8,
+			ID:   ident.Upstream(fmt.Sprintf("engine-%d", i)),
+			Zone: ident.Zone(fmt.Sprintf("zone-%d", i%3)),
 		}
 	}
 	return list
@@ -62,7 +62,7 @@
 	closed.MaxShare = 0
 	crowded := north(0)
 	crowded.Cell.Free = 0
-	cost := func(v *View) *View { v.Objective = Cost; return v }
+	cost := func(v *View) *View { v.Objective = table.Cost; return v }
 	for _, c := range []struct {
 		name    string
 		running int
@@ -90,7 +90,8 @@
 		busy(list, c.running)
 		random := rand.New(rand.NewPCG(1, 1))
 		for range 20 {
-			got := describe(Pick(start, random, c.view(list), &c.request))
+			request := c.request
+			got := describe(Pick(start, random, c.view(list), &request))
 			if got != c.want {
 				t.Errorf("%s: got %s, want %s", c.name, got, c.want)
 				break
@@ -178,10 +179,10 @@
 					v.Remotes = append(v.Remotes, remote)
 				}
 				random := rand.New(rand.NewPCG(1, 1))
-				r := &Request{Places: everywhere{}, Affinity: affinity}
 				b.ReportAllocs()
 				for b.Loop() {
-					Pick(start, random, v, r)
+					r := Request{Places: everywhere{}, Affinity: affinity}
+					Pick(start, random, v, &r)
 				}
 			})
 		}
--- a/core/share/beat.go
+++ b/core/share/beat.go
@@ -7,8 +7,8 @@
 )
 
 // Beat makes the claims anew from the use since the last call, and returns what
-// the next heartbeat tells the peers. Workspaces with no more than their base are
-// left out. The peers are the other live instances of the region.
+// the next heartbeat tells the peers. Workspaces that are hardly used are left
+// out. The peers are the other live instances of the region.
 func (l *Ledger) Beat(now time.Time, self ident.Instance, peers []ident.Instance) []Usage {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -47,9 +47,9 @@
 		b := &a.buckets[k]
 		b.fill(now)
 		b.want(k, elapsed, float64(a.inFlight))
-		lowest := l.grow(a, k, heard[k])
+		l.grow(a, k, heard[k])
 		*u.claim(k) = b.claim
-		told = told || b.claim.Held > lowest || b.claim.Wanted > lowest
+		told = told || b.claim.Held > quiet*limit
 	}
 	return u, told
 }
@@ -77,19 +77,17 @@
 	}
 }
 
-// grow sets the claim and what may be used, and returns the instance's base.
-func (l *Ledger) grow(a *account, k kind, heard Heard) float64 {
+// grow sets the claim and what may be used.
+func (l *Ledger) grow(a *account, k kind, heard Heard) {
 	b := &a.buckets[k]
 	limit := a.limits.of(k)
-	lowest := Base(limit, units[k], 1+len(l.peers), heard)
-	b.claim.Held = Grow(limit, lowest, b.claim, heard)
-	b.allowed = b.claim.Held
-	if a.first {
-		b.allowed = max(b.allowed, limit-heard.Held)
-	}
-	return lowest
+	b.claim.Held = Grow(limit, b.claim, heard)
+	b.allowed = b.claim.Held + Spare(limit, units[k], b.claim, heard, 1+len(l.peers), a.first)
 }
 
+// quiet is the part of a limit up to which a claim isn't told.
+const quiet = 0.01
+
 // Hear takes in what a peer told in its heartbeat, in place of what it told before.
 func (l *Ledger) Hear(peer ident.Instance, usages []Usage) {
 	l.mu.Lock()
--- a/core/share/claim.go
+++ b/core/share/claim.go
@@ -9,13 +9,8 @@
 	Wanted float64
 }
 
-const (
-	// base is the part of the limit that all instances together may use without a
-	// claim, so that a first request finds room before anything was exchanged.
-	base = 0.1
-	// headroom is how much more than its use an instance claims.
-	headroom = 1.25
-)
+// headroom is how much more than its use an instance claims.
+const headroom = 1.25
 
 // Heard sums up the claims that an instance has heard from its peers.
 type Heard struct {
@@ -33,33 +28,35 @@
 	h.Growing += max(0, c.Wanted*headroom-c.Held)
 }
 
-// Base returns what an instance may use without a claim. The unit is the least
-// that is of use, such as one request; an instance may use it as long as the
-// claims it has heard leave as much.
-func Base(limit, unit float64, instances int, heard Heard) float64 {
-	lowest := base * limit / float64(max(1, instances))
-	if lowest < unit && limit-heard.Held >= unit {
-		return unit
+// Spare returns what an instance may use beyond what it holds. One half of what
+// nobody claims is for the instance that ranks first for the workspace, the other
+// is divided evenly between all. As long as there is as much, every instance has at
+// least a unit, such as one request.
+func Spare(limit, unit float64, own Claim, heard Heard, instances int, first bool) float64 {
+	free := max(0, limit-heard.Held-own.Held)
+	spare := free / 2 / float64(max(1, instances))
+	if first {
+		spare += free / 2
 	}
-	return lowest
+	if free >= unit {
+		spare = max(spare, unit)
+	}
+	return spare
 }
 
 // Grow returns what an instance holds after it has heard from its peers. It grows
 // only into what nobody holds; of that, peers that grow at the same time take
 // parts in proportion to what they lack.
-func Grow(limit, lowest float64, own Claim, heard Heard) float64 {
-	target := max(lowest, own.Wanted*headroom)
-	if sum := (own.Wanted + heard.Wanted) * headroom; sum > limit {
-		target = max(lowest, own.Wanted*headroom*limit/sum)
+func Grow(limit float64, own Claim, heard Heard) float64 {
+	target := own.Wanted * headroom
+	if sum := target + heard.Wanted*headroom; sum > limit {
+		target *= limit / sum
 	}
-	if target <= own.Held {
+	growing := target - own.Held
+	if growing <= 0 {
 		return target
 	}
 	free := limit - heard.Held - own.Held
-	if free <= 0 {
-		return max(lowest, own.Held)
-	}
-	growing := target - own.Held
 	part := free * growing / (growing + heard.Growing)
-	return max(lowest, own.Held+min(growing, part))
+	return own.Held + max(0, min(growing, part))
 }
--- /dev/null
+++ b/core/trial/report.go
@@ -0,0 +1,271 @@
+package trial
+
+import (
+	"slices"
+	"time"
+
+	"arbutustrestle/core/result"
+	"arbutustrestle/core/table"
+)
+
+// Report is what one run, or several added up, showed. Requests that arrived before
+// the run was warm are left out.
+type Report struct {
+	// Classes is indexed by table.Class.
+	Classes [table.ClassCount]ClassReport
+	// Offered counts new model requests; Tries how often callers asked for them.
+	Offered int
+	Tries   int
+	// Retries counts the attempts after the first that entries made.
+	Retries int
+	// Bounced counts the attempts that an engine refused.
+	Bounced int
+	// Away counts the requests that were sent to another region.
+	Away int
+	// GoodTokens counts the tokens of whole answers in time.
+	GoodTokens int
+	// Busy is the time that engines spent in steps.
+	Busy time.Duration
+	// Capacity is the number of tokens that the engines could have generated.
+	Capacity float64
+	// Repeated counts the calls that may not be repeated and ran more than once;
+	// FalseNotRun the tries that were said not to have run and did. Both must be zero.
+	Repeated    int
+	FalseNotRun int
+	// Hot counts the requests of the most popular workspace of the first region, Rest
+	// those of the region's others.
+	Hot  Count
+	Rest Count
+	// PeakTries is the largest number of tries in one second, divided by the mean.
+	PeakTries float64
+	// Reasons counts the failures that callers were told.
+	Reasons map[result.Reason]int
+
+	warm   time.Time
+	length time.Duration
+	// tries counts the tries of each second since the run was warm.
+	tries map[int64]int
+}
+
+// Count counts requests.
+type Count struct {
+	Offered  int
+	Answered int
+}
+
+// Part is the part that was answered.
+func (c Count) Part() float64 {
+	return float64(c.Answered) / float64(max(1, c.Offered))
+}
+
+// ClassReport is the part of a report about one class.
+type ClassReport struct {
+	Offered int
+	// Answered counts whole answers in time, Refused the refusals that callers were
+	// told, and GaveUp the requests that never got an answer.
+	Answered int
+	Refused  int
+	GaveUp   int
+	Tokens   int
+	// Retries counts the attempts after the first.
+	Retries int
+	// First, Whole and Between are the times to the first token and to the end, and
+	// the mean time between tokens, of each answer since the caller last asked.
+	First   Times
+	Whole   Times
+	Between Times
+	// Since is the time to the first token since the caller first asked, refusals and
+	// pauses included.
+	Since Times
+}
+
+// Times is a sample of times.
+type Times []time.Duration
+
+// At returns the time that a part of the sample, 0 to 1, doesn't exceed.
+func (t Times) At(part float64) time.Duration {
+	if len(t) == 0 {
+		return 0
+	}
+	slices.Sort(t)
+	return t[min(len(t)-1, int(part*float64(len(t))))]
+}
+
+func newReport(o Options) *Report {
+	return &Report{warm: begin.Add(o.Length / 4), length: o.Length * 3 / 4, Reasons: map[result.Reason]int{}, tries: map[int64]int{}}
+}
+
+// count returns what the request counts as besides its class.
+func (p *Report) count(r *request) *Count {
+	switch {
+	case r.region != 0 || r.kind() != models:
+		return &Count{}
+	case r.hot:
+		return &p.Hot
+	default:
+		return &p.Rest
+	}
+}
+
+func (p *Report) class(r *request) *ClassReport {
+	return &p.Classes[r.class]
+}
+
+func (p *Report) offered(r *request) {
+	if !r.measured {
+		return
+	}
+	p.class(r).Offered++
+	p.count(r).Offered++
+	if r.kind() == models {
+		p.Offered++
+	}
+}
+
+func (p *Report) asked(r *request) {
+	if r.measured && r.kind() == models {
+		p.Tries++
+		p.tries[r.asked.Unix()]++
+	}
+}
+
+func (p *Report) retried(r *request) {
+	if !r.measured {
+		return
+	}
+	p.class(r).Retries++
+	if r.kind() == models {
+		p.Retries++
+	}
+}
+
+func (p *Report) bounced(r *request) {
+	if r.measured && r.kind() == models {
+		p.Bounced++
+	}
+}
+
+func (p *Report) forwarded(r *request) {
+	if r.measured && r.kind() == models {
+		p.Away++
+	}
+}
+
+func (p *Report) gaveUp(r *request) {
+	if r.measured {
+		p.class(r).GaveUp++
+	}
+}
+
+// answered notes the final answer of one try, which ran so many times.
+func (p *Report) answered(s *sim, r *request, f *result.Failure, runs int) {
+	if !r.repeatable && r.runs > 1 {
+		p.Repeated++
+	}
+	if f != nil && f.Outcome == result.NotRun && runs > 0 && !r.repeatable {
+		p.FalseNotRun++
+	}
+	if s.now.Before(p.warm) {
+		return
+	}
+	c := p.class(r)
+	if f != nil {
+		p.Reasons[f.Reason]++
+		if f.Outcome == result.NotRun {
+			c.Refused++
+		}
+		return
+	}
+	c.Answered++
+	p.count(r).Answered++
+	c.Tokens += r.tokens
+	c.First = append(c.First, r.firstAt.Sub(r.asked))
+	c.Whole = append(c.Whole, s.now.Sub(r.asked))
+	c.Since = append(c.Since, r.firstAt.Sub(r.began))
+	if r.tokens > 1 {
+		c.Between = append(c.Between, s.now.Sub(r.firstAt)/time.Duration(r.tokens-1))
+	}
+	if r.kind() == models {
+		p.GoodTokens += r.tokens
+	}
+}
+
+// close takes in what the engines counted.
+func (p *Report) close(s *sim) {
+	mean := 0.0
+	for _, m := range mixes {
+		mean += m.part * float64(m.tokens)
+	}
+	for _, engines := range s.engines {
+		for _, e := range engines {
+			if e.kind == models {
+				p.Busy += e.busy
+				p.Capacity += capacity() * mean * p.length.Seconds()
+			}
+		}
+	}
+	for _, tries := range p.tries {
+		p.PeakTries = max(p.PeakTries, float64(tries)*p.length.Seconds()/float64(p.Tries))
+	}
+	// Steps before the run was warm are left out in proportion.
+	p.Busy = p.Busy * 3 / 4
+}
+
+// Goodput is the tokens of good answers as a part of the capacity.
+func (p *Report) Goodput() float64 {
+	return float64(p.GoodTokens) / p.Capacity
+}
+
+// Cost is the engine time for a thousand tokens of good answers.
+func (p *Report) Cost() time.Duration {
+	if p.GoodTokens == 0 {
+		return 0
+	}
+	return p.Busy * 1000 / time.Duration(p.GoodTokens)
+}
+
+// AwayShare is the part of the requests that was sent to another region.
+func (p *Report) AwayShare() float64 {
+	return float64(p.Away) / float64(max(1, p.Offered))
+}
+
+// Add adds another run to the report.
+func (p *Report) Add(o *Report) {
+	for i := range p.Classes {
+		p.Classes[i].add(&o.Classes[i])
+	}
+	p.Offered += o.Offered
+	p.Tries += o.Tries
+	p.Retries += o.Retries
+	p.Away += o.Away
+	p.Bounced += o.Bounced
+	p.GoodTokens += o.GoodTokens
+	p.Busy += o.Busy
+	p.Capacity += o.Capacity
+	p.Hot.add(o.Hot)
+	p.Rest.add(o.Rest)
+	p.PeakTries = max(p.PeakTries, o.PeakTries)
+	p.Repeated += o.Repeated
+	p.FalseNotRun += o.FalseNotRun
+	for reason, count := range o.Reasons {
+		p.Reasons[reason] += count
+	}
+}
+
+func (c *Count) add(o Count) {
+	c.Offered += o.Offered
+	c.Answered += o.Answered
+}
+
+func (c *ClassReport) add(o *ClassReport) {
+	c.Offered += o.Offered
+	c.Answered += o.Answered
+	c.Refused += o.Refused
+	c.GaveUp += o.GaveUp
+	c.Tokens += o.Tokens
+	c.Retries += o.Retries
+	c.First = append(c.First, o.First...)
+	c.Whole = append(c.Whole, o.Whole...)
+	c.Between = append(c.Between, o.Between...)
+	c.Since = append(c.Since, o.Since...)
+}
