Let the owner's own word on a keyed call stand, and seal before handing over

Cause: a try forwarded to the owner was answered "unknown" where the owner had said "not run", since the forwarding entry weakened every claim; new keys were still begun between the refusal of new work and the handover; a successor did not know itself as one until the old owner's next heartbeat. Change: a verdict or closing frame of the owner stands, failures of the forward itself are still unknown; the records are sealed when new work is refused and always handed over, since an empty complete chunk also turns unknown into not run; a successor notes itself for each owner whose records it holds whole; the table's retention and take-over wait reach the records and the orderer. Ruled out: noting a successor at its first chunk, which would send tries away from an owner that is still there while its handover fails. Seen before: the owner logged not-run, its caller was told unknown.

--- a/core/node/node.go
+++ b/core/node/node.go
@@ -225,6 +225,7 @@
 		case feed.TableInForce:
 			n.table = a.Table
 			n.stale = true
+			n.orders.orderer.SetTakeOver(a.Table.Policy().OrderHandover)
 		case feed.ListInForce:
 			n.takeList(now, a)
 		case feed.Refused:
--- a/core/table/policy.go
+++ b/core/table/policy.go
@@ -127,7 +127,7 @@
 		{"spill-margin-ms", "50", 0, 600_000, func(p *Policy, v int) { p.SpillMargin = milliseconds(v) }},
 		{"retry-after-min-ms", "1000", 1, 600_000, func(p *Policy, v int) { p.RetryAfterMin = milliseconds(v) }},
 		{"retry-after-max-ms", "30000", 1, 600_000, func(p *Policy, v int) { p.RetryAfterMax = milliseconds(v) }},
-		{"order-handover-s", "20", 1, 600, func(p *Policy, v int) { p.OrderHandover = seconds(v) }},
+		{"order-handover-s", "20", 17, 600, func(p *Policy, v int) { p.OrderHandover = seconds(v) }},
 	},
 )
 
--- a/io/entry/call.go
+++ b/io/entry/call.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"arbutustrestle/core/dedup"
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/node"
 	"arbutustrestle/core/result"
@@ -70,6 +71,15 @@
 	return c.Key != "" && !c.Repeatable
 }
 
+// known weakens a claim that a keyed call has not run when its records were not
+// asked: an earlier try under the same key may have run.
+func (c *Call) known(f *result.Failure) *result.Failure {
+	if f == nil || !c.keyed() || c.asked {
+		return f
+	}
+	return dedup.Unasked(f)
+}
+
 // Source gives the body of a request.
 type Source interface {
 	// Read returns the whole body, or a failure with the step identify.
--- a/io/entry/core.go
+++ b/io/entry/core.go
@@ -9,7 +9,6 @@
 	"github.com/rs/zerolog"
 
 	"arbutustrestle/core/clock"
-	"arbutustrestle/core/dedup"
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/node"
 	"arbutustrestle/core/result"
@@ -66,8 +65,9 @@
 func (c *Core) Start() {
 	forwarder := &forwarder{core: c}
 	c.chain = Chain(
-		&readyFilter{core: c},
+		&readyFilter{},
 		&classifyFilter{core: c},
+		&drainFilter{core: c},
 		&residencyFilter{core: c},
 		&deadlineFilter{core: c},
 		&bodyFilter{core: c},
@@ -85,10 +85,7 @@
 	c.flight.begin()
 	defer c.flight.end()
 	started := c.Clock.Now()
-	f := c.chain(ctx, call)
-	if f != nil && call.keyed() && !call.asked {
-		f = dedup.Unasked(f)
-	}
+	f := call.known(c.chain(ctx, call))
 	c.Metrics.Ended(f)
 	c.log(call, f, c.Clock.Now().Sub(started))
 	return f
--- a/io/entry/dedup.go
+++ b/io/entry/dedup.go
@@ -75,6 +75,7 @@
 	if failure == nil || failure.Reason != result.PeerUnreachable {
 		return failure
 	}
+	c.asked = false
 	failure.Reason = result.OwnerUnreachable
 	if errors.Is(failure.Cause, errors.NotFound) {
 		failure.Reason = result.OwnerGone
--- a/io/entry/early.go
+++ b/io/entry/early.go
@@ -15,22 +15,29 @@
 // notReadyRetry is when a caller may come back to a starting instance.
 const notReadyRetry = 2 * time.Second
 
-// readyFilter refuses requests before a table is in force and during a shutdown.
-type readyFilter struct {
-	core *Core
-}
+// readyFilter refuses requests before a table is in force.
+type readyFilter struct{}
 
-// Apply refuses with NotReady or Draining. During a shutdown a keyed call still
-// passes, because only the records here can tell whether it has run; the records
-// themselves refuse new keys then.
-func (f *readyFilter) Apply(ctx context.Context, c *Call, next Next) *result.Failure {
+// Apply refuses with NotReady.
+func (*readyFilter) Apply(ctx context.Context, c *Call, next Next) *result.Failure {
 	if c.View.Table == nil || c.View.Phase == member.Starting {
 		failure := refuse(result.StepIdentify, result.NotReady)
 		failure.RetryAfter = notReadyRetry
 		return failure
 	}
+	return next(ctx, c)
+}
+
+// drainFilter refuses new requests during a shutdown.
+type drainFilter struct {
+	core *Core
+}
+
+// Apply refuses with Draining. A keyed call still passes, because only the records
+// here can tell whether it has run; they refuse new keys themselves.
+func (f *drainFilter) Apply(ctx context.Context, c *Call, next Next) *result.Failure {
 	retryAfter := time.Duration(f.core.flight.retryAfter.Load())
-	if retryAfter > 0 && c.Key == "" {
+	if retryAfter > 0 && !c.keyed() {
 		failure := refuse(result.StepIdentify, result.Draining)
 		failure.RetryAfter = retryAfter
 		return failure
--- a/io/entry/flight.go
+++ b/io/entry/flight.go
@@ -42,8 +42,9 @@
 	}
 }
 
-// RefuseNew makes the instance refuse new requests from now on.
+// RefuseNew makes the instance refuse new requests and new keys from now on.
 func (c *Core) RefuseNew(retryAfter time.Duration) {
+	c.Records.Seal()
 	c.flight.retryAfter.Store(int64(retryAfter))
 }
 
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -99,7 +99,14 @@
 	if v.GetAccepted() {
 		return nil
 	}
-	return failureFromWire(v.GetFailure())
+	return f.refused(c, v.GetFailure())
+}
+
+// refused returns the failure with which the target ended the request. Of a keyed
+// call the target says itself what its records know.
+func (f *forwarder) refused(c *Call, failure *wire.Failure) *result.Failure {
+	c.asked = true
+	return failureFromWire(failure)
 }
 
 // relay passes the answer's frames on until the closing one.
@@ -131,7 +138,7 @@
 
 func (f *forwarder) ended(c *Call, end *wire.End, t target) *result.Failure {
 	if end.GetFailure() != nil {
-		return failureFromWire(end.GetFailure())
+		return f.refused(c, end.GetFailure())
 	}
 	if !c.Begun {
 		return f.failure(result.Unknown, result.AnswerCut, t, nil)
--- a/io/entry/peer.go
+++ b/io/entry/peer.go
@@ -196,6 +196,9 @@
 	c, failure := p.call(f, source, sink)
 	if failure == nil {
 		failure = p.Core.Serve(ctx, c)
+	} else {
+		failure = c.known(failure)
+		p.Core.Metrics.Ended(failure)
 	}
 	source.done.Store(true)
 	p.finish(source, sink, c, failure)
--- a/io/entry/records.go
+++ b/io/entry/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"arbutustrestle/core/clock"
 	"arbutustrestle/core/dedup"
@@ -120,6 +121,20 @@
 	return r.notes.All(r.clock.Now())
 }
 
+// Seal makes the records refuse new keys from now on.
+func (r *Records) Seal() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.records.Seal()
+}
+
+// SetRetention sets how long a record is kept at least.
+func (r *Records) SetRetention(retention time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.records.SetRetention(r.clock.Now(), retention)
+}
+
 // Export seals the records and returns them in chunks for a successor.
 func (r *Records) Export(allowed func(ident.Workspace) bool) []dedup.Chunk {
 	r.mu.Lock()
--- a/io/loop/handover.go
+++ b/io/loop/handover.go
@@ -31,43 +31,63 @@
 	if err != nil || from != s.Peer.Incarnation {
 		return
 	}
-	if err := h.receiveChunks(s); err != nil {
+	owners, err := h.receiveChunks(s)
+	if err != nil {
 		log.Warn().Err(err).Str("step", "handover").Str("peer", from.String()).Msg("records not taken over")
 		return
 	}
+	// A workspace may have lost its place here since the sender looked.
+	h.Records.Strip(h.Loop.View().Allows)
+	for owner := range owners {
+		h.noteSelf(owner)
+	}
 	accepted := h.Records.Complete(from)
 	log.Info().Str("step", "handover").Str("peer", from.String()).Bool("complete", accepted).Msg("records taken over")
 	s.SetDeadline(time.Now().Add(chunkTimeout))
 	_ = s.Send(&wire.Handed{Accepted: accepted})
 }
 
-func (h *Handler) receiveChunks(s *link.Stream) error {
+// receiveChunks takes in all chunks and returns whose records they held.
+func (h *Handler) receiveChunks(s *link.Stream) (map[ident.Incarnation]struct{}, error) {
+	owners := map[ident.Incarnation]struct{}{}
 	for {
 		s.SetReadDeadline(time.Now().Add(chunkTimeout))
 		var m wire.Chunk
 		if err := s.Receive(&m); err != nil {
-			return errors.Trace(err)
+			return nil, errors.Trace(err)
 		}
 		chunk, err := wire.ChunkFromWire(&m)
 		if err != nil {
-			return errors.Trace(err)
+			return nil, errors.Trace(err)
 		}
 		if err := h.Records.Import(chunk); err != nil {
-			return errors.Trace(err)
+			return nil, errors.Trace(err)
 		}
+		owners[chunk.From] = struct{}{}
 		if m.GetLast() {
-			return nil
+			return owners, nil
 		}
 	}
 }
 
+// noteSelf makes this instance answer for the keys of an incarnation whose records
+// it holds whole, also when that incarnation dies before it could say so itself.
+func (h *Handler) noteSelf(old ident.Incarnation) {
+	v := h.Loop.View()
+	if v.Table == nil || !h.Records.Complete(old) {
+		return
+	}
+	expires := h.Loop.parts.Clock.Now().Add(v.Table.Policy().RecordRetention)
+	h.Records.Note(dedup.Note{Old: old, Successor: v.Self, Expires: expires})
+}
+
 // HandOver seals the records and gives them to another entry of the region, the next
 // best with each attempt from 1 on; the heartbeats that follow name it. It returns
 // an error when that entry did not take them all; the records' keys are then
 // answered with an unknown outcome once this process is gone.
 func (l *Loop) HandOver(ctx context.Context, attempt int) error {
 	v := l.View()
-	if l.parts.Records.Usage().Records == 0 || v.Table == nil {
+	if v.Table == nil {
 		return nil
 	}
 	successors := successorsOf(v)
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -214,6 +214,7 @@
 	l.revision = revision
 	policy := v.Table.Policy()
 	l.parts.Retries.Configure(float64(policy.RetryBudgetPercent), policy.MaxAttempts)
+	l.parts.Records.SetRetention(policy.RecordRetention)
 	l.parts.Records.Strip(v.Allows)
 	l.parts.Log.Info().Uint64("revision", uint64(revision)).Msg("table in force")
 }
