Name the parts of membership and published values in the field's terms

Some names had to be explained: floor, bury, hurry, park, lonely, and sheets for the state of the table, beside the table's own sheets. They are now wokeAt, addTombstone, sendSoon, postpone, alone and tableState, and the file is candidate.go. The counter of heartbeats from unknown senders is called so. The fault tables publish tables with the example's function instead of a second one that did the same.

--- a/core/feed/sheets.go
+++ b/core/feed/candidate.go
@@ -14,22 +14,22 @@
 	// pageWait is how long an instance that is not a reader waits for peers to have
 	// a page before it reads the platform.
 	pageWait = 3 * time.Second
-	// parkAfter is how long none of a candidate's pages comes before a lower table
-	// that peers have in force is fetched; parkedFor is the time it gets for that.
-	parkAfter = 5 * time.Second
-	parkedFor = 10 * time.Second
+	// stallAfter is how long none of a candidate's pages comes before a lower table
+	// that peers have in force is fetched; postponedFor is the time it gets for that.
+	stallAfter   = 5 * time.Second
+	postponedFor = 10 * time.Second
 )
 
-// sheets holds the table in force and the one that is being fetched.
-type sheets struct {
+// tableState holds the table in force and the one that is being fetched.
+type tableState struct {
 	inForce table.Version
 	// manifest is that of the table in force.
 	manifest Value
 	// pages holds the pages of the table in force and no others.
 	pages     map[table.Digest][]byte
 	candidate *candidate
-	// parked is a candidate whose pages could not be had for a while.
-	parked parked
+	// postponed is a candidate whose pages could not be had for a while.
+	postponed postponed
 	// refused is the version refused last, problem is why, refusedAt is when.
 	refused   table.Version
 	problem   error
@@ -55,9 +55,9 @@
 	order   []table.Digest
 }
 
-// parked is a candidate that was set aside so that a lower one, which peers have
+// postponed is a candidate that was set aside so that a lower one, which peers have
 // in force, can be fetched. Its pages are not kept.
-type parked struct {
+type postponed struct {
 	version table.Version
 	value   Value
 	from    ident.Instance
@@ -76,7 +76,7 @@
 	failures int
 }
 
-func (h *sheets) page(digest table.Digest) ([]byte, bool) {
+func (h *tableState) page(digest table.Digest) ([]byte, bool) {
 	if data, found := h.pages[digest]; found {
 		return data, true
 	}
@@ -95,9 +95,9 @@
 		s.refuse(version, table.Take, err)
 		return
 	}
-	switch verdict := manifest.Succeeds(s.sheets.inForce); verdict {
+	switch verdict := manifest.Succeeds(s.table.inForce); verdict {
 	case table.Same:
-		s.sheets.manifest.Revision = max(s.sheets.manifest.Revision, v.Revision)
+		s.table.manifest.Revision = max(s.table.manifest.Revision, v.Revision)
 	case table.Lower:
 		s.counts.StaleAnswers++
 	case table.Conflict:
@@ -111,22 +111,22 @@
 
 // refuse keeps what is in force and reports the offer, once for each version.
 func (s *State) refuse(version table.Version, verdict table.Verdict, err error) {
-	known := version == s.sheets.refused
-	s.sheets.refusedAt = s.now
+	known := version == s.table.refused
+	s.table.refusedAt = s.now
 	if known {
 		return
 	}
-	s.sheets.refused = version
-	s.sheets.problem = err
+	s.table.refused = version
+	s.table.problem = err
 	s.counts.RefusedTables++
 	s.act(Refused{Key: ManifestKey, Version: version, Verdict: verdict, Err: err})
 }
 
 func (s *State) refuseConflict(version table.Version) {
-	if version == s.sheets.conflict {
+	if version == s.table.conflict {
 		return
 	}
-	s.sheets.conflict = version
+	s.table.conflict = version
 	s.counts.Conflicts++
 	s.act(Refused{Key: ManifestKey, Version: version, Verdict: table.Conflict})
 }
@@ -135,18 +135,18 @@
 // good. Of two with one revision the platform's newer one goes first, as neither
 // is in force yet.
 func (s *State) consider(m table.Manifest, version table.Version, v Value, from ident.Instance) {
-	if version == s.sheets.refused {
-		s.sheets.refusedAt = s.now
+	if version == s.table.refused {
+		s.table.refusedAt = s.now
 		return
 	}
-	if c := s.sheets.candidate; c != nil {
+	if c := s.table.candidate; c != nil {
 		verdict := table.Succeeds(c.version, version)
 		newer := verdict == table.Conflict && v.Revision > c.value.Revision
 		if verdict != table.Take && !newer {
 			return
 		}
 	}
-	s.sheets.candidate = s.newCandidate(m, version, v, from)
+	s.table.candidate = s.newCandidate(m, version, v, from)
 	s.finishCandidate()
 }
 
@@ -162,7 +162,7 @@
 		missing:  map[table.Digest]*fetch{},
 	}
 	for _, ref := range m.Pages {
-		data, found := s.sheets.page(ref.Digest)
+		data, found := s.table.page(ref.Digest)
 		if found {
 			c.pages[ref.Digest] = data
 			continue
@@ -177,50 +177,50 @@
 
 // finishCandidate brings the candidate in force when no page is missing.
 func (s *State) finishCandidate() {
-	c := s.sheets.candidate
+	c := s.table.candidate
 	if c == nil || len(c.missing) > 0 {
 		return
 	}
-	s.sheets.candidate = nil
+	s.table.candidate = nil
 	built, err := table.Build(c.manifest, c.pages)
 	if err != nil {
 		s.refuse(c.version, table.Take, err)
 		return
 	}
-	s.sheets.inForce = c.version
-	s.sheets.manifest = c.value
-	s.sheets.pages = c.pages
-	s.sheets.conflict = table.Version{}
+	s.table.inForce = c.version
+	s.table.manifest = c.value
+	s.table.pages = c.pages
+	s.table.conflict = table.Version{}
 	s.act(TableInForce{Table: built})
-	s.sheets.parked.until = s.now
+	s.table.postponed.until = s.now
 	s.announce(c.from)
 }
 
 // stalled reports whether none of the candidate's pages came for a while, now or
-// when it was parked. An instance does not wait for it to become ready.
+// when it was postponed. An instance does not wait for it to become ready.
 func (s *State) stalled() bool {
-	c := s.sheets.candidate
-	return s.now.Sub(c.progress) >= parkAfter || c.version == s.sheets.parked.version
+	c := s.table.candidate
+	return s.now.Sub(c.progress) >= stallAfter || c.version == s.table.postponed.version
 }
 
-// park sets a stalled candidate aside when peers have a lower table in force that
+// postpone sets a stalled candidate aside when peers have a lower table in force that
 // is newer than the one here.
-func (s *State) park() {
-	c := s.sheets.candidate
-	if s.now.Sub(c.progress) < parkAfter {
+func (s *State) postpone() {
+	c := s.table.candidate
+	if s.now.Sub(c.progress) < stallAfter {
 		return
 	}
 	newest := s.newest(watchManifest)
-	if newest <= s.sheets.inForce.Revision || newest >= c.version.Revision {
+	if newest <= s.table.inForce.Revision || newest >= c.version.Revision {
 		return
 	}
-	s.sheets.parked = parked{version: c.version, value: c.value, from: c.from, until: s.now.Add(parkedFor)}
-	s.sheets.candidate = nil
+	s.table.postponed = postponed{version: c.version, value: c.value, from: c.from, until: s.now.Add(postponedFor)}
+	s.table.candidate = nil
 }
 
-// unpark makes the parked candidate the candidate again.
-func (s *State) unpark() {
-	p := &s.sheets.parked
+// resume makes the postponed candidate the candidate again.
+func (s *State) resume() {
+	p := &s.table.postponed
 	if p.value.Data == nil || s.now.Before(p.until) {
 		return
 	}
@@ -244,7 +244,7 @@
 
 // takePage takes in a page, or notes that the source does not have it.
 func (s *State) takePage(digest table.Digest, data []byte, found bool, from ident.Instance) {
-	c := s.sheets.candidate
+	c := s.table.candidate
 	if c == nil || c.missing[digest] == nil {
 		return
 	}
@@ -265,7 +265,7 @@
 // pageFailed notes that a peer, or with an empty name the platform, did not give
 // a page.
 func (s *State) pageFailed(digest table.Digest, from ident.Instance) {
-	c := s.sheets.candidate
+	c := s.table.candidate
 	if c == nil || c.missing[digest] == nil {
 		return
 	}
@@ -286,13 +286,13 @@
 // planPages fetches missing pages: from peers that have the table in force, else
 // from the platform.
 func (s *State) planPages() {
-	if s.sheets.candidate != nil {
-		s.park()
+	if s.table.candidate != nil {
+		s.postpone()
 	}
-	if s.sheets.candidate == nil {
-		s.unpark()
+	if s.table.candidate == nil {
+		s.resume()
 	}
-	c := s.sheets.candidate
+	c := s.table.candidate
 	if c == nil {
 		return
 	}
--- a/core/feed/example_test.go
+++ b/core/feed/example_test.go
@@ -49,15 +49,13 @@
 }
 
 // publish puts the table that follows a revision on a platform.
-func publish(platform map[feed.Key]feed.Value, base int, workspaces ...string) table.Manifest {
-	sheets := sheetsWith(workspaces)
-	pages := table.Split(sheets, table.PageBytes)
-	manifest := table.NewManifest(ident.Revision(base), "ann", "", pages)
+func publish(platform map[feed.Key]feed.Value, base ident.Revision, workspaces ...string) {
+	pages := table.Split(sheetsWith(workspaces), table.PageBytes)
+	manifest := table.NewManifest(base, "ann", "", pages)
 	for _, page := range pages {
 		platform[feed.PageKey(page.Ref.Digest)] = feed.Value{Revision: 1, Data: page.Data}
 	}
 	platform[feed.ManifestKey] = feed.Value{Revision: platform[feed.ManifestKey].Revision + 1, Data: manifest.Encode()}
-	return manifest
 }
 
 func sheetsWith(workspaces []string) []table.Sheet {
--- a/core/feed/feed_test.go
+++ b/core/feed/feed_test.go
@@ -51,7 +51,7 @@
 	number, _ := strconv.Atoi(words[min(1, len(words)-1)])
 	switch words[0] {
 	case "publish": // publish BASE WORKSPACE...; "Bad!" is no name of a workspace.
-		f.publish(ident.Revision(number), sheetsWith(words[2:]))
+		publish(f.values, ident.Revision(number), words[2:]...)
 	case "lists":
 		f.lists(ident.Revision(number))
 	case "lose-pages":
@@ -118,7 +118,7 @@
 	}
 	change := func(name string, revision ident.Revision, workspaces []string) {
 		began := f.now
-		f.publish(revision-1, sheetsWith(workspaces))
+		publish(f.values, revision-1, workspaces...)
 		before := len(f.reads)
 		for !f.everywhere(revision) && f.now.Sub(began) < 2*targetInForce {
 			f.run(10 * time.Millisecond)
@@ -135,7 +135,7 @@
 		workspaces[i] = fmt.Sprintf("workspace-%d", i)
 		others[i] = fmt.Sprintf("other-%d", i)
 	}
-	f.publish(0, sheetsWith(workspaces))
+	publish(f.values, 0, workspaces...)
 	f.command("start all")
 	phase("all start", time.Minute)
 	phase("calm", time.Minute)
@@ -162,7 +162,7 @@
 func BenchmarkStep(b *testing.B) {
 	for _, each := range []int{1, 3, 9, 40} {
 		f := newFleet(1, 3, each)
-		f.publish(0, sheetsWith([]string{"ann"}))
+		publish(f.values, 0, "ann")
 		f.command("start all")
 		f.run(30 * time.Second)
 		n := f.nodes[0]
--- a/core/feed/fleet_test.go
+++ b/core/feed/fleet_test.go
@@ -9,7 +9,6 @@
 	"arbutustrestle/core/feed"
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/member"
-	"arbutustrestle/core/table"
 )
 
 const (
@@ -73,16 +72,6 @@
 	}
 }
 
-// publish puts a table on the platform that follows a revision.
-func (f *fleet) publish(base ident.Revision, sheets []table.Sheet) {
-	pages := table.Split(sheets, table.PageBytes)
-	for _, p := range pages {
-		f.values[feed.PageKey(p.Ref.Digest)] = feed.Value{Revision: 1, Data: p.Data}
-	}
-	m := table.NewManifest(base, "ann", "", pages)
-	f.values[feed.ManifestKey] = feed.Value{Revision: f.values[feed.ManifestKey].Revision + 1, Data: m.Encode()}
-}
-
 func (f *fleet) after(d time.Duration, run func()) {
 	at := f.now.Add(max(d, time.Millisecond)).UnixMilli()
 	f.queue[at] = append(f.queue[at], run)
--- a/core/feed/platform.go
+++ b/core/feed/platform.go
@@ -48,7 +48,7 @@
 // watch is what is held of one watched value.
 type watch struct {
 	key Key
-	// value is a list in force; unused for the manifest, which sheets holds.
+	// value is a list in force; unused for the manifest, which tableState holds.
 	value Value
 	// seen is the platform's highest revision of the value, taken or refused.
 	seen ident.Revision
@@ -127,7 +127,7 @@
 			return true
 		}
 	}
-	return s.sheets.candidate.reading()
+	return s.table.candidate.reading()
 }
 
 func (s *State) refill() {
--- a/core/feed/question.go
+++ b/core/feed/question.go
@@ -45,10 +45,10 @@
 	if i != watchManifest {
 		return s.watches[i].value.Revision
 	}
-	if s.sheets.candidate != nil {
-		return s.sheets.candidate.version.Revision
+	if s.table.candidate != nil {
+		return s.table.candidate.version.Revision
 	}
-	return s.sheets.inForce.Revision
+	return s.table.inForce.Revision
 }
 
 // heldBy returns the revision that a peer holds of a watched value.
@@ -116,8 +116,8 @@
 }
 
 func (s *State) refusedLately(i int, newest ident.Revision) bool {
-	same := newest == s.sheets.refused.Revision
-	return i == watchManifest && same && s.now.Sub(s.sheets.refusedAt) < refusedRetry
+	same := newest == s.table.refused.Revision
+	return i == watchManifest && same && s.now.Sub(s.table.refusedAt) < refusedRetry
 }
 
 // ask asks a peer that has a newer value and has not failed on it: one of the own
--- a/core/feed/state.go
+++ b/core/feed/state.go
@@ -85,14 +85,14 @@
 	// fleet and readers are as in Members.
 	fleet   int
 	readers int
-	// reader is set when this instance is one of its zone's readers, lonely when it
+	// reader is set when this instance is one of its zone's readers, alone when it
 	// hears no other entry.
 	reader bool
-	lonely bool
+	alone  bool
 	// counted is set when Members came after the newest list of entries, so that
 	// expected is that list's.
 	counted bool
-	sheets  sheets
+	table   tableState
 	counts  Counts
 	// announced is what the zone was told last.
 	announced member.Held
@@ -106,7 +106,7 @@
 		_, _ = hash.Write([]byte(options.Instance))
 		options.Random = rand.New(rand.NewPCG(hash.Sum64(), 0))
 	}
-	s := &State{options: options, lonely: true}
+	s := &State{options: options, alone: true}
 	s.watches[watchManifest].key = ManifestKey
 	s.watches[watchEntries].key = EntriesKey
 	s.watches[watchUpstreams].key = UpstreamsKey(options.Region)
@@ -159,7 +159,7 @@
 // Held returns the revisions that are in force, for heartbeats.
 func (s *State) Held() member.Held {
 	return member.Held{
-		Table:     s.sheets.inForce.Revision,
+		Table:     s.table.inForce.Revision,
 		Entries:   s.watches[watchEntries].value.Revision,
 		Upstreams: s.watches[watchUpstreams].value.Revision,
 	}
@@ -174,15 +174,15 @@
 func (s *State) Status() Status {
 	status := Status{
 		Ready:        s.ready,
-		InForce:      s.sheets.inForce,
-		Refused:      s.sheets.refused,
-		Problem:      s.sheets.problem,
-		Conflict:     s.sheets.conflict,
+		InForce:      s.table.inForce,
+		Refused:      s.table.refused,
+		Problem:      s.table.problem,
+		Conflict:     s.table.conflict,
 		Reader:       s.watching(),
 		PlatformDown: s.platform.failures > 0,
 		Held:         s.Held(),
 	}
-	if c := s.sheets.candidate; c != nil {
+	if c := s.table.candidate; c != nil {
 		status.Candidate = c.version
 		status.MissingPages = len(c.missing)
 	}
@@ -194,11 +194,11 @@
 // anything not held, and for a manifest or list that is not above after.
 func (s *State) Value(key Key, after ident.Revision) (Value, bool) {
 	if digest, isPage := key.Digest(); isPage {
-		data, found := s.sheets.page(digest)
+		data, found := s.table.page(digest)
 		return Value{Data: data}, found
 	}
 	if key == ManifestKey {
-		return s.sheets.manifest, s.sheets.inForce.Revision > after
+		return s.table.manifest, s.table.inForce.Revision > after
 	}
 	for i := range s.watches {
 		w := &s.watches[i]
@@ -216,7 +216,7 @@
 	s.expected = m.Expected
 	s.fleet = m.Fleet
 	s.readers = m.Readers
-	s.lonely = len(m.Peers) == 0
+	s.alone = len(m.Peers) == 0
 	s.counted = s.watches[watchEntries].value.Revision > 0
 	zone := []ident.Instance{s.options.Instance}
 	for _, p := range m.Peers {
@@ -225,7 +225,7 @@
 		}
 	}
 	readers := rank.Top("reader "+string(s.options.Zone), zone, readersPerZone)
-	s.reader = !s.lonely && slices.Contains(readers, s.options.Instance)
+	s.reader = !s.alone && slices.Contains(readers, s.options.Instance)
 	if s.watching() && !watched {
 		s.startWatching()
 	}
@@ -244,7 +244,7 @@
 
 // watching reports whether the instance waits at the platform for changes.
 func (s *State) watching() bool {
-	return s.reader || s.lonely
+	return s.reader || s.alone
 }
 
 // startWatching makes the watches of an instance that was elected due.
@@ -306,10 +306,10 @@
 // complete reports whether a table and both lists are in force, and no usable
 // peer has newer ones.
 func (s *State) complete() bool {
-	if s.sheets.inForce.Revision == 0 {
+	if s.table.inForce.Revision == 0 {
 		return false
 	}
-	if s.sheets.candidate != nil && !s.stalled() {
+	if s.table.candidate != nil && !s.stalled() {
 		return false
 	}
 	for i := range s.watches {
--- a/core/member/peer.go
+++ b/core/member/peer.go
@@ -7,8 +7,8 @@
 	"arbutustrestle/core/ident"
 )
 
-// maxBuried is the number of earlier runs that are remembered for each instance.
-const maxBuried = 4
+// maxTombstones is the number of earlier runs that are remembered for each instance.
+const maxTombstones = 4
 
 // peer is what is held of one other instance of the own region.
 type peer struct {
@@ -30,12 +30,12 @@
 	failedAt time.Time
 	// left is set when the run has said that it stops.
 	left bool
-	// buried holds tombstones of earlier runs, the newest last.
-	buried   []tombstone
-	phase    Phase
-	held     Held
-	sent     uint64
-	nextSend time.Time
+	// tombstones are those of earlier runs, the newest last.
+	tombstones []tombstone
+	phase      Phase
+	held       Held
+	sent       uint64
+	nextSend   time.Time
 	// status and usable are worked out by refresh.
 	status Status
 	usable bool
@@ -53,7 +53,7 @@
 func (s *State) hear(h *Heartbeat) {
 	p := s.sender(h)
 	if p == nil {
-		s.counts.StrangeHeartbeats++
+		s.counts.UnknownHeartbeats++
 		return
 	}
 	if !s.accepts(p, h) {
@@ -102,15 +102,15 @@
 		return h.Sequence > p.sequence
 	}
 	proof := s.echoTime(h)
-	i := slices.IndexFunc(p.buried, func(t tombstone) bool { return t.start == start })
+	i := slices.IndexFunc(p.tombstones, func(t tombstone) bool { return t.start == start })
 	if i >= 0 {
-		if !proof.After(p.buried[i].at) {
+		if !proof.After(p.tombstones[i].at) {
 			return false
 		}
-		p.buried = slices.Delete(p.buried, i, i+1)
+		p.tombstones = slices.Delete(p.tombstones, i, i+1)
 	}
 	if !proof.IsZero() && proof.Before(p.echoedAt) {
-		s.bury(p, start)
+		s.addTombstone(p, start)
 		return false
 	}
 	s.replace(p, start)
@@ -120,7 +120,7 @@
 // replace makes a run the current one.
 func (s *State) replace(p *peer, start uint64) {
 	if p.start != 0 {
-		s.bury(p, p.start)
+		s.addTombstone(p, p.start)
 	}
 	p.start = start
 	p.sequence = 0
@@ -133,10 +133,10 @@
 	s.changed = true
 }
 
-func (s *State) bury(p *peer, start uint64) {
-	p.buried = append(p.buried, tombstone{start: start, at: s.now})
-	if len(p.buried) > maxBuried {
-		p.buried = slices.Delete(p.buried, 0, 1)
+func (s *State) addTombstone(p *peer, start uint64) {
+	p.tombstones = append(p.tombstones, tombstone{start: start, at: s.now})
+	if len(p.tombstones) > maxTombstones {
+		p.tombstones = slices.Delete(p.tombstones, 0, 1)
 	}
 }
 
@@ -166,8 +166,8 @@
 	}
 	// After a pause the first heartbeats may have waited in a buffer for as long as
 	// the pause lasted; those count only with proof.
-	buffered := !s.floor.IsZero() && s.now.Sub(s.floor) < s.period()
-	if !buffered || !proof.Before(s.floor) {
+	buffered := !s.wokeAt.IsZero() && s.now.Sub(s.wokeAt) < s.period()
+	if !buffered || !proof.Before(s.wokeAt) {
 		p.heardAt = s.now
 	}
 	if h.Self != nil {
@@ -199,9 +199,9 @@
 func (s *State) statusOf(p *peer) Status {
 	// The time in which this process stood still is not the peer's silence.
 	silence := s.now.Sub(p.heardAt)
-	stale := p.heardAt.Before(s.floor)
+	stale := p.heardAt.Before(s.wokeAt)
 	if stale {
-		silence = s.now.Sub(s.floor)
+		silence = s.now.Sub(s.wokeAt)
 	}
 	switch {
 	case p.left:
@@ -221,7 +221,7 @@
 // confirmed one that was sent lately and after the last failed send.
 func (s *State) confirms(p *peer) bool {
 	recent := s.now.Sub(p.echoedAt) <= echoPeriods*s.period()
-	return recent && p.echoedAt.After(p.failedAt) && !p.echoedAt.Before(s.floor)
+	return recent && p.echoedAt.After(p.failedAt) && !p.echoedAt.Before(s.wokeAt)
 }
 
 // send sends a heartbeat to a peer and plans the next one.
@@ -271,7 +271,7 @@
 	if _, known := s.listed[to]; known || s.isContact(to) {
 		s.failed[to] = s.now
 		s.changed = true
-		s.hurry(to)
+		s.sendSoon(to)
 	}
 }
 
--- a/core/member/state.go
+++ b/core/member/state.go
@@ -55,9 +55,9 @@
 type Counts struct {
 	// LateHeartbeats are doubled, reordered or of an earlier run.
 	LateHeartbeats uint64
-	// StrangeHeartbeats came from another region, from this instance's own name,
+	// UnknownHeartbeats came from another region, from this instance's own name,
 	// or from an unknown instance that did not describe itself.
-	StrangeHeartbeats uint64
+	UnknownHeartbeats uint64
 	LateSummaries     uint64
 	StaleListings     uint64
 	Pauses            uint64
@@ -72,8 +72,8 @@
 	// now never decreases.
 	now      time.Time
 	lastTick time.Time
-	// floor is when the last pause ended: what was heard before it is stale.
-	floor time.Time
+	// wokeAt is when the last pause ended: what was heard before it is stale.
+	wokeAt time.Time
 	// stale is set from a pause until peers have been heard again.
 	stale bool
 	local LocalChanged
@@ -169,8 +169,8 @@
 func (s *State) wake(gap time.Duration) {
 	s.counts.Pauses++
 	s.lastTick = s.now
-	// Echoes tell the time of a send in whole milliseconds, so the floor does too.
-	s.floor = s.began.Add(s.now.Sub(s.began).Truncate(time.Millisecond))
+	// Echoes tell the time of a send in whole milliseconds, so does this.
+	s.wokeAt = s.began.Add(s.now.Sub(s.began).Truncate(time.Millisecond))
 	s.stale = true
 	s.changed = true
 	for _, p := range s.peers {
@@ -229,7 +229,7 @@
 	if !s.stale {
 		return
 	}
-	settled := s.now.Sub(s.floor) > suspectPeriods*s.period()
+	settled := s.now.Sub(s.wokeAt) > suspectPeriods*s.period()
 	heard := true
 	for _, p := range s.peers {
 		if p.status == Suspect {
--- a/core/member/summary.go
+++ b/core/member/summary.go
@@ -23,8 +23,8 @@
 	// failedRetry is how long an instance of another region is passed over after a
 	// failed send.
 	failedRetry = 30 * time.Second
-	// hurryAfter is the time after which a failed summary goes to the next instance.
-	hurryAfter = time.Second
+	// summaryRetry is the time after which a failed summary goes to the next instance.
+	summaryRetry = time.Second
 	// maxContacts is the number of entries that a summary names.
 	maxContacts = 3
 	// maxRegions bounds the regions that are kept, whatever summaries claim.
@@ -90,7 +90,7 @@
 	if len(s.regions) >= maxRegions {
 		return nil
 	}
-	r := &region{name: name, nextSend: s.now.Add(hurryAfter)}
+	r := &region{name: name, nextSend: s.now.Add(summaryRetry)}
 	s.regions = slices.Insert(s.regions, i, r)
 	s.changed = true
 	return r
@@ -111,7 +111,7 @@
 	r.summary = *sum
 	r.madeAt = madeAt
 	// As with heartbeats, a buffer may have held the first ones after a pause.
-	r.stale = !s.floor.IsZero() && s.now.Sub(s.floor) < s.period()
+	r.stale = !s.wokeAt.IsZero() && s.now.Sub(s.wokeAt) < s.period()
 	r.fresh = !r.stale
 	s.changed = true
 	if direct && !r.relayAgain.After(s.now) {
@@ -315,13 +315,13 @@
 	return false
 }
 
-// hurry lets the summary for an instance's region go to the next one there soon,
+// sendSoon lets the summary for an instance's region go to the next one there soon,
 // unless all have failed.
-func (s *State) hurry(id ident.Instance) {
+func (s *State) sendSoon(id ident.Instance) {
 	for _, r := range s.regions {
 		next, _, found := s.target(r)
 		if found && s.listed[id].Region == r.name && s.works(next) {
-			r.nextSend = s.now.Add(min(hurryAfter, max(0, r.nextSend.Sub(s.now))))
+			r.nextSend = s.now.Add(min(summaryRetry, max(0, r.nextSend.Sub(s.now))))
 		}
 	}
 }
