--- /dev/null
+++ b/core/admit/admit_test.go
@@ -0,0 +1,176 @@
+package admit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"arbutustrestle/core/result"
+	"arbutustrestle/core/table"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// TestGate runs scripts of one event a line, the first word being seconds since the
+// start. "drain 4" has four service calls a second begin and end for ten seconds.
+func TestGate(t *testing.T) {
+	datadriven.RunTest(t, "testdata/gate", func(t *testing.T, d *datadriven.TestData) string {
+		g := &Gate{}
+		random := rand.New(rand.NewPCG(1, 1))
+		var out strings.Builder
+		for line := range strings.SplitSeq(strings.TrimSpace(d.Input), "\n") {
+			var seconds, number float64
+			var event, class, kind string
+			if n, _ := fmt.Sscanf(line, "%f %s", &seconds, &event); n < 2 {
+				d.Fatalf(t, "can't read %q", line)
+			}
+			rest := strings.Join(strings.Fields(line)[2:], " ")
+			now := start.Add(time.Duration(seconds * float64(time.Second)))
+			_, _ = fmt.Sscanf(rest, "%f", &number)
+			_, _ = fmt.Sscanf(rest, "%s %s", &class, &kind)
+			of, _ := table.ParseClass(class)
+			switch event {
+			case "resize":
+				fmt.Fprintf(&out, "%s: granted %v\n", line, g.Resize(now, number))
+			case "drain":
+				for i := range int(10 * number) {
+					g.Release(now.Add(time.Duration(float64(i)/number*float64(time.Second))), table.ServiceCall)
+				}
+			case "offer":
+				v := g.Offer(now, random, Request{Class: of, Forwarded: kind == "forwarded"})
+				fmt.Fprintf(&out, "%s: %s\n", line, describe(now, v))
+			case "release":
+				fmt.Fprintf(&out, "%s: granted %v\n", line, g.Release(now, of))
+			case "expire":
+				f := g.Expire(now, random, Ticket(number))
+				fmt.Fprintf(&out, "%s: %t\n", line, f != nil && f.Reason == result.ClassFull && f.RetryAfter > 0)
+			default:
+				d.Fatalf(t, "unknown event %q", event)
+			}
+		}
+		return out.String()
+	})
+}
+
+func describe(now time.Time, v Verdict) string {
+	switch v := v.(type) {
+	case Queued:
+		return fmt.Sprintf("queued as %d until %s, expected %s", v.Ticket, v.Until.Sub(now), v.Expected.Round(time.Millisecond))
+	case Refused:
+		return fmt.Sprintf("refused, %s, %s", v.Failure.Reason, v.Failure.Outcome)
+	default:
+		return "admitted"
+	}
+}
+
+// TestRefusedCallersComeBackSpread refuses 300 callers at one moment.
+func TestRefusedCallersComeBackSpread(t *testing.T) {
+	for _, perSecond := range []int{2, 10, 50} {
+		g := &Gate{}
+		g.Resize(start, 1)
+		random := rand.New(rand.NewPCG(1, 1))
+		for i := range 10 * perSecond {
+			g.Release(start.Add(time.Duration(i)*time.Second/time.Duration(perSecond)), table.Plan)
+		}
+		now := start.Add(10 * time.Second)
+		var waits []time.Duration
+		perBucket := map[time.Duration]int{}
+		for range 300 {
+			wait := g.RetryAfter(now, random)
+			waits = append(waits, wait)
+			perBucket[wait/time.Second]++
+		}
+		policy := table.DefaultPolicy()
+		if slices.Min(waits) < policy.RetryAfterMin || slices.Max(waits) > policy.RetryAfterMax+policy.RetryAfterMin {
+			t.Errorf("%d a second: told to come back between %s and %s", perSecond, slices.Min(waits), slices.Max(waits))
+		}
+		// What can't be served before the longest time allowed is spread over half of it.
+		bound := 3*perSecond + 3*300/int(policy.RetryAfterMax.Seconds()/2)
+		for at, count := range perBucket {
+			if count > bound {
+				t.Errorf("%d a second: %d of 300 come back in second %d", perSecond, count, at)
+			}
+		}
+	}
+}
+
+// TestGuaranteedPartsUnderOverload offers three times what fits, of each class.
+func TestGuaranteedPartsUnderOverload(t *testing.T) {
+	g := &Gate{}
+	g.Resize(start, 40)
+	random := rand.New(rand.NewPCG(1, 1))
+	var running []table.Class
+	waiting := map[Ticket]table.Class{}
+	for step := range 4000 {
+		now := start.Add(time.Duration(step) * 20 * time.Millisecond)
+		for _, class := range []table.Class{table.Quick, table.Plan, table.Session} {
+			switch v := g.Offer(now, random, Request{Class: class}).(type) {
+			case Admitted:
+				running = append(running, class)
+			case Queued:
+				waiting[v.Ticket] = class
+			}
+		}
+		if len(running) == 0 {
+			continue
+		}
+		i := random.IntN(len(running))
+		granted := g.Release(now, running[i])
+		running = slices.Delete(running, i, i+1)
+		for _, ticket := range granted {
+			running = append(running, waiting[ticket])
+			delete(waiting, ticket)
+		}
+	}
+	policy := table.DefaultPolicy()
+	for _, class := range []table.Class{table.Quick, table.Plan, table.Session} {
+		part := float64(policy.Classes[class].SharePercent) / 100 * 40
+		if got := float64(g.InFlight(class)); got < part-1 {
+			t.Errorf("%s has %.0f slots, %.0f are guaranteed", class, got, part)
+		}
+	}
+}
+
+func ExampleGate() {
+	g := &Gate{}
+	g.Resize(start, 1)
+	random := rand.New(rand.NewPCG(1, 1))
+	for range 2 {
+		switch v := g.Offer(start, random, Request{Class: table.Plan}).(type) {
+		case Admitted:
+			fmt.Println("admitted")
+		case Queued:
+			fmt.Println("queued as", v.Ticket)
+		case Refused:
+			fmt.Println(v.Failure.Reason)
+		}
+	}
+	fmt.Println(g.Release(start, table.Plan))
+	// Output:
+	// admitted
+	// class-full
+	// []
+}
+
+func BenchmarkOfferRelease(b *testing.B) {
+	for _, slots := range []float64{3, 37, 970, 13600} {
+		b.Run(fmt.Sprintf("slots=%.0f", slots), func(b *testing.B) {
+			g := &Gate{}
+			g.Resize(start, slots)
+			random := rand.New(rand.NewPCG(1, 1))
+			for range int(slots) - 1 {
+				g.Offer(start, random, Request{Class: table.Plan})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				g.Offer(start, random, Request{Class: table.Plan})
+				g.Release(start, table.Plan)
+			}
+		})
+	}
+}
--- a/core/load/history.go
+++ b/core/load/history.go
@@ -17,6 +17,8 @@
 	// changes[i] is the net change during the bucket numbered stamps[i].
 	changes [historyBuckets]int32
 	stamps  [historyBuckets]int64
+	// reported is the number of the bucket that reset last emptied.
+	reported int64
 }
 
 func bucket(at time.Time) int64 {
@@ -34,12 +36,26 @@
 	h.changes[i] += int32(change)
 }
 
-// since returns the net change after a moment, as far back as the history goes.
+// reset forgets the changes of the present bucket, which a report that is true now
+// holds already. Those that follow in the same bucket then count.
+func (h *history) reset(now time.Time) {
+	number := bucket(now)
+	h.add(now, 0)
+	h.changes[uint64(number)%historyBuckets] = 0
+	h.reported = number
+}
+
+// since returns the net change after a moment, as far back as the history goes. The
+// bucket of the moment itself counts only if it was reset at that moment.
 func (h *history) since(now, moment time.Time) int {
-	oldest := max(bucket(moment), bucket(now)-historyBuckets)
+	first := bucket(moment) + 1
+	if h.reported == first-1 {
+		first--
+	}
+	first = max(first, bucket(now)-historyBuckets+1)
 	sum := 0
 	for i, number := range h.stamps {
-		if number > oldest {
+		if number >= first {
 			sum += int(h.changes[i])
 		}
 	}
--- a/core/load/load.go
+++ b/core/load/load.go
@@ -227,6 +227,9 @@
 		r.Slots = u.report.Slots
 	}
 	u.report = r
+	if bucket(r.AsOf) == bucket(now) {
+		u.own.reset(now)
+	}
 	if r.Running > 0 && r.TokensPerSecond > 0 {
 		seconds := float64(r.Running) / r.TokensPerSecond
 		u.pace = average(u.pace, time.Duration(seconds*float64(time.Second)))
--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,116 @@
+package retry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"arbutustrestle/core/result"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func failure(outcome result.Outcome, reason result.Reason) *result.Failure {
+	return &result.Failure{Outcome: outcome, Step: result.StepAttempt, Reason: reason, Peer: "engine-1"}
+}
+
+func TestDecide(t *testing.T) {
+	notRun := failure(result.NotRun, result.UpstreamRefused)
+	unknown := failure(result.Unknown, result.AnswerCut)
+	for _, c := range []struct {
+		name string
+		call Call
+		last *result.Failure
+		want string
+	}{
+		{"not run, not repeatable", Call{Attempts: 1}, notRun, "again"},
+		{"unknown, not repeatable", Call{Attempts: 1}, unknown, "answer-cut"},
+		{"unknown, repeatable", Call{Attempts: 1, Repeatable: true}, unknown, "again"},
+		{"part of the answer is with the caller", Call{Attempts: 1, Repeatable: true, Streamed: true}, unknown, "answer-cut"},
+		{"attempts used up", Call{Attempts: 3, Repeatable: true}, notRun, "upstream-refused"},
+		{"the request's own fault", Call{Attempts: 1, Repeatable: true}, failure(result.NotRun, result.BadRequest), "bad-request"},
+		{"given up by its caller", Call{Attempts: 1, Repeatable: true}, failure(result.Unknown, result.CallerGone), "caller-gone"},
+		{"past the deadline", Call{Attempts: 1, Deadline: start.Add(-1)}, notRun, "upstream-refused"},
+		{"no time for an answer", Call{Attempts: 1, Deadline: start.Add(time.Second), Expected: 2 * time.Second}, notRun, "upstream-refused"},
+		{"backoff past the deadline", Call{Attempts: 2, Deadline: start.Add(time.Millisecond)}, notRun, "upstream-refused"},
+	} {
+		var b Budget
+		got := "again"
+		if stop, ends := b.Decide(start, rand.New(rand.NewPCG(1, 1)), c.call, c.last).(Stop); ends {
+			got = stop.Failure.Reason.String()
+			if stop.Failure.Outcome != c.last.Outcome {
+				t.Errorf("%s: the outcome changed to %s", c.name, stop.Failure.Outcome)
+			}
+		}
+		if got != c.want {
+			t.Errorf("%s: got %s, want %s", c.name, got, c.want)
+		}
+	}
+}
+
+// TestBudgetBoundsRetries has every attempt fail for five minutes.
+func TestBudgetBoundsRetries(t *testing.T) {
+	for _, c := range []struct{ percent, perSecond int }{{0, 50}, {10, 4}, {10, 50}, {10, 1000}, {25, 100}} {
+		var b Budget
+		b.Configure(float64(c.percent), 3)
+		random := rand.New(rand.NewPCG(1, 1))
+		requests, retries := 0, 0
+		for i := range 300 * c.perSecond {
+			now := start.Add(time.Duration(i) * time.Second / time.Duration(c.perSecond))
+			b.Request(now)
+			requests++
+			for attempts := 1; ; attempts++ {
+				if _, ends := b.Decide(now, random, Call{Attempts: attempts}, failure(result.NotRun, result.ConnectFailed)).(Stop); ends {
+					break
+				}
+				retries++
+			}
+		}
+		bound := requests*c.percent/100 + 301
+		if c.percent == 0 {
+			bound = 0
+		}
+		if retries > bound {
+			t.Errorf("%d percent of %d a second: %d retries of %d requests", c.percent, c.perSecond, retries, requests)
+		}
+	}
+}
+
+func TestHedgesComeOutOfTheSameBudget(t *testing.T) {
+	var b Budget
+	call := Call{Repeatable: true, Attempts: 1}
+	if b.Hedge(start, Call{Attempts: 1}) || b.Hedge(start, Call{Attempts: 1, Repeatable: true, Streamed: true}) {
+		t.Error("hedged a call that may not repeat, or one that is being answered")
+	}
+	if !b.Hedge(start, call) || b.Hedge(start, call) {
+		t.Error("the floor allows one at first")
+	}
+	if _, ends := b.Decide(start, rand.New(rand.NewPCG(1, 1)), call, failure(result.NotRun, result.ConnectFailed)).(Stop); !ends {
+		t.Error("the hedge left the budget full")
+	}
+}
+
+func ExampleBudget() {
+	var b Budget
+	b.Request(start)
+	lost := &result.Failure{Outcome: result.Unknown, Step: result.StepAttempt, Reason: result.AnswerCut}
+	switch d := b.Decide(start, rand.New(rand.NewPCG(1, 1)), Call{Attempts: 1}, lost).(type) {
+	case Again:
+		fmt.Println("again after", d.After)
+	case Stop:
+		fmt.Println(d.Failure)
+	}
+	// Output: attempt: answer-cut (unknown)
+}
+
+func BenchmarkDecide(b *testing.B) {
+	var budget Budget
+	random := rand.New(rand.NewPCG(1, 1))
+	last := failure(result.NotRun, result.UpstreamRefused)
+	b.ReportAllocs()
+	for b.Loop() {
+		budget.Request(start)
+		budget.Decide(start, random, Call{Attempts: 1}, last)
+	}
+}
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -42,6 +42,14 @@
 	}
 }
 
+// fail has all upstreams refuse, although they tell their load.
+func fail(list []*load.Upstream) {
+	for _, u := range list {
+		u.Begin(start)
+		u.End(start, load.Refused, 0, 0)
+	}
+}
+
 func view(list []*load.Upstream, remotes ...Remote) *View {
 	return &View{Region: "west", Versions: []Version{NewVersion("v1", 1, list)}, Remotes: remotes, Meter: &Meter{}}
 }
@@ -84,10 +92,17 @@
 		{"old summary", 16, func(l []*load.Upstream) *View { return view(l, stale) }, Request{Places: everywhere{}}, "attempt"},
 		{"share of zero", 16, func(l []*load.Upstream) *View { return view(l, closed) }, Request{Places: everywhere{}}, "attempt"},
 		{"no free slot there", 16, func(l []*load.Upstream) *View { return view(l, crowded) }, Request{Places: everywhere{}}, "attempt"},
+		{"all failing goes away", -1, func(l []*load.Upstream) *View { return view(l, north(0)) }, Request{Places: everywhere{}}, "north"},
+		{"all failing and bound", -1, func(l []*load.Upstream) *View { return view(l, north(0)) }, Request{Places: onlyZone("zone-1")}, "attempt"},
+		{"queued goes on waiting", 0, func(l []*load.Upstream) *View { return view(l, north(0)) }, Request{Places: everywhere{}, Queued: 100 * time.Millisecond}, "wait"},
+		{"queued for long goes away", 0, func(l []*load.Upstream) *View { return view(l, north(0)) }, Request{Places: everywhere{}, Queued: time.Second}, "north"},
 		{"all tried", 0, func(l []*load.Upstream) *View { return view(l) }, Request{Places: onlyZone("zone-2"), Tried: []ident.Upstream{"engine-2", "engine-5"}}, "no-upstream"},
 	} {
 		list := upstreams(6)
-		busy(list, c.running)
+		busy(list, max(0, c.running))
+		if c.running < 0 {
+			fail(list)
+		}
 		random := rand.New(rand.NewPCG(1, 1))
 		for range 20 {
 			request := c.request
@@ -108,8 +123,9 @@
 		return string(d.Region)
 	case *Refuse:
 		return d.Failure.Reason.String()
+	default:
+		return "wait"
 	}
-	return "nothing"
 }
 
 func TestPickKeepsZonesVersionsAndTried(t *testing.T) {
@@ -167,6 +183,21 @@
 	}
 }
 
+func ExamplePick() {
+	engine := &load.Upstream{ID: "engine-1", Zone: "west-a"}
+	v := &View{Region: "west", Versions: []Version{NewVersion("v1", 1, []*load.Upstream{engine})}}
+	request := Request{Places: onlyZone("west-a"), Affinity: "session-7"}
+	switch d := Pick(start, rand.New(rand.NewPCG(1, 1)), v, &request).(type) {
+	case *Attempt:
+		fmt.Println("attempt at", d.Upstream.ID, d.Version)
+	case *Forward:
+		fmt.Println("forward to", d.Region)
+	case *Refuse:
+		fmt.Println(d.Failure)
+	}
+	// Output: attempt at engine-1 v1
+}
+
 func BenchmarkPick(b *testing.B) {
 	for _, size := range []int{3, 10, 40, 121, 1700} {
 		for _, affinity := range []string{"", "session-7"} {
--- a/core/share/beat.go
+++ b/core/share/beat.go
@@ -59,7 +59,7 @@
 }
 
 // wantSmoothing is the weight of the last interval in what an instance wants.
-const wantSmoothing = 0.5
+const wantSmoothing = 0.8
 
 // want takes what was asked for since the last heartbeat into the claim.
 func (b *bucket) want(k kind, elapsed, running float64) {
