--- a/core/table/policy.go
+++ b/core/table/policy.go
@@ -48,10 +48,6 @@
 	Objective Objective
 	// Classes is indexed by Class; the entry of AnyClass is not used.
 	Classes [ClassCount]ClassPolicy
-	// FirstToken is the target for the time to the first token.
-	FirstToken time.Duration
-	// BetweenTokens is the target for the time between tokens.
-	BetweenTokens time.Duration
 	// RetryBudgetPercent is the number of retries per 100 first attempts.
 	RetryBudgetPercent int
 	// MaxAttempts bounds the attempts of one request, the first included.
@@ -64,10 +60,6 @@
 	// RecordRetention is how long the record of a call that may not repeat is kept
 	// at least.
 	RecordRetention time.Duration
-	// EpochLength is how long an instance hands out one key epoch.
-	EpochLength time.Duration
-	// RecordLimit is the number of such records that one instance keeps.
-	RecordLimit int
 	// GracefulShutdown bounds how long a stopping instance waits for requests.
 	GracefulShutdown time.Duration
 	// IdleTimeout is the longest silence of an upstream in the middle of an answer.
@@ -76,9 +68,6 @@
 	LoadFreshness time.Duration
 	// RampUp is how long a new or returned upstream takes to get its full part.
 	RampUp time.Duration
-	// AffinityPercent is the load, relative to the mean, up to which an upstream
-	// keeps the requests whose prefix it holds, such as 125.
-	AffinityPercent int
 	// SpillMargin is how much shorter the wait in another region has to be, on top
 	// of the cost of the share, before a request is sent there.
 	SpillMargin time.Duration
@@ -110,20 +99,15 @@
 	classSettings(Session, "30", "128", "20000", "1800", "6"),
 	classSettings(ServiceCall, "", "256", "1000", "30", ""),
 	[]setting{
-		{"first-token-ms", "1900", 1, 600_000, func(p *Policy, v int) { p.FirstToken = milliseconds(v) }},
-		{"between-tokens-ms", "69", 1, 60_000, func(p *Policy, v int) { p.BetweenTokens = milliseconds(v) }},
 		{"retry-budget-percent", "10", 0, 100, func(p *Policy, v int) { p.RetryBudgetPercent = v }},
 		{"max-attempts", "3", 1, 10, func(p *Policy, v int) { p.MaxAttempts = v }},
 		{"max-hops", "1", 0, 3, func(p *Policy, v int) { p.MaxHops = v }},
 		{"hedge-after-ms", "0", 0, 60_000, func(p *Policy, v int) { p.HedgeAfter = milliseconds(v) }},
 		{"record-retention-s", "3600", 1, 86_400, func(p *Policy, v int) { p.RecordRetention = seconds(v) }},
-		{"epoch-length-s", "300", 1, 3_600, func(p *Policy, v int) { p.EpochLength = seconds(v) }},
-		{"record-limit", "50000", 1, 1_000_000, func(p *Policy, v int) { p.RecordLimit = v }},
 		{"graceful-shutdown-s", "300", 1, 7_200, func(p *Policy, v int) { p.GracefulShutdown = seconds(v) }},
 		{"idle-timeout-s", "30", 1, 600, func(p *Policy, v int) { p.IdleTimeout = seconds(v) }},
 		{"load-freshness-ms", "3000", 1, 60_000, func(p *Policy, v int) { p.LoadFreshness = milliseconds(v) }},
 		{"ramp-up-s", "30", 0, 3_600, func(p *Policy, v int) { p.RampUp = seconds(v) }},
-		{"affinity-percent", "125", 100, 1_000, func(p *Policy, v int) { p.AffinityPercent = v }},
 		{"spill-margin-ms", "50", 0, 600_000, func(p *Policy, v int) { p.SpillMargin = milliseconds(v) }},
 		{"retry-after-min-ms", "1000", 1, 600_000, func(p *Policy, v int) { p.RetryAfterMin = milliseconds(v) }},
 		{"retry-after-max-ms", "30000", 1, 600_000, func(p *Policy, v int) { p.RetryAfterMax = milliseconds(v) }},
