Weigh the list, the upstream's word and failed polls in one place

Cause: the tracker of leaving upstreams in core/drain, which has the proof that new work stops within seconds under a stale list, was not what the product ran; core/node looked at the list only, beside what core/load learned from answers. Change: core/node gives each sign to the tracker and stops or returns the upstream by it; a header that says "leaving" still stops new work at once and is confirmed or taken back by the next report. Ruled out: taking the tracker out, since load reports alone let two failed polls go by and a returned upstream would get its whole share cold.

--- a/core/load/load.go
+++ b/core/load/load.go
@@ -243,6 +243,13 @@
 	u.leaving = true
 }
 
+// Left reports whether the upstream takes no new work since it is leaving.
+func (u *Upstream) Left() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.leaving
+}
+
 // Return notes that the upstream is back, or new, with cold caches, and begins
 // its ramp.
 func (u *Upstream) Return(now time.Time) {
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -131,7 +131,7 @@
 		n.pool.observe(now, UpstreamLoad{Upstream: e.Upstream, Report: e.Report}, true)
 		n.orderReport(now, e)
 	case LoadFailed:
-		n.pool.polled(e.Upstream)
+		n.pool.failed(now, e.Upstream)
 	case OrderAnswered:
 		n.stepOrder(now, e.Answered)
 	case PhaseChanged:
--- a/core/node/pool.go
+++ b/core/node/pool.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"arbutustrestle/core/drain"
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/list"
 	"arbutustrestle/core/load"
@@ -23,6 +24,10 @@
 	// known is true once a list was taken: an upstream that comes later is new, and
 	// its caches are cold.
 	known bool
+	// leaving weighs the signs that an upstream takes no new work.
+	leaving drain.Leaving
+	// stopped holds the upstreams that get no new work.
+	stopped map[ident.Upstream]struct{}
 }
 
 // pollTimeout is after how long an upstream that hasn't answered is polled again.
@@ -35,29 +40,59 @@
 	for _, row := range rows {
 		fresh[row.ID] = p.update(now, row)
 	}
+	for id := range p.byID {
+		if fresh[id] == nil {
+			p.leaving.Step(drain.Delisted{Upstream: id})
+			delete(p.stopped, id)
+		}
+	}
 	p.byID = fresh
 	p.known = true
+	for _, row := range rows {
+		p.sign(now, row.ID, drain.Listed{Upstream: row.ID, Leaving: row.Leaving})
+	}
 	maps.DeleteFunc(p.own, func(id ident.Upstream, _ load.Report) bool { return fresh[id] == nil })
 	maps.DeleteFunc(p.asked, func(id ident.Upstream, _ time.Time) bool { return fresh[id] == nil })
 }
 
 func (p *upstreams) update(now time.Time, row list.Upstream) *Upstream {
 	old := p.byID[row.ID]
-	u := &Upstream{Upstream: row}
 	if old != nil && old.Address == row.Address {
-		u.Load = old.Load
-	} else {
-		u.Load = &load.Upstream{ID: row.ID, Zone: row.Zone}
+		return &Upstream{Upstream: row, Load: old.Load}
 	}
-	switch {
-	case row.Leaving:
-		u.Load.Leave()
-	case old == nil && p.known, old != nil && old.Leaving, old != nil && old.Address != row.Address:
+	u := &Upstream{Upstream: row, Load: &load.Upstream{ID: row.ID, Zone: row.Zone}}
+	if p.known {
 		u.Load.Return(now)
 	}
 	return u
 }
 
+// sign takes in a sign of an upstream and stops its new work, or lets it return
+// with cold caches.
+func (p *upstreams) sign(now time.Time, id ident.Upstream, s drain.Sign) {
+	p.leaving.Step(s)
+	u := p.byID[id]
+	if u == nil {
+		return
+	}
+	_, stopped := p.stopped[id]
+	takes := p.leaving.Check(id) == drain.Takes
+	// An answer's header stops new work at once; the next report confirms it, or not.
+	word, told := s.(drain.Word)
+	takenBack := told && !word.Leaving && u.Load.Left()
+	switch {
+	case takes && (stopped || takenBack):
+		delete(p.stopped, id)
+		u.Load.Return(now)
+	case !takes:
+		if p.stopped == nil {
+			p.stopped = map[ident.Upstream]struct{}{}
+		}
+		p.stopped[id] = struct{}{}
+		u.Load.Leave()
+	}
+}
+
 // listed returns the upstreams for a view, after telling each what the table and
 // the membership say of it.
 func (p *upstreams) listed(t *table.Table, entries int) map[ident.Upstream]*Upstream {
@@ -114,6 +149,14 @@
 	delete(p.own, id)
 }
 
+// failed notes a poll that brought no answer.
+func (p *upstreams) failed(now time.Time, id ident.Upstream) {
+	p.polled(id)
+	if p.byID[id] != nil {
+		p.sign(now, id, drain.Failed{Upstream: id})
+	}
+}
+
 // observe takes in a report that was polled here, or heard from a peer.
 func (p *upstreams) observe(now time.Time, l UpstreamLoad, own bool) {
 	_, waits := p.asked[l.Upstream]
@@ -125,6 +168,7 @@
 		return
 	}
 	u.Load.Observe(now, l.Report)
+	p.sign(now, l.Upstream, drain.Word{Upstream: l.Upstream, Leaving: l.Report.Leaving, AsOf: l.Report.AsOf})
 	// A report that was read for an order is not this instance's to hand on.
 	if !own || !waits {
 		return
