core/route: spread by own requests in flight, pack by free slots for cost

Reports are a second old, so instances that go by them send to the same engine, while each knows its own requests exactly.

--- a/core/load/wait.go
+++ b/core/load/wait.go
@@ -35,6 +35,10 @@
 	Wait time.Duration
 	// Total is Wait and the time of an answer of nominal length.
 	Total time.Duration
+	// InFlight is this entry's own attempts there.
+	InFlight int
+	// Free is the number of free slots; negative when requests wait.
+	Free float64
 }
 
 // Project returns what a further request would meet, and false if the upstream
@@ -47,7 +51,12 @@
 	}
 	wait := u.queue(now)
 	crowding := time.Duration(u.occupied(now) * float64(perOccupied))
-	return Projection{Wait: wait, Total: wait + crowding + u.slowness()}, true
+	return Projection{
+		Wait:     wait,
+		Total:    wait + crowding + u.slowness(),
+		InFlight: u.own.inFlight,
+		Free:     u.effectiveSlots(now) - u.occupied(now),
+	}, true
 }
 
 // perOccupied is what each occupied slot adds to the time of a nominal answer,
--- a/core/route/local.go
+++ b/core/route/local.go
@@ -5,42 +5,43 @@
 	"slices"
 	"time"
 
+	"arbutustrestle/core/load"
 	"arbutustrestle/core/rank"
 	"arbutustrestle/core/table"
 )
 
-// affinityGain is how much worse than the best an upstream may be and still be
-// taken for a session or prefix that it has served. Reading a prompt anew costs
-// more engine time than the wait costs, so that the cheaper way waits longer.
-var affinityGain = [...]time.Duration{
-	table.Latency: 400 * time.Millisecond,
-	table.Cost:    time.Second,
-}
-
 const (
-	// cachedGain is added to that when the upstream said that it has the prefix.
-	cachedGain = 200 * time.Millisecond
-	// samples is the number of upstreams drawn at random and compared.
-	samples = 2
-	// maxSamples bounds how many are drawn as long as none has a free slot.
-	maxSamples = 16
+	// affinityGain is how many more requests may be at the upstream that has served a
+	// session or prefix before than at the best of the others.
+	affinityGain = 2.5
+	// cachedGain is the same for an upstream that said that it has the prefix.
+	cachedGain = 0.5
+	// fullPenalty is more than any number of requests: an upstream where a request
+	// would wait is taken only if it would wait at all others.
+	fullPenalty = 1e6
+	// packedRoom is the number of free slots down to which an upstream is filled up
+	// where cost counts most. Reports are late, so that with less room others' requests
+	// would often be found to have taken it.
+	packedRoom = 3
+	// packedGain puts an upstream that is being filled up before all others.
+	packedGain = 1e3
 )
 
 // choice is the best upstream found so far.
 type choice struct {
 	// attempt is nil as long as none is usable.
 	attempt *Attempt
-	// wait is the projected wait there; cost is what choices are compared by.
-	wait time.Duration
-	cost time.Duration
+	// value is what upstreams are compared by; the lowest is taken.
+	value float64
+	// wait and total are projected from what is known of all requests there.
+	wait  time.Duration
+	total time.Duration
 	// resort is set for an upstream that is taken because there is no other.
 	resort bool
 }
 
-// pickLocal finds an upstream in the own region: the one that the affinity names
-// and two at random, compared by their projected times. Close to capacity most are
-// full, so that more are drawn until one has a free slot. The first one found is
-// taken rather than the best of all, which the other instances would find as well.
+// pickLocal finds an upstream in the own region: the one of the lowest value, and
+// among equals the one with the least projected time.
 func pickLocal(now time.Time, random *rand.Rand, v *View, r *Request) choice {
 	var best choice
 	if r.Full != nil || r.Queued > 0 {
@@ -50,23 +51,55 @@
 	if version == nil {
 		return best
 	}
-	home := homeOf(version, r)
-	if home != nil {
-		best.consider(now, v, r, home, affinityGain[v.Objective])
-	}
 	list := version.Attempts
-	for drawn := range min(maxSamples, len(list)) {
-		if drawn >= samples && best.attempt != nil && best.wait == 0 {
-			break
+	home := homeOf(version, r)
+	first := random.IntN(len(list))
+	for i := range list {
+		a := &list[(first+i)%len(list)]
+		if r.eligible(a) {
+			best.consider(now, v, r, a, a == home)
 		}
-		best.sample(now, v, r, list, random.IntN(len(list)), home)
 	}
 	if best.attempt == nil {
-		best.lastResort(now, r, list, random.IntN(len(list)))
+		best.lastResort(now, r, list, first)
 	}
 	return best
 }
 
+// consider takes an attempt if it is usable and better.
+func (c *choice) consider(now time.Time, v *View, r *Request, a *Attempt, home bool) {
+	p, usable := a.Upstream.Project(now)
+	if !usable {
+		return
+	}
+	value := valueOf(v.Objective, p)
+	if home {
+		value -= affinityGain
+	}
+	if v.Cache != nil && r.Prefix != 0 && v.Cache.Holds(r.Prefix, a.Upstream.ID) {
+		value -= cachedGain
+	}
+	if c.attempt == nil || value < c.value || (value == c.value && p.Total < c.total) {
+		*c = choice{attempt: a, value: value, wait: p.Wait, total: p.Total}
+	}
+}
+
+// valueOf values an upstream. For latency it is the number of this instance's own
+// requests in flight: these are known exactly, so that each instance spreads its
+// requests evenly. Reports are late, and instances that went by them would all send
+// to the same upstream. For cost it is the number of free slots, since a step of a
+// fuller batch costs less for each request in it.
+func valueOf(o table.Objective, p load.Projection) float64 {
+	switch {
+	case p.Wait > 0:
+		return fullPenalty + float64(p.InFlight)
+	case o == table.Cost && p.Free >= packedRoom:
+		return p.Free - packedGain
+	default:
+		return float64(p.InFlight)
+	}
+}
+
 // lastResort takes the first upstream that is alive although it fails.
 func (c *choice) lastResort(now time.Time, r *Request, list []Attempt, first int) {
 	for i := range list {
@@ -78,39 +111,6 @@
 	}
 }
 
-// sample considers the first eligible attempt at or after a place in the list.
-func (c *choice) sample(now time.Time, v *View, r *Request, list []Attempt, at int, home *Attempt) {
-	for range list {
-		a := &list[at]
-		at++
-		if at == len(list) {
-			at = 0
-		}
-		if a == home || a == c.attempt || !r.eligible(a) {
-			continue
-		}
-		if c.consider(now, v, r, a, 0) {
-			return
-		}
-	}
-}
-
-// consider takes an attempt if it is better, and reports whether it is usable.
-func (c *choice) consider(now time.Time, v *View, r *Request, a *Attempt, gain time.Duration) bool {
-	p, usable := a.Upstream.Project(now)
-	if !usable {
-		return false
-	}
-	if v.Cache != nil && r.Prefix != 0 && v.Cache.Holds(r.Prefix, a.Upstream.ID) {
-		gain += cachedGain
-	}
-	cost := p.Total - gain
-	if c.attempt == nil || cost < c.cost {
-		*c = choice{attempt: a, wait: p.Wait, cost: cost}
-	}
-	return true
-}
-
 func (r *Request) eligible(a *Attempt) bool {
 	if r.Places == nil || !r.Places.AllowsZone(a.Upstream.Zone) {
 		return false
--- a/core/trial/entry.go
+++ b/core/trial/entry.go
@@ -154,7 +154,7 @@
 func (n *entry) pick(v *visit) route.Decision {
 	p := n.pools[v.request.kind()]
 	routing := n.sim.options.Policy.Routing
-	if routing == Projected || routing == NoAffinity || v.query.Full != nil || v.query.Queued > 0 {
+	if routing == Chosen || routing == NoAffinity || v.query.Full != nil || v.query.Queued > 0 {
 		return route.Pick(n.sim.now, n.random, p.view, &v.query)
 	}
 	return n.baseline(p, &v.query)
@@ -171,6 +171,9 @@
 		p.turn = (p.turn + 1) % len(attempts)
 	}
 	for i := range attempts {
+		if n.sim.options.Policy.Routing == TwoChoices && i > 1 && best != nil {
+			break
+		}
 		a := &attempts[(first+i)%len(attempts)]
 		value, usable := n.value(a.Upstream, r)
 		if usable && (best == nil || value < lowest) {
@@ -202,7 +205,7 @@
 	case Exact:
 		e := n.engines[u.ID]
 		return float64(len(e.running) + e.queued), usable
-	case Lowest:
+	case Lowest, TwoChoices:
 		return float64(projection.Total), usable
 	}
 	return 0, usable
--- a/core/trial/options.go
+++ b/core/trial/options.go
@@ -13,10 +13,10 @@
 // Routing is how an entry chooses among the engines of its region.
 type Routing uint8
 
-// The ways of choosing an engine. All but Projected are baselines.
+// The ways of choosing an engine. All but Chosen are baselines.
 const (
-	// Projected is what package route does.
-	Projected Routing = iota
+	// Chosen is what package route does.
+	Chosen Routing = iota
 	// Random draws one engine.
 	Random
 	// RoundRobin takes the engines in turn.
@@ -25,7 +25,9 @@
 	LeastInFlight
 	// Lowest takes the lowest projected time of all engines.
 	Lowest
-	// NoAffinity is Projected without sessions, prefixes and cache events.
+	// TwoChoices takes the lower projected time of two engines drawn at random.
+	TwoChoices
+	// NoAffinity is Chosen without sessions, prefixes and cache events.
 	NoAffinity
 	// Exact takes the engine with the fewest requests as it is now, which no entry
 	// can know: the bound for the others.
--- a/core/trial/report_test.go
+++ b/core/trial/report_test.go
@@ -209,7 +209,7 @@
 	{"No fault", Options{}, []float64{0.5, 0.8, 1, 1.5, 3}, []named{
 		everything, {"objective cost", Policy{Objective: table.Cost}},
 		{"random", Policy{Routing: Random}}, {"round robin", Policy{Routing: RoundRobin}},
-		{"least in flight", Policy{Routing: LeastInFlight}}, {"lowest of all", Policy{Routing: Lowest}},
+		{"least in flight", Policy{Routing: LeastInFlight}}, {"lowest of all", Policy{Routing: Lowest}}, {"better of two", Policy{Routing: TwoChoices}},
 		{"exact load (bound)", Policy{Routing: Exact}}, {"no affinity", Policy{Routing: NoAffinity}},
 		{"no compensation", Policy{Uncompensated: true}}, {"no hedge", Policy{NoHedge: true}},
 		{"even parts", Policy{Admission: Even}}, {"no classes", Policy{Admission: Classless}},
@@ -224,7 +224,7 @@
 	}},
 	{"Half a region restarted cold", Options{Fault: ColdReturn}, []float64{0.8}, []named{everything, {"no ramp", Policy{NoRamp: true}}}},
 	{"Load reports four seconds late", Options{Fault: LateReports}, []float64{0.8}, []named{
-		everything, {"no compensation", Policy{Uncompensated: true}}, {"lowest of all", Policy{Routing: Lowest}},
+		everything, {"no compensation", Policy{Uncompensated: true}}, {"lowest of all", Policy{Routing: Lowest}}, {"better of two", Policy{Routing: TwoChoices}},
 		{"least in flight", Policy{Routing: LeastInFlight}}, {"random", Policy{Routing: Random}},
 	}},
 	{"One engine in twelve eight times slower", Options{Fault: SlowEngine}, []float64{0.8}, []named{
