--- a/io/cost/cost.go
+++ b/io/cost/cost.go
@@ -31,8 +31,6 @@
 	settleTimeout = 60 * time.Second
 	// clockTicks is the unit of processor times in /proc, a second.
 	clockTicks = 100
-	// answersPerStream is how many answers each stream gets one after the other.
-	answersPerStream = 3
 )
 
 // Case is one measurement.
@@ -41,6 +39,8 @@
 	Streams int
 	// Step is the time between two tokens of an answer.
 	Step time.Duration
+	// Answers is the number of answers that each stream gets one after the other.
+	Answers int
 	// Runs is the number of times that the case is run.
 	Runs int
 }
@@ -162,7 +162,7 @@
 		return nil, 0, errors.Trace(err)
 	}
 	streams := strconv.Itoa(c.Streams)
-	count := strconv.Itoa(c.Streams * answersPerStream)
+	count := strconv.Itoa(c.Streams * c.Answers)
 	tokens := "plan=" + strconv.Itoa(tokensPerAnswer)
 	command := exec.CommandContext(ctx, filepath.Join(folder, "bin", "standin"), // #nosec G204 -- the project's own program
 		"load", flag, to.String(), "-workers", streams, "-count", count, "-mix", "plan=1", "-tokens", tokens,
