Refuse requests after a pause until the table is known to be current

Cause: a process that was stopped and goes on serves what waited in its sockets on the table it held before; if the list had dropped it meanwhile, a change that was shown as accepted was not in force there. Change: after a pause the view is marked as waking until the peers were heard again and none has a newer table, or 4 s have passed, since it may be cut off from all of them. Requests that wake up before the control goroutine see the age of its last tick and are refused as not run. A verdict without a failure is answered as not run too. Ruled out: refusing until the platform answers, which would stop an isolated region; deciding on the older rows and checking afterwards.

--- a/core/node/node.go
+++ b/core/node/node.go
@@ -43,6 +43,8 @@
 	// loadDue is when this instance next makes its payloads.
 	loadDue time.Time
 	view    *View
+	// wakeBy is when a pause counts as over at the latest; zero when there was none.
+	wakeBy time.Time
 	// stale is set when the view has to be made anew.
 	stale   bool
 	actions []Action
@@ -138,6 +140,7 @@
 		n.setPhase(now, e.Phase)
 	}
 	n.followMembers(now)
+	n.wake(now)
 	n.publish()
 	return n.actions
 }
@@ -190,6 +193,8 @@
 		case member.RegionHeard:
 			n.hearRegion(a.Summary)
 		case member.Paused:
+			n.wakeBy = now.Add(wakeWait)
+			n.stale = true
 			n.act(Paused{Gap: a.Gap})
 		}
 	}
@@ -294,6 +299,27 @@
 	n.stepFeed(now, feed.MembersOf(v))
 }
 
+// wakeWait is how long an instance that stood still waits for its peers before it
+// serves by the table that it has, since it may be cut off from all of them.
+const wakeWait = 4 * time.Second
+
+// wake ends the time after a pause once no peer has a newer table.
+func (n *Node) wake(now time.Time) {
+	if n.wakeBy.IsZero() {
+		return
+	}
+	behind := n.members.Stale || n.table == nil
+	for i := range n.members.Members() {
+		m := &n.members.Members()[i]
+		behind = behind || m.Status == member.Alive && m.Held.Table > n.table.Version().Revision
+	}
+	if behind && now.Before(n.wakeBy) {
+		return
+	}
+	n.wakeBy = time.Time{}
+	n.stale = true
+}
+
 // publish makes the view anew when something that it shows has changed.
 func (n *Node) publish() {
 	if !n.stale {
@@ -306,6 +332,7 @@
 		Zone:      n.options.Self.Zone,
 		Region:    n.options.Self.Region,
 		Phase:     n.phase,
+		Waking:    !n.wakeBy.IsZero(),
 		Table:     n.table,
 		Members:   n.members,
 		upstreams: n.pool.listed(n.table, alive),
--- a/core/node/view.go
+++ b/core/node/view.go
@@ -33,6 +33,9 @@
 	Zone   ident.Zone
 	Region ident.Region
 	Phase  member.Phase
+	// Waking is set from a pause of this process until its table is known to be no
+	// older than its peers', or they have had the time to say so.
+	Waking bool
 	// Table is nil until one is in force.
 	Table *table.Table
 	// Members is never nil.
--- a/io/daemon/parts.go
+++ b/io/daemon/parts.go
@@ -181,6 +181,7 @@
 		Shares:  n.Shares,
 		Retries: n.Retries,
 		Random:  n.Random,
+		Awake:   n.Views.Awake,
 		Limits: entry.Limits{
 			BodyBytes:        n.Settings.Limits.BodyBytes,
 			BodyTimeout:      n.Settings.Timeouts.Body,
--- a/io/entry/core.go
+++ b/io/entry/core.go
@@ -56,6 +56,9 @@
 	Shares  *share.Ledger
 	Retries *retry.Budget
 	Random  *Random
+	// Awake is false while the views may be old, since the process stood still. It
+	// may be nil.
+	Awake func() bool
 
 	chain  Next
 	flight flight
@@ -65,7 +68,7 @@
 func (c *Core) Start() {
 	forwarder := &forwarder{core: c}
 	c.chain = Chain(
-		&readyFilter{},
+		&readyFilter{core: c},
 		&classifyFilter{core: c},
 		&drainFilter{core: c},
 		&residencyFilter{core: c},
--- a/io/entry/early.go
+++ b/io/entry/early.go
@@ -16,12 +16,18 @@
 // notReadyRetry is when a caller may come back to a starting instance.
 const notReadyRetry = 2 * time.Second
 
-// readyFilter refuses requests before a table is in force.
-type readyFilter struct{}
+// readyFilter refuses requests before a table is in force, and after the process
+// stood still until the table is known to be no older than the peers'.
+type readyFilter struct {
+	core *Core
+}
 
 // Apply refuses with NotReady.
-func (*readyFilter) Apply(ctx context.Context, c *Call, next Next) *result.Failure {
-	if c.View.Table == nil || c.View.Phase == member.Starting {
+func (f *readyFilter) Apply(ctx context.Context, c *Call, next Next) *result.Failure {
+	// The view may have been taken just before the pause showed.
+	starting := c.View.Table == nil || c.View.Phase == member.Starting
+	asleep := c.View.Waking || f.core.Awake != nil && !f.core.Awake()
+	if starting || asleep {
 		failure := refuse(result.StepIdentify, result.NotReady)
 		failure.RetryAfter = notReadyRetry
 		return failure
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -99,6 +99,9 @@
 	if v.GetAccepted() {
 		return nil
 	}
+	if v.GetFailure() == nil {
+		return f.failure(result.NotRun, result.AnswerMismatch, t, nil)
+	}
 	return f.refused(c, v.GetFailure())
 }
 
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -55,6 +55,9 @@
 	// questions run on the control goroutine.
 	questions chan func(*node.Node)
 	view      atomic.Pointer[node.View]
+	// began is when the loop was made; ticked is the time from then to the last tick.
+	began  time.Time
+	ticked atomic.Int64
 	// revoke may be nil.
 	revoke func(*node.View)
 	// stopped is closed when the control goroutine has ended.
@@ -86,6 +89,7 @@
 		questions: make(chan func(*node.Node)),
 		stopped:   make(chan struct{}),
 		sending:   map[netip.AddrPort]struct{}{},
+		began:     p.Clock.Now(),
 	}
 	l.view.Store(p.Node.View())
 	return l
@@ -102,6 +106,16 @@
 	return l.view.Load()
 }
 
+// pauseAfter is the age of the last tick from which on the process counts as having
+// stood still.
+const pauseAfter = 3 * time.Second
+
+// Awake reports whether the control goroutine has ticked lately. After a pause of
+// the process, requests wake up no later than it does.
+func (l *Loop) Awake() bool {
+	return l.parts.Clock.Now().Sub(l.began)-time.Duration(l.ticked.Load()) < pauseAfter
+}
+
 // Run drives the control state until the context ends.
 func (l *Loop) Run(ctx context.Context) {
 	defer l.work.Wait()
@@ -161,6 +175,7 @@
 // tick makes the event of the ticker, with what the next heartbeats are to tell.
 func (l *Loop) tick() node.Tick {
 	now := l.parts.Clock.Now()
+	l.ticked.Store(int64(now.Sub(l.began)))
 	if !now.Before(l.beatDue) {
 		l.beatDue = now.Add(beatInterval)
 		l.usage = l.parts.Shares.Beat(now, l.parts.Node.View().Self.Instance, l.peers)
