Bound the hops of a request in a core part of its own

Cause: the rule that keeps requests from circulating stood in the peers' handler between I/O, where an embedding program could neither use nor test it. Change: core/hops holds the trail and the decision on arrival; io/entry carries it in the wire message as before. The sender and the receiver use one type. Ruled out: a hop count alone, which lets a request come back to an instance that has it queued.

--- /dev/null
+++ b/core/hops/hops.go
@@ -0,0 +1,62 @@
+// Package hops bounds the way of a request between entry instances: it passes no
+// instance twice, no more instances than its bound, and is not decided on an older
+// table than the one that it was sent by. Each hop decides from what the request
+// carries and from its own state alone, so that the bound holds whatever the
+// instances believe of each other.
+package hops
+
+import (
+	"slices"
+
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/result"
+)
+
+// Trail says where a request has been, oldest first. Its zero value is that of a
+// caller's own request. It is immutable.
+type Trail struct {
+	Instances []ident.Instance
+	Regions   []ident.Region
+}
+
+// Forwarded reports whether the request came from another instance.
+func (t Trail) Forwarded() bool {
+	return len(t.Instances) > 0
+}
+
+// Next returns the trail that a request carries when an instance sends it on.
+func (t Trail) Next(self ident.Instance, region ident.Region) Trail {
+	return Trail{
+		Instances: append(slices.Clone(t.Instances), self),
+		Regions:   append(slices.Clone(t.Regions), region),
+	}
+}
+
+// Here is what an instance knows when a forwarded request arrives.
+type Here struct {
+	Instance ident.Instance
+	// Table is the revision in force; zero when there is none.
+	Table ident.Revision
+	// MaxHops is the table's bound of forwards.
+	MaxHops int
+}
+
+// Arrive decides whether an instance takes a forwarded request that was sent by a
+// table of the given revision. It returns nil, or a failure with the outcome NotRun
+// and one of the reasons HopLimit, NotReady and OlderTable.
+func (t Trail) Arrive(here Here, sentBy ident.Revision) *result.Failure {
+	switch {
+	case here.Table == 0:
+		return refuse(result.NotReady)
+	case slices.Contains(t.Instances, here.Instance) || len(t.Instances) > here.MaxHops:
+		return refuse(result.HopLimit)
+	case sentBy > here.Table:
+		return refuse(result.OlderTable)
+	default:
+		return nil
+	}
+}
+
+func refuse(reason result.Reason) *result.Failure {
+	return &result.Failure{Outcome: result.NotRun, Step: result.StepForward, Reason: reason}
+}
--- a/io/entry/call.go
+++ b/io/entry/call.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"arbutustrestle/core/dedup"
+	"arbutustrestle/core/hops"
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/node"
 	"arbutustrestle/core/result"
@@ -38,10 +39,8 @@
 	Deadline   time.Time
 	// View is the state that this request is decided on, from start to end.
 	View *node.View
-	// Visited and VisitedRegions name where a forwarded request has been, oldest
-	// first; both are empty for a caller's own request.
-	Visited        []ident.Instance
-	VisitedRegions []ident.Region
+	// Trail says where a forwarded request has been; empty for a caller's own one.
+	Trail hops.Trail
 	// Owned is true when a forwarding entry sent the call here as its key's owner.
 	Owned bool
 	// Source gives the body; it is read at most once, after residency is checked.
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -59,31 +59,28 @@
 
 // message describes the request as the next entry is to see it.
 func (f *forwarder) message(c *Call) *wire.Forward {
+	trail := c.Trail.Next(f.core.Self.Instance, f.core.Region)
 	m := &wire.Forward{
-		RequestId:      c.ID,
-		Workspace:      string(c.Workspace),
-		Class:          uint32(c.Class),
-		Model:          string(c.Model),
-		Service:        string(c.Service),
-		Method:         c.Method,
-		Path:           c.Path,
-		Session:        c.Session,
-		Key:            c.Key,
-		RemainingMs:    uint64(max(0, c.Deadline.Sub(f.core.Clock.Now()).Milliseconds())),
-		TableRevision:  uint64(c.View.Table.Version().Revision),
-		BodyLength:     uint32(len(c.Body)),
-		Headers:        headersToWire(c.Header),
-		VisitedRegions: make([]string, 0, len(c.VisitedRegions)+1),
-		Visited:        make([]string, 0, len(c.Visited)+1),
-	}
-	for _, v := range c.VisitedRegions {
+		RequestId:     c.ID,
+		Workspace:     string(c.Workspace),
+		Class:         uint32(c.Class),
+		Model:         string(c.Model),
+		Service:       string(c.Service),
+		Method:        c.Method,
+		Path:          c.Path,
+		Session:       c.Session,
+		Key:           c.Key,
+		RemainingMs:   uint64(max(0, c.Deadline.Sub(f.core.Clock.Now()).Milliseconds())),
+		TableRevision: uint64(c.View.Table.Version().Revision),
+		BodyLength:    uint32(len(c.Body)),
+		Headers:       headersToWire(c.Header),
+	}
+	for _, v := range trail.Regions {
 		m.VisitedRegions = append(m.VisitedRegions, string(v))
 	}
-	for _, v := range c.Visited {
+	for _, v := range trail.Instances {
 		m.Visited = append(m.Visited, string(v))
 	}
-	m.VisitedRegions = append(m.VisitedRegions, string(f.core.Region))
-	m.Visited = append(m.Visited, string(f.core.Self.Instance))
 	return m
 }
 
--- a/io/entry/peer.go
+++ b/io/entry/peer.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"arbutustrestle/core/hops"
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/result"
 	"arbutustrestle/core/table"
@@ -244,10 +245,10 @@
 		Answer:     sink,
 	}
 	for _, v := range f.GetVisited() {
-		c.Visited = append(c.Visited, ident.Instance(v))
+		c.Trail.Instances = append(c.Trail.Instances, ident.Instance(v))
 	}
 	for _, v := range f.GetVisitedRegions() {
-		c.VisitedRegions = append(c.VisitedRegions, ident.Region(v))
+		c.Trail.Regions = append(c.Trail.Regions, ident.Region(v))
 	}
 	return c, p.check(c, ident.Revision(f.GetTableRevision()))
 }
@@ -256,21 +257,12 @@
 	if !validRequestID(c.ID) || c.Class == table.AnyClass || c.Class >= table.ClassCount {
 		return refuse(result.StepIdentify, result.BadRequest)
 	}
-	for _, v := range c.Visited {
-		if v == p.Core.Self.Instance {
-			return refuse(result.StepForward, result.HopLimit)
-		}
-	}
-	if c.View.Table == nil {
-		return refuse(result.StepForward, result.NotReady)
-	}
-	if len(c.Visited) > c.View.Table.Policy().MaxHops {
-		return refuse(result.StepForward, result.HopLimit)
+	here := hops.Here{Instance: p.Core.Self.Instance}
+	if t := c.View.Table; t != nil {
+		here.Table = t.Version().Revision
+		here.MaxHops = t.Policy().MaxHops
 	}
-	if revision > c.View.Table.Version().Revision {
-		return refuse(result.StepForward, result.OlderTable)
-	}
-	return nil
+	return c.Trail.Arrive(here, revision)
 }
 
 func headersToWire(h http.Header) []*wire.Header {
--- a/io/entry/route.go
+++ b/io/entry/route.go
@@ -151,8 +151,8 @@
 	r.Prefix = c.prompt.Prefix
 	r.MaxWait = c.View.Table.Policy().Classes[c.Class].MaxWait
 	r.Full = c.full
-	if len(r.Visited) == 0 && (len(c.Visited) > 0 || c.keyed()) {
-		r.Visited = append(r.Visited, c.VisitedRegions...)
+	if len(r.Visited) == 0 && (c.Trail.Forwarded() || c.keyed()) {
+		r.Visited = append(r.Visited, c.Trail.Regions...)
 		r.Visited = append(r.Visited, f.core.Region)
 	}
 }
