--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -122,7 +122,7 @@
 	if r.Forwarded && float64(g.total+1) > g.slots*(1-forwardedRoom) && g.sized {
 		return g.refuse(now, random, result.Overloaded)
 	}
-	if g.fits(now, class) && !g.queues[class].live(now) {
+	if g.fits(class) && !g.queues[class].live(now) {
 		g.admit(class)
 		return Admitted{}
 	}
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -136,6 +136,26 @@
 	}
 }
 
+// TestQuickQuestionsFindSlotsKept has 4 of 40 slots in use by quick questions, and
+// then as many plans as will go in.
+func TestQuickQuestionsFindSlotsKept(t *testing.T) {
+	g := &Gate{}
+	g.Resize(start, 40)
+	random := rand.New(rand.NewPCG(1, 1))
+	for i := range 500 {
+		g.Offer(start, random, Request{Class: table.Quick})
+		if i >= 4 {
+			g.Release(start, table.Quick)
+		}
+	}
+	for range 40 {
+		g.Offer(start, random, Request{Class: table.Plan})
+	}
+	if _, ok := g.Offer(start, random, Request{Class: table.Quick}).(Admitted); !ok || g.InFlight(table.Plan) < 30 {
+		t.Errorf("no slot for a quick question beside %d plans", g.InFlight(table.Plan))
+	}
+}
+
 func ExampleGate() {
 	g := &Gate{}
 	g.Resize(start, 1)
--- a/core/admit/share.go
+++ b/core/admit/share.go
@@ -24,7 +24,7 @@
 }
 
 // fits reports whether a class may have one more slot now.
-func (g *Gate) fits(now time.Time, class table.Class) bool {
+func (g *Gate) fits(class table.Class) bool {
 	if !g.sized {
 		return true
 	}
@@ -32,22 +32,7 @@
 	if class != table.Quick {
 		slots -= g.reserved()
 	}
-	if float64(g.total+1) > slots {
-		return false
-	}
-	return !g.owed(now, class)
-}
-
-// owed reports whether another class waits that has a better right to a free slot:
-// it is below its guaranteed part and further below it than this one.
-func (g *Gate) owed(now time.Time, class table.Class) bool {
-	own := g.use(class)
-	for c := range table.ClassCount {
-		if c != class && g.queues[c].live(now) && g.use(c) < min(1, own) {
-			return true
-		}
-	}
-	return false
+	return float64(g.total+1) <= slots
 }
 
 // use returns how much of its guaranteed part a class has; 1 is all of it.
@@ -70,7 +55,7 @@
 	var granted []Ticket
 	for {
 		class, found := g.neediest(now)
-		if !found || !g.fits(now, class) {
+		if !found || !g.fits(class) {
 			return granted
 		}
 		granted = append(granted, g.queues[class].pop(now))
--- a/core/trial/report_test.go
+++ b/core/trial/report_test.go
@@ -18,8 +18,14 @@
 // done holds what was run, since several tests compare with the same runs.
 var done = map[string]*Report{}
 
+// length is that of the runs of tests, which are many.
+const length = 90 * time.Second
+
 // runs adds up one run per seed; the runs go at once.
 func runs(o Options) *Report {
+	if o.Length == 0 {
+		o.Length = length
+	}
 	key := fmt.Sprintf("%+v", o)
 	if r := done[key]; r != nil {
 		return r
@@ -184,6 +190,7 @@
 					o := part.options
 					o.Load = load
 					o.Skew = true
+					o.Length = defaultLength
 					o.Policy = p.policy
 					out.WriteString(row(p.name, load, runs(o)))
 				}
