Wait at the start for peers that are heard, and ask other regions' contacts

Cause, found by the process tests: an entry restarted under a stale platform got ready on the platform's older table although every peer held a newer one. A peer counted as having answered once it was heard, while what it holds was looked at only once it was usable, a moment later. An entry alone in its region asked nobody at all. Change: during the start what any heard peer holds counts; a contact of each other region takes part as a peer of which the table's revision is known; where other regions are listed, one must be heard, for up to the 4 s of the start. Ruled out: counting usable peers only against the expected ones, which lets a one-way cut hold up the start without showing why.

--- a/core/feed/event.go
+++ b/core/feed/event.go
@@ -24,6 +24,10 @@
 	// that of the readers among them. Zero means that they are not known yet.
 	Fleet   int
 	Readers int
+	// Regions is the number of other regions that the list names, and Heard that of
+	// those among them that were heard lately.
+	Regions int
+	Heard   int
 }
 
 // PeerHas brings what a peer announced between two heartbeats.
--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -48,13 +48,16 @@
 	Data     []byte
 }
 
-// Peer is an alive entry of the own region.
+// Peer is an alive entry of the own region, or a contact in another one.
 type Peer struct {
 	Instance ident.Instance
 	Zone     ident.Zone
 	// Usable is set when messages are known to reach the peer.
 	Usable bool
 	Held   member.Held
+	// Remote is set for a contact in another region, of which only the table's
+	// revision is known.
+	Remote bool
 }
 
 // MembersOf returns what a view says of the other entries.
@@ -65,9 +68,29 @@
 		m.Readers += min(entries, readersPerZone)
 	}
 	m.Peers, m.Expected = PeersOf(v)
+	m.addRegions(v)
 	return m
 }
 
+// addRegions adds a contact of each other region, so that an instance that is alone
+// in its region still hears of a newer table than a stale platform's.
+func (m *Members) addRegions(v *member.View) {
+	for i := range v.Regions() {
+		r := &v.Regions()[i]
+		m.Regions++
+		if !r.Fresh {
+			continue
+		}
+		m.Heard++
+		if len(r.Contacts) == 0 {
+			continue
+		}
+		c := r.Contacts[0]
+		held := member.Held{Table: r.Table}
+		m.Peers = append(m.Peers, Peer{Instance: c.Incarnation.Instance, Zone: c.Zone, Usable: true, Held: held, Remote: true})
+	}
+}
+
 // PeersOf returns the other alive entries of a view, and the number of other
 // entries of the region that are listed as staying.
 func PeersOf(v *member.View) (peers []Peer, expected int) {
--- a/core/feed/question.go
+++ b/core/feed/question.go
@@ -75,6 +75,16 @@
 	return newest
 }
 
+// newestHeard returns the highest revision that a peer holds, also one that may not
+// hear this instance yet.
+func (s *State) newestHeard(i int) ident.Revision {
+	var newest ident.Revision
+	for j := range s.peers {
+		newest = max(newest, s.peers[j].heldBy(i))
+	}
+	return newest
+}
+
 // planQuestions asks peers for the watched values of which they have newer ones.
 func (s *State) planQuestions() {
 	for i := range s.watches {
--- /dev/null
+++ b/core/feed/start_test.go
@@ -0,0 +1,55 @@
+package feed_test
+
+import (
+	"testing"
+	"time"
+
+	"arbutustrestle/core/feed"
+	"arbutustrestle/core/member"
+)
+
+// TestStartUnderStalePlatform starts an instance whose platform shows an old table
+// while somebody else is known to hold a newer one, and tells when it gets ready.
+func TestStartUnderStalePlatform(t *testing.T) {
+	const startWait = 4 * time.Second
+	newer := member.Held{Table: 2, Entries: 7}
+	cases := map[string]struct {
+		members feed.Members
+		// waits is set when the instance must not get ready before startWait.
+		waits bool
+	}{
+		"alone": {feed.Members{}, false},
+		"peer that may not hear this instance yet": {feed.Members{Expected: 1, Peers: []feed.Peer{{Instance: "entry-2", Zone: "west-1", Held: newer}}}, true},
+		"peer that is not heard":                   {feed.Members{Expected: 1}, true},
+		"region that is not heard":                 {feed.Members{Regions: 1}, true},
+		"region that is heard":                     {feed.Members{Regions: 1, Heard: 1, Peers: []feed.Peer{{Instance: "north-1", Zone: "north-1", Usable: true, Remote: true, Held: member.Held{Table: 2}}}}, true},
+	}
+	for name, c := range cases {
+		platform := map[feed.Key]feed.Value{}
+		publish(platform, 0, "family-peeters")
+		platform[feed.EntriesKey] = feed.Value{Revision: 7, Data: []byte("[]")}
+		s := feed.New(feed.Options{Instance: "entry-1", Zone: "west-1", Region: "west"})
+		start := time.Unix(0, 0)
+		c.members.Fleet, c.members.Readers = 3, 3
+		for now := start; !s.Status().Ready && now.Sub(start) < time.Minute; now = now.Add(member.TickInterval) {
+			events := []feed.Event{c.members, feed.Tick{}}
+			for len(events) > 0 {
+				event := events[0]
+				events = events[1:]
+				for _, action := range s.Step(now, event) {
+					if read, ok := action.(feed.ReadPlatform); ok && read.Wait == 0 {
+						value, found := platform[read.Key]
+						answer := feed.PlatformAnswered{Key: read.Key, Answer: feed.Absent}
+						if found {
+							answer = feed.PlatformAnswered{Key: read.Key, Answer: feed.Found, Value: value}
+						}
+						events = append(events, answer)
+					}
+				}
+			}
+			if early := now.Sub(start) < startWait; s.Status().Ready && early == c.waits {
+				t.Errorf("%s: ready after %s with revision %d", name, now.Sub(start), s.Status().InForce.Revision)
+			}
+		}
+	}
+}
--- a/core/feed/state.go
+++ b/core/feed/state.go
@@ -81,6 +81,10 @@
 	watches  [watchCount]watch
 	platform platform
 	peers    []Peer
+	// local is the number of peers in the own region; regions is set unless other
+	// regions are listed and none was heard lately.
+	local    int
+	regions  bool
 	expected int
 	// fleet and readers are as in Members.
 	fleet   int
@@ -216,7 +220,14 @@
 	s.expected = m.Expected
 	s.fleet = m.Fleet
 	s.readers = m.Readers
-	s.alone = len(m.Peers) == 0
+	s.local = 0
+	for _, p := range m.Peers {
+		if !p.Remote {
+			s.local++
+		}
+	}
+	s.alone = s.local == 0
+	s.regions = m.Regions == 0 || m.Heard > 0
 	s.counted = s.watches[watchEntries].value.Revision > 0
 	zone := []ident.Instance{s.options.Instance}
 	for _, p := range m.Peers {
@@ -284,8 +295,8 @@
 		return
 	}
 	platform := s.platformAnsweredAll()
-	peers := s.counted && len(s.peers) >= s.expected
-	waited := s.now.Sub(s.began) >= startWait
+	peers := s.counted && s.local >= s.expected && s.regions
+	waited := s.waited()
 	answered := platform && peers
 	if !waited && !answered {
 		return
@@ -295,7 +306,7 @@
 	switch {
 	case !platform:
 		source = PeersOnly
-	case !peers && len(s.peers) > 0:
+	case !peers && s.local > 0:
 		source = SomePeers
 	case !peers:
 		source = PlatformOnly
@@ -303,8 +314,14 @@
 	s.act(BecameReady{Source: source})
 }
 
+// waited reports whether the longest wait of a start is over.
+func (s *State) waited() bool {
+	return s.now.Sub(s.began) >= startWait
+}
+
 // complete reports whether a table and both lists are in force, and no usable
-// peer has newer ones.
+// peer has newer ones. During the start a peer counts from when it is heard: it may
+// be usable a moment later.
 func (s *State) complete() bool {
 	if s.table.inForce.Revision == 0 {
 		return false
@@ -320,6 +337,9 @@
 		if s.newest(i) > s.mine(i) {
 			return false
 		}
+		if !s.waited() && s.newestHeard(i) > s.mine(i) {
+			return false
+		}
 	}
 	return true
 }
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -249,12 +249,12 @@
 }
 
 func (n *Node) askPeer(now time.Time, a feed.AskPeer) {
-	m, found := n.member.View().Member(a.Instance)
+	e, found := n.member.View().Entry(a.Instance)
 	if !found {
 		n.stepFeed(now, feed.PeerFailed{Instance: a.Instance, Key: a.Key})
 		return
 	}
-	n.act(AskPeer{AskPeer: a, Address: m.Entry.Peer})
+	n.act(AskPeer{AskPeer: a, Address: e.Peer})
 }
 
 func (n *Node) announce(a feed.Announce) {
