Let a forwarded request's slot serve the next one before the next summary

Cause, seen by the process tests: a region without engines of its own forwarded as many requests as its part of the free slots for each summary, however short they were; two thirds were refused while the other region's engines idled. Change: the meter takes a slot back when the request that held it has ended, unless a newer summary counts it already. Ruled out: shorter summary intervals, which cost bytes in every region; not counting slots at all, which lets all entries rush to the same free ones. Measured: 100 short requests one after the other go to a part of 2 slots where 2 went before; with requests that don't end it is 2 as before.

--- a/core/route/meter.go
+++ b/core/route/meter.go
@@ -30,8 +30,10 @@
 	credit float64
 	// summary is the arrival of the summary that slots refers to.
 	summary time.Time
-	// slots is what is left of this entry's part of the free slots there.
+	// slots is what is left of this entry's part of the free slots there; used counts
+	// those of its requests that hold one of them.
 	slots int
+	used  int
 }
 
 // earn credits each region with its share of one more request.
@@ -61,6 +63,7 @@
 		part := max(0, c.Cell.Free) / float64(max(1, c.Senders))
 		a.summary = c.Cell.AsOf
 		a.slots = int(part + random.Float64())
+		a.used = 0
 	}
 	return c.MaxShare > 0 && a.credit >= 1 && a.slots > 0
 }
@@ -72,6 +75,20 @@
 	a := m.account(c.Cell.Region)
 	a.credit--
 	a.slots--
+	a.used++
+}
+
+// Ended notes that a request that was sent to a region has ended, so that its slot
+// there serves another one before the next summary. A request that an earlier
+// summary made room for changes nothing: the newest one counts its slot already.
+func (m *Meter) Ended(region ident.Region) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	a := m.account(region)
+	if a.used > 0 {
+		a.used--
+		a.slots++
+	}
 }
 
 func (m *Meter) account(region ident.Region) *account {
--- /dev/null
+++ b/core/route/meter_test.go
@@ -0,0 +1,47 @@
+package route
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"arbutustrestle/core/load"
+)
+
+// TestMeterReusesSlots sends short requests, one after the other, to a region with
+// four free slots, which this entry shares with another one. Without Ended it could
+// send two before the next summary.
+func TestMeterReusesSlots(t *testing.T) {
+	now := time.Unix(0, 0)
+	random := rand.New(rand.NewPCG(1, 1))
+	remote := Remote{Cell: load.Cell{Region: "north", Free: 4, AsOf: now}, MaxShare: 1, Senders: 2}
+	var m Meter
+	send := func(end bool) int {
+		sent := 0
+		for range 100 {
+			m.earn(now, []Remote{remote})
+			if !m.room(random, &remote) {
+				continue
+			}
+			m.spend(&remote)
+			sent++
+			if end {
+				m.Ended("north")
+			}
+		}
+		return sent
+	}
+	if sent := send(true); sent != 100 {
+		t.Errorf("sent %d of 100 requests that each ended", sent)
+	}
+	if sent := send(false); sent != 2 {
+		t.Errorf("sent %d requests that don't end to 2 slots", sent)
+	}
+	// What a new summary shows as free is not given back a second time.
+	remote.Cell.AsOf = now.Add(time.Second)
+	m.room(random, &remote)
+	m.Ended("north")
+	if sent := send(false); sent != 2 {
+		t.Errorf("sent %d requests after the next summary", sent)
+	}
+}
--- a/io/entry/route.go
+++ b/io/entry/route.go
@@ -126,6 +126,7 @@
 	case *route.Attempt:
 		return f.attempt(ctx, j, d), false
 	case *route.Forward:
+		defer view.Meter.Ended(d.Region)
 		return f.forward(ctx, j, d.Region), false
 	case *route.Refuse:
 		return d.Failure, true
