--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -47,6 +48,9 @@
 	Upstreams []UpstreamPlan
 	// Relays puts a Relay before each entry's peer address and before the platform.
 	Relays bool
+	// Tap gets what is sent to the peer address of an entry, when there are relays and
+	// it isn't nil. It is called by many goroutines and must not keep the bytes.
+	Tap func(to ident.Instance, p []byte)
 	// LogLevel of the entries; empty means info.
 	LogLevel string
 	// Environment is added to that of the entries, such as "GOMAXPROCS=1".
@@ -86,12 +90,16 @@
 	Sheets []table.Sheet
 	// Revision is that of the table published last.
 	Revision ident.Revision
+
+	mu sync.Mutex
+	// pids holds the newest process of each entry.
+	pids map[ident.Instance]int
 }
 
 // Start starts everything that a plan names and publishes the table and the lists.
 // Stop must follow, also after an error.
 func Start(ctx context.Context, plan Plan) (*Fleet, error) {
-	f := &Fleet{plan: plan}
+	f := &Fleet{plan: plan, pids: map[ident.Instance]int{}}
 	folder, err := os.MkdirTemp("", "arbutustrestle-fleet-")
 	if err != nil {
 		return f, errors.Trace(err)
@@ -161,10 +169,13 @@
 	}
 	e := &Entry{Plan: plan, Caller: addresses[0], Peer: addresses[1], Admin: addresses[2]}
 	if f.plan.Relays {
-		if e.PeerRelay, err = NewRelay(e.Peer); err != nil {
+		if e.PeerRelay, err = NewRelay(e.Peer, f.processAt); err != nil {
 			return errors.Trace(err)
 		}
-		if e.PlatformRelay, err = NewRelay(f.Platform.Address); err != nil {
+		if f.plan.Tap != nil {
+			e.PeerRelay.tap = func(p []byte) { f.plan.Tap(plan.ID, p) }
+		}
+		if e.PlatformRelay, err = NewRelay(f.Platform.Address, nil); err != nil {
 			return errors.Trace(err)
 		}
 	}
@@ -216,6 +227,9 @@
 		return errors.Trace(err)
 	}
 	e.Process = p
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pids[e.Plan.ID] = p.command.Process.Pid
 	return nil
 }
 
--- a/io/fleet/platform.go
+++ b/io/fleet/platform.go
@@ -50,6 +50,11 @@
 	return put(ctx, u.Address, "/v1/faults", []byte(fault))
 }
 
+// SetLeaving makes an upstream say that it is leaving.
+func (u *Upstream) SetLeaving(ctx context.Context) error {
+	return put(ctx, u.Address, "/v1/leaving", []byte(`{"leaving":true}`))
+}
+
 // SetFault sets a fault of the platform, in the JSON form of its page.
 func (p *Platform) SetFault(ctx context.Context, fault string) error {
 	return put(ctx, p.Address, "/v1/faults", []byte(fault))
--- a/io/fleet/process.go
+++ b/io/fleet/process.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
@@ -177,17 +178,40 @@
 	return printed.Standins[0].Address, nil
 }
 
-// freeAddresses returns loopback addresses with ports that were free just now.
+// The ports of entries are below those that the system gives to connections, so that
+// none is taken between the choice and the start of its process, or its restart.
+const (
+	firstPort = 20_000
+	lastPort  = 32_000
+)
+
+// nextPort is where the search for free ports goes on; each program starts elsewhere.
+var nextPort = struct {
+	sync.Mutex
+	port int
+}{port: firstPort + rand.IntN(lastPort-firstPort)}
+
+// freeAddresses returns loopback addresses with ports that were free just now, and
+// that this program gives to nobody else.
 func freeAddresses(count int) ([]netip.AddrPort, error) {
+	nextPort.Lock()
+	defer nextPort.Unlock()
 	addresses := make([]netip.AddrPort, 0, count)
-	for range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range lastPort - firstPort {
+		if len(addresses) == count {
+			return addresses, nil
+		}
+		nextPort.port++
+		if nextPort.port >= lastPort {
+			nextPort.port = firstPort
+		}
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(nextPort.port))
+		l, err := net.Listen("tcp", address.String())
 		if err != nil {
-			return nil, errors.Trace(err)
+			continue
 		}
-		// All stay open until the last is found, so that none is found twice.
-		defer func() { _ = l.Close() }()
-		addresses = append(addresses, l.Addr().(*net.TCPAddr).AddrPort())
+		_ = l.Close()
+		addresses = append(addresses, address)
 	}
-	return addresses, nil
+	return nil, errors.New("no free port")
 }
--- a/io/fleet/relay.go
+++ b/io/fleet/relay.go
@@ -15,23 +15,47 @@
 type Relay struct {
 	listener net.Listener
 	target   netip.AddrPort
+	// source names the process at the other end of a connection; empty when it isn't
+	// known.
+	source func(from, to uint16) string
+	// tap gets what is sent towards the target; nil when nobody looks. It is called
+	// by many goroutines and must not keep the bytes.
+	tap func(p []byte)
 
 	mu sync.Mutex
 	// changed is signalled when a direction is cut or healed.
 	changed *sync.Cond
-	// in is cut towards the target, out is cut back from it.
+	// all holds for every connection, bySource for those of one process.
+	all      cut
+	bySource map[string]cut
+	closed   bool
+	conns    map[net.Conn]struct{}
+}
+
+// cut says which directions of a connection are cut: towards the target, and back
+// from it.
+type cut struct {
 	in, out bool
-	closed  bool
-	conns   map[net.Conn]struct{}
 }
 
-// NewRelay returns a relay that listens on a free loopback port.
-func NewRelay(target netip.AddrPort) (*Relay, error) {
+// NewRelay returns a relay that listens on a free loopback port. The function names
+// the process that connected from one local port to another; nil when nobody is
+// told apart.
+func NewRelay(target netip.AddrPort, source func(from, to uint16) string) (*Relay, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	r := &Relay{listener: l, target: target, conns: map[net.Conn]struct{}{}}
+	if source == nil {
+		source = func(uint16, uint16) string { return "" }
+	}
+	r := &Relay{
+		listener: l,
+		target:   target,
+		source:   source,
+		bySource: map[string]cut{},
+		conns:    map[net.Conn]struct{}{},
+	}
 	r.changed = sync.NewCond(&r.mu)
 	go r.accept()
 	return r, nil
@@ -46,8 +70,15 @@
 func (r *Relay) Cut(in, out bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.in = in
-	r.out = out
+	r.all = cut{in, out}
+	r.changed.Broadcast()
+}
+
+// CutFrom sets the same for the connections of one process only.
+func (r *Relay) CutFrom(name string, in, out bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.bySource[name] = cut{in, out}
 	r.changed.Broadcast()
 }
 
@@ -86,28 +117,43 @@
 		return
 	}
 	defer r.drop(target)
+	name := r.source(caller.RemoteAddr().(*net.TCPAddr).AddrPort().Port(), r.Address().Port())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		r.pump(target, caller, &r.in)
+		r.pump(&tapped{target, r.tap}, caller, func() bool { return r.all.in || r.bySource[name].in })
 	}()
-	r.pump(caller, target, &r.out)
+	r.pump(caller, target, func() bool { return r.all.out || r.bySource[name].out })
 	<-done
 }
 
+// tapped shows what is written to a connection.
+type tapped struct {
+	net.Conn
+	tap func(p []byte)
+}
+
+// Write shows the bytes and writes them.
+func (t *tapped) Write(p []byte) (int, error) {
+	if t.tap != nil {
+		t.tap(p)
+	}
+	return t.Conn.Write(p)
+}
+
 // pump copies one direction while it is not cut. What was read when the cut came
 // is held until it heals.
-func (r *Relay) pump(to, from net.Conn, cut *bool) {
+func (r *Relay) pump(to, from net.Conn, isCut func() bool) {
 	// Each side's end is passed on only while the direction is open.
 	defer func() {
-		if r.waitOpen(cut) {
+		if r.waitOpen(isCut) {
 			_ = to.Close()
 		}
 	}()
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
-		if !r.waitOpen(cut) {
+		if !r.waitOpen(isCut) {
 			return
 		}
 		if n > 0 {
@@ -123,10 +169,10 @@
 }
 
 // waitOpen waits while a direction is cut, and reports false when the relay closed.
-func (r *Relay) waitOpen(cut *bool) bool {
+func (r *Relay) waitOpen(isCut func() bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for *cut && !r.closed {
+	for isCut() && !r.closed {
 		r.changed.Wait()
 	}
 	return !r.closed
