--- /dev/null
+++ b/io/entry/rig_test.go
@@ -0,0 +1,321 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"arbutustrestle/core/clock"
+	"arbutustrestle/core/dedup"
+	"arbutustrestle/core/feed"
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/member"
+	"arbutustrestle/core/node"
+	"arbutustrestle/core/retry"
+	"arbutustrestle/core/share"
+	"arbutustrestle/core/table"
+	"arbutustrestle/io/emul"
+	"arbutustrestle/io/emul/engine"
+	"arbutustrestle/io/emul/fault"
+	"arbutustrestle/io/emul/plain"
+	"arbutustrestle/io/entry"
+	"arbutustrestle/io/link"
+	"arbutustrestle/io/metric"
+	"arbutustrestle/io/upcall"
+	"arbutustrestle/io/wire"
+)
+
+// sheets is the table of all cases; a case may add rows to the policy.
+var sheets = map[string]string{
+	"zones.csv":  "zone,region\nwest-1,west\nwest-2,west\nnorth-1,north\n",
+	"policy.csv": "setting,value\nramp-up-s,0\n",
+	"pools.csv": "pool,kind,serves,slots,checks-orders\n" +
+		"models,engine,planner@v1,2,yes\nremote,engine,faraway@v1,8,yes\napp,service,app,8,\n",
+	"traffic.csv": "model,class,version,weight\nplanner,any,v1,1\nfaraway,any,v1,1\n",
+	"shares.csv":  "from,to,max-percent,cost\nwest,north,100,0\n",
+	"calls.csv":   "service,method,path,repeatable,timeout-s\napp,GET,/pages,yes,20\napp,POST,/bookings,no,20\n",
+	"workspaces.csv": "workspace,home,places,requests-per-second,in-flight,tokens-per-second\n" +
+		"anna,west,west north,,,\nlena,west,west-1,,1,\nmia,west,west,,,\nzoe,west,west-2,,,\nnora,north,north,,,\n",
+}
+
+type published = map[feed.Key]feed.Value
+
+func newTable(revision ident.Revision, policy string) published {
+	var list []table.Sheet
+	for name, text := range sheets {
+		if name == "policy.csv" {
+			text += policy + "\n"
+		}
+		list = append(list, table.ParseSheet(name, []byte(text)))
+	}
+	pages := table.Split(list, table.PageBytes)
+	manifest := table.NewManifest(revision-1, "test", "", pages)
+	values := published{feed.ManifestKey: {Revision: revision, Data: manifest.Encode()}}
+	for _, p := range pages {
+		values[feed.PageKey(p.Ref.Digest)] = feed.Value{Revision: 1, Data: p.Data}
+	}
+	return values
+}
+
+// instance is an entry instance whose control state is stepped by the case.
+type instance struct {
+	core     *entry.Core
+	node     *node.Node
+	self     member.Entry
+	clock    *clock.Manual
+	view     atomic.Pointer[node.View]
+	sequence uint64
+	caller   *httptest.Server
+	// served gets a value when a request with the header "awaited" has ended.
+	served chan struct{}
+}
+
+const awaited = "Awaited"
+
+// View returns the view published last.
+func (in *instance) View() *node.View { return in.view.Load() }
+
+// step gives events to the node, and answers its reads from the values.
+func (in *instance) step(values published, events ...node.Event) {
+	for len(events) > 0 {
+		event := events[0]
+		events = events[1:]
+		for _, action := range in.node.Step(in.clock.Now(), event) {
+			switch a := action.(type) {
+			case node.ReadPlatform:
+				answer := feed.PlatformAnswered{Key: a.Key, Answer: feed.Unchanged}
+				if value := values[a.Key]; value.Revision > a.After {
+					answer.Answer, answer.Value = feed.Found, value
+				}
+				events = append(events, node.FeedAnswered{Event: answer, Asked: in.clock.Now()})
+			case node.Publish:
+				in.view.Store(a.View)
+				in.core.Gates.Resize(a.View)
+				if t := a.View.Table; t != nil {
+					in.core.Retries.Configure(float64(t.Policy().RetryBudgetPercent), t.Policy().MaxAttempts)
+				}
+			}
+		}
+	}
+}
+
+// take brings a table in force, and lets startTicks pass.
+func (in *instance) take(values published) {
+	found := feed.PlatformAnswered{Key: feed.ManifestKey, Answer: feed.Found, Value: values[feed.ManifestKey]}
+	in.step(values, node.FeedAnswered{Event: found, Asked: in.clock.Now()})
+	in.step(values, node.Tick{})
+	for range startTicks {
+		in.clock.Advance(member.TickInterval)
+		in.step(values, node.Tick{})
+	}
+}
+
+// pass lets time pass for the control state.
+func (in *instance) pass(pause time.Duration) {
+	for ; pause > 0; pause -= member.TickInterval {
+		in.clock.Advance(min(pause, member.TickInterval))
+		in.step(nil, node.Tick{})
+	}
+}
+
+// stub is an upstream stand-in before which requests can be held.
+type stub struct {
+	server *emul.Server
+	runs   *emul.Log
+	faults *fault.Set
+	// held is nil while requests pass; arrived gets a value for each held request.
+	held    atomic.Pointer[chan struct{}]
+	arrived chan struct{}
+}
+
+func newStub(t *testing.T, handler http.Handler, runs *emul.Log, faults *fault.Set) *stub {
+	u := &stub{runs: runs, faults: faults, arrived: make(chan struct{}, 16)}
+	server, err := emul.Listen(netip.MustParseAddrPort("127.0.0.1:0"), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if held := u.held.Load(); held != nil {
+			u.arrived <- struct{}{}
+			<-*held
+		}
+		handler.ServeHTTP(w, r)
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { server.Close() })
+	u.server = server
+	return u
+}
+
+// ran counts the requests of which some part ran.
+func (u *stub) ran() (count int) {
+	for _, r := range u.runs.Runs(0) {
+		if r.Ran() {
+			count++
+		}
+	}
+	return count
+}
+
+// rig is two entries in the zones west-1 and west-2 and one in north-1, with an
+// engine and a service in each region. Both are listed twice, so that a retry finds
+// "another" upstream.
+type rig struct {
+	t         *testing.T
+	log       *syncBuffer
+	instances map[string]*instance
+	stubs     map[string]*stub
+	// peer is what the contact of north does when it is not the entry there.
+	peer *scriptedPeer
+}
+
+// syncBuffer is a log that many goroutines write.
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+const (
+	bodyLimit  = 4 << 10
+	startTicks = 40
+)
+
+func newRig(t *testing.T, log *syncBuffer, policy string) *rig {
+	r := &rig{t: t, log: log, instances: map[string]*instance{}, stubs: map[string]*stub{}}
+	for _, region := range []string{"west", "north"} {
+		e := engine.New(engine.Settings{ID: "engine"})
+		r.stubs["engine-"+region] = newStub(t, e.Handler(), e.Runs(), e.Faults())
+		s := plain.New(plain.Settings{ID: "service"})
+		r.stubs["service-"+region] = newStub(t, s.Handler(), s.Runs(), s.Faults())
+	}
+	var entries []string
+	for _, id := range []string{"west-1", "west-2", "north-1"} {
+		in := r.newInstance(id)
+		entries = append(entries, fmt.Sprintf(`{"id":%q,"zone":%q,"region":%q,"peer":%q,"caller":%q,"admin":"127.0.0.1:1","state":"live"}`,
+			id, id, in.self.Region, in.self.Peer, in.self.Caller))
+	}
+	for _, in := range r.instances {
+		values := newTable(7, policy)
+		values[feed.EntriesKey] = feed.Value{Revision: 1, Data: []byte("[" + strings.Join(entries, ",") + "]")}
+		values[feed.UpstreamsKey(in.self.Region)] = feed.Value{Revision: 1, Data: r.upstreams(string(in.self.Region))}
+		in.take(values)
+		if in.View().Table == nil || in.View().Phase != member.Ready {
+			t.Fatalf("%s is not ready: %+v", in.self.ID, in.node.Status())
+		}
+	}
+	r.meet()
+	return r
+}
+
+func (r *rig) upstreams(region string) []byte {
+	rows := []string{"m-1 models engine", "m-2 models engine", "a-1 app service", "a-2 app service", "f-1 remote engine"}
+	if region == "west" {
+		rows = rows[:4]
+	}
+	for i, row := range rows {
+		f := strings.Fields(row)
+		rows[i] = fmt.Sprintf(`{"id":%q,"pool":%q,"zone":%q,"address":%q,"state":"live"}`,
+			f[0], f[1], region+"-1", r.stubs[f[2]+"-"+region].server.Addr())
+	}
+	return []byte("[" + strings.Join(rows, ",") + "]")
+}
+
+// newInstance starts an instance whose clock comes to the present by start: the
+// deadlines of requests are kept by the machine's clock.
+func (r *rig) newInstance(id string) *instance {
+	start := uint64(len(r.instances) + 1)
+	self := link.Identity{Incarnation: ident.Incarnation{Instance: ident.Instance(id), Start: start},
+		Zone: ident.Zone(id), Region: ident.Region(strings.Split(id, "-")[0])}
+	manual := clock.NewManual(time.Now().Add(-startTicks * member.TickInterval))
+	random := entry.NewRandom(start)
+	in := &instance{clock: manual, served: make(chan struct{}, 64)}
+	in.core = &entry.Core{
+		Self: self.Incarnation, Zone: self.Zone, Region: self.Region, Clock: manual, Views: in,
+		Pool: &link.Pool{Self: self}, Upcall: upcall.NewClient(0, 0, 0), Metrics: metric.NewSet(),
+		Log: zerolog.New(r.log).Level(zerolog.DebugLevel),
+		Limits: entry.Limits{BodyBytes: bodyLimit, BodyTimeout: 200 * time.Millisecond,
+			WriteTimeout: 30 * time.Second, KeyedAnswerBytes: bodyLimit},
+		Records: entry.NewRecords(self.Incarnation, manual, dedup.Limits{EpochLength: time.Minute, Retention: time.Minute}),
+		Gates:   entry.NewGates(manual, random), Shares: &share.Ledger{}, Retries: &retry.Budget{}, Random: random,
+	}
+	in.core.Start()
+	callers := in.core.Handler()
+	in.caller = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if q.Header.Get(awaited) != "" {
+			defer func() { in.served <- struct{}{} }()
+		}
+		callers.ServeHTTP(w, q)
+	}))
+	in.caller.Config.MaxHeaderBytes = bodyLimit
+	in.caller.Start()
+	r.t.Cleanup(func() {
+		in.core.Pool.Close()
+		in.core.Upcall.Close()
+		in.caller.Close()
+	})
+	in.self = member.Entry{ID: ident.Instance(id), Zone: self.Zone, Region: self.Region, Admin: netip.MustParseAddrPort("127.0.0.1:1"),
+		Peer: servePeers(r.t, self, &peerHandler{peers: &entry.Peers{Core: in.core}}), Caller: netip.MustParseAddrPort(in.caller.Listener.Addr().String())}
+	in.node = node.New(node.Options{Self: in.self, Start: start, Codec: wire.Codec{}})
+	in.view.Store(in.node.View())
+	r.instances[id] = in
+	return in
+}
+
+// servePeers serves links until the test ends, and returns the address.
+func servePeers(t *testing.T, self link.Identity, h link.Handler) netip.AddrPort {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- (&link.Server{Self: self, Handler: h}).Serve(ctx, listener) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// meet lets the instances hear of each other.
+func (r *rig) meet() {
+	for _, to := range r.instances {
+		for _, from := range r.instances {
+			if from != to {
+				to.hear(from, from.self.Peer)
+			}
+		}
+	}
+}
+
+// hear brings a heartbeat or a summary of another instance, whose peers' address
+// may be that of a scripted peer.
+func (in *instance) hear(from *instance, peer netip.AddrPort) {
+	from.sequence++
+	if from.self.Region == in.self.Region {
+		in.step(nil, node.HeartbeatArrived{Heartbeat: member.Heartbeat{From: from.core.Self, Sequence: 1000 + from.sequence,
+			Phase: member.Ready, Self: &from.self, Payload: wire.Codec{}.EncodeGossip(in.clock.Now(), node.Gossip{})}})
+		return
+	}
+	load := node.RegionLoad{
+		Models:   []node.ModelLoad{{Model: "faraway", Free: 8, Slots: 8}, {Model: "planner", Free: 2, Slots: 2}},
+		Services: []node.ServiceLoad{{Service: "app", Free: 8, Slots: 8}},
+	}
+	in.step(nil, node.SummaryArrived{Summary: member.Summary{
+		Region: from.self.Region, Origin: from.core.Self, Sequence: 1000 + from.sequence, Ready: 1, Table: 7,
+		Contacts: []member.Contact{{Incarnation: from.core.Self, Zone: from.self.Zone, Peer: peer, Caller: from.self.Caller}},
+		Payload:  wire.Codec{}.EncodeLoad(load),
+	}})
+}
