Meet the first-token target by objective cost too, and send less away

By objective cost the p95 of the first token at capacity was 2.29 s and the share sent away no smaller than by latency: full engines refused, and what was refused went away.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -99,13 +99,17 @@
 	g.policy = policy
 }
 
-// Resize sets this entry's part of the pool's slots. It returns the tickets that
-// this admits.
+// Resize sets this entry's part of the pool's slots. A part of less than one slot
+// counts as one, since it would otherwise never admit anything. It returns the
+// tickets that this admits.
 func (g *Gate) Resize(now time.Time, slots float64) []Ticket {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.sized = true
 	g.slots = slots
+	if slots > 0 {
+		g.slots = max(1, slots)
+	}
 	return g.grant(now)
 }
 
--- a/core/route/local.go
+++ b/core/route/local.go
@@ -22,7 +22,7 @@
 	// packedRoom is the number of free slots down to which an upstream is filled up
 	// where cost counts most. Reports are late, so that with less room others' requests
 	// would often be found to have taken it.
-	packedRoom = 3
+	packedRoom = 4
 	// packedGain puts an upstream that is being filled up before all others.
 	packedGain = 1e3
 )
