Hedge completions, and divide the gates by what instances want

Change: io/entry runs a second lane out of the retry budget after hedge-after-ms; the first good frame decides, the other lane is cancelled, and the request ends as the lane of which least is known when none answered. Heartbeats carry each instance's demand for a group; gates are resized by it once a second. Ruled out: hedging plain service calls, whose repeatable ones are short; letting the slower lane's refusal stand when the other may have run.

--- a/core/node/event.go
+++ b/core/node/event.go
@@ -19,8 +19,9 @@
 // Tick lets time pass. It is due every member.TickInterval.
 type Tick struct {
 	// Usage and Notes are what the next heartbeats tell.
-	Usage []share.Usage
-	Notes []dedup.Note
+	Usage   []share.Usage
+	Notes   []dedup.Note
+	Demands []Demand
 }
 
 // HeartbeatArrived brings a heartbeat of a peer.
@@ -155,9 +156,17 @@
 
 // Gossip is what the entries of a region tell each other beside their membership.
 type Gossip struct {
-	Loads []UpstreamLoad
-	Usage []share.Usage
-	Notes []dedup.Note
+	Loads   []UpstreamLoad
+	Usage   []share.Usage
+	Notes   []dedup.Note
+	Demands []Demand
+}
+
+// Demand is how many slots of a group an instance would use: its requests in flight
+// and waiting, and those lately refused.
+type Demand struct {
+	Group  string
+	Wanted int
 }
 
 // UpstreamLoad is a load report that the sender has read.
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -163,7 +163,7 @@
 
 // setLocal makes the payloads of the heartbeats and summaries that follow.
 func (n *Node) setLocal(now time.Time, e Tick) {
-	gossip := Gossip{Loads: n.pool.ownReports(), Usage: e.Usage, Notes: e.Notes}
+	gossip := Gossip{Loads: n.pool.ownReports(), Usage: e.Usage, Notes: e.Notes, Demands: e.Demands}
 	n.stepMember(now, member.LocalChanged{
 		Phase:          n.phase,
 		Held:           n.feed.Held(),
--- a/core/table/policy.go
+++ b/core/table/policy.go
@@ -94,15 +94,15 @@
 
 // settings are the numeric rows of the policy sheet.
 var settings = slices.Concat(
-	classSettings(Quick, "25", "64", "600", "20", "0"),
-	classSettings(Plan, "45", "64", "1500", "180", "3"),
-	classSettings(Session, "30", "128", "20000", "1800", "6"),
-	classSettings(ServiceCall, "", "256", "1000", "30", ""),
+	classSettings(Quick, "25", "64", "400", "20", "0"),
+	classSettings(Plan, "45", "64", "400", "180", "3"),
+	classSettings(Session, "30", "128", "400", "1800", "6"),
+	classSettings(ServiceCall, "", "256", "400", "30", ""),
 	[]setting{
 		{"retry-budget-percent", "10", 0, 100, func(p *Policy, v int) { p.RetryBudgetPercent = v }},
 		{"max-attempts", "3", 1, 10, func(p *Policy, v int) { p.MaxAttempts = v }},
 		{"max-hops", "1", 0, 3, func(p *Policy, v int) { p.MaxHops = v }},
-		{"hedge-after-ms", "0", 0, 60_000, func(p *Policy, v int) { p.HedgeAfter = milliseconds(v) }},
+		{"hedge-after-ms", "400", 0, 60_000, func(p *Policy, v int) { p.HedgeAfter = milliseconds(v) }},
 		{"record-retention-s", "3600", 1, 86_400, func(p *Policy, v int) { p.RecordRetention = seconds(v) }},
 		{"graceful-shutdown-s", "300", 1, 7_200, func(p *Policy, v int) { p.GracefulShutdown = seconds(v) }},
 		{"idle-timeout-s", "30", 1, 600, func(p *Policy, v int) { p.IdleTimeout = seconds(v) }},
--- a/io/entry/admit.go
+++ b/io/entry/admit.go
@@ -6,10 +6,12 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"arbutustrestle/core/admit"
 	"arbutustrestle/core/clock"
+	"arbutustrestle/core/ident"
 	"arbutustrestle/core/load"
 	"arbutustrestle/core/node"
 	"arbutustrestle/core/result"
@@ -53,11 +55,17 @@
 	mu sync.Mutex
 	// gates has one for each group that was ever in force.
 	gates map[string]*gate
+	// heard holds what each peer wants, by group.
+	heard map[ident.Instance][]node.Demand
 }
 
 // gate is an admission gate with those who wait at it.
 type gate struct {
 	admit admit.Gate
+	// refused counts the refusals since the last demand.
+	refused atomic.Int64
+	// wanted is the last demand.
+	wanted atomic.Int64
 
 	mu sync.Mutex
 	// waiting has a channel for each ticket in the queue; it is closed when the
@@ -67,7 +75,12 @@
 
 // NewGates returns gates that admit everything until Resize is called.
 func NewGates(c clock.Clock, random *Random) *Gates {
-	return &Gates{clock: c, random: random, gates: map[string]*gate{}}
+	return &Gates{
+		clock:  c,
+		random: random,
+		gates:  map[string]*gate{},
+		heard:  map[ident.Instance][]node.Demand{},
+	}
 }
 
 func (g *Gates) gate(name string) *gate {
@@ -81,8 +94,8 @@
 	return known
 }
 
-// Resize gives each gate this instance's part of its group's slots. It is called
-// whenever a view is published.
+// Resize gives each gate this instance's part of its group's slots: a part by what
+// the instances of the region want, the rest evenly.
 func (g *Gates) Resize(v *node.View) {
 	if v.Table == nil {
 		return
@@ -90,11 +103,61 @@
 	entries := max(1, len(v.Members.Alive()))
 	now := g.clock.Now()
 	for name, group := range v.Groups() {
-		slots := load.Sum(now, group.Upstreams).Slots / float64(entries)
 		gate := g.gate(name)
+		slots := load.Sum(now, group.Upstreams).Slots
+		own := float64(gate.wanted.Load())
+		others := g.othersWant(name)
+		var part float64
+		g.random.With(func(source *rand.Rand) { part = share.Divide(source, slots, own, others, entries) })
 		gate.admit.Configure(v.Table.Policy())
-		gate.wake(gate.admit.Resize(now, slots))
+		gate.wake(gate.admit.Resize(now, part))
+	}
+}
+
+func (g *Gates) othersWant(group string) float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	sum := 0
+	for _, demands := range g.heard {
+		for _, d := range demands {
+			if d.Group == group {
+				sum += d.Wanted
+			}
+		}
+	}
+	return float64(sum)
+}
+
+// Demands returns how many slots of each group this instance would use, for its
+// peers, and starts counting refusals anew.
+func (g *Gates) Demands() []node.Demand {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var demands []node.Demand
+	for _, name := range slices.Sorted(maps.Keys(g.gates)) {
+		gate := g.gates[name]
+		admitted, waiting := gate.admit.Load()
+		wanted := admitted + waiting + int(gate.refused.Swap(0))
+		gate.wanted.Store(int64(wanted))
+		if wanted > 0 {
+			demands = append(demands, node.Demand{Group: name, Wanted: wanted})
+		}
 	}
+	return demands
+}
+
+// Hear takes in what a peer wants, in place of what it wanted before.
+func (g *Gates) Hear(peer ident.Instance, demands []node.Demand) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.heard[peer] = demands
+}
+
+// Forget drops the demands of a peer that is gone.
+func (g *Gates) Forget(peer ident.Instance) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.heard, peer)
 }
 
 // GateLoad is what is admitted and waiting at one gate.
@@ -157,6 +220,7 @@
 	g := f.core.Gates.gate(group.Name)
 	c.full = f.offer(ctx, g, c)
 	if c.full != nil {
+		g.refused.Add(1)
 		return next(ctx, c)
 	}
 	defer func() { g.wake(g.admit.Release(f.core.Clock.Now(), c.Class)) }()
--- a/io/entry/flight.go
+++ b/io/entry/flight.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,8 +29,8 @@
 // run is where the data of a running request is being processed.
 type run struct {
 	workspace ident.Workspace
-	// zone is that of the upstream; empty as long as there is none.
-	zone   ident.Zone
+	// zones are those of the upstreams that have had the data.
+	zones  []ident.Zone
 	cancel context.CancelCauseFunc
 }
 
@@ -46,12 +47,12 @@
 	f.running[c] = &run{workspace: c.Workspace, cancel: cancel}
 }
 
-// place notes the zone of the upstream that a request is at.
+// place notes the zone of an upstream that a request goes to.
 func (f *flight) place(c *Call, zone ident.Zone) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if r, found := f.running[c]; found {
-		r.zone = zone
+		r.zones = append(r.zones, zone)
 	}
 }
 
@@ -68,7 +69,8 @@
 	defer c.flight.mu.Unlock()
 	for _, r := range c.flight.running {
 		at := places{table: v.Table, workspace: r.workspace, region: v.Region}
-		if !v.Allows(r.workspace) || r.zone != "" && !at.AllowsZone(r.zone) {
+		forbidden := slices.ContainsFunc(r.zones, func(z ident.Zone) bool { return !at.AllowsZone(z) })
+		if forbidden || !v.Allows(r.workspace) {
 			r.cancel(errRevoked)
 		}
 	}
--- a/io/entry/route.go
+++ b/io/entry/route.go
@@ -158,30 +158,6 @@
 	}
 }
 
-// attempt calls one upstream and tells what it learned of its load.
-func (f *routeFilter) attempt(ctx context.Context, j *journey, d *route.Attempt) *result.Failure {
-	c := j.call
-	upstream, found := c.View.Upstream(d.Upstream.ID)
-	if !found {
-		return refuse(result.StepRoute, result.NoUpstream)
-	}
-	j.request.Tried = append(j.request.Tried, d.Upstream.ID)
-	f.core.flight.place(c, upstream.Zone)
-	// A table that came in force before the place was noted didn't end the request.
-	if !f.allowed(c, upstream.Zone) {
-		return refuse(result.StepResidency, result.PlaceForbidden)
-	}
-	a := f.describe(c, upstream, d.Version)
-	started := f.core.Clock.Now()
-	d.Upstream.Begin(started)
-	report, failure := f.core.Upcall.Do(ctx, a, c.Answer)
-	f.learn(d.Upstream, started, report, failure)
-	c.Begun = c.Begun || report.Begun
-	c.Tokens += report.Frames
-	c.Peer = string(d.Upstream.ID)
-	return failure
-}
-
 // allowed reports whether the table in force lets a request's data be here and in
 // the zone of an upstream.
 func (f *routeFilter) allowed(c *Call, zone ident.Zone) bool {
@@ -216,9 +192,6 @@
 // learn passes on what an attempt showed of its upstream.
 func (f *routeFilter) learn(u *load.Upstream, started time.Time, report upcall.Report, failure *result.Failure) {
 	now := f.core.Clock.Now()
-	if report.Frames > 0 {
-		u.FirstToken(now, report.FirstByte)
-	}
 	if l, ok := parseLoad(report.Load, now); ok {
 		u.Observe(now, l)
 	}
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -70,6 +70,7 @@
 	// beatDue is when the workspace claims are next exchanged.
 	beatDue time.Time
 	usage   []share.Usage
+	demands []node.Demand
 	// peers are those that were alive in the last view.
 	peers []ident.Instance
 	// revision is that of the table in the last view.
@@ -179,9 +180,10 @@
 	if !now.Before(l.beatDue) {
 		l.beatDue = now.Add(beatInterval)
 		l.usage = l.parts.Shares.Beat(now, l.parts.Node.View().Self.Instance, l.peers)
+		l.demands = l.parts.Gates.Demands()
 		l.parts.Gates.Resize(l.parts.Node.View())
 	}
-	return node.Tick{Usage: l.usage, Notes: l.parts.Records.Notes()}
+	return node.Tick{Usage: l.usage, Notes: l.parts.Records.Notes(), Demands: l.demands}
 }
 
 func (l *Loop) step(ctx context.Context, event node.Event) {
@@ -229,12 +231,12 @@
 	if v.Table == nil {
 		return
 	}
-	l.parts.Gates.Resize(v)
 	revision := v.Table.Version().Revision
 	if revision == l.revision {
 		return
 	}
 	l.revision = revision
+	l.parts.Gates.Resize(v)
 	policy := v.Table.Policy()
 	l.parts.Retries.Configure(float64(policy.RetryBudgetPercent), policy.MaxAttempts)
 	l.parts.Records.SetRetention(policy.RecordRetention)
@@ -251,14 +253,14 @@
 func (l *Loop) followPeers(v *node.View) {
 	for _, old := range l.peers {
 		if _, known := v.Members.Member(old); !known {
-			l.parts.Shares.Forget(old)
+			l.forget(old)
 		}
 	}
 	l.peers = l.peers[:0]
 	for _, m := range v.Members.Members() {
 		switch m.Status {
 		case member.Unreachable, member.Left:
-			l.parts.Shares.Forget(m.Entry.ID)
+			l.forget(m.Entry.ID)
 		case member.Alive:
 			if m.Entry.ID != v.Self.Instance {
 				l.peers = append(l.peers, m.Entry.ID)
@@ -267,7 +269,13 @@
 	}
 }
 
+func (l *Loop) forget(peer ident.Instance) {
+	l.parts.Shares.Forget(peer)
+	l.parts.Gates.Forget(peer)
+}
+
 func (l *Loop) hear(h node.Heard) {
+	l.parts.Gates.Hear(h.From, h.Gossip.Demands)
 	l.parts.Shares.Hear(h.From, h.Gossip.Usage)
 	for _, n := range h.Gossip.Notes {
 		l.parts.Records.Note(n)
--- a/io/wire/codec.go
+++ b/io/wire/codec.go
@@ -32,6 +32,9 @@
 	for _, n := range g.Notes {
 		message.Notes = append(message.Notes, NoteToWire(now, n))
 	}
+	for _, d := range g.Demands {
+		message.Demands = append(message.Demands, &Demand{Group: d.Group, Wanted: uint32(d.Wanted)})
+	}
 	return encode(message)
 }
 
@@ -55,6 +58,9 @@
 		}
 		g.Notes = append(g.Notes, note)
 	}
+	for _, d := range message.GetDemands() {
+		g.Demands = append(g.Demands, node.Demand{Group: d.GetGroup(), Wanted: int(min(d.GetWanted(), maxDemand))})
+	}
 	return g, nil
 }
 
@@ -165,6 +171,9 @@
 	return share.Claim{Held: clean(held), Wanted: clean(wanted)}
 }
 
+// maxDemand bounds the slots that a peer can want.
+const maxDemand = 1 << 20
+
 // maxClaim bounds a claim that a peer can make, in units of its limit.
 const maxClaim = 1e9
 
