Take the standard library's first value that is not zero

Change: cmp.Or, which does just that; behaviour stays. Ruled out: a package of our own for one function. Measured: the tests of the three packages pass.

--- a/core/dedup/records.go
+++ b/core/dedup/records.go
@@ -5,6 +5,7 @@
 package dedup
 
 import (
+	"cmp"
 	"time"
 
 	"arbutustrestle/core/ident"
@@ -52,22 +53,14 @@
 
 // withDefaults replaces zero fields.
 func (l Limits) withDefaults() Limits {
-	l.EpochLength = orDefault(l.EpochLength, defaultEpochLength)
-	l.Retention = orDefault(l.Retention, defaultRetention)
-	l.MaxRecords = orDefault(l.MaxRecords, defaultMaxRecords)
-	l.MaxBytes = orDefault(l.MaxBytes, defaultMaxBytes)
-	l.MaxAnswer = orDefault(l.MaxAnswer, defaultMaxAnswer)
+	l.EpochLength = cmp.Or(l.EpochLength, defaultEpochLength)
+	l.Retention = cmp.Or(l.Retention, defaultRetention)
+	l.MaxRecords = cmp.Or(l.MaxRecords, defaultMaxRecords)
+	l.MaxBytes = cmp.Or(l.MaxBytes, defaultMaxBytes)
+	l.MaxAnswer = cmp.Or(l.MaxAnswer, defaultMaxAnswer)
 	return l
 }
 
-// orDefault returns the value, or the default for zero.
-func orDefault[Number int | time.Duration](value, standard Number) Number {
-	if value == 0 {
-		return standard
-	}
-	return value
-}
-
 // Records holds the keyed calls of one incarnation, and those that stopped
 // incarnations handed over to it. It is not safe for concurrent use.
 type Records struct {
@@ -228,7 +221,7 @@
 // drops epochs sooner, whose keys are refused as Unknown from then on; a longer one
 // brings none back.
 func (r *Records) SetRetention(now time.Time, retention time.Duration) {
-	r.limits.Retention = orDefault(retention, defaultRetention)
+	r.limits.Retention = cmp.Or(retention, defaultRetention)
 	r.Advance(now)
 }
 
--- a/core/drain/drain.go
+++ b/core/drain/drain.go
@@ -4,7 +4,10 @@
 // has met its own deadline.
 package drain
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Phase is how far the shutdown is. Phases never go back.
 type Phase uint8
@@ -70,24 +73,16 @@
 
 // withDefaults replaces zero fields.
 func (l Limits) withDefaults() Limits {
-	l.Announce = orDefault(l.Announce, defaultAnnounce)
-	l.Keyed = orDefault(l.Keyed, defaultKeyed)
-	l.HandOver = orDefault(l.HandOver, defaultHandOver)
-	l.Expected = orDefault(l.Expected, defaultExpected)
-	l.Overdue = orDefault(l.Overdue, defaultOverdue)
-	l.RetryAfter = orDefault(l.RetryAfter, defaultRetryAfter)
-	l.Attempts = orDefault(l.Attempts, defaultAttempts)
+	l.Announce = cmp.Or(l.Announce, defaultAnnounce)
+	l.Keyed = cmp.Or(l.Keyed, defaultKeyed)
+	l.HandOver = cmp.Or(l.HandOver, defaultHandOver)
+	l.Expected = cmp.Or(l.Expected, defaultExpected)
+	l.Overdue = cmp.Or(l.Overdue, defaultOverdue)
+	l.RetryAfter = cmp.Or(l.RetryAfter, defaultRetryAfter)
+	l.Attempts = cmp.Or(l.Attempts, defaultAttempts)
 	return l
 }
 
-// orDefault returns the value, or the default for zero.
-func orDefault[Number int | time.Duration](value, standard Number) Number {
-	if value == 0 {
-		return standard
-	}
-	return value
-}
-
 // Drain is the shutdown of one instance. Its zero value serves, with the default
 // limits. It needs neither the platform nor a peer to come to its end. It is not
 // safe for concurrent use.
--- a/core/order/order.go
+++ b/core/order/order.go
@@ -5,6 +5,7 @@
 package order
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -66,27 +67,19 @@
 
 // withDefaults replaces zero fields.
 func (l Limits) withDefaults() Limits {
-	l.Orderers = orDefault(l.Orderers, defaultOrderers)
-	l.Loads = orDefault(l.Loads, defaultLoads)
-	l.ListAge = orDefault(l.ListAge, defaultListAge)
-	l.ReportAge = orDefault(l.ReportAge, defaultReportAge)
-	l.SendWithin = orDefault(l.SendWithin, defaultSendWithin)
-	l.TakeOver = orDefault(l.TakeOver, defaultTakeOver)
-	l.LoadTime = orDefault(l.LoadTime, defaultLoadTime)
-	l.Repeat = orDefault(l.Repeat, defaultRepeat)
-	l.Retry = orDefault(l.Retry, defaultRetry)
-	l.Pause = orDefault(l.Pause, defaultPause)
+	l.Orderers = cmp.Or(l.Orderers, defaultOrderers)
+	l.Loads = cmp.Or(l.Loads, defaultLoads)
+	l.ListAge = cmp.Or(l.ListAge, defaultListAge)
+	l.ReportAge = cmp.Or(l.ReportAge, defaultReportAge)
+	l.SendWithin = cmp.Or(l.SendWithin, defaultSendWithin)
+	l.TakeOver = cmp.Or(l.TakeOver, defaultTakeOver)
+	l.LoadTime = cmp.Or(l.LoadTime, defaultLoadTime)
+	l.Repeat = cmp.Or(l.Repeat, defaultRepeat)
+	l.Retry = cmp.Or(l.Retry, defaultRetry)
+	l.Pause = cmp.Or(l.Pause, defaultPause)
 	return l
 }
 
-// orDefault returns the value, or the default for zero.
-func orDefault[Number int | time.Duration](value, standard Number) Number {
-	if value == 0 {
-		return standard
-	}
-	return value
-}
-
 // Orderer decides the orders of one instance. It is not safe for concurrent use.
 type Orderer struct {
 	self   ident.Instance
