--- /dev/null
+++ b/core/node/example_test.go
@@ -0,0 +1,36 @@
+package node_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"arbutustrestle/core/feed"
+	"arbutustrestle/core/member"
+	"arbutustrestle/core/node"
+)
+
+// A program drives a node with events and carries out its actions. This one answers
+// the first read of the platform and looks at the view.
+func ExampleNode() {
+	w := newWorld()
+	w.list(feed.EntriesKey, 1, []string{"west-1", "west-2"})
+	now := time.Unix(1_800_000_000, 0)
+	n := node.New(node.Options{Self: entryOf("west-1"), Start: 1, Codec: fakeCodec{}})
+	for n.View().Members.Revision == 0 {
+		now = now.Add(member.TickInterval)
+		for _, action := range slices.Clone(n.Step(now, node.Tick{})) {
+			read, ok := action.(node.ReadPlatform)
+			if !ok {
+				continue
+			}
+			fmt.Println("read", read.Key)
+			answer := feed.PlatformAnswered{Key: read.Key, Answer: feed.Found, Value: w.values[read.Key]}
+			n.Step(now, node.FeedAnswered{Event: answer, Asked: now})
+		}
+	}
+	fmt.Println(n.View().Phase, len(n.View().Members.Members()), "entries, revision", n.View().Members.Revision)
+	// Output:
+	// read list/entries
+	// starting 2 entries, revision 1
+}
