--- a/io/proof/world_test.go
+++ b/io/proof/world_test.go
@@ -124,12 +124,18 @@
 		if e.Process == nil {
 			continue
 		}
-		if log := e.Log(); w.t.Failed() || strings.Contains(log, "DATA RACE") || strings.Contains(log, "panic:") {
-			w.t.Errorf("log of %s:\n%s", e.Name, ending(log))
+		if w.t.Failed() {
+			w.t.Logf("log of %s:\n%s", e.Name, ending(e.Log()))
+		}
+		w.past += e.Log()
+	}
+	for _, sign := range []string{"WARNING: DATA RACE", "\npanic: ", "\nfatal error: "} {
+		if _, after, found := strings.Cut(w.past, sign); found {
+			w.t.Errorf("%s%s", sign, after[:min(len(after), 6000)])
 		}
 	}
 	if w.t.Failed() {
-		w.t.Logf("logs of processes that were restarted:\n%s", w.past)
+		w.t.Logf("all logs:\n%s", w.past)
 	}
 	w.client.Close()
 }
