--- /dev/null
+++ b/io/entry/fuzz_test.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+)
+
+// FuzzCompletion reads a caller's body. What the engine gets must be JSON in which
+// the version and the priority are the table's, however the caller spelt its fields.
+func FuzzCompletion(f *testing.F) {
+	for _, body := range []string{`{"model":"m","prompt":"p"}`, ` {"model":"m"}`, `{"model":"m","Version":"v9"}`, `{"model":"m","\u0076ersion":null}`, `[]`, `null`} {
+		f.Add([]byte(body))
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		call := &Call{Workspace: "w", Body: body}
+		if readCompletion(call) != nil {
+			return
+		}
+		var sent map[string]json.RawMessage
+		if err := json.Unmarshal(completionBody(body, "v1", 3), &sent); err != nil {
+			t.Fatal(err)
+		}
+		if string(sent["version"]) != `"v1"` || string(sent["priority"]) != "3" || call.Model == "" {
+			t.Fatalf("sent %s", completionBody(body, "v1", 3))
+		}
+	})
+}
+
+// FuzzHeaders reads the headers of callers and engines.
+func FuzzHeaders(f *testing.F) {
+	f.Add("30s")
+	f.Add("-1ms")
+	f.Add("running=3 waiting=1 slots=8")
+	f.Add("running=-3 waiting=1 slots=8")
+	f.Add("0123456789abcdef0123456789abcdef")
+	f.Fuzz(func(t *testing.T, text string) {
+		if timeout, ok := parseTimeout(text); ok && (timeout < 0 || timeout == 0 && text != "") {
+			t.Fatalf("timeout %s", timeout)
+		}
+		if l, ok := parseLoad(text, time.Time{}); ok && (l.Running < 0 || l.Waiting < 0 || l.Slots <= 0) {
+			t.Fatalf("load %+v", l)
+		}
+		if validRequestID(text) && len(text) != 2*requestIDBytes {
+			t.Fatalf("request id %q", text)
+		}
+	})
+}
