Ask another region for the table when starting alone

Cause, found by the process tests: the only entry of a region, restarted under a stale platform, got ready on the platform's older table. Summaries of other regions come seconds apart, and not for 30 s to an instance that was just found dead, so that the 4 s of the start went by without one. Ruled out: a longer start, which holds up isolated regions; clearing the mark of a failed contact on any message, which a starting instance does not send.

--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -9,6 +9,7 @@
 
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/member"
+	"arbutustrestle/core/rank"
 	"arbutustrestle/core/table"
 )
 
@@ -78,6 +79,9 @@
 	for i := range v.Regions() {
 		r := &v.Regions()[i]
 		m.Regions++
+		if far, found := rank.First("far", v.ListedIn(r.Name)); found {
+			m.Far = append(m.Far, far)
+		}
 		if !r.Fresh {
 			continue
 		}
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -136,6 +136,19 @@
 	return &v.regions[i], true
 }
 
+// ListedIn returns the names of the entries that the listing has in another region,
+// sorted.
+func (v *View) ListedIn(region ident.Region) []ident.Instance {
+	var names []ident.Instance
+	for id, e := range v.listed {
+		if e.Region == region {
+			names = append(names, id)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // buildView takes a picture of the state.
 func (s *State) buildView() *View {
 	v := &View{
