Read a completion's deciding fields once and in their exact case

Change: the top-level names are read one by one; one that decides where the request goes must come once and in lower case, else the request is refused. Ruled out: putting the model in front of the body, which leaves two of them.

--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -90,10 +90,21 @@
 func (h *Handler) publishMetrics() {
 	h.Metrics.Func("table-revision", func() any { return revisionOf(h.Loop.View()) })
 	h.Metrics.Func("phase", func() any { return h.Loop.View().Phase.String() })
-	h.Metrics.Func("records", func() any { return h.Core.Records.Usage() })
+	h.Metrics.Func("records", h.records)
 	h.Metrics.Func("gates", func() any { return h.Core.Gates.Loads() })
 }
 
+// records shows how full the records of keyed calls are.
+func (h *Handler) records() any {
+	u := h.Core.Records.Usage()
+	return struct {
+		Held      int `json:"held"`
+		Running   int `json:"running"`
+		Bytes     int `json:"bytes"`
+		TakenOver int `json:"taken-over"`
+	}{u.Records, u.Running, u.Bytes, u.Imports}
+}
+
 func revisionOf(v *node.View) ident.Revision {
 	if v.Table == nil {
 		return 0
--- a/io/cmds/cmds.go
+++ b/io/cmds/cmds.go
@@ -140,13 +140,11 @@
 		checked = t
 	}
 	for _, file := range files {
-		settings, err := config.ReadEntry(file)
-		if failed := collect(&faults, err); failed != nil {
-			return nil, errors.Trace(failed)
-		}
-		if err == nil && checked != nil {
-			faults = append(faults, settings.CheckAgainst(checked)...)
+		found, err := config.CheckEntry(file, checked)
+		if err != nil {
+			return nil, errors.Trace(err)
 		}
+		faults = append(faults, found...)
 	}
 	return faults, nil
 }
@@ -173,7 +171,11 @@
 	for _, f := range faults {
 		_, _ = fmt.Fprintln(c.out, f.Error())
 	}
-	_, _ = fmt.Fprintf(c.out, "%d faults\n", len(faults))
+	noun := "faults"
+	if len(faults) == 1 {
+		noun = "fault"
+	}
+	_, _ = fmt.Fprintf(c.out, "%d %s\n", len(faults), noun)
 }
 
 type faultMessage struct {
--- a/io/cmds/status.go
+++ b/io/cmds/status.go
@@ -83,10 +83,11 @@
 	until := time.Now().Add(c.wait)
 	for {
 		found, err := look(ctx, client)
-		if err != nil {
+		last := !time.Now().Before(until)
+		switch {
+		case err != nil && last:
 			return fail(err)
-		}
-		if found.Accepted || !time.Now().Before(until) {
+		case err == nil && (found.Accepted || last):
 			c.print(found)
 			return exitOf(found)
 		}
--- a/io/config/config.go
+++ b/io/config/config.go
@@ -117,6 +117,21 @@
 	return entry, nil
 }
 
+// CheckEntry returns every fault of a settings file, and what it names that a table
+// does not have; a nil table is not looked at. The error is that with which the file
+// could not be read.
+func CheckEntry(file string, t *table.Table) (table.Faults, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Annotate(err, "reading settings")
+	}
+	entry, faults := ParseEntry(file, data)
+	if t != nil && entry.Zone != "" && entry.Region != "" {
+		faults = append(faults, entry.CheckAgainst(t)...)
+	}
+	return faults, nil
+}
+
 // ParseEntry reads settings from the contents of a file. The settings are of use
 // only when there are no faults.
 func ParseEntry(file string, data []byte) (Entry, table.Faults) {
--- a/io/entry/body.go
+++ b/io/entry/body.go
@@ -4,9 +4,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
 
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/result"
@@ -53,28 +56,75 @@
 // completion's body. The version and the priority are the table's to set, so a
 // body that sets them is refused rather than overruled in silence.
 func readCompletion(c *Call) *result.Failure {
-	var completion struct {
-		Model    ident.Model     `json:"model"`
-		Prompt   string          `json:"prompt"`
-		Session  string          `json:"session"`
-		Version  json.RawMessage `json:"version"`
-		Priority json.RawMessage `json:"priority"`
-	}
-	if err := json.Unmarshal(c.Body, &completion); err != nil {
-		// The error may quote the body, which must not reach a log.
-		return refuse(result.StepIdentify, result.BadRequest)
-	}
-	if completion.Model == "" || completion.Version != nil || completion.Priority != nil {
+	fields, ok := readFields(c.Body)
+	if !ok || fields.model == "" {
+		// What is wrong isn't told in detail: it would quote the body.
 		return refuse(result.StepIdentify, result.BadRequest)
 	}
-	c.Model = completion.Model
+	c.Model = ident.Model(fields.model)
 	if c.Session == "" {
-		c.Session = completion.Session
+		c.Session = fields.session
 	}
-	c.prompt = promptOf(c.Workspace, completion.Prompt, c.Session)
+	c.prompt = promptOf(c.Workspace, fields.prompt, c.Session)
 	return nil
 }
 
+// completionFields are those that decide where a completion goes.
+type completionFields struct {
+	model, prompt, session string
+}
+
+// readFields reads the fields of a JSON object one by one. A name that decides where
+// the request goes must come once and in lower case: an engine may take the first
+// or the last of two, and "Model" for "model" or not, and would then run something
+// else than what was routed.
+func readFields(body []byte) (completionFields, bool) {
+	var fields completionFields
+	known := map[string]*string{"model": &fields.model, "prompt": &fields.prompt, "session": &fields.session}
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	if token, err := decoder.Token(); err != nil || token != json.Delim('{') {
+		return fields, false
+	}
+	for decoder.More() {
+		token, err := decoder.Token()
+		name, isName := token.(string)
+		if err != nil || !isName {
+			return fields, false
+		}
+		to, decides := known[name]
+		if !decides && isReserved(name) {
+			return fields, false
+		}
+		var value json.RawMessage
+		if err := decoder.Decode(&value); err != nil {
+			return fields, false
+		}
+		if !decides {
+			continue
+		}
+		delete(known, name)
+		if err := json.Unmarshal(value, to); err != nil {
+			return fields, false
+		}
+	}
+	if _, err := decoder.Token(); err != nil {
+		return fields, false
+	}
+	_, err := decoder.Token()
+	return fields, errors.Is(err, io.EOF)
+}
+
+// isReserved reports whether a name is, but for its case, one that decides where a
+// completion goes or that the entry sets itself.
+func isReserved(name string) bool {
+	for _, reserved := range []string{"model", "prompt", "session", "version", "priority"} {
+		if strings.EqualFold(name, reserved) {
+			return true
+		}
+	}
+	return false
+}
+
 func promptOf(w ident.Workspace, text, session string) prompt {
 	var d xxhash.Digest
 	d.Reset()
