--- a/io/fleet/capacity_test.go
+++ b/io/fleet/capacity_test.go
@@ -157,6 +157,9 @@
 
 func usageOf(b *testing.B, f *Fleet) (sum processUsage) {
 	for _, e := range f.Entries {
+		if e.Exited() {
+			b.Fatalf("%s has ended: %s", e.Name, e.Log())
+		}
 		folder := fmt.Sprintf("/proc/%d/", e.PID())
 		sum.bytes += field(b, folder+"io", "rchar:") + field(b, folder+"io", "wchar:")
 		sum.writes += field(b, folder+"io", "syscw:")
