--- a/io/entry/contract_test.go
+++ b/io/entry/contract_test.go
@@ -39,18 +39,20 @@
 )
 
 // TestContract runs the callers' interface through the cases of testdata. A case is
-// one line, such as "ask key=a < BODY"; each answer is compared with the counters of
+// a command, such as "ask key=a < BODY"; each answer is compared with the counters of
 // the instance that gave it, and the log is searched for what requests hold.
 func TestContract(t *testing.T) {
 	datadriven.Walk(t, "testdata/contract", func(t *testing.T, file string) {
 		c := &cases{running: map[string]chan string{}, leave: map[string]context.CancelFunc{}, prefixes: map[string]string{}}
 		c.rig = newRig(t, &syncBuffer{}, "")
 		datadriven.RunTest(t, file, func(t *testing.T, d *datadriven.TestData) string {
-			var out strings.Builder
+			var out []string
 			for line := range strings.Lines(d.Input) {
-				out.WriteString(c.run(t, newCommand(line)))
+				for text := range strings.SplitSeq(line, " ; ") {
+					out = append(out, c.run(t, newCommand(text)))
+				}
 			}
-			return out.String()
+			return strings.Join(collapse(out), "")
 		})
 		if text := c.rig.log.b.String(); strings.Contains(text, secret) || !strings.Contains(text, "request-id") {
 			t.Errorf("the log holds a body, a prompt or a key, or nothing:\n%s", text)
@@ -58,6 +60,19 @@
 	})
 }
 
+// collapse puts equal results in a row into one, such as "3 times 400 ...".
+func collapse(results []string) []string {
+	var out []string
+	results = slices.DeleteFunc(results, func(s string) bool { return s == "" })
+	for count := 0; len(results) > 0; results = results[count:] {
+		for count = 1; count < len(results) && results[count] == results[0]; {
+			count++
+		}
+		out = append(out, strings.TrimPrefix(fmt.Sprintf("%d times %s", count, results[0]), "1 times "))
+	}
+	return out
+}
+
 // command is one line of a case; name is its first argument.
 type command struct {
 	verb, name, input string
@@ -121,11 +136,7 @@
 		return fmt.Sprintf("%s ran %d in all\n", d.name, stub.ran())
 	case "rig":
 	case "fault", "attempt":
-		var rules []fault.Rule
-		if err := json.Unmarshal([]byte("["+d.input+"]"), &rules); err != nil {
-			t.Fatal(err)
-		}
-		stub.faults.Put(rules...)
+		stub.faults.Put(rulesOf(t, d.input)...)
 		if d.verb == "attempt" {
 			d.input = ""
 			return c.ask(t, d)
@@ -172,6 +183,19 @@
 	return ""
 }
 
+// rulesOf reads rules such as {"kind":"slow"}, or one that strikes once after a number
+// of frames, such as "cut-after-frames 2".
+func rulesOf(t *testing.T, text string) (rules []fault.Rule) {
+	if text != "" && text[0] != '{' {
+		kind, frames, _ := strings.Cut(text, " ")
+		text = fmt.Sprintf(`{"kind":%q,"count":1,"frames":%s}`, kind, cmp.Or(frames, "0"))
+	}
+	if err := json.Unmarshal([]byte("["+text+"]"), &rules); err != nil {
+		t.Fatal(err)
+	}
+	return rules
+}
+
 // script puts a scripted peer in the place of north's entry.
 func (c *cases) script(d command) {
 	r := c.rig
