io/entry: move a forwarded stream's deadline once a second, not for each token

The entry that answers a forwarded request set the deadline of its stream before each frame. In yamux that wakes the goroutine that reads from the stream, here the one that watches for the forwarding entry giving up, and it makes a new timer each time. The deadline now moves at most once a second and is a second longer, as towards callers: a peer that stops reading is still given up on, within the write timeout and a second. Ruled out: setting the deadline of writes only, which the link doesn't offer yet.

--- a/io/entry/bench_test.go
+++ b/io/entry/bench_test.go
@@ -109,8 +109,8 @@
 	return nil
 }
 
-// serveEntry serves an entry with one engine, and returns its callers' address.
-func serveEntry(b *testing.B, upstream netip.AddrPort) netip.AddrPort {
+// newCore makes an entry with one engine.
+func newCore(b *testing.B, upstream netip.AddrPort) *entry.Core {
 	self := ident.Incarnation{Instance: "entry-1", Start: 1}
 	view := settledView(b, self, benchValues(b, upstream))
 	random := entry.NewRandom(1)
@@ -125,12 +125,17 @@
 	}
 	core.Gates.Resize(view)
 	core.Start()
-	server := httptest.NewServer(core.Handler())
 	b.Cleanup(func() {
-		server.Close()
 		core.Upcall.Close()
 		core.Pool.Close()
 	})
+	return core
+}
+
+// serveEntry serves an entry with one engine, and returns its callers' address.
+func serveEntry(b *testing.B, upstream netip.AddrPort) netip.AddrPort {
+	server := httptest.NewServer(newCore(b, upstream).Handler())
+	b.Cleanup(server.Close)
 	return netip.MustParseAddrPort(server.Listener.Addr().String())
 }
 
--- a/io/entry/peer.go
+++ b/io/entry/peer.go
@@ -154,8 +154,11 @@
 // peerSink passes an answer back to the forwarding entry.
 type peerSink struct {
 	frames frameWriter
-	idle   time.Duration
-	begun  bool
+	// idle bounds one write to a peer that has stopped reading.
+	idle time.Duration
+	// extended is when the deadline was last moved.
+	extended time.Time
+	begun    bool
 }
 
 // Begin sends the status and the headers.
@@ -172,8 +175,15 @@
 	return s.frames.data(p)
 }
 
+// extend moves the deadline, at most once in a step: each move wakes the goroutine
+// that watches the stream.
 func (s *peerSink) extend() {
-	s.frames.stream.SetDeadline(time.Now().Add(s.idle))
+	now := time.Now()
+	if now.Sub(s.extended) < writeDeadlineStep {
+		return
+	}
+	s.extended = now
+	s.frames.stream.SetDeadline(now.Add(s.idle + writeDeadlineStep))
 }
 
 // peerBodyTimeout bounds the time in which a peer sends a body it has at hand.
