Give joined tries the first one's "not run", and ping links less often

Cause: three tries of one key ran at once; the first was refused and told so, and a joined one then ran the key, 2.7 ms before that word reached its caller. A forwarded stream that was silent for longer than the write timeout would have been taken for abandoned, since the sink moved the read deadline too. Refusals of the routing had no Retry-After, and a load header counted as fresh at the end of its answer. Ruled out: pings every 30 s, which bound a hung forward at over half a minute. Measured: entry and table tests pass, lint is clean; the figures of the links are to be taken again.

--- a/core/table/policy.go
+++ b/core/table/policy.go
@@ -94,10 +94,10 @@
 
 // settings are the numeric rows of the policy sheet.
 var settings = slices.Concat(
-	classSettings(Quick, "25", "64", "400", "20", "0"),
-	classSettings(Plan, "45", "64", "400", "180", "3"),
-	classSettings(Session, "30", "128", "400", "1800", "6"),
-	classSettings(ServiceCall, "", "256", "400", "30", ""),
+	classSettings(Quick, "25", "64", "20", "0"),
+	classSettings(Plan, "45", "64", "180", "3"),
+	classSettings(Session, "30", "128", "1800", "6"),
+	classSettings(ServiceCall, "", "256", "30", ""),
 	[]setting{
 		{"retry-budget-percent", "10", 0, 100, func(p *Policy, v int) { p.RetryBudgetPercent = v }},
 		{"max-attempts", "3", 1, 10, func(p *Policy, v int) { p.MaxAttempts = v }},
@@ -117,11 +117,11 @@
 
 // classSettings returns the rows of one class, such as "quick-queue-length".
 // Empty initial values leave a row out.
-func classSettings(c Class, share, queue, waitMS, timeoutS, priority string) []setting {
+func classSettings(c Class, share, queue, timeoutS, priority string) []setting {
 	all := []setting{
 		{"share-percent", share, 0, 100, func(p *Policy, v int) { p.Classes[c].SharePercent = v }},
 		{"queue-length", queue, 0, 100_000, func(p *Policy, v int) { p.Classes[c].QueueLength = v }},
-		{"max-wait-ms", waitMS, 0, 600_000, func(p *Policy, v int) { p.Classes[c].MaxWait = milliseconds(v) }},
+		{"max-wait-ms", "400", 0, 600_000, func(p *Policy, v int) { p.Classes[c].MaxWait = milliseconds(v) }},
 		{"timeout-s", timeoutS, 1, 7_200, func(p *Policy, v int) { p.Classes[c].Timeout = seconds(v) }},
 		{"priority", priority, 0, 9, func(p *Policy, v int) { p.Classes[c].Priority = v }},
 	}
--- a/io/entry/admit.go
+++ b/io/entry/admit.go
@@ -200,8 +200,26 @@
 	use(ch)
 }
 
-// noUpstreamRetry is when a caller may ask again for what nothing serves now.
-const noUpstreamRetry = 2 * time.Second
+// group returns the upstreams whose capacity a request uses.
+func (c *Call) group() (*node.Group, bool) {
+	if c.Service != "" {
+		return c.View.ServiceGroup(c.Service)
+	}
+	return c.View.ModelGroup(c.Model)
+}
+
+// comeBack adds to a refusal when its caller may come back, spread over the refused
+// ones, unless it says so already.
+func (g *Gates) comeBack(c *Call, f *result.Failure) *result.Failure {
+	group, found := c.group()
+	if !found || f.RetryAfter > 0 {
+		return f
+	}
+	g.random.With(func(source *rand.Rand) {
+		f.RetryAfter = g.gate(group.Name).admit.RetryAfter(g.clock.Now(), source)
+	})
+	return f
+}
 
 // admitFilter lets a request in when this instance's part of the capacity allows.
 type admitFilter struct {
@@ -211,14 +229,15 @@
 // Apply passes on a request that is admitted. One that isn't goes on only to see
 // whether another region takes it.
 func (f *admitFilter) Apply(ctx context.Context, c *Call, next Next) *result.Failure {
-	group, found := f.group(c)
+	group, found := c.group()
 	if !found || len(group.Upstreams) == 0 {
 		c.full = refuse(result.StepAdmit, result.NoUpstream)
-		c.full.RetryAfter = noUpstreamRetry
 		return next(ctx, c)
 	}
 	g := f.core.Gates.gate(group.Name)
+	offered := f.core.Clock.Now()
 	c.full = f.offer(ctx, g, c)
+	c.waited = f.core.Clock.Now().Sub(offered)
 	if c.full != nil {
 		g.refused.Add(1)
 		return next(ctx, c)
@@ -227,13 +246,6 @@
 	return next(ctx, c)
 }
 
-func (f *admitFilter) group(c *Call) (*node.Group, bool) {
-	if c.Service != "" {
-		return c.View.ServiceGroup(c.Service)
-	}
-	return c.View.ModelGroup(c.Model)
-}
-
 // offer returns nil once the request is admitted, and why it isn't otherwise.
 func (f *admitFilter) offer(ctx context.Context, g *gate, c *Call) *result.Failure {
 	request := admit.Request{Class: c.Class, Forwarded: c.Trail.Forwarded(), Deadline: c.Deadline}
--- a/io/entry/call.go
+++ b/io/entry/call.go
@@ -59,6 +59,8 @@
 	// asked is true once the records of the key's owner have decided about the call,
 	// here or at the owner. Before that, nobody can say that it has not run.
 	asked bool
+	// waited is the time that the request spent in the queue of its gate.
+	waited time.Duration
 	// full is why the own region does not admit the request; nil when it does.
 	full *result.Failure
 	// prompt is what a completion's body says; zero for a plain service call.
--- a/io/entry/dedup.go
+++ b/io/entry/dedup.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -108,7 +109,7 @@
 		Fingerprint: dedup.FingerprintOf(c.Workspace, c.Method, c.Path, c.Body),
 	}
 	for {
-		decision, ended := f.core.Records.begin(call)
+		decision, running := f.core.Records.begin(call)
 		c.asked = true
 		switch d := decision.(type) {
 		case dedup.Run:
@@ -118,18 +119,27 @@
 		case dedup.Refuse:
 			return d.Failure
 		case dedup.Join:
-			if failure := f.wait(ctx, ended); failure != nil {
+			if failure := f.wait(ctx, running); failure != nil {
 				return failure
 			}
 		}
 	}
 }
 
-// wait waits for the earlier try to end. The call may have run when the wait is
-// cut short.
-func (f *dedupFilter) wait(ctx context.Context, ended <-chan struct{}) *result.Failure {
+// joinedRetry is when a caller may repeat a try that joined one that was not run.
+const joinedRetry = time.Second
+
+// wait waits for the earlier try to end. When that was not run, neither is this one:
+// the caller who is told so of one try must not find that a joined one ran after
+// all. The call may have run when the wait is cut short.
+func (f *dedupFilter) wait(ctx context.Context, running *runningCall) *result.Failure {
 	select {
-	case <-ended:
+	case <-running.ended:
+		if running.answer.Outcome == result.NotRun {
+			failure := running.answer.Failure()
+			failure.RetryAfter = joinedRetry
+			return failure
+		}
 		return nil
 	case <-ctx.Done():
 		return &result.Failure{Step: result.StepDedup, Reason: upcall.EndReason(ctx)}
--- a/io/entry/lane.go
+++ b/io/entry/lane.go
@@ -49,6 +49,8 @@
 	}
 	now := l.race.filter.core.Clock.Now()
 	l.decision.Upstream.FirstToken(now, now.Sub(l.started))
+	// The header's figure is as old as the answer's head, not as its end.
+	l.race.filter.observe(l.decision.Upstream, h.Header.Get(upcall.HeaderLoad))
 	return l.race.answer.Begin(h)
 }
 
--- a/io/entry/peer.go
+++ b/io/entry/peer.go
@@ -183,7 +183,7 @@
 		return
 	}
 	s.extended = now
-	s.frames.stream.SetDeadline(now.Add(s.idle + writeDeadlineStep))
+	s.frames.stream.SetWriteDeadline(now.Add(s.idle + writeDeadlineStep))
 }
 
 // peerBodyTimeout bounds the time in which a peer sends a body it has at hand.
--- a/io/entry/records.go
+++ b/io/entry/records.go
@@ -18,8 +18,15 @@
 	mu      sync.Mutex
 	records *dedup.Records
 	notes   dedup.Notes
-	// running has a channel for each key that runs here; it is closed at its end.
-	running map[dedup.Key]chan struct{}
+	// running has each key that runs here.
+	running map[dedup.Key]*runningCall
+}
+
+// runningCall is what the tries that join a running call wait for.
+type runningCall struct {
+	// ended is closed at the call's end, when answer is set.
+	ended  chan struct{}
+	answer dedup.Answer
 }
 
 // NewRecords returns the empty records of an incarnation that starts now.
@@ -27,7 +34,7 @@
 	return &Records{
 		clock:   c,
 		records: dedup.NewRecords(self, c.Now(), limits),
-		running: map[dedup.Key]chan struct{}{},
+		running: map[dedup.Key]*runningCall{},
 	}
 }
 
@@ -53,15 +60,14 @@
 	return r.records.Usage()
 }
 
-// begin decides about one try. For Join it also returns what is closed when the
-// earlier try has ended.
-func (r *Records) begin(c dedup.Call) (dedup.Decision, <-chan struct{}) {
+// begin decides about one try. For Join it also returns the earlier try that runs.
+func (r *Records) begin(c dedup.Call) (dedup.Decision, *runningCall) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	decision := r.records.Begin(r.clock.Now(), c)
 	switch decision.(type) {
 	case dedup.Run:
-		r.running[c.Key] = make(chan struct{})
+		r.running[c.Key] = &runningCall{ended: make(chan struct{})}
 	case dedup.Join:
 		return decision, r.running[c.Key]
 	}
@@ -73,7 +79,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.records.End(r.clock.Now(), k, a)
-	close(r.running[k])
+	call := r.running[k]
+	call.answer = a
+	close(call.ended)
 	delete(r.running, k)
 }
 
--- a/io/entry/route.go
+++ b/io/entry/route.go
@@ -129,7 +129,7 @@
 		defer view.Meter.Ended(d.Region)
 		return f.forward(ctx, j, d.Region), false
 	case *route.Refuse:
-		return d.Failure, true
+		return f.core.Gates.comeBack(c, d.Failure), true
 	default:
 		return refuse(result.StepRoute, result.NoUpstream), true
 	}
@@ -150,7 +150,7 @@
 	r.Places = places{table: c.View.Table, workspace: c.Workspace, region: f.core.Region}
 	r.Affinity = c.prompt.Affinity
 	r.Prefix = c.prompt.Prefix
-	r.MaxWait = c.View.Table.Policy().Classes[c.Class].MaxWait
+	r.MaxWait = max(1, c.View.Table.Policy().Classes[c.Class].MaxWait-c.waited)
 	r.Full = c.full
 	if len(r.Visited) == 0 && (c.Trail.Forwarded() || c.keyed()) {
 		r.Visited = append(r.Visited, c.Trail.Regions...)
@@ -192,8 +192,8 @@
 // learn passes on what an attempt showed of its upstream.
 func (f *routeFilter) learn(u *load.Upstream, started time.Time, report upcall.Report, failure *result.Failure) {
 	now := f.core.Clock.Now()
-	if l, ok := parseLoad(report.Load, now); ok {
-		u.Observe(now, l)
+	if !report.Begun {
+		f.observe(u, report.Load)
 	}
 	if report.Leaving {
 		u.Leave()
@@ -201,6 +201,14 @@
 	u.End(now, endingOf(failure), now.Sub(started), report.Frames)
 }
 
+// observe takes in a load header that has just arrived.
+func (f *routeFilter) observe(u *load.Upstream, header string) {
+	now := f.core.Clock.Now()
+	if l, ok := parseLoad(header, now); ok {
+		u.Observe(now, l)
+	}
+}
+
 func endingOf(failure *result.Failure) load.Ending {
 	if failure == nil {
 		return load.Answered
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -26,11 +26,13 @@
 	// of a megabyte and its envelope fit.
 	maxMessageBytes = 1<<20 + 1<<16
 
-	dialTimeout       = 2 * time.Second
-	helloTimeout      = 2 * time.Second
-	exchangeTimeout   = 3 * time.Second
-	writeTimeout      = 3 * time.Second
-	keepAliveInterval = 2 * time.Second
+	dialTimeout     = 2 * time.Second
+	helloTimeout    = 2 * time.Second
+	exchangeTimeout = 3 * time.Second
+	writeTimeout    = 3 * time.Second
+	// keepAliveInterval is the time between two pings on a link. It bounds how long a
+	// forwarded request waits for a peer that hangs; each ping costs about 180 bytes.
+	keepAliveInterval = 15 * time.Second
 	// noticeIdleTimeout ends a control stream on which nothing arrives.
 	noticeIdleTimeout = 30 * time.Second
 	readBufferBytes   = 4 << 10
@@ -78,6 +80,11 @@
 	_ = s.conn.SetDeadline(at)
 }
 
+// SetWriteDeadline bounds the writes that follow.
+func (s *Stream) SetWriteDeadline(at time.Time) {
+	_ = s.conn.SetWriteDeadline(at)
+}
+
 // SetReadDeadline bounds the reads that follow.
 func (s *Stream) SetReadDeadline(at time.Time) {
 	_ = s.conn.SetReadDeadline(at)
