--- a/io/cost/cost.go
+++ b/io/cost/cost.go
@@ -29,6 +29,9 @@
 	tokensPerAnswer = 200
 	// settleTimeout bounds the start of the fleet.
 	settleTimeout = 60 * time.Second
+	// slotsPerStream keeps the measurement away from admission: an engine that is
+	// just full refuses some of the streams.
+	slotsPerStream = 2
 	// clockTicks is the unit of processor times in /proc, a second.
 	clockTicks = 100
 )
@@ -133,7 +136,7 @@
 // start runs a platform, one engine with room for all streams, and one entry that
 // has one core.
 func start(ctx context.Context, folder string, c Case) (*fleet.Fleet, error) {
-	slots := strconv.Itoa(c.Streams)
+	slots := strconv.Itoa(slotsPerStream * c.Streams)
 	plan := fleet.Plan{
 		Programs: filepath.Join(folder, "bin"),
 		Table:    filepath.Join(folder, "io", "cost", "table"),
