Name hedges, hops and other regions' entries in the field's terms

Cause: read as a newcomer, "lane", "race", "journey", "trail" and "far" had to be guessed; they are words of our own for a hedged attempt, its call, the progress of a request, the list that HTTP calls Via, and remote entries. Change: names, comments and the files that hold them. Behaviour stays. Ruled out: leaving them to the glossary.

--- a/core/feed/event.go
+++ b/core/feed/event.go
@@ -28,9 +28,9 @@
 	// those among them that were heard lately.
 	Regions int
 	Heard   int
-	// Far holds entries that the list names in other regions. An instance that is
+	// RemoteEntries holds entries that the list names in other regions. An instance that is
 	// alone in its region asks them for the table when it starts.
-	Far []ident.Instance
+	RemoteEntries []ident.Instance
 }
 
 // PeerHas brings what a peer announced between two heartbeats.
--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -79,8 +79,8 @@
 	for i := range v.Regions() {
 		r := &v.Regions()[i]
 		m.Regions++
-		if far, found := rank.First("far", v.ListedIn(r.Name)); found {
-			m.Far = append(m.Far, far)
+		if entry, found := rank.First("remote", v.ListedIn(r.Name)); found {
+			m.RemoteEntries = append(m.RemoteEntries, entry)
 		}
 		if !r.Fresh {
 			continue
--- a/core/feed/question.go
+++ b/core/feed/question.go
@@ -175,7 +175,7 @@
 }
 
 func (s *State) peerAnswered(e PeerAnswered) {
-	s.farAnswered(e)
+	s.remoteAnswered(e)
 	if digest, isPage := e.Key.Digest(); isPage {
 		s.takePage(digest, e.Value.Data, e.Found, e.Instance)
 		return
--- a/core/feed/far.go
+++ b/core/feed/remote.go
@@ -9,13 +9,13 @@
 	"arbutustrestle/core/table"
 )
 
-// farRetry is the time between two questions to the same entry of another region.
-const farRetry = time.Second
+// remoteRetry is the time between two questions to the same entry of another region.
+const remoteRetry = time.Second
 
-// far holds what a starting instance without peers learns from other regions. Their
+// remoteState holds what a starting instance without peers learns from other regions. Their
 // summaries may come too late: they are sent some seconds apart, and not to an
 // instance that was just found dead.
-type far struct {
+type remoteState struct {
 	// names are the entries that are asked.
 	names []ident.Instance
 	// askedAt is when they were asked last.
@@ -26,26 +26,26 @@
 	peers []Peer
 }
 
-// planFar asks entries of other regions for a newer table, during the start of an
+// askRemotes asks entries of other regions for a newer table, during the start of an
 // instance that is alone in its region.
-func (s *State) planFar() {
-	if s.ready || !s.alone || s.now.Sub(s.far.askedAt) < farRetry {
+func (s *State) askRemotes() {
+	if s.ready || !s.alone || s.now.Sub(s.remote.askedAt) < remoteRetry {
 		return
 	}
-	s.far.askedAt = s.now
-	for _, name := range s.far.names {
+	s.remote.askedAt = s.now
+	for _, name := range s.remote.names {
 		s.counts.PeerQuestions++
 		s.act(AskPeer{Instance: name, Key: ManifestKey, After: s.mine(watchManifest)})
 	}
 }
 
-// farAnswered notes an answer of an entry of another region. One that has a newer
+// remoteAnswered notes an answer of an entry of another region. One that has a newer
 // table is asked for its pages, too.
-func (s *State) farAnswered(e PeerAnswered) {
-	if !slices.Contains(s.far.names, e.Instance) || e.Key != ManifestKey {
+func (s *State) remoteAnswered(e PeerAnswered) {
+	if !slices.Contains(s.remote.names, e.Instance) || e.Key != ManifestKey {
 		return
 	}
-	s.far.answered = true
+	s.remote.answered = true
 	if !e.Found {
 		return
 	}
@@ -53,22 +53,22 @@
 	if err != nil {
 		return
 	}
-	s.far.peers = slices.DeleteFunc(s.far.peers, func(p Peer) bool { return p.Instance == e.Instance })
-	s.far.peers = append(s.far.peers, Peer{
+	s.remote.peers = slices.DeleteFunc(s.remote.peers, func(p Peer) bool { return p.Instance == e.Instance })
+	s.remote.peers = append(s.remote.peers, Peer{
 		Instance: e.Instance,
 		Usable:   true,
 		Remote:   true,
 		Held:     member.Held{Table: manifest.Revision},
 	})
-	s.addFar()
+	s.addRemotes()
 }
 
-// addFar puts the entries of other regions among the peers, as long as it starts.
-func (s *State) addFar() {
+// addRemotes puts the entries of other regions among the peers, as long as it starts.
+func (s *State) addRemotes() {
 	if s.ready {
 		return
 	}
-	for _, p := range s.far.peers {
+	for _, p := range s.remote.peers {
 		known := slices.ContainsFunc(s.peers, func(other Peer) bool { return other.Instance == p.Instance })
 		if !known {
 			s.peers = append(slices.Clip(s.peers), p)
--- a/core/feed/start_test.go
+++ b/core/feed/start_test.go
@@ -24,8 +24,8 @@
 		"peer that may not hear this instance yet":      {feed.Members{Expected: 1, Peers: []feed.Peer{{Instance: "entry-2", Zone: "west-1", Held: newer}}}, true},
 		"peer that is not heard":                        {feed.Members{Expected: 1}, true},
 		"region that is not heard":                      {feed.Members{Regions: 1}, true},
-		"entry of another region that has no newer one": {feed.Members{Regions: 1, Far: []ident.Instance{"south-1"}}, false},
-		"entry of another region that has a newer one":  {feed.Members{Regions: 1, Far: []ident.Instance{"north-1"}}, false},
+		"entry of another region that has no newer one": {feed.Members{Regions: 1, RemoteEntries: []ident.Instance{"south-1"}}, false},
+		"entry of another region that has a newer one":  {feed.Members{Regions: 1, RemoteEntries: []ident.Instance{"north-1"}}, false},
 		"region that is heard":                          {feed.Members{Regions: 1, Heard: 1, Peers: []feed.Peer{{Instance: "north-1", Zone: "north-1", Usable: true, Remote: true, Held: member.Held{Table: 2}}}}, false},
 	}
 	for name, c := range cases {
@@ -57,7 +57,7 @@
 					}
 				}
 			}
-			if s.Status().Ready && (name == "region that is heard" || slices.Contains(c.members.Far, "north-1")) && s.Status().InForce.Revision != newest {
+			if s.Status().Ready && (name == "region that is heard" || slices.Contains(c.members.RemoteEntries, "north-1")) && s.Status().InForce.Revision != newest {
 				t.Errorf("%s: ready with revision %d", name, s.Status().InForce.Revision)
 			}
 			if early := now.Sub(start) < startWait; s.Status().Ready && early == c.waits {
--- a/core/feed/state.go
+++ b/core/feed/state.go
@@ -85,7 +85,7 @@
 	// regions are listed and none was heard lately.
 	local    int
 	regions  bool
-	far      far
+	remote   remoteState
 	expected int
 	// fleet and readers are as in Members.
 	fleet   int
@@ -137,7 +137,7 @@
 	case PeerFailed:
 		s.peerFailed(e.Instance, e.Key)
 	}
-	s.planFar()
+	s.askRemotes()
 	s.planQuestions()
 	s.planReads()
 	s.planPages()
@@ -230,8 +230,8 @@
 	}
 	s.alone = s.local == 0
 	s.regions = m.Regions == 0 || m.Heard > 0
-	s.far.names = m.Far
-	s.addFar()
+	s.remote.names = m.RemoteEntries
+	s.addRemotes()
 	s.counted = s.watches[watchEntries].value.Revision > 0
 	zone := []ident.Instance{s.options.Instance}
 	for _, p := range m.Peers {
@@ -299,7 +299,7 @@
 		return
 	}
 	platform := s.platformAnsweredAll()
-	peers := s.counted && s.local >= s.expected && (s.regions || s.far.answered)
+	peers := s.counted && s.local >= s.expected && (s.regions || s.remote.answered)
 	waited := s.waited()
 	answered := platform && peers
 	if !waited && !answered {
--- a/core/hops/hops.go
+++ b/core/hops/hops.go
@@ -12,23 +12,23 @@
 	"arbutustrestle/core/result"
 )
 
-// Trail says where a request has been, oldest first. Its zero value is that of a
+// Via says where a request has been, oldest first. Its zero value is that of a
 // caller's own request. It is immutable.
-type Trail struct {
+type Via struct {
 	Instances []ident.Instance
 	Regions   []ident.Region
 }
 
 // Forwarded reports whether the request came from another instance.
-func (t Trail) Forwarded() bool {
-	return len(t.Instances) > 0
+func (v Via) Forwarded() bool {
+	return len(v.Instances) > 0
 }
 
-// Next returns the trail that a request carries when an instance sends it on.
-func (t Trail) Next(self ident.Instance, region ident.Region) Trail {
-	return Trail{
-		Instances: append(slices.Clone(t.Instances), self),
-		Regions:   append(slices.Clone(t.Regions), region),
+// Next returns the list that a request carries when an instance sends it on.
+func (v Via) Next(self ident.Instance, region ident.Region) Via {
+	return Via{
+		Instances: append(slices.Clone(v.Instances), self),
+		Regions:   append(slices.Clone(v.Regions), region),
 	}
 }
 
@@ -44,11 +44,11 @@
 // Arrive decides whether an instance takes a forwarded request that was sent by a
 // table of the given revision. It returns nil, or a failure with the outcome NotRun
 // and one of the reasons HopLimit, NotReady and OlderTable.
-func (t Trail) Arrive(here Here, sentBy ident.Revision) *result.Failure {
+func (v Via) Arrive(here Here, sentBy ident.Revision) *result.Failure {
 	switch {
 	case here.Table == 0:
 		return refuse(result.NotReady)
-	case slices.Contains(t.Instances, here.Instance) || len(t.Instances) > here.MaxHops:
+	case slices.Contains(v.Instances, here.Instance) || len(v.Instances) > here.MaxHops:
 		return refuse(result.HopLimit)
 	case sentBy > here.Table:
 		return refuse(result.OlderTable)
--- a/core/hops/hops_test.go
+++ b/core/hops/hops_test.go
@@ -11,12 +11,12 @@
 )
 
 func Example() {
-	var trail hops.Trail
-	trail = trail.Next("entry-west-1", "west")
+	var via hops.Via
+	via = via.Next("entry-west-1", "west")
 	here := hops.Here{Instance: "entry-north-1", Table: 7, MaxHops: 1}
-	fmt.Println(trail.Arrive(here, 7))
-	fmt.Println(trail.Arrive(here, 8).Reason)
-	fmt.Println(trail.Next("entry-north-1", "north").Arrive(hops.Here{Instance: "entry-west-1", Table: 9, MaxHops: 3}, 7).Reason)
+	fmt.Println(via.Arrive(here, 7))
+	fmt.Println(via.Arrive(here, 8).Reason)
+	fmt.Println(via.Next("entry-north-1", "north").Arrive(hops.Here{Instance: "entry-west-1", Table: 9, MaxHops: 3}, 7).Reason)
 	// Output:
 	// <nil>
 	// older-table
@@ -24,26 +24,26 @@
 }
 
 // TestNoRequestCirculates sends requests on at random between instances that each
-// have a table and a bound of their own and always forward. Without the trail none
+// have a table and a bound of their own and always forward. Without the via none
 // of them would ever end.
 func TestNoRequestCirculates(t *testing.T) {
 	const instances, requests, bound = 9, 10_000, 3
 	random := rand.New(rand.NewPCG(1, 1))
 	for range requests {
-		var trail hops.Trail
+		var via hops.Via
 		revision := ident.Revision(1 + random.IntN(3))
 		passed := map[ident.Instance]int{}
 		at := ident.Instance(fmt.Sprint("entry-", random.IntN(instances)))
 		for hop := 0; ; hop++ {
 			passed[at]++
 			if passed[at] > 1 || hop > bound {
-				t.Fatalf("%v passed twice, or %d hops", trail, hop)
+				t.Fatalf("%v passed twice, or %d hops", via, hop)
 			}
 			table := max(revision, ident.Revision(1+random.IntN(3)))
-			trail = trail.Next(at, "west")
+			via = via.Next(at, "west")
 			at = ident.Instance(fmt.Sprint("entry-", random.IntN(instances)))
 			here := hops.Here{Instance: at, Table: ident.Revision(random.IntN(4)), MaxHops: random.IntN(bound + 1)}
-			failure := trail.Arrive(here, table)
+			failure := via.Arrive(here, table)
 			if failure != nil && failure.Outcome != result.NotRun {
 				t.Fatal(failure)
 			}
@@ -56,10 +56,10 @@
 }
 
 func BenchmarkArrive(b *testing.B) {
-	trail := hops.Trail{}.Next("entry-west-1", "west")
+	via := hops.Via{}.Next("entry-west-1", "west")
 	here := hops.Here{Instance: "entry-north-1", Table: 7, MaxHops: 1}
 	b.ReportAllocs()
 	for b.Loop() {
-		trail.Arrive(here, 7)
+		via.Arrive(here, 7)
 	}
 }
--- a/io/daemon/drain.go
+++ b/io/daemon/drain.go
@@ -20,9 +20,9 @@
 const (
 	// flightInterval is how often a drain looks at what is in flight.
 	flightInterval = 50 * time.Millisecond
-	// farewellTime is how long an instance goes on after its last request, so that
+	// stopNoticeTime is how long an instance goes on after its last request, so that
 	// its peers hear of its successor and of its end.
-	farewellTime = 1500 * time.Millisecond
+	stopNoticeTime = 1500 * time.Millisecond
 )
 
 // Drain carries out the graceful shutdown of an instance.
@@ -140,7 +140,7 @@
 		return errors.Errorf("ended with %d requests in flight", exit.Cut)
 	}
 	// The next heartbeats name the successor of the records.
-	time.Sleep(farewellTime)
+	time.Sleep(stopNoticeTime)
 	d.loop.Post(node.PhaseChanged{Phase: member.Stopped})
 	time.Sleep(flightInterval)
 	d.log.Info().Msg("drained")
--- a/io/entry/admit.go
+++ b/io/entry/admit.go
@@ -27,7 +27,7 @@
 // Apply refuses with WorkspaceLimit. A forwarded request was counted where it came
 // in.
 func (f *limitFilter) Apply(ctx context.Context, c *Call, next Next) *result.Failure {
-	if c.Trail.Forwarded() && !c.keyed() {
+	if c.Via.Forwarded() && !c.keyed() {
 		return next(ctx, c)
 	}
 	row, _ := c.View.Table.Workspace(c.Workspace)
@@ -248,7 +248,7 @@
 
 // offer returns nil once the request is admitted, and why it isn't otherwise.
 func (f *admitFilter) offer(ctx context.Context, g *gate, c *Call) *result.Failure {
-	request := admit.Request{Class: c.Class, Forwarded: c.Trail.Forwarded(), Deadline: c.Deadline}
+	request := admit.Request{Class: c.Class, Forwarded: c.Via.Forwarded(), Deadline: c.Deadline}
 	now := f.core.Clock.Now()
 	var verdict admit.Verdict
 	f.core.Random.With(func(source *rand.Rand) { verdict = g.admit.Offer(now, source, request) })
--- a/io/entry/call.go
+++ b/io/entry/call.go
@@ -39,8 +39,8 @@
 	Deadline   time.Time
 	// View is the state that this request is decided on, from start to end.
 	View *node.View
-	// Trail says where a forwarded request has been; empty for a caller's own one.
-	Trail hops.Trail
+	// Via says where a forwarded request has been; empty for a caller's own one.
+	Via hops.Via
 	// Owned is true when a forwarding entry sent the call here as its key's owner.
 	Owned bool
 	// Source gives the body; it is read at most once, after residency is checked.
--- a/io/entry/core.go
+++ b/io/entry/core.go
@@ -106,7 +106,7 @@
 		Str("class", call.Class.String()).
 		Str("model", string(call.Model)).
 		Str("service", string(call.Service)).
-		Int("hops", len(call.Trail.Instances)).
+		Int("hops", len(call.Via.Instances)).
 		Int64("took-ms", took.Milliseconds())
 	if f == nil {
 		line.Str("outcome", result.Done.String()).Str("peer", call.Peer).Msg("request answered")
--- a/io/entry/dedup.go
+++ b/io/entry/dedup.go
@@ -56,7 +56,7 @@
 // forward passes the try on to the incarnation that holds the key's records. A try
 // that was forwarded once goes no further.
 func (f *dedupFilter) forward(ctx context.Context, c *Call, owner ident.Incarnation) *result.Failure {
-	if c.Trail.Forwarded() {
+	if c.Via.Forwarded() {
 		return &result.Failure{Step: result.StepDedup, Reason: result.OwnerGone}
 	}
 	entry, found := c.View.Members.Entry(owner.Instance)
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -59,7 +59,7 @@
 
 // message describes the request as the next entry is to see it.
 func (f *forwarder) message(c *Call) *wire.Forward {
-	trail := c.Trail.Next(f.core.Self.Instance, f.core.Region)
+	via := c.Via.Next(f.core.Self.Instance, f.core.Region)
 	m := &wire.Forward{
 		RequestId:     c.ID,
 		Workspace:     string(c.Workspace),
@@ -75,10 +75,10 @@
 		BodyLength:    uint32(len(c.Body)),
 		Headers:       headersToWire(c.Header),
 	}
-	for _, v := range trail.Regions {
+	for _, v := range via.Regions {
 		m.VisitedRegions = append(m.VisitedRegions, string(v))
 	}
-	for _, v := range trail.Instances {
+	for _, v := range via.Instances {
 		m.Visited = append(m.Visited, string(v))
 	}
 	return m
--- a/io/entry/lane_test.go
+++ b/io/entry/hedge_test.go
@@ -11,8 +11,8 @@
 	"arbutustrestle/io/upcall"
 )
 
-// TestRaceFinish tells as what a request ends whose lanes ended as given.
-func TestRaceFinish(t *testing.T) {
+// TestHedgedFinish tells as what a request ends whose attempts ended as given.
+func TestHedgedFinish(t *testing.T) {
 	notRun := &result.Failure{Outcome: result.NotRun, Reason: result.UpstreamRefused}
 	unknown := &result.Failure{Outcome: result.Unknown, Reason: result.AnswerCut}
 	gone := &result.Failure{Outcome: result.Unknown, Reason: result.CallerGone}
@@ -28,12 +28,12 @@
 		{[]*result.Failure{unknown, notRun}, -1, unknown},
 		{[]*result.Failure{notRun, notRun}, -1, notRun},
 	} {
-		r := &race{}
+		r := &hedgedCall{}
 		for _, f := range c.failures {
-			r.lanes = append(r.lanes, &lane{race: r, failure: f, decision: &route.Attempt{Upstream: &load.Upstream{ID: "engine-1"}}, cancel: func() {}})
+			r.attempts = append(r.attempts, &hedgedAttempt{call: r, failure: f, decision: &route.Attempt{Upstream: &load.Upstream{ID: "engine-1"}}, cancel: func() {}})
 		}
 		if c.winner >= 0 {
-			r.claim(r.lanes[c.winner])
+			r.claim(r.attempts[c.winner])
 		}
 		if got := r.finish(&Call{}); got != c.want {
 			t.Errorf("%v, winner %d: got %v", c.failures, c.winner, got)
@@ -41,17 +41,17 @@
 	}
 }
 
-// TestOnlyTheWinnerAnswers lets a second lane begin after the first has.
+// TestOnlyTheWinnerAnswers lets a second attempt begin after the first has.
 func TestOnlyTheWinnerAnswers(t *testing.T) {
 	cancelled := 0
-	r := &race{}
-	first := &lane{race: r, cancel: func() {}}
-	second := &lane{race: r, cancel: func() { cancelled++ }}
-	r.lanes = []*lane{first, second}
+	r := &hedgedCall{}
+	first := &hedgedAttempt{call: r, cancel: func() {}}
+	second := &hedgedAttempt{call: r, cancel: func() { cancelled++ }}
+	r.attempts = []*hedgedAttempt{first, second}
 	if !r.claim(first) || r.claim(second) || !r.claim(first) || r.open() || cancelled != 1 {
-		t.Errorf("the second lane answers too, or was cancelled %d times", cancelled)
+		t.Errorf("the second attempt answers too, or was cancelled %d times", cancelled)
 	}
 	if err := second.Begin(upcall.Head{}); !errors.Is(err, errLost) {
-		t.Errorf("the second lane began: %v", err)
+		t.Errorf("the second attempt began: %v", err)
 	}
 }
--- a/io/entry/peer.go
+++ b/io/entry/peer.go
@@ -255,10 +255,10 @@
 		Answer:     sink,
 	}
 	for _, v := range f.GetVisited() {
-		c.Trail.Instances = append(c.Trail.Instances, ident.Instance(v))
+		c.Via.Instances = append(c.Via.Instances, ident.Instance(v))
 	}
 	for _, v := range f.GetVisitedRegions() {
-		c.Trail.Regions = append(c.Trail.Regions, ident.Region(v))
+		c.Via.Regions = append(c.Via.Regions, ident.Region(v))
 	}
 	return c, p.check(c, ident.Revision(f.GetTableRevision()))
 }
@@ -272,7 +272,7 @@
 		here.Table = t.Version().Revision
 		here.MaxHops = t.Policy().MaxHops
 	}
-	return c.Trail.Arrive(here, revision)
+	return c.Via.Arrive(here, revision)
 }
 
 func headersToWire(h http.Header) []*wire.Header {
--- a/io/entry/route.go
+++ b/io/entry/route.go
@@ -24,8 +24,8 @@
 	forwarder *forwarder
 }
 
-// journey is what a request has been through in the routeFilter.
-type journey struct {
+// progress is what a request has been through in the routeFilter.
+type progress struct {
 	call     *Call
 	request  route.Request
 	attempts int
@@ -36,7 +36,7 @@
 
 // known returns the failure to end the request with. What an earlier attempt left
 // unknown stays unknown, whatever is known of the last one.
-func (j *journey) known(last *result.Failure) *result.Failure {
+func (j *progress) known(last *result.Failure) *result.Failure {
 	if last == nil || last.Outcome != result.NotRun || j.unknown == nil {
 		return last
 	}
@@ -48,7 +48,7 @@
 // Apply attempts the request until it is answered or may not be tried again.
 func (f *routeFilter) Apply(ctx context.Context, c *Call, _ Next) *result.Failure {
 	f.core.Retries.Request(f.core.Clock.Now())
-	j := &journey{call: c}
+	j := &progress{call: c}
 	for {
 		failure, final := f.try(ctx, j)
 		if failure == nil || final {
@@ -69,7 +69,7 @@
 	}
 }
 
-func (f *routeFilter) decide(j *journey, failure *result.Failure) (time.Duration, *result.Failure) {
+func (f *routeFilter) decide(j *progress, failure *result.Failure) (time.Duration, *result.Failure) {
 	call := retry.Call{
 		Repeatable: j.call.Repeatable,
 		Streamed:   j.call.Begun,
@@ -107,7 +107,7 @@
 
 // try makes one attempt or forward on the state in force now: the table may have
 // changed while the request waited. A final failure is not to be retried.
-func (f *routeFilter) try(ctx context.Context, j *journey) (failure *result.Failure, final bool) {
+func (f *routeFilter) try(ctx context.Context, j *progress) (failure *result.Failure, final bool) {
 	c := j.call
 	c.View = f.core.Views.View()
 	if reside.Allowed(c.View.Table, c.Workspace, reside.Place{Zone: f.core.Zone, Region: f.core.Region}) != reside.Inside {
@@ -144,7 +144,7 @@
 
 // prepare fills in what the choice reads. A keyed call stays in the region of its
 // key's owner, and so does a request that was forwarded.
-func (f *routeFilter) prepare(j *journey) {
+func (f *routeFilter) prepare(j *progress) {
 	c := j.call
 	r := &j.request
 	r.Places = places{table: c.View.Table, workspace: c.Workspace, region: f.core.Region}
@@ -152,8 +152,8 @@
 	r.Prefix = c.prompt.Prefix
 	r.MaxWait = max(1, c.View.Table.Policy().Classes[c.Class].MaxWait-c.waited)
 	r.Full = c.full
-	if len(r.Visited) == 0 && (c.Trail.Forwarded() || c.keyed()) {
-		r.Visited = append(r.Visited, c.Trail.Regions...)
+	if len(r.Visited) == 0 && (c.Via.Forwarded() || c.keyed()) {
+		r.Visited = append(r.Visited, c.Via.Regions...)
 		r.Visited = append(r.Visited, f.core.Region)
 	}
 }
@@ -235,7 +235,7 @@
 
 // forward sends the request to an entry of another region. When that entry did not
 // take it, the request stays here.
-func (f *routeFilter) forward(ctx context.Context, j *journey, region ident.Region) *result.Failure {
+func (f *routeFilter) forward(ctx context.Context, j *progress, region ident.Region) *result.Failure {
 	j.request.Visited = append(j.request.Visited, f.core.Region, region)
 	t, found := f.contact(j.call, region)
 	if !found {
