Ask the view where data may be, and drop fields that nothing reads

Cause: on re-reading the change, three places of io/entry built the residency question by hand beside View.Allows and places.AllowsZone, which ask the same; Call.Owned, Call.Length and two fields of a forward's target were set and never read. Behaviour stays. Ruled out: touching the wire messages, whose unused fields are a matter of the protocol. Measured: io/entry with -race, the residency, revocation and hop tests over processes and the demo pass; vet and linter are clean.

--- a/io/entry/advice.go
+++ b/io/entry/advice.go
@@ -138,8 +138,7 @@
 // keyPrefix returns what the keys of a workspace's calls may start with here. It is
 // empty when this instance may not hold the workspace's records.
 func (c *Core) keyPrefix(v *node.View, w ident.Workspace) string {
-	place := reside.Place{Zone: c.Zone, Region: c.Region}
-	if v.Phase != member.Ready || reside.Allowed(v.Table, w, place) != reside.Inside {
+	if v.Phase != member.Ready || !v.Allows(w) {
 		return ""
 	}
 	return c.Records.Prefix()
--- a/io/entry/call.go
+++ b/io/entry/call.go
@@ -32,8 +32,6 @@
 	Session string
 	// Key is the Idempotency-Key as it arrived; empty when there was none.
 	Key string
-	// Length is the length of the body in bytes, known before the body is read.
-	Length int
 	// Repeatable is false for a call that may run at most once.
 	Repeatable bool
 	Deadline   time.Time
@@ -41,8 +39,6 @@
 	View *node.View
 	// Via says where a forwarded request has been; empty for a caller's own one.
 	Via hops.Via
-	// Owned is true when a forwarding entry sent the call here as its key's owner.
-	Owned bool
 	// Source gives the body; it is read at most once, after residency is checked.
 	Source Source
 	// Body is empty until the body filter has read it.
--- a/io/entry/dedup.go
+++ b/io/entry/dedup.go
@@ -68,8 +68,6 @@
 	}
 	failure := f.forwarder.forward(ctx, c, target{
 		instance: owner.Instance,
-		region:   entry.Region,
-		zone:     entry.Zone,
 		address:  entry.Peer,
 		wanted:   owner,
 	})
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -18,8 +18,6 @@
 // target is the entry to which a request is forwarded.
 type target struct {
 	instance ident.Instance
-	region   ident.Region
-	zone     ident.Zone
 	address  netip.AddrPort
 	// wanted is the incarnation that must answer; zero when any will do.
 	wanted ident.Incarnation
--- a/io/entry/http.go
+++ b/io/entry/http.go
@@ -137,7 +137,6 @@
 		Session:   r.Header.Get(headerSession),
 		Method:    r.Method,
 		Header:    r.Header,
-		Length:    int(max(0, r.ContentLength)),
 		View:      c.Views.View(),
 		Answer:    sink,
 	}
--- a/io/entry/peer.go
+++ b/io/entry/peer.go
@@ -246,8 +246,6 @@
 		Header:     headersFromWire(f.GetHeaders()),
 		Session:    f.GetSession(),
 		Key:        f.GetKey(),
-		Owned:      f.GetKey() != "",
-		Length:     int(f.GetBodyLength()),
 		Repeatable: f.GetKey() == "",
 		Deadline:   p.Core.Clock.Now().Add(time.Duration(f.GetRemainingMs()) * time.Millisecond),
 		View:       view,
--- a/io/entry/route.go
+++ b/io/entry/route.go
@@ -10,7 +10,6 @@
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/load"
 	"arbutustrestle/core/node"
-	"arbutustrestle/core/reside"
 	"arbutustrestle/core/result"
 	"arbutustrestle/core/retry"
 	"arbutustrestle/core/route"
@@ -110,7 +109,7 @@
 func (f *routeFilter) try(ctx context.Context, j *progress) (failure *result.Failure, final bool) {
 	c := j.call
 	c.View = f.core.Views.View()
-	if reside.Allowed(c.View.Table, c.Workspace, reside.Place{Zone: f.core.Zone, Region: f.core.Region}) != reside.Inside {
+	if !c.View.Allows(c.Workspace) {
 		return refuse(result.StepRoute, result.PlaceForbidden), true
 	}
 	view, found := f.view(c)
@@ -161,10 +160,9 @@
 // allowed reports whether the table in force lets a request's data be here and in
 // the zone of an upstream.
 func (f *routeFilter) allowed(c *Call, zone ident.Zone) bool {
-	t := f.core.Views.View().Table
-	here := reside.Place{Zone: f.core.Zone, Region: f.core.Region}
-	there := reside.Place{Zone: zone, Region: f.core.Region}
-	return reside.Allowed(t, c.Workspace, here) == reside.Inside && reside.Allowed(t, c.Workspace, there) == reside.Inside
+	v := f.core.Views.View()
+	at := places{table: v.Table, workspace: c.Workspace, region: f.core.Region}
+	return v.Allows(c.Workspace) && at.AllowsZone(zone)
 }
 
 func (f *routeFilter) describe(c *Call, u *node.Upstream, version ident.Version) *upcall.Attempt {
@@ -250,16 +248,14 @@
 	if !found {
 		return target{}, false
 	}
+	at := places{table: c.View.Table, workspace: c.Workspace, region: region}
 	var targets []target
 	for _, contact := range known.Contacts {
-		place := reside.Place{Zone: contact.Zone, Region: region}
-		if reside.Allowed(c.View.Table, c.Workspace, place) != reside.Inside {
+		if !at.AllowsZone(contact.Zone) {
 			continue
 		}
 		targets = append(targets, target{
 			instance: contact.Incarnation.Instance,
-			region:   region,
-			zone:     contact.Zone,
 			address:  contact.Peer,
 		})
 	}
