--- a/cmd/arbutustrestle/main.go
+++ b/cmd/arbutustrestle/main.go
@@ -9,6 +9,7 @@
 	"github.com/google/subcommands"
 
 	"arbutustrestle/io/cmds"
+	"arbutustrestle/platform"
 )
 
 func main() {
@@ -17,6 +18,7 @@
 	for _, c := range cmds.All() {
 		subcommands.Register(c, "")
 	}
+	subcommands.Register(&cmds.GatewayCommand{Adapter: platform.Adapter{}}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- /dev/null
+++ b/core/mesh/mesh.go
@@ -0,0 +1,387 @@
+// Package mesh keeps what an entry knows of the others where no published list names
+// them: entries find each other through seeds and tell each other who they know. It
+// compares no clocks of two machines: a record is as fresh as the moment at which
+// its sequence was last seen to grow.
+package mesh
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/member"
+)
+
+const (
+	// BeatInterval is the time between two beats. Five of them fit the time after
+	// which a silent entry is left out.
+	BeatInterval = 400 * time.Millisecond
+	// silentAfter is the silence after which an entry is not named to callers.
+	silentAfter = 2500 * time.Millisecond
+	// forgetAfter is the silence after which an entry counts no more; until then it
+	// is still sent beats now and then, so that islands find each other again.
+	forgetAfter = 2 * time.Minute
+	// retryBeats is the number of beats between two sent to a silent entry or seed.
+	retryBeats = 3
+	// introduceBeats is the number of beats between two that name third entries.
+	introduceBeats = 5
+	// maxFanout bounds the alive entries of one kind of place that a beat goes to.
+	maxFanout = 12
+)
+
+// ReplicaLoad is what one entry has in flight at an upstream.
+type ReplicaLoad struct {
+	Upstream ident.Upstream
+	InFlight int
+	// PromptTokens were sent and have not been answered by a first event.
+	PromptTokens int
+}
+
+// ServiceLoad is what a further request for a service would meet in a region.
+type ServiceLoad struct {
+	Service ident.Service
+	Wait    time.Duration
+	// Replicas is the number of upstreams that take new work.
+	Replicas int
+	// TokensPerMilli is the sum of prompt tokens read in a millisecond; zero for a
+	// plain service.
+	TokensPerMilli float64
+}
+
+// Record is what an entry says of itself.
+type Record struct {
+	ID ident.Instance
+	// Start tells the runs of an entry apart.
+	Start uint64
+	// Sequence grows with each beat of a run.
+	Sequence uint64
+	Zone     ident.Zone
+	Region   ident.Region
+	Peer     netip.AddrPort
+	Caller   netip.AddrPort
+	Phase    member.Phase
+	// Operator and List are the revisions of the published values that it holds.
+	Operator uint64
+	List     uint64
+	// Loads is told within a region, Services everywhere. Both are missing from
+	// records that a third entry passes on.
+	Loads    []ReplicaLoad
+	Services []ServiceLoad
+}
+
+// held is what is known of another entry.
+type held struct {
+	Record
+	// heard is when the sequence last grew.
+	heard time.Time
+	// direct is when the entry itself was last heard; zero if never in this run.
+	direct time.Time
+	// past holds earlier runs, whose late beats are ignored.
+	past []uint64
+}
+
+// State is the membership of one entry. It is not safe for concurrent use.
+type State struct {
+	self   Record
+	seeds  []netip.AddrPort
+	random *rand.Rand
+	others map[ident.Instance]*held
+	beats  int
+	last   time.Time
+}
+
+// New returns the state of an entry that knows nobody but its seeds.
+func New(self Record, seeds []netip.AddrPort, random *rand.Rand) *State {
+	return &State{self: self, seeds: seeds, random: random, others: map[ident.Instance]*held{}}
+}
+
+// Self changes what the entry says of itself from the next beat on.
+func (s *State) Self(change func(r *Record)) {
+	change(&s.self)
+}
+
+// SetSeeds replaces the addresses that are tried while nobody is known there.
+func (s *State) SetSeeds(seeds []netip.AddrPort) {
+	s.seeds = seeds
+}
+
+// Send is a beat to one address.
+type Send struct {
+	// To is empty for a seed of which only the address is known.
+	To      ident.Instance
+	Address netip.AddrPort
+	// Records holds the sender first.
+	Records []Record
+}
+
+// Beat returns the beats that are due now. It is called every BeatInterval, and once
+// more when the phase changes.
+func (s *State) Beat(now time.Time) []Send {
+	s.notePause(now)
+	s.beats++
+	s.self.Sequence++
+	introduced := s.self
+	introduced.Loads = nil
+	near := []Record{s.self}
+	far := []Record{introduced}
+	if s.beats%introduceBeats == 1 || len(s.others) == 0 {
+		known := s.introductions(now)
+		near = append(near, known...)
+		far = append(far, known...)
+	}
+	var sends []Send
+	for _, h := range s.targets(now) {
+		records := far
+		if h.Region == s.self.Region {
+			records = near
+		}
+		sends = append(sends, Send{To: h.ID, Address: h.Peer, Records: records})
+	}
+	if s.beats%retryBeats != 1 {
+		return sends
+	}
+	for _, address := range s.seeds {
+		if address != s.self.Peer && !s.knows(now, address) {
+			sends = append(sends, Send{Address: address, Records: far})
+		}
+	}
+	return sends
+}
+
+// notePause shifts what was heard by the time for which this process stood still:
+// its silence says nothing of the others.
+func (s *State) notePause(now time.Time) {
+	gap := now.Sub(s.last)
+	if !s.last.IsZero() && gap > silentAfter/2 {
+		for _, h := range s.others {
+			h.heard = h.heard.Add(gap)
+		}
+	}
+	s.last = now
+}
+
+// targets returns the entries that a beat goes to: the alive ones, bounded in each
+// kind of place, and now and then a silent one.
+func (s *State) targets(now time.Time) []*held {
+	var near, far, silent []*held
+	for _, id := range s.sorted() {
+		h := s.others[id]
+		switch {
+		case !h.alive(now):
+			silent = append(silent, h)
+		case h.Region == s.self.Region:
+			near = append(near, h)
+		default:
+			far = append(far, h)
+		}
+	}
+	list := append(s.sample(near), s.sample(far)...)
+	if s.beats%retryBeats == 0 {
+		list = append(list, silent...)
+	}
+	return list
+}
+
+func (s *State) sample(list []*held) []*held {
+	if len(list) <= maxFanout {
+		return list
+	}
+	s.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:maxFanout]
+}
+
+func (s *State) introductions(now time.Time) []Record {
+	var list []Record
+	for _, id := range s.sorted() {
+		h := s.others[id]
+		if h.alive(now) {
+			r := h.Record
+			r.Loads = nil
+			r.Services = nil
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+func (s *State) sorted() []ident.Instance {
+	ids := make([]ident.Instance, 0, len(s.others))
+	for id := range s.others {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (s *State) knows(now time.Time, peer netip.AddrPort) bool {
+	for _, h := range s.others {
+		if h.Peer == peer && h.alive(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// Take takes in a beat. It reports whether its sender was not known before, or is in
+// another phase or run than before, so that a beat should answer at once.
+func (s *State) Take(now time.Time, records []Record) bool {
+	changed := false
+	for i, r := range records {
+		if r.ID == s.self.ID || r.ID == "" {
+			continue
+		}
+		fresh := s.take(now, r, i == 0)
+		changed = changed || i == 0 && fresh
+	}
+	return changed
+}
+
+func (s *State) take(now time.Time, r Record, direct bool) bool {
+	h := s.others[r.ID]
+	if h == nil {
+		h = &held{Record: r, heard: now}
+		if direct {
+			h.direct = now
+		}
+		s.others[r.ID] = h
+		return true
+	}
+	if r.Start != h.Start {
+		return s.takeRun(now, h, r, direct)
+	}
+	if r.Sequence <= h.Sequence {
+		return false
+	}
+	changed := r.Phase != h.Phase || !h.alive(now)
+	h.update(now, r, direct)
+	return changed
+}
+
+// takeRun takes in a record of another run than the one that is held.
+func (s *State) takeRun(now time.Time, h *held, r Record, direct bool) bool {
+	if slices.Contains(h.past, r.Start) || !direct && h.alive(now) {
+		return false
+	}
+	h.past = append(h.past, h.Start)
+	h.Record = Record{Start: r.Start}
+	h.direct = time.Time{}
+	h.update(now, r, direct)
+	return true
+}
+
+func (h *held) update(now time.Time, r Record, direct bool) {
+	if !direct {
+		// A third entry passes on neither loads; those that came from the entry itself
+		// stay until they are replaced.
+		r.Loads = h.Loads
+		r.Services = h.Services
+	} else {
+		h.direct = now
+	}
+	// What an entry has said of its end is not taken back within a run.
+	r.Phase = max(r.Phase, h.Phase)
+	h.Record = r
+	h.heard = now
+}
+
+func (h *held) alive(now time.Time) bool {
+	return h.Phase != member.Stopped && now.Sub(h.heard) < silentAfter
+}
+
+// Lost notes that a connection to an entry was refused: nobody listens there. It
+// counts as silent until it is heard again.
+func (s *State) Lost(now time.Time, id ident.Instance) {
+	if h := s.others[id]; h != nil && h.alive(now) {
+		h.heard = now.Add(-silentAfter)
+	}
+}
+
+// Member is another entry in a View.
+type Member struct {
+	Record
+	// Alive is false after a silence.
+	Alive bool
+	// Heard is when the entry itself was last heard.
+	Heard time.Time
+}
+
+// View is the membership at one moment. It never changes.
+type View struct {
+	Self Record
+	// Members holds the other entries, sorted by name.
+	Members []Member
+}
+
+// View returns the membership now, and forgets entries that are silent for long.
+func (s *State) View(now time.Time) *View {
+	v := &View{Self: s.self}
+	for _, id := range s.sorted() {
+		h := s.others[id]
+		if now.Sub(h.heard) > forgetAfter {
+			delete(s.others, id)
+			continue
+		}
+		v.Members = append(v.Members, Member{Record: h.Record, Alive: h.alive(now), Heard: h.direct})
+	}
+	return v
+}
+
+// Near returns the names of the entries of the own region that are alive and take
+// traffic or soon will, this one included, sorted.
+func (v *View) Near() []ident.Instance {
+	list := []ident.Instance{v.Self.ID}
+	for _, m := range v.Members {
+		if m.Alive && m.Region == v.Self.Region && m.Phase <= member.Ready {
+			list = append(list, m.ID)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Ready returns the callers' addresses of the entries in a region that take traffic,
+// those of the given zone first.
+func (v *View) Ready(region ident.Region, zone ident.Zone) []netip.AddrPort {
+	var list []Record
+	if v.Self.Region == region && v.Self.Phase == member.Ready {
+		list = append(list, v.Self)
+	}
+	for _, m := range v.Members {
+		if m.Region == region && m.Alive && m.Phase == member.Ready {
+			list = append(list, m.Record)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b Record) int {
+		return cmp.Compare(btoi(a.Zone != zone), btoi(b.Zone != zone))
+	})
+	addresses := make([]netip.AddrPort, 0, len(list))
+	for _, r := range list {
+		addresses = append(addresses, r.Caller)
+	}
+	return addresses
+}
+
+// Regions returns the regions in which an entry is ready, sorted.
+func (v *View) Regions() []ident.Region {
+	var list []ident.Region
+	if v.Self.Phase == member.Ready {
+		list = append(list, v.Self.Region)
+	}
+	for _, m := range v.Members {
+		if m.Alive && m.Phase == member.Ready {
+			list = append(list, m.Region)
+		}
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/core/pool/lease.go
@@ -0,0 +1,124 @@
+package pool
+
+import "time"
+
+// Ending says how an attempt ended, as far as it speaks for or against its upstream.
+type Ending uint8
+
+const (
+	// Answered in whole.
+	Answered Ending = iota
+	// Errored answers are the upstream's own failures, which some requests bring about
+	// at any upstream.
+	Errored
+	// Refused without having run.
+	Refused
+	// Broken connections, answers that can't be read, silence.
+	Broken
+	// Unreachable upstreams took no connection.
+	Unreachable
+	// Replaced means that another upstream has the address.
+	Replaced
+	// Cancelled for a reason that is not the upstream's.
+	Cancelled
+)
+
+var endingNames = [...]string{"answered", "errored", "refused", "broken", "unreachable", "replaced", "cancelled"}
+
+// String returns the kebab-case name of the ending.
+func (e Ending) String() string {
+	if int(e) < len(endingNames) {
+		return endingNames[e]
+	}
+	return "unknown"
+}
+
+// Lease is a request's place at an upstream, from the choice to the end. It belongs to
+// one goroutine.
+type Lease struct {
+	Projection
+	// Listed, Cold, InFlight and Uncached are as of the choice.
+	Listed   Listed
+	Cold     bool
+	InFlight int
+	Uncached int
+
+	pool    *Pool
+	replica *replica
+	started time.Time
+	first   bool
+	ended   bool
+}
+
+// Answered notes that the first event or answer has come.
+func (l *Lease) Answered(now time.Time) {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	if l.readPrompt() {
+		l.noteSpeed(now)
+	}
+}
+
+// readPrompt takes the prompt out of the backlog, once.
+func (l *Lease) readPrompt() bool {
+	if l.first {
+		return false
+	}
+	l.first = true
+	l.replica.tokens -= l.Uncached
+	return true
+}
+
+const (
+	// speedFloor is the time to a first answer below which a comparison with the
+	// projection says nothing.
+	speedFloor = 150 * time.Millisecond
+)
+
+// noteSpeed compares the time to the first answer with what was projected.
+func (l *Lease) noteSpeed(now time.Time) {
+	took := max(now.Sub(l.started), speedFloor)
+	expected := max(l.Projection.First, speedFloor)
+	ratio := min(float64(took)/float64(expected), maxSlow)
+	l.replica.slow += averageStep * (ratio - l.replica.slow)
+}
+
+// End ends the lease; further calls do nothing.
+func (l *Lease) End(now time.Time, e Ending) {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	if l.ended {
+		return
+	}
+	l.ended = true
+	l.readPrompt()
+	r := l.replica
+	r.inFlight--
+	switch e {
+	case Answered:
+		r.succeeded()
+		held := now.Sub(l.started)
+		r.hold += time.Duration(averageStep * float64(held-r.hold))
+	case Errored:
+		r.failures = 0
+		r.trouble += averageStep / 4 * (1 - r.trouble)
+	case Refused:
+		r.trouble += averageStep / 2 * (1 - r.trouble)
+	case Broken:
+		r.failed(now)
+	case Unreachable:
+		r.failed(now)
+		// What comes back after it could not be reached has lost what it knew.
+		r.chill(now, l.pool.services[r.Service].Warmup)
+	case Replaced:
+		r.avoidUntil = now.Add(maxAvoid)
+	case Cancelled:
+	}
+}
+
+// Cool notes that the upstream said that it is cold for some time.
+func (l *Lease) Cool(now time.Time, d time.Duration) {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	l.replica.chill(now, d)
+}
--- /dev/null
+++ b/core/pool/pool.go
@@ -0,0 +1,401 @@
+// Package pool holds the upstreams of one region with what is believed of them, and
+// chooses where a request goes: to the upstream where its first answer is due
+// soonest, given what is in flight there, what it keeps of the prompt, whether it is
+// cold, and how it has answered lately.
+package pool
+
+import (
+	"sync"
+	"time"
+
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/mesh"
+	"arbutustrestle/core/rank"
+	"arbutustrestle/core/rules"
+)
+
+// Settings say how upstreams behave where they don't say so themselves.
+type Settings struct {
+	// Self is this entry.
+	Self ident.Instance
+	// Region is the one whose upstreams this entry may connect to.
+	Region ident.Region
+	// PromptRate is the prompt tokens that an engine reads in a millisecond.
+	PromptRate float64
+}
+
+// Pool is the upstreams of a region. It is safe for concurrent use.
+type Pool struct {
+	settings Settings
+
+	mu       sync.Mutex
+	replicas map[ident.Upstream]*replica
+	services map[ident.Service]rules.Service
+	// closed holds the zones that are evacuated.
+	closed map[ident.Zone]struct{}
+	// near holds the entries of the own region, this one included.
+	near []ident.Instance
+}
+
+// New returns an empty pool.
+func New(s Settings) *Pool {
+	return &Pool{
+		settings: s,
+		replicas: map[ident.Upstream]*replica{},
+		closed:   map[ident.Zone]struct{}{},
+		near:     []ident.Instance{s.Self},
+	}
+}
+
+// SetServices takes in what operators say of the services.
+func (p *Pool) SetServices(services map[ident.Service]rules.Service) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.services = services
+}
+
+// SetNear takes in the entries of the own region.
+func (p *Pool) SetNear(near []ident.Instance) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.near = near
+}
+
+// SetOthers takes in what the other entries of the region have in flight.
+func (p *Pool) SetOthers(loads []mesh.ReplicaLoad) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range p.replicas {
+		r.others = foreign{}
+	}
+	for _, l := range loads {
+		if r := p.replicas[l.Upstream]; r != nil {
+			r.others.inFlight += l.InFlight
+			r.others.tokens += l.PromptTokens
+		}
+	}
+}
+
+// Put takes in an entry of the list. Upstreams of other regions are left out. It
+// reports whether what is believed of the upstream has changed.
+func (p *Pool) Put(now time.Time, l Listed) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l.Region != p.settings.Region {
+		return false
+	}
+	r := p.replicas[l.ID]
+	if r == nil || r.another(l) {
+		r = newReplica(l)
+		r.chill(now, l.Cold)
+		p.replicas[l.ID] = r
+		return true
+	}
+	changed := r.Draining != l.Draining || r.gone
+	r.gone = false
+	r.Listed = l
+	r.chill(now, l.Cold)
+	return changed
+}
+
+// another reports whether a list entry is of another run than the one held.
+func (r *replica) another(l Listed) bool {
+	return !l.Born.IsZero() && !l.Born.Equal(r.Born) || l.Address != r.Address || l.Service != r.Service
+}
+
+// Remove takes an upstream out that has left the list.
+func (p *Pool) Remove(id ident.Upstream) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.replicas[id]
+	if r == nil {
+		return false
+	}
+	r.gone = true
+	delete(p.replicas, id)
+	return true
+}
+
+// Evacuate stops new work to a zone.
+func (p *Pool) Evacuate(zone ident.Zone) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed[zone] = struct{}{}
+}
+
+// Restore opens a zone again. Its upstreams count as cold: they have had no work.
+func (p *Pool) Restore(now time.Time, zone ident.Zone) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.closed, zone)
+	for _, r := range p.replicas {
+		if r.Zone == zone {
+			r.chill(now, p.services[r.Service].Warmup)
+		}
+	}
+}
+
+// Ask is what the choice has to know of a request.
+type Ask struct {
+	Service ident.Service
+	// Tokens is the length of the prompt; zero for a plain service.
+	Tokens int
+	// Parts are those of the prompt, in order.
+	Parts []Part
+	// Excluded upstreams have had the request already.
+	Excluded []ident.Upstream
+}
+
+// Projection is what a request would meet.
+type Projection struct {
+	// Wait is the time until the upstream turns to the request.
+	Wait time.Duration
+	// First is the projected time until its first event, or its answer.
+	First time.Duration
+}
+
+// candidate is an upstream with what a request would meet there.
+type candidate struct {
+	replica *replica
+	// cost orders candidates, in milliseconds.
+	cost float64
+	Projection
+	uncached int
+}
+
+// Project returns what a request would meet at the best upstream, and false when
+// none takes it.
+func (p *Pool) Project(now time.Time, a Ask) (Projection, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	best, found := p.best(now, a)
+	return best.Projection, found
+}
+
+// Pick chooses an upstream and counts the request there until the lease ends.
+func (p *Pool) Pick(now time.Time, a Ask) (*Lease, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	best, found := p.best(now, a)
+	if !found {
+		return nil, false
+	}
+	r := best.replica
+	if r.isCold(now) {
+		r.coldSent = now
+	}
+	r.inFlight++
+	r.tokens += best.uncached
+	r.prompts.touch(now, a.Parts)
+	return &Lease{
+		Projection: best.Projection,
+		Listed:     r.Listed,
+		Cold:       r.isCold(now),
+		InFlight:   r.inFlight,
+		Uncached:   best.uncached,
+		pool:       p,
+		replica:    r,
+		started:    now,
+	}, true
+}
+
+func (p *Pool) best(now time.Time, a Ask) (candidate, bool) {
+	var best candidate
+	found := false
+	home := p.affine(a)
+	for _, r := range p.replicas {
+		if r.Service != a.Service || !p.usable(now, r) || excluded(a.Excluded, r.ID) {
+			continue
+		}
+		c := p.weigh(now, a, r, r.ID == home)
+		if !found || c.cost < best.cost || c.cost == best.cost && c.replica.ID < best.replica.ID {
+			best = c
+			found = true
+		}
+	}
+	return best, found
+}
+
+func excluded(list []ident.Upstream, id ident.Upstream) bool {
+	for _, e := range list {
+		if e == id {
+			return true
+		}
+	}
+	return false
+}
+
+// usable reports whether new work may go to an upstream at all.
+func (p *Pool) usable(now time.Time, r *replica) bool {
+	if r.Draining || now.Before(r.avoidUntil) {
+		return false
+	}
+	if _, closed := p.closed[r.Zone]; closed {
+		return false
+	}
+	return !r.isCold(now) || p.mayWarm(now, r)
+}
+
+// mayWarm reports whether this entry may send a request to a cold upstream now. One
+// entry of the region feeds each cold upstream, no faster than the rate that it
+// bears. The rules allow half as much again and a few more, so that two entries that
+// disagree on who feeds still stay within them.
+func (p *Pool) mayWarm(now time.Time, r *replica) bool {
+	rate := p.services[r.Service].WarmupRate
+	if rate <= 0 {
+		return true
+	}
+	feeder, _ := rank.First(string(r.ID), p.near)
+	if feeder != p.settings.Self {
+		return false
+	}
+	return now.Sub(r.coldSent) >= time.Duration(float64(time.Second)/rate)
+}
+
+// affine returns the upstream that all entries of the region prefer for a prompt: by
+// rendezvous over the upstreams, on the longest part that other requests share.
+func (p *Pool) affine(a Ask) ident.Upstream {
+	if len(a.Parts) < 2 {
+		return ""
+	}
+	key := a.Parts[len(a.Parts)-2].ID
+	var home ident.Upstream
+	for id, r := range p.replicas {
+		if r.Service != a.Service || r.Draining {
+			continue
+		}
+		if home == "" || rank.Before(key, id, home) {
+			home = id
+		}
+	}
+	return home
+}
+
+const (
+	// homeShare is the part of the shared prompt that the preferred upstream is
+	// believed to keep though this entry didn't send it there.
+	homeShare = 0.5
+	// runningCost is what each running request adds to the time until an answer
+	// begins, in milliseconds, since steps of a fuller batch take longer.
+	runningCost = 1.5
+	// troubleCost is the cost of an upstream at which all requests fail, in
+	// milliseconds.
+	troubleCost = 3000
+	// maxSlow bounds how much slower than expected an upstream is taken to be.
+	maxSlow = 8
+)
+
+// weigh projects what a request would meet at an upstream.
+func (p *Pool) weigh(now time.Time, a Ask, r *replica, home bool) candidate {
+	running := float64(r.inFlight + r.others.inFlight)
+	uncached := a.Tokens
+	backlog := 0.0
+	if a.Tokens > 0 {
+		uncached = max(0, a.Tokens-p.kept(now, a, r, home))
+		backlog = float64(r.tokens+r.others.tokens) / p.settings.PromptRate
+	}
+	wait := backlog + p.queue(r, running)
+	first := wait + float64(uncached)/p.settings.PromptRate + running*runningCost
+	slow := min(max(r.slow, 1), maxSlow)
+	return candidate{
+		replica:  r,
+		cost:     first*slow + r.trouble*troubleCost,
+		uncached: uncached,
+		Projection: Projection{
+			Wait:  millis(wait * slow),
+			First: millis(first * slow),
+		},
+	}
+}
+
+// kept guesses the tokens of a prompt that an upstream needn't read again.
+func (p *Pool) kept(now time.Time, a Ask, r *replica, home bool) int {
+	kept := r.prompts.cached(now, a.Parts)
+	if !home || kept > 0 {
+		return kept
+	}
+	shared := 0
+	for _, part := range a.Parts[:len(a.Parts)-1] {
+		shared += part.Tokens
+	}
+	return int(float64(shared) * homeShare)
+}
+
+// queue projects the wait for a slot in milliseconds: for 8 requests on 6 slots that
+// each hold for 60 ms, a slot falls free every 10 ms, and the next request waits for
+// 3 of them.
+func (p *Pool) queue(r *replica, running float64) float64 {
+	slots := float64(max(1, r.Slots))
+	ahead := running + 1 - slots
+	if ahead <= 0 {
+		return 0
+	}
+	return ahead / slots * float64(r.hold.Milliseconds())
+}
+
+func millis(ms float64) time.Duration {
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// Loads returns what this entry has in flight at each upstream.
+func (p *Pool) Loads() []mesh.ReplicaLoad {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []mesh.ReplicaLoad
+	for id, r := range p.replicas {
+		if r.inFlight > 0 {
+			list = append(list, mesh.ReplicaLoad{Upstream: id, InFlight: r.inFlight, PromptTokens: r.tokens})
+		}
+	}
+	return list
+}
+
+// Services returns what a further request for each service would meet in the region.
+func (p *Pool) Services(now time.Time) []mesh.ServiceLoad {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	byName := map[ident.Service]*mesh.ServiceLoad{}
+	for _, r := range p.replicas {
+		if !p.usable(now, r) || r.isCold(now) {
+			continue
+		}
+		s := byName[r.Service]
+		c := p.weigh(now, Ask{Tokens: boolTokens(p.services[r.Service].Engine)}, r, false)
+		if s == nil {
+			s = &mesh.ServiceLoad{Service: r.Service, Wait: c.Wait}
+			byName[r.Service] = s
+		}
+		s.Replicas++
+		s.Wait = min(s.Wait, c.Wait)
+		if p.services[r.Service].Engine {
+			s.TokensPerMilli += p.settings.PromptRate / min(max(r.slow, 1), maxSlow)
+		}
+	}
+	list := make([]mesh.ServiceLoad, 0, len(byName))
+	for _, s := range byName {
+		list = append(list, *s)
+	}
+	return list
+}
+
+// boolTokens makes the projection count the backlog of engines.
+func boolTokens(engine bool) int {
+	if engine {
+		return 1
+	}
+	return 0
+}
+
+// Size returns the number of upstreams of a service that are listed in the region and
+// not leaving.
+func (p *Pool) Size(s ident.Service) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, r := range p.replicas {
+		if r.Service == s && !r.Draining {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/core/spill/spill.go
@@ -0,0 +1,190 @@
+// Package spill decides whether a request goes to another region: when its first
+// answer is due there sooner than here, by more than the way costs. It answers peaks
+// that move from region to region over capacity that differs between them.
+package spill
+
+import (
+	"sync"
+	"time"
+
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/mesh"
+)
+
+const (
+	// crossing is the time that the way to another region and back adds to the first
+	// answer.
+	crossing = 130 * time.Millisecond
+	// margin is what another region has to be better by, since reports are late and
+	// bytes between regions are paid for.
+	margin = 120 * time.Millisecond
+	// staleAfter is the age from which on a region's report isn't used.
+	staleAfter = 3 * time.Second
+)
+
+// Region is what is known of another region for one service.
+type Region struct {
+	Name ident.Region
+	// Wait is what its entries report, the least of them.
+	Wait time.Duration
+	// Rate is the prompt tokens that it reads in a millisecond, or 0.
+	Rate     float64
+	Replicas int
+	// Entries can be asked; at least one.
+	Entries []mesh.Record
+}
+
+// Table is what the other regions report. It is safe for concurrent use; its zero
+// value knows no region.
+type Table struct {
+	mu      sync.Mutex
+	regions map[ident.Service][]Region
+	// sent counts what went to each region and may not be in its report yet.
+	sent map[sentKey]*sent
+}
+
+type sentKey struct {
+	region  ident.Region
+	service ident.Service
+}
+
+// sent is a decaying count.
+type sent struct {
+	tokens   float64
+	requests float64
+	at       time.Time
+}
+
+// reportDelay is the time after which what was sent shows in a region's reports.
+const reportDelay = 600 * time.Millisecond
+
+// Update takes in the membership.
+func (t *Table) Update(now time.Time, v *mesh.View) {
+	regions := map[ident.Service][]Region{}
+	for _, m := range v.Members {
+		if !m.Alive || m.Region == v.Self.Region || now.Sub(m.Heard) > staleAfter {
+			continue
+		}
+		for _, s := range m.Services {
+			regions[s.Service] = merge(regions[s.Service], m.Record, s)
+		}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.regions = regions
+}
+
+func merge(list []Region, r mesh.Record, s mesh.ServiceLoad) []Region {
+	for i := range list {
+		if list[i].Name == r.Region {
+			list[i].Wait = max(list[i].Wait, s.Wait)
+			list[i].Replicas = max(list[i].Replicas, s.Replicas)
+			list[i].Rate = max(list[i].Rate, s.TokensPerMilli)
+			list[i].Entries = append(list[i].Entries, r)
+			return list
+		}
+	}
+	return append(list, Region{Name: r.Region, Wait: s.Wait, Rate: s.TokensPerMilli, Replicas: s.Replicas, Entries: []mesh.Record{r}})
+}
+
+// Ask is what the decision has to know of a request.
+type Ask struct {
+	Service ident.Service
+	// Tokens is the part of the prompt that would have to be read.
+	Tokens int
+	// Local is the projected time to the first answer here; Here is false when no
+	// upstream here takes the request.
+	Local time.Duration
+	Here  bool
+	// Allowed reports whether a region may serve the request.
+	Allowed func(ident.Region) bool
+	// Excluded regions have refused it.
+	Excluded []ident.Region
+}
+
+// Choice is a region to send a request to.
+type Choice struct {
+	Region Region
+	// First is the projected time to the first answer there, the way included.
+	First time.Duration
+}
+
+// Pick returns the region where the first answer is due soonest, when it is better
+// than here.
+func (t *Table) Pick(now time.Time, a Ask) (Choice, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var best Choice
+	found := false
+	for _, r := range t.regions[a.Service] {
+		if r.Replicas == 0 || !a.Allowed(r.Name) || contains(a.Excluded, r.Name) {
+			continue
+		}
+		first := t.project(now, a, r)
+		if !found || first < best.First {
+			best = Choice{Region: r, First: first}
+			found = true
+		}
+	}
+	if !found || a.Here && best.First+margin >= a.Local {
+		return Choice{}, false
+	}
+	return best, true
+}
+
+// project adds to a region's report the way, the prompt, and what was sent there
+// since the report was made.
+func (t *Table) project(now time.Time, a Ask, r Region) time.Duration {
+	first := r.Wait + crossing
+	if r.Rate <= 0 {
+		return first
+	}
+	single := r.Rate / float64(r.Replicas)
+	read := float64(a.Tokens) / single
+	pending := t.pending(now, sentKey{r.Name, a.Service}) / r.Rate
+	return first + time.Duration((read+pending)*float64(time.Millisecond))
+}
+
+func (t *Table) pending(now time.Time, k sentKey) float64 {
+	s := t.sent[k]
+	if s == nil {
+		return 0
+	}
+	s.decay(now)
+	return s.tokens
+}
+
+func (s *sent) decay(now time.Time) {
+	age := now.Sub(s.at)
+	s.at = now
+	left := max(0, 1-float64(age)/float64(reportDelay))
+	s.tokens *= left
+	s.requests *= left
+}
+
+// Sent notes that a request went to a region.
+func (t *Table) Sent(now time.Time, region ident.Region, service ident.Service, tokens int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.sent == nil {
+		t.sent = map[sentKey]*sent{}
+	}
+	k := sentKey{region, service}
+	s := t.sent[k]
+	if s == nil {
+		s = &sent{at: now}
+		t.sent[k] = s
+	}
+	s.decay(now)
+	s.tokens += float64(tokens)
+	s.requests++
+}
+
+func contains(list []ident.Region, name ident.Region) bool {
+	for _, r := range list {
+		if r == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/io/config/gateway.go
@@ -0,0 +1,135 @@
+package config
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/table"
+)
+
+// Gateway holds the settings of an entry instance that serves by published routes.
+type Gateway struct {
+	ID     ident.Instance
+	Zone   ident.Zone
+	Region ident.Region
+	// Caller, Ready, Peer and Directory are the addresses of the listeners, under which
+	// others reach the instance.
+	Caller, Ready, Peer, Directory netip.AddrPort
+	// Metrics is where counters are shown.
+	Metrics netip.AddrPort
+	// Seeds are peer addresses of entries of any region. They may be stale.
+	Seeds []netip.AddrPort
+	// Zones names the region of each zone.
+	Zones map[ident.Zone]ident.Region
+	// Platform is the address of the platform's store.
+	Platform netip.AddrPort
+	LogLevel zerolog.Level
+	Bounds   Bounds
+	// PromptRate is the prompt tokens that an engine reads in a millisecond, until it
+	// shows otherwise.
+	PromptRate float64
+}
+
+// Bounds are the figures that all entries together keep to.
+type Bounds struct {
+	// RetryRatio, RetryWindow and RetryFree bound the attempts beyond the first; see
+	// spend.Limits.
+	RetryRatio  float64
+	RetryWindow time.Duration
+	RetryFree   int
+	// Grace is the time from SIGTERM until the process is killed.
+	Grace time.Duration
+	// DirectoryHold is how long callers keep an answer of the directory.
+	DirectoryHold time.Duration
+}
+
+func gatewayKeys(g *Gateway) []key {
+	return []key{
+		{path{"instance", "id"}, "", name(&g.ID)},
+		{path{"instance", "zone"}, "", name(&g.Zone)},
+		{path{"instance", "region"}, "", name(&g.Region)},
+		{path{"instance", "caller-address"}, "", address(&g.Caller)},
+		{path{"instance", "ready-address"}, "", address(&g.Ready)},
+		{path{"instance", "peer-address"}, "", address(&g.Peer)},
+		{path{"instance", "directory-address"}, "", address(&g.Directory)},
+		{path{"instance", "metrics-address"}, "", address(&g.Metrics)},
+		{path{"instance", "seeds"}, none, addressesOrNone(&g.Seeds)},
+		{path{"places", "zones"}, "", zones(&g.Zones)},
+		{path{"platform", "address"}, "", address(&g.Platform)},
+		{path{"log", "level"}, "info", level(&g.LogLevel)},
+		{path{"bounds", "retry-ratio"}, "0.1", number(&g.Bounds.RetryRatio, 0, 1)},
+		{path{"bounds", "retry-window"}, "10s", duration(&g.Bounds.RetryWindow, time.Second, time.Hour)},
+		{path{"bounds", "retry-free"}, "0", count(&g.Bounds.RetryFree, 0, 1<<20)},
+		{path{"bounds", "grace"}, "8s", duration(&g.Bounds.Grace, time.Second, time.Hour)},
+		{path{"bounds", "directory-hold"}, "1s", duration(&g.Bounds.DirectoryHold, time.Second, time.Minute)},
+		{path{"engines", "prompt-rate"}, "80", number(&g.PromptRate, 0.01, 1e6)},
+	}
+}
+
+// ReadGateway reads the settings file of a gateway. It returns table.Faults, whose
+// columns are keys such as "instance.zone", or the error with which the file could not
+// be read.
+func ReadGateway(file string) (Gateway, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Gateway{}, errors.Annotate(err, "reading settings")
+	}
+	g, faults := ParseGateway(file, data)
+	if len(faults) > 0 {
+		return Gateway{}, faults
+	}
+	return g, nil
+}
+
+// ParseGateway reads settings from the contents of a file. The settings are of use only
+// when there are no faults.
+func ParseGateway(file string, data []byte) (Gateway, table.Faults) {
+	var g Gateway
+	r := newReader(file, data)
+	r.readAll(gatewayKeys(&g))
+	if region, known := g.Zones[g.Zone]; g.Zones != nil && (!known || region != g.Region) {
+		r.add(path{"instance", "zone"}, fmt.Sprintf("%q is not a zone of region %q in places.zones", g.Zone, g.Region), "correct it there or here")
+	}
+	return g, r.sorted()
+}
+
+// zonesRemedy tells the form of the list of zones.
+const zonesRemedy = "list each zone with its region, such as west-eu-a:west-eu, north-eu-b:north-eu"
+
+// zones reads a list of "ZONE:REGION" that is separated by commas or spaces.
+func zones(into *map[ident.Zone]ident.Region) value {
+	return func(text string) (string, string) {
+		list := map[ident.Zone]ident.Region{}
+		for _, word := range strings.Fields(strings.ReplaceAll(text, ",", " ")) {
+			zone, region, found := strings.Cut(word, ":")
+			if !found || !ident.ValidName(zone) || !ident.ValidName(region) {
+				return fmt.Sprintf("%q is not a zone with its region", word), zonesRemedy
+			}
+			list[ident.Zone(zone)] = ident.Region(region)
+		}
+		if len(list) == 0 {
+			return "is empty", zonesRemedy
+		}
+		*into = list
+		return "", ""
+	}
+}
+
+func number(into *float64, low, high float64) value {
+	return func(text string) (string, string) {
+		parsed, err := strconv.ParseFloat(text, 64)
+		if err != nil || !(parsed >= low && parsed <= high) {
+			return fmt.Sprintf("%q is out of range", text), fmt.Sprintf("use a number from %v to %v", low, high)
+		}
+		*into = parsed
+		return "", ""
+	}
+}
--- /dev/null
+++ b/io/daemon/gateway.go
@@ -0,0 +1,383 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"arbutustrestle/core/clock"
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/member"
+	"arbutustrestle/core/mesh"
+	"arbutustrestle/core/pool"
+	"arbutustrestle/core/publ"
+	"arbutustrestle/core/spend"
+	"arbutustrestle/core/spill"
+	"arbutustrestle/io/config"
+	"arbutustrestle/io/edge"
+	"arbutustrestle/io/follow"
+	"arbutustrestle/io/link"
+	"arbutustrestle/io/logs"
+	"arbutustrestle/io/metric"
+	"arbutustrestle/io/sender"
+)
+
+// Adapter is how the outside is spoken to: callers, upstreams, the platform and those
+// that ask for entries. Each is an interface of the part that uses it.
+type Adapter interface {
+	Front() edge.Front
+	Upstreams() sender.Codec
+	Source(address netip.AddrPort) follow.Source
+	Decoder(zones map[ident.Zone]ident.Region) publ.Decoder
+	// Ready and Directory serve the questions for this entry's readiness and for
+	// entries to use.
+	Ready(d *edge.Directory) http.Handler
+	Directory(d *edge.Directory, holds time.Duration) http.Handler
+}
+
+// gatewayParts lists how each part of a gateway is made.
+var gatewayParts = fx.Module("gateway",
+	fx.Provide(
+		newClock,
+		newGatewayLog,
+		newGatewaySelf,
+		newGatewayLinks,
+		newGatewayPool,
+		newGatewayBudget,
+		newGatewaySender,
+		newGatewayLoop,
+		newGatewayCore,
+		newGatewayDirectory,
+		newGateway,
+		metric.NewSet,
+		func() *spill.Table { return &spill.Table{} },
+		func() *edge.Times { return &edge.Times{} },
+	),
+)
+
+// linkKeepAlive is the time between two pings on a link. A link that has gone silent
+// is closed after twice that, and the next beat opens another one.
+const linkKeepAlive = time.Second
+
+// upstreamDialTimeout bounds a connection to an upstream of the own region, where an
+// opening packet that was lost is sent again after a second.
+const upstreamDialTimeout = 700 * time.Millisecond
+
+func newGatewayLog(s config.Gateway, out *logs.Bounded) (zerolog.Logger, error) {
+	log, err := logs.New(out, s.LogLevel.String(), string(s.ID))
+	return log, errors.Trace(err)
+}
+
+// newGatewaySelf names this run by the time of its start, so that a later run of the
+// same entry has the greater number unless the time of day was set back.
+func newGatewaySelf(s config.Gateway, c clock.Clock) link.Identity {
+	return link.Identity{
+		Incarnation: ident.Incarnation{Instance: s.ID, Start: uint64(c.Now().UnixNano())},
+		Zone:        s.Zone,
+		Region:      s.Region,
+	}
+}
+
+func newGatewayLinks(self link.Identity) *link.Pool {
+	return &link.Pool{Self: self, KeepAlive: linkKeepAlive}
+}
+
+func newGatewayPool(s config.Gateway) *pool.Pool {
+	return pool.New(pool.Settings{Self: s.ID, Region: s.Region, PromptRate: s.PromptRate})
+}
+
+func newGatewayBudget(s config.Gateway) *spend.Budget {
+	return &spend.Budget{Limits: spend.Limits{
+		Ratio:  s.Bounds.RetryRatio,
+		Window: s.Bounds.RetryWindow,
+		Free:   float64(s.Bounds.RetryFree),
+	}}
+}
+
+func newGatewaySender(a Adapter, c clock.Clock) *sender.Client {
+	return sender.NewClient(a.Upstreams(), c, upstreamDialTimeout)
+}
+
+type followNeeds struct {
+	fx.In
+
+	Settings config.Gateway
+	Adapter  Adapter
+	Self     link.Identity
+	Clock    clock.Clock
+	Log      zerolog.Logger
+	Metrics  *metric.Set
+	Links    *link.Pool
+	Pool     *pool.Pool
+	Spill    *spill.Table
+	Budget   *spend.Budget
+	Sender   *sender.Client
+}
+
+func newGatewayLoop(n followNeeds) *follow.Loop {
+	return follow.New(follow.Parts{
+		Self: mesh.Record{
+			ID:     n.Settings.ID,
+			Start:  n.Self.Incarnation.Start,
+			Zone:   n.Settings.Zone,
+			Region: n.Settings.Region,
+			Peer:   n.Settings.Peer,
+			Caller: n.Settings.Caller,
+		},
+		Seeds:   n.Settings.Seeds,
+		Source:  n.Adapter.Source(n.Settings.Platform),
+		Decoder: n.Adapter.Decoder(n.Settings.Zones),
+		Clock:   n.Clock,
+		Log:     n.Log,
+		Metrics: n.Metrics,
+		Links:   n.Links,
+		Pool:    n.Pool,
+		Spill:   n.Spill,
+		Budget:  n.Budget,
+		Sweep:   n.Sender.Sweep,
+	})
+}
+
+type edgeNeeds struct {
+	fx.In
+
+	Settings config.Gateway
+	Clock    clock.Clock
+	Log      zerolog.Logger
+	Metrics  *metric.Set
+	Loop     *follow.Loop
+	Pool     *pool.Pool
+	Spill    *spill.Table
+	Budget   *spend.Budget
+	Sender   *sender.Client
+	Links    *link.Pool
+	Times    *edge.Times
+}
+
+func newGatewayCore(n edgeNeeds) *edge.Core {
+	return &edge.Core{
+		Self:    n.Settings.ID,
+		Region:  n.Settings.Region,
+		Clock:   n.Clock,
+		Log:     n.Log,
+		Metrics: n.Metrics,
+		Loop:    n.Loop,
+		Pool:    n.Pool,
+		Spill:   n.Spill,
+		Budget:  n.Budget,
+		Sender:  n.Sender,
+		Links:   n.Links,
+		Times:   n.Times,
+	}
+}
+
+func newGatewayDirectory(l *follow.Loop) *edge.Directory {
+	return &edge.Directory{Loop: l}
+}
+
+// gateway is the listeners of an entry and what serves them.
+type gateway struct {
+	settings config.Gateway
+	log      zerolog.Logger
+	loop     *follow.Loop
+	core     *edge.Core
+	links    *link.Pool
+	peers    *link.Server
+	caller   *http.Server
+	// others are the servers for readiness, directory and metrics, by address.
+	others map[netip.AddrPort]*http.Server
+
+	cancel context.CancelFunc
+	work   sync.WaitGroup
+}
+
+type gatewayNeeds struct {
+	fx.In
+
+	Settings  config.Gateway
+	Adapter   Adapter
+	Self      link.Identity
+	Log       zerolog.Logger
+	Loop      *follow.Loop
+	Core      *edge.Core
+	Links     *link.Pool
+	Directory *edge.Directory
+	Metrics   *metric.Set
+	Times     *edge.Times
+	Sender    *sender.Client
+	Lines     *logs.Bounded
+}
+
+const (
+	// headerTimeout bounds the head of a caller's request.
+	headerTimeout = 10 * time.Second
+	// callerIdle is how long a caller's connection stays open between requests. It is
+	// longer than operators set, so that a request never crosses its close.
+	callerIdle = 2 * time.Minute
+)
+
+func newGateway(n gatewayNeeds) *gateway {
+	n.Times.Show(n.Metrics)
+	n.Metrics.Func("upstream-dials", func() any { return n.Sender.Dials.Load() })
+	n.Metrics.Func("log-lines-dropped", func() any { return n.Lines.Dropped() })
+	n.Metrics.Func("log-bytes", func() any { return n.Lines.Written() })
+	handler := &follow.Handler{Loop: n.Loop, RelayFunc: n.Core.Relay}
+	return &gateway{
+		settings: n.Settings,
+		log:      n.Log,
+		loop:     n.Loop,
+		core:     n.Core,
+		links:    n.Links,
+		peers:    &link.Server{Self: n.Self, Handler: handler, Log: n.Log, KeepAlive: linkKeepAlive},
+		caller:   server(n.Core.Handler(n.Adapter.Front())),
+		others: map[netip.AddrPort]*http.Server{
+			n.Settings.Ready:     server(n.Adapter.Ready(n.Directory)),
+			n.Settings.Directory: server(n.Adapter.Directory(n.Directory, n.Settings.Bounds.DirectoryHold)),
+			n.Settings.Metrics:   server(n.Metrics),
+		},
+	}
+}
+
+func server(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
+}
+
+// RunGateway runs an entry that serves by published routes until it has been told to
+// stop and has drained. It reads the settings again at SIGHUP.
+func RunGateway(file string, settings config.Gateway, a Adapter, out io.Writer) error {
+	lines := logs.NewBounded(out)
+	defer lines.Close()
+	var g *gateway
+	app := fx.New(
+		fx.Supply(settings, lines),
+		fx.Provide(func() Adapter { return a }),
+		gatewayParts,
+		fx.Populate(&g),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+	)
+	if err := app.Err(); err != nil {
+		return errors.Annotate(err, "put the gateway together")
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	if err := g.start(); err != nil {
+		return errors.Annotate(err, "start")
+	}
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			break
+		}
+		g.reload(file)
+	}
+	g.drain()
+	return nil
+}
+
+// start opens all listeners before anything is served.
+func (g *gateway) start() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.cancel = cancel
+	peers, err := listen(ctx, g.settings.Peer)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	callers, err := listen(ctx, g.settings.Caller)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	for address, s := range g.others {
+		l, err := listen(ctx, address)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		g.work.Go(func() { g.report(s.Serve(l)) })
+	}
+	g.work.Go(func() { g.loop.Run(ctx) })
+	g.work.Go(func() { g.report(g.peers.Serve(ctx, peers)) })
+	g.work.Go(func() { g.report(g.caller.Serve(callers)) })
+	g.log.Info().
+		Str("caller-address", g.settings.Caller.String()).
+		Str("peer-address", g.settings.Peer.String()).
+		Str("zone", string(g.settings.Zone)).
+		Str("incarnation", g.peers.Self.Incarnation.String()).
+		Int("seeds", len(g.settings.Seeds)).
+		Msg("started")
+	return nil
+}
+
+func listen(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
+	var c net.ListenConfig
+	l, err := c.Listen(ctx, "tcp", address.String())
+	return l, errors.Annotatef(err, "listen on %s; check that no other process uses it", address)
+}
+
+func (g *gateway) report(err error) {
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		g.log.Error().Err(err).Msg("a listener ended")
+	}
+}
+
+// reload takes in what can change while the entry runs. Settings with a fault change
+// nothing.
+func (g *gateway) reload(file string) {
+	settings, err := config.ReadGateway(file)
+	if err != nil {
+		g.log.Error().Err(err).Str("step", "reload").Msg("settings not read again; those in force stay")
+		return
+	}
+	g.loop.SetSeeds(settings.Seeds)
+	g.log.Info().Int("seeds", len(settings.Seeds)).Msg("settings read again")
+}
+
+const (
+	// refuseBefore is how long before the end of the grace time new requests are
+	// refused, so that those that run can end.
+	refuseBefore = 3500 * time.Millisecond
+	// exitBefore is how long before it the process ends, whatever still runs.
+	exitBefore = 250 * time.Millisecond
+	// minDrain is the time in which callers learn of the other entries.
+	minDrain = 3 * time.Second
+	// drainStep is the time between two looks at what is in flight.
+	drainStep = 50 * time.Millisecond
+)
+
+// drain serves on while callers turn to others, then ends when nothing runs.
+func (g *gateway) drain() {
+	ctx := context.Background()
+	began := time.Now()
+	grace := g.settings.Bounds.Grace
+	g.log.Info().Int("in-flight", g.core.InFlight()).Dur("grace", grace).Msg("draining")
+	g.loop.SetPhase(ctx, member.Draining)
+	for {
+		time.Sleep(drainStep)
+		passed := time.Since(began)
+		if passed > grace-refuseBefore {
+			g.core.RefuseNew()
+		}
+		if passed > grace-exitBefore || passed > minDrain && g.core.InFlight() == 0 {
+			break
+		}
+	}
+	g.loop.SetPhase(ctx, member.Stopped)
+	time.Sleep(drainStep)
+	g.log.Info().Int("in-flight", g.core.InFlight()).Dur("took", time.Since(began)).Msg("stopped")
+	_ = g.caller.Close()
+	for _, s := range g.others {
+		_ = s.Close()
+	}
+	g.cancel()
+	g.links.Close()
+}
--- /dev/null
+++ b/io/edge/call.go
@@ -0,0 +1,134 @@
+// Package edge serves callers' requests by routes: it matches a route, chooses an
+// upstream of the own region or another region, makes the attempts that the route and
+// the budget allow, and passes the answer on. It speaks to callers through a Front.
+package edge
+
+import (
+	"net/http"
+	"time"
+
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/pool"
+	"arbutustrestle/core/result"
+	"arbutustrestle/core/rules"
+)
+
+// Front reads and writes the headers in which callers speak of their requests.
+type Front interface {
+	// Read returns what the head of a request says. The error names what can't be read.
+	Read(r *http.Request) (Request, error)
+	// Own adds to the header of an answer that the system itself gives.
+	Own(h http.Header, requestID string)
+}
+
+// Request is what the head of a caller's request says.
+type Request struct {
+	ID string
+	// Remaining is how long the caller waits; zero when it doesn't say.
+	Remaining time.Duration
+	Model     string
+	// Prompt and Output are numbers of tokens; zero for a plain service.
+	Prompt int
+	Output int
+	// Parts are those of the prompt, in order.
+	Parts []pool.Part
+	// LastEvent is the last event that the caller has of a stream; empty for none.
+	LastEvent string
+	// Header is what goes on to the upstream.
+	Header http.Header
+}
+
+// Call is a request on its way. It belongs to one goroutine.
+type Call struct {
+	Request
+
+	Host   string
+	Method string
+	Target string
+	Body   []byte
+	Route  *rules.Route
+	// Version is that of the config by which the request is served, start to end.
+	Version uint64
+	Service ident.Service
+	// Arrived is when its head was read, Deadline when its answer is of no more use.
+	Arrived  time.Time
+	Deadline time.Time
+
+	// sends counts the upstreams that the request was sent to, arrivals those where it
+	// arrived, which counts against the budget: another upstream may have the address
+	// by now.
+	sends    int
+	arrivals int
+	// tried holds the upstreams that are not asked again, and visited the regions.
+	tried   []ident.Upstream
+	visited []ident.Region
+	// unknown is the first failure after which the request may have run.
+	unknown *result.Failure
+	// held is an upstream's own failure that is passed on if nothing better comes.
+	held *whole
+	// begun is set once the head of the answer was passed on.
+	begun bool
+	// peer is the upstream, or the entry of another region, that was asked last.
+	peer string
+	// first is when the first byte of the answer was passed on.
+	first time.Time
+	// bytes counts those of the answer that were passed on.
+	bytes int
+	// waited is the projected wait on which the request was sent or refused.
+	waited time.Duration
+}
+
+// whole is an answer that was read to its end.
+type whole struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// ask returns what the choice of an upstream has to know.
+func (c *Call) ask() pool.Ask {
+	return pool.Ask{Service: c.Service, Tokens: c.Prompt, Parts: c.Parts, Excluded: c.tried}
+}
+
+// count notes that the request is sent.
+func (c *Call) count() {
+	c.sends++
+	c.arrivals++
+}
+
+// uncount takes back what count noted when the request has not reached the upstream.
+func (c *Call) uncount(f *result.Failure) {
+	if f.Outcome != result.NotRun || f.Reason == result.UpstreamRefused {
+		return
+	}
+	c.sends--
+	if f.Reason != result.UpstreamLeaving {
+		c.arrivals--
+	}
+}
+
+// note keeps what a failed attempt leaves unknown.
+func (c *Call) note(f *result.Failure) {
+	if f.Outcome == result.Unknown && c.unknown == nil {
+		c.unknown = f
+	}
+}
+
+// last returns the failure to end the request with: what an earlier attempt left
+// unknown stays unknown, whatever is known of the last one.
+func (c *Call) last(f *result.Failure) *result.Failure {
+	if f.Outcome != result.NotRun || c.unknown == nil {
+		return f
+	}
+	failure := *c.unknown
+	failure.RetryAfter = 0
+	return &failure
+}
+
+// Sink takes an answer.
+type Sink interface {
+	// Begin takes the head; the length is negative when it isn't known.
+	Begin(status int, h http.Header, length int64) error
+	// Write takes a part of the body, which is passed on at once.
+	Write(p []byte) (int, error)
+}
--- /dev/null
+++ b/io/edge/peer.go
@@ -0,0 +1,113 @@
+package edge
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/juju/errors"
+
+	"arbutustrestle/core/result"
+	"arbutustrestle/core/rules"
+	"arbutustrestle/io/link"
+	"arbutustrestle/io/relay"
+	"arbutustrestle/io/sender"
+	"arbutustrestle/io/wire"
+)
+
+// Relay serves a request that an entry of another region has sent: one attempt at an
+// upstream of this region, chosen on what is believed here. Whether to try again is
+// for the other entry to decide.
+func (c *Core) Relay(ctx context.Context, s *link.Stream, m *wire.Relay) {
+	request := relay.FromWire(m)
+	reply := &relay.Reply{Stream: s, ID: request.Attempt.RequestID}
+	now := c.Clock.Now()
+	call := &Call{
+		Request: Request{
+			ID:        request.Attempt.RequestID,
+			Model:     request.Model,
+			Prompt:    request.Prompt,
+			Output:    request.Output,
+			Parts:     request.Parts,
+			LastEvent: request.Attempt.LastEvent,
+			Header:    request.Attempt.Header,
+		},
+		Host:     request.Attempt.Host,
+		Method:   request.Attempt.Method,
+		Target:   request.Attempt.Target,
+		Body:     request.Attempt.Body,
+		Service:  request.Service,
+		Arrived:  now,
+		Deadline: now.Add(request.Attempt.Remaining),
+		Route: &rules.Route{
+			Name:      "relayed",
+			Kind:      request.Kind,
+			Resumable: request.Resumable,
+			Priority:  request.Attempt.Priority,
+			Objective: request.Objective,
+			Attempts:  1,
+		},
+	}
+	c.flight.requests.Add(1)
+	defer c.flight.requests.Add(-1)
+	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
+	defer cancel()
+	go relay.Watch(s, cancel)
+	failure := c.relayOnce(ctx, call, reply)
+	c.ended(call, failure)
+	if err := reply.End(failure); err != nil {
+		c.Log.Debug().Err(err).Str("request-id", call.ID).Str("peer", string(s.Peer.Incarnation.Instance)).Msg("reply not sent")
+	}
+}
+
+func (c *Core) relayOnce(ctx context.Context, call *Call, reply *relay.Reply) *result.Failure {
+	now := c.Clock.Now()
+	if c.flight.refusing.Load() {
+		return refuse(result.StepAdmit, result.Draining, 0)
+	}
+	lease, found := c.Pool.Pick(now, call.ask())
+	if !found {
+		return refuse(result.StepRoute, result.NoUpstream, noUpstreamWait)
+	}
+	call.waited = lease.Projection.Wait
+	call.peer = string(lease.Listed.ID)
+	call.count()
+	answer, failure := c.Sender.Send(ctx, c.describe(call, lease))
+	if failure != nil {
+		c.endLease(lease, endingOf(failure))
+		return failure
+	}
+	defer func() { _ = answer.Body.Close() }()
+	failure = c.copyAnswer(ctx, call, answer, reply, lease.Answered)
+	c.endLease(lease, answerEnding(answer, failure))
+	return failure
+}
+
+// copyAnswer passes an answer back as it comes.
+func (c *Core) copyAnswer(ctx context.Context, call *Call, a *sender.Answer, reply *relay.Reply, first func(time.Time)) *result.Failure {
+	call.begun = true
+	StripHop(a.Header)
+	if err := reply.Head(a); err != nil {
+		return gone(call, err)
+	}
+	buffer := make([]byte, chunkBytes)
+	for {
+		n, err := a.Body.Read(buffer)
+		if n > 0 {
+			if call.first.IsZero() {
+				call.first = c.Clock.Now()
+				first(call.first)
+			}
+			call.bytes += n
+			if _, err := reply.Write(buffer[:n]); err != nil {
+				return gone(call, err)
+			}
+		}
+		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			return nil
+		}
+		if err != nil {
+			return c.fail(ctx, call, result.AnswerCut, err)
+		}
+	}
+}
--- /dev/null
+++ b/io/follow/follow.go
@@ -0,0 +1,313 @@
+// Package follow keeps an entry's beliefs up to date: it reads and watches published
+// values, exchanges beats with the other entries, and publishes what requests are
+// decided on. One goroutine owns the state; others read the platform and the links.
+package follow
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"arbutustrestle/core/clock"
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/member"
+	"arbutustrestle/core/mesh"
+	"arbutustrestle/core/pool"
+	"arbutustrestle/core/publ"
+	"arbutustrestle/core/rules"
+	"arbutustrestle/core/spend"
+	"arbutustrestle/core/spill"
+	"arbutustrestle/io/link"
+	"arbutustrestle/io/metric"
+	"arbutustrestle/io/wire"
+)
+
+// ErrGap means that a watch can't go on from a revision: the history is gone.
+var ErrGap = errors.New("the history after the revision is gone")
+
+// Source reads published values.
+type Source interface {
+	// List returns all values of a group and the revision as of which they stand.
+	List(ctx context.Context, g publ.Group) ([]publ.Item, uint64, error)
+	// Watch returns the changes after a revision as soon as there are some, or none
+	// after the wait. The error is ErrGap when the history is gone.
+	Watch(ctx context.Context, g publ.Group, after uint64, wait time.Duration) ([]publ.Item, uint64, error)
+}
+
+// View is what requests are decided on. It never changes.
+type View struct {
+	// Config is nil until one is known.
+	Config *rules.Config
+	Mesh   *mesh.View
+	Phase  member.Phase
+	// Listed is set once the list of upstreams was read.
+	Listed bool
+}
+
+// Parts are what the loop works with. They are set before Run and do not change.
+type Parts struct {
+	Self    mesh.Record
+	Seeds   []netip.AddrPort
+	Source  Source
+	Decoder publ.Decoder
+	Clock   clock.Clock
+	Log     zerolog.Logger
+	Metrics *metric.Set
+	Links   *link.Pool
+	Pool    *pool.Pool
+	Spill   *spill.Table
+	Budget  *spend.Budget
+	// Sweep is called every few seconds.
+	Sweep func()
+}
+
+// Loop owns the beliefs of an entry.
+type Loop struct {
+	parts  Parts
+	events chan func(now time.Time)
+	view   atomic.Pointer[View]
+	done   chan struct{}
+	work   sync.WaitGroup
+
+	// The fields below belong to the goroutine of Run.
+
+	mesh   *mesh.State
+	stores [publ.Groups]publ.Store
+	health [publ.Groups]health
+	config *rules.Config
+	phase  member.Phase
+	// leaving holds upstreams that left the list while the platform was away, with the
+	// time at which they are taken to be gone.
+	leaving map[ident.Upstream]time.Time
+	stop    context.CancelFunc
+	sweepAt time.Time
+
+	sendMu  sync.Mutex
+	sending map[netip.AddrPort]*sending
+}
+
+// health is what is known of the way to the platform for one group.
+type health struct {
+	// lost is set from a failed read until one succeeds.
+	lost   bool
+	lostAt time.Time
+	// backAt is when it was last regained.
+	backAt time.Time
+	// listed is set once the whole group was read, from the platform or a peer.
+	listed bool
+	// behind is a revision that a peer holds and this entry lacks, since a time.
+	behind      uint64
+	behindSince time.Time
+	asking      bool
+	// revision is read by the goroutine that watches.
+	revision atomic.Uint64
+	// relist asks that goroutine to read the whole group.
+	relist atomic.Bool
+}
+
+// queueLength is the number of events that may wait for the loop.
+const queueLength = 1024
+
+// New returns a loop that is not running yet.
+func New(p Parts) *Loop {
+	l := &Loop{
+		parts:   p,
+		events:  make(chan func(time.Time), queueLength),
+		done:    make(chan struct{}),
+		mesh:    mesh.New(p.Self, p.Seeds, rand.New(rand.NewPCG(p.Self.Start, 3))),
+		leaving: map[ident.Upstream]time.Time{},
+		sending: map[netip.AddrPort]*sending{},
+	}
+	l.view.Store(&View{Mesh: &mesh.View{Self: p.Self}})
+	return l
+}
+
+// View returns the view published last.
+func (l *Loop) View() *View {
+	return l.view.Load()
+}
+
+// Run follows until the context ends.
+func (l *Loop) Run(ctx context.Context) {
+	defer l.work.Wait()
+	defer close(l.done)
+	for g := range publ.Groups {
+		l.work.Go(func() { l.watch(ctx, g) })
+	}
+	ticker := time.NewTicker(mesh.BeatInterval)
+	defer ticker.Stop()
+	l.tick(ctx, l.parts.Clock.Now())
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			l.tick(ctx, l.parts.Clock.Now())
+		case event := <-l.events:
+			event(l.parts.Clock.Now())
+		}
+	}
+}
+
+// post runs a function on the loop's goroutine.
+func (l *Loop) post(event func(now time.Time)) {
+	select {
+	case l.events <- event:
+	case <-l.done:
+	}
+}
+
+// sweepInterval is the time between two closings of idle connections.
+const sweepInterval = 2 * time.Second
+
+func (l *Loop) tick(ctx context.Context, now time.Time) {
+	l.settleLeaving(now)
+	l.beat(ctx, now)
+	for g := range publ.Groups {
+		l.catchUp(ctx, now, g)
+	}
+	if !now.Before(l.sweepAt) && l.parts.Sweep != nil {
+		l.sweepAt = now.Add(sweepInterval)
+		l.parts.Sweep()
+	}
+}
+
+// SetPhase changes the phase and tells the others at once.
+func (l *Loop) SetPhase(ctx context.Context, p member.Phase) {
+	l.post(func(now time.Time) { l.setPhase(ctx, now, p) })
+}
+
+func (l *Loop) setPhase(ctx context.Context, now time.Time, p member.Phase) {
+	if p <= l.phase {
+		return
+	}
+	l.phase = p
+	l.parts.Log.Info().Str("phase", p.String()).Msg("phase changed")
+	l.mesh.Self(func(r *mesh.Record) { r.Phase = p })
+	l.beat(ctx, now)
+}
+
+// SetSeeds takes in seeds from settings that were read again.
+func (l *Loop) SetSeeds(seeds []netip.AddrPort) {
+	l.post(func(time.Time) { l.mesh.SetSeeds(seeds) })
+}
+
+// beat tells the others what this entry holds, and publishes what it knows of them.
+func (l *Loop) beat(ctx context.Context, now time.Time) {
+	l.mesh.Self(func(r *mesh.Record) {
+		r.Operator = l.stores[publ.Operator].Revision()
+		r.List = l.stores[publ.Upstreams].Revision()
+		r.Loads = l.parts.Pool.Loads()
+		r.Services = l.parts.Pool.Services(now)
+	})
+	for _, s := range l.mesh.Beat(now) {
+		l.send(ctx, s)
+	}
+	l.publish(now)
+}
+
+// publish makes the view anew and tells the parts that follow the membership.
+func (l *Loop) publish(now time.Time) {
+	v := l.mesh.View(now)
+	l.logMembers(v)
+	l.parts.Pool.SetNear(v.Near())
+	var loads []mesh.ReplicaLoad
+	alive := 1
+	for _, m := range v.Members {
+		if !m.Alive {
+			continue
+		}
+		alive++
+		if m.Region == l.parts.Self.Region {
+			loads = append(loads, m.Loads...)
+		}
+	}
+	l.parts.Pool.SetOthers(loads)
+	l.parts.Spill.Update(now, v)
+	l.parts.Budget.SetEntries(alive)
+	l.view.Store(&View{Config: l.config, Mesh: v, Phase: l.phase, Listed: l.health[publ.Upstreams].listed})
+}
+
+// logMembers writes a line for each entry of which something else is believed.
+func (l *Loop) logMembers(v *mesh.View) {
+	before := map[ident.Instance]mesh.Member{}
+	for _, m := range l.view.Load().Mesh.Members {
+		before[m.ID] = m
+	}
+	for _, m := range v.Members {
+		old, known := before[m.ID]
+		if known && old.Alive == m.Alive && old.Phase == m.Phase && old.Start == m.Start {
+			continue
+		}
+		l.parts.Log.Info().
+			Str("member", string(m.ID)).
+			Bool("alive", m.Alive).
+			Str("phase", m.Phase.String()).
+			Uint64("start", m.Start).
+			Uint64("sequence", m.Sequence).
+			Msg("member changed")
+	}
+}
+
+// becomeReady takes traffic once a config and the list are known.
+func (l *Loop) becomeReady(ctx context.Context, now time.Time) {
+	if l.phase != member.Starting || l.config == nil || !l.health[publ.Upstreams].listed {
+		return
+	}
+	l.setPhase(ctx, now, member.Ready)
+}
+
+// Handler serves what other entries open. It embeds nothing of the requests: Relay is
+// set by the request path.
+type Handler struct {
+	Loop *Loop
+	// RelayFunc serves a relayed request.
+	RelayFunc func(ctx context.Context, s *link.Stream, r *wire.Relay)
+}
+
+var (
+	_ link.Handler = (*Handler)(nil)
+	_ link.Relayer = (*Handler)(nil)
+)
+
+// Notify takes in a beat.
+func (h *Handler) Notify(from link.Identity, n *wire.Notice) {
+	kind, ok := n.GetKind().(*wire.Notice_Beat)
+	if !ok {
+		h.Loop.parts.Metrics.Events.Add("notice-not-valid", 1)
+		return
+	}
+	records, err := wire.BeatFromWire(kind.Beat)
+	if err != nil || len(records) == 0 || records[0].ID != from.Incarnation.Instance {
+		h.Loop.parts.Metrics.Events.Add("notice-not-valid", 1)
+		return
+	}
+	h.Loop.take(records)
+}
+
+// Fetch returns the published values of a group, when they are newer.
+func (h *Handler) Fetch(ctx context.Context, _ link.Identity, f *wire.Fetch) *wire.Value {
+	return h.Loop.fetch(ctx, f)
+}
+
+// Locate finds nothing: no records are kept here.
+func (h *Handler) Locate(link.Identity, *wire.Locate) *wire.Located {
+	return &wire.Located{}
+}
+
+// Handover takes nothing over.
+func (h *Handler) Handover(context.Context, *link.Stream, *wire.Handover) {}
+
+// Forward serves no request of the table's interface.
+func (h *Handler) Forward(context.Context, *link.Stream, *wire.Forward) {}
+
+// Relay serves a relayed request.
+func (h *Handler) Relay(ctx context.Context, s *link.Stream, r *wire.Relay) {
+	h.RelayFunc(ctx, s, r)
+}
--- /dev/null
+++ b/io/follow/values.go
@@ -0,0 +1,299 @@
+package follow
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
+
+	"arbutustrestle/core/mesh"
+	"arbutustrestle/core/publ"
+	"arbutustrestle/io/wire"
+)
+
+const (
+	// watchWait is how long a watch is left waiting. A connection that has gone silent
+	// is noticed that late, which leaves the rest of the time in which a change must be
+	// in force for a new read.
+	watchWait = 1500 * time.Millisecond
+	// listTimeout bounds one read of a group.
+	listTimeout = 1200 * time.Millisecond
+	// firstBackoff and maxBackoff bound the pause after a failed read, with jitter.
+	firstBackoff = 100 * time.Millisecond
+	maxBackoff   = 800 * time.Millisecond
+	// gatherTime lets changes of the list gather before the next watch, since each
+	// call is paid for.
+	gatherTime = 150 * time.Millisecond
+	// returnTime is how long upstreams have to come back to the list after the
+	// platform has returned.
+	returnTime = 2200 * time.Millisecond
+	// shortLoss is an outage in which no entry of the list lapses.
+	shortLoss = 300 * time.Millisecond
+	// behindTime is how long this entry may hold an older revision than a peer before
+	// it asks the peer.
+	behindTime = 500 * time.Millisecond
+)
+
+// watch follows one group until the context ends.
+func (l *Loop) watch(ctx context.Context, g publ.Group) {
+	h := &l.health[g]
+	whole := true
+	backoff := firstBackoff
+	for ctx.Err() == nil {
+		whole = h.relist.Swap(false) || whole
+		items, revision, err := l.read(ctx, g, whole)
+		switch {
+		case err == nil:
+			listing := whole
+			l.post(func(now time.Time) { l.answered(ctx, now, g, items, revision, listing) })
+			whole = false
+			backoff = firstBackoff
+			if g == publ.Upstreams {
+				sleep(ctx, gatherTime)
+			}
+		case errors.Is(err, ErrGap):
+			whole = true
+			sleep(ctx, jitter(firstBackoff))
+		default:
+			l.post(func(now time.Time) { l.failed(now, g, err) })
+			sleep(ctx, jitter(backoff))
+			backoff = min(2*backoff, maxBackoff)
+		}
+	}
+}
+
+func (l *Loop) read(ctx context.Context, g publ.Group, whole bool) ([]publ.Item, uint64, error) {
+	l.parts.Metrics.Events.Add("platform-reads", 1)
+	after := l.health[g].revision.Load()
+	if whole || after == 0 {
+		ctx, cancel := context.WithTimeout(ctx, listTimeout)
+		defer cancel()
+		return l.parts.Source.List(ctx, g)
+	}
+	return l.parts.Source.Watch(ctx, g, after, watchWait)
+}
+
+// jitter returns between a half and the whole of a time.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d/2)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// answered takes in what the platform has said.
+func (l *Loop) answered(ctx context.Context, now time.Time, g publ.Group, items []publ.Item, revision uint64, whole bool) {
+	h := &l.health[g]
+	if h.lost {
+		h.lost = false
+		if now.Sub(h.lostAt) > shortLoss {
+			h.backAt = now
+		}
+		l.parts.Log.Info().Str("dependency", "platform").Str("group", g.String()).Dur("away", now.Sub(h.lostAt)).Uint64("revision", revision).Msg("dependency regained")
+	}
+	l.merge(ctx, now, g, items, revision, whole)
+}
+
+func (l *Loop) failed(now time.Time, g publ.Group, err error) {
+	l.parts.Metrics.Events.Add("platform-read-failures", 1)
+	h := &l.health[g]
+	if h.lost {
+		return
+	}
+	h.lost = true
+	h.lostAt = now
+	l.parts.Log.Warn().Err(err).Str("dependency", "platform").Str("group", g.String()).Uint64("revision", l.stores[g].Revision()).Msg("dependency lost")
+}
+
+// merge takes in values of a group and brings what is new in force.
+func (l *Loop) merge(ctx context.Context, now time.Time, g publ.Group, items []publ.Item, revision uint64, whole bool) {
+	store := &l.stores[g]
+	var changes []publ.Item
+	if whole {
+		changes = store.Replace(items, revision)
+		l.health[g].listed = true
+	} else {
+		changes = store.Apply(items, revision)
+	}
+	l.health[g].revision.Store(store.Revision())
+	for _, item := range changes {
+		l.bring(now, g, item)
+	}
+	if len(changes) > 0 {
+		l.publish(now)
+	}
+	l.becomeReady(ctx, now)
+}
+
+// bring brings one value in force.
+func (l *Loop) bring(now time.Time, g publ.Group, item publ.Item) {
+	change, err := l.parts.Decoder.Decode(item)
+	if err != nil {
+		l.parts.Metrics.Events.Add("value-refused", 1)
+		l.parts.Log.Error().Err(err).Str("key", item.Key).Uint64("revision", item.Revision).Msg("published value refused; the others hold")
+	}
+	switch c := change.(type) {
+	case publ.ConfigSet:
+		if l.config != nil && c.Config.Version < l.config.Version {
+			return
+		}
+		l.config = c.Config
+		l.parts.Pool.SetServices(c.Config.Services)
+		l.parts.Log.Info().Uint64("version", c.Config.Version).Uint64("revision", item.Revision).Int("routes", len(c.Config.Routes())).Msg("config in force")
+	case publ.UpstreamSet:
+		delete(l.leaving, c.Listed.ID)
+		if l.parts.Pool.Put(now, c.Listed) {
+			l.parts.Log.Info().Str("upstream", string(c.Listed.ID)).Str("service", string(c.Listed.Service)).Bool("draining", c.Listed.Draining).Dur("cold", c.Listed.Cold).Uint64("revision", item.Revision).Msg("upstream changed")
+		}
+	case publ.UpstreamGone:
+		if l.mayReturn(now) {
+			l.leaving[c.ID] = now.Add(returnTime)
+			return
+		}
+		if l.parts.Pool.Remove(c.ID) {
+			l.parts.Log.Info().Str("upstream", string(c.ID)).Uint64("revision", item.Revision).Msg("upstream gone")
+		}
+	case publ.ZoneClosed:
+		l.parts.Pool.Evacuate(c.Zone)
+		l.parts.Log.Info().Str("zone", string(c.Zone)).Uint64("revision", item.Revision).Msg("zone evacuated")
+	case publ.ZoneOpened:
+		l.parts.Pool.Restore(now, c.Zone)
+		l.parts.Log.Info().Str("zone", string(c.Zone)).Uint64("revision", item.Revision).Msg("zone returned")
+	}
+}
+
+// mayReturn reports whether an upstream that has left the list may only have lapsed,
+// since the platform is away or has just returned.
+func (l *Loop) mayReturn(now time.Time) bool {
+	h := &l.health[publ.Upstreams]
+	return h.lost || !h.backAt.IsZero() && now.Sub(h.backAt) < returnTime
+}
+
+// settleLeaving takes out the upstreams that didn't come back.
+func (l *Loop) settleLeaving(now time.Time) {
+	for id, at := range l.leaving {
+		if now.Before(at) || l.health[publ.Upstreams].lost {
+			continue
+		}
+		delete(l.leaving, id)
+		if l.parts.Pool.Remove(id) {
+			l.parts.Log.Info().Str("upstream", string(id)).Msg("upstream gone; it did not return to the list")
+		}
+	}
+}
+
+// catchUp asks a peer for a group of which it holds a newer state, when the platform
+// doesn't give it.
+func (l *Loop) catchUp(ctx context.Context, now time.Time, g publ.Group) {
+	h := &l.health[g]
+	newest, ok := l.newest(g)
+	if !ok || newestRevision(newest, g) <= l.stores[g].Revision() {
+		h.behind = 0
+		return
+	}
+	if h.behind == 0 || h.behind <= l.stores[g].Revision() {
+		h.behind = newestRevision(newest, g)
+		h.behindSince = now
+	}
+	if h.asking || !h.lost && now.Sub(h.behindSince) < behindTime {
+		return
+	}
+	h.asking = true
+	after := l.stores[g].Revision()
+	l.work.Go(func() { l.ask(ctx, newest, g, after) })
+}
+
+// newest returns the alive member that holds the newest state of a group.
+func (l *Loop) newest(g publ.Group) (mesh.Record, bool) {
+	var best mesh.Record
+	found := false
+	for _, m := range l.View().Mesh.Members {
+		if m.Alive && (!found || newestRevision(m.Record, g) > newestRevision(best, g)) {
+			best = m.Record
+			found = true
+		}
+	}
+	return best, found
+}
+
+func newestRevision(r mesh.Record, g publ.Group) uint64 {
+	if g == publ.Operator {
+		return r.Operator
+	}
+	return r.List
+}
+
+// ask fetches the values of a group from a peer.
+func (l *Loop) ask(ctx context.Context, from mesh.Record, g publ.Group, after uint64) {
+	v, err := l.parts.Links.Fetch(ctx, from.Peer, &wire.Fetch{Key: g.String(), After: after})
+	var published wire.Published
+	if err == nil {
+		err = proto.Unmarshal(v.GetBody(), &published)
+	}
+	l.post(func(now time.Time) {
+		l.health[g].asking = false
+		if err != nil {
+			l.parts.Log.Warn().Err(err).Str("step", "fetch").Str("peer", string(from.ID)).Str("group", g.String()).Msg("values not fetched from a peer")
+			return
+		}
+		if !v.GetFound() {
+			return
+		}
+		l.parts.Log.Info().Str("peer", string(from.ID)).Str("group", g.String()).Uint64("revision", v.GetRevision()).Msg("values taken from a peer")
+		l.merge(ctx, now, g, itemsFromWire(&published), v.GetRevision(), true)
+	})
+}
+
+// fetch answers a peer.
+func (l *Loop) fetch(ctx context.Context, f *wire.Fetch) *wire.Value {
+	g, known := publ.ParseGroup(f.GetKey())
+	if !known {
+		return &wire.Value{Key: f.GetKey()}
+	}
+	reply := make(chan *wire.Value, 1)
+	l.post(func(time.Time) { reply <- l.value(g, f.GetAfter()) })
+	select {
+	case v := <-reply:
+		return v
+	case <-ctx.Done():
+	case <-l.done:
+	}
+	return &wire.Value{Key: f.GetKey()}
+}
+
+func (l *Loop) value(g publ.Group, after uint64) *wire.Value {
+	v := &wire.Value{Key: g.String()}
+	store := &l.stores[g]
+	if store.Revision() <= after || !l.health[g].listed {
+		return v
+	}
+	published := &wire.Published{}
+	for _, i := range store.Items() {
+		published.Items = append(published.Items, &wire.PublishedItem{Key: i.Key, Revision: i.Revision, Data: i.Data})
+	}
+	body, err := proto.Marshal(published)
+	if err != nil {
+		l.parts.Log.Error().Err(err).Str("group", g.String()).Msg("values not written for a peer")
+		return v
+	}
+	v.Found = true
+	v.Revision = store.Revision()
+	v.Body = body
+	return v
+}
+
+func itemsFromWire(p *wire.Published) []publ.Item {
+	items := make([]publ.Item, 0, len(p.GetItems()))
+	for _, i := range p.GetItems() {
+		items = append(items, publ.Item{Key: i.GetKey(), Revision: i.GetRevision(), Data: i.GetData()})
+	}
+	return items
+}
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -109,9 +110,11 @@
 	return newStream(conn, s.peer), nil
 }
 
-func muxConfig() *yamux.Config {
+// muxConfig returns the settings of a session; a zero interval takes
+// keepAliveInterval.
+func muxConfig(keepAlive time.Duration) *yamux.Config {
 	c := yamux.DefaultConfig()
-	c.KeepAliveInterval = keepAliveInterval
+	c.KeepAliveInterval = cmp.Or(keepAlive, keepAliveInterval)
 	c.ConnectionWriteTimeout = writeTimeout
 	c.StreamOpenTimeout = exchangeTimeout
 	c.LogOutput = io.Discard
@@ -119,13 +122,13 @@
 }
 
 // dial connects to a peer and exchanges hellos on the first stream.
-func dial(ctx context.Context, address netip.AddrPort, self Identity) (*session, error) {
+func dial(ctx context.Context, address netip.AddrPort, self Identity, keepAlive time.Duration) (*session, error) {
 	d := net.Dialer{Timeout: dialTimeout}
 	conn, err := d.DialContext(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, errors.Annotatef(err, "dial %s", address)
 	}
-	mux, err := yamux.Client(conn, muxConfig())
+	mux, err := yamux.Client(conn, muxConfig(keepAlive))
 	if err != nil {
 		_ = conn.Close()
 		return nil, errors.Annotatef(err, "start a session with %s", address)
--- a/io/link/pool.go
+++ b/io/link/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -19,6 +20,9 @@
 type Pool struct {
 	// Self is set before the first use and does not change.
 	Self Identity
+	// KeepAlive is the time between two pings on a link, after which a silent link is
+	// closed; zero takes keepAliveInterval.
+	KeepAlive time.Duration
 
 	mu    sync.Mutex
 	peers map[netip.AddrPort]*peer
@@ -32,6 +36,8 @@
 	dialing sync.Mutex
 	// session is nil while there is no link.
 	session *session
+	// open is set while session is, for those who must not wait for a dial.
+	open atomic.Pointer[session]
 
 	notices sync.Mutex
 	// control is nil while no control stream is open.
@@ -146,6 +152,31 @@
 	return start(s, open)
 }
 
+// Open reports whether there is a link to an address, so that a request sent there
+// needn't wait for one.
+func (p *Pool) Open(address netip.AddrPort) bool {
+	s := p.peer(address).open.Load()
+	return s != nil && !s.mux.IsClosed()
+}
+
+// Drop closes the link to an address, so that the next use dials anew.
+func (p *Pool) Drop(address netip.AddrPort) {
+	if s := p.peer(address).open.Load(); s != nil {
+		_ = s.mux.Close()
+	}
+}
+
+// Relay opens a stream for a relayed request on the link that is open. The message
+// holds the whole request, so that an error doesn't say that it has not run, unless
+// it is NotFound: there is no link.
+func (p *Pool) Relay(address netip.AddrPort, r *wire.Relay) (*Stream, error) {
+	s := p.peer(address).open.Load()
+	if s == nil || s.mux.IsClosed() {
+		return nil, errors.NotFoundf("link to %s", address)
+	}
+	return start(s, &wire.Open{Kind: &wire.Open_Relay{Relay: r}})
+}
+
 // Handover opens a stream on which the records of this incarnation are sent.
 func (p *Pool) Handover(ctx context.Context, address netip.AddrPort) (*Stream, error) {
 	open := &wire.Open{Kind: &wire.Open_Handover{Handover: &wire.Handover{Incarnation: p.Self.Incarnation.String()}}}
@@ -181,17 +212,19 @@
 	if known.session != nil && !known.session.mux.IsClosed() {
 		return known.session, nil
 	}
-	s, err := dial(ctx, known.address, p.Self)
+	s, err := dial(ctx, known.address, p.Self, p.KeepAlive)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 	known.session = s
+	known.open.Store(s)
 	return s, nil
 }
 
 func (p *peer) close() {
 	p.dialing.Lock()
 	defer p.dialing.Unlock()
+	p.open.Store(nil)
 	if p.session != nil {
 		_ = p.session.mux.Close()
 		p.session = nil
--- a/io/link/server.go
+++ b/io/link/server.go
@@ -29,12 +29,20 @@
 	Forward(ctx context.Context, s *Stream, f *wire.Forward)
 }
 
+// Relayer is a Handler that also serves relayed requests.
+type Relayer interface {
+	// Relay serves a relayed request on the stream.
+	Relay(ctx context.Context, s *Stream, r *wire.Relay)
+}
+
 // Server accepts links from peers.
 type Server struct {
 	// Self, Handler and Log are set before Serve and do not change.
 	Self    Identity
 	Handler Handler
 	Log     zerolog.Logger
+	// KeepAlive is the time between two pings on a link; zero takes keepAliveInterval.
+	KeepAlive time.Duration
 
 	work sync.WaitGroup
 }
@@ -58,7 +66,7 @@
 }
 
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
-	mux, err := yamux.Server(conn, muxConfig())
+	mux, err := yamux.Server(conn, muxConfig(s.KeepAlive))
 	if err != nil {
 		_ = conn.Close()
 		return
@@ -126,6 +134,11 @@
 	case *wire.Open_Forward:
 		stream.SetReadDeadline(time.Time{})
 		s.Handler.Forward(ctx, stream, kind.Forward)
+	case *wire.Open_Relay:
+		stream.SetReadDeadline(time.Time{})
+		if relayer, ok := s.Handler.(Relayer); ok {
+			relayer.Relay(ctx, stream, kind.Relay)
+		}
 	}
 }
 
--- /dev/null
+++ b/io/relay/relay.go
@@ -0,0 +1,301 @@
+// Package relay carries whole requests to entries of other regions over the links
+// between entries, and serves those that come from there.
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/pool"
+	"arbutustrestle/core/result"
+	"arbutustrestle/core/rules"
+	"arbutustrestle/io/link"
+	"arbutustrestle/io/sender"
+	"arbutustrestle/io/wire"
+)
+
+const (
+	// MaxBodyBytes is the length of the longest body that is relayed; with its
+	// envelope it fits one message of a link.
+	MaxBodyBytes = 900 << 10
+	// frameBytes bounds the data in one frame.
+	frameBytes = 16 << 10
+	// writeTimeout bounds one write to a peer that doesn't read.
+	writeTimeout = 5 * time.Second
+)
+
+// Request is a relayed request.
+type Request struct {
+	// Attempt has no upstream yet: the other entry chooses it.
+	Attempt   sender.Attempt
+	Service   ident.Service
+	Kind      rules.Kind
+	Resumable bool
+	Objective time.Duration
+	Model     string
+	// Prompt and Output are numbers of tokens.
+	Prompt int
+	Output int
+	Parts  []pool.Part
+}
+
+// Send relays a request over an open link and returns the head of its answer. When
+// the context ends, the stream is closed, and the other entry gives the request up.
+func Send(ctx context.Context, links *link.Pool, address netip.AddrPort, r *Request) (*sender.Answer, *result.Failure) {
+	stream, err := links.Relay(address, toWire(r))
+	if errors.Is(err, errors.NotFound) {
+		return nil, failed(result.NotRun, result.PeerUnreachable, address, err)
+	}
+	if err != nil {
+		return nil, failed(result.Unknown, result.PeerUnreachable, address, err)
+	}
+	stream.SetDeadline(time.Time{})
+	stop := context.AfterFunc(ctx, stream.Close)
+	a := &answer{stream: stream, stop: stop, id: r.Attempt.RequestID, address: address}
+	head, failure := a.head()
+	if failure != nil {
+		_ = a.Close()
+		if ctx.Err() != nil && failure.Outcome == result.Unknown {
+			failure.Reason = sender.ReasonOf(ctx)
+		}
+		return nil, failure
+	}
+	return head, nil
+}
+
+func failed(o result.Outcome, r result.Reason, address netip.AddrPort, err error) *result.Failure {
+	return &result.Failure{Outcome: o, Step: result.StepForward, Reason: r, Peer: address.String(), Cause: err}
+}
+
+// answer reads the frames of an answer.
+type answer struct {
+	stream  *link.Stream
+	stop    func() bool
+	id      string
+	address netip.AddrPort
+	// sequence is that of the next frame, length the bytes received.
+	sequence uint64
+	length   uint64
+	// left is what has arrived and was not read yet.
+	left []byte
+	done bool
+}
+
+func (a *answer) head() (*sender.Answer, *result.Failure) {
+	f, err := a.next()
+	if err != nil {
+		return nil, failed(result.Unknown, result.PeerUnreachable, a.address, err)
+	}
+	if end := f.GetEnd(); end != nil {
+		return nil, failureOf(end, a.address)
+	}
+	head := f.GetHead()
+	if head == nil {
+		return nil, failed(result.Unknown, result.AnswerMismatch, a.address, errOrder)
+	}
+	header := make(http.Header, len(head.GetHeaders()))
+	for _, h := range head.GetHeaders() {
+		header.Add(h.GetName(), h.GetValue())
+	}
+	return &sender.Answer{
+		Status: int(head.GetStatus()),
+		Header: header,
+		Meta:   sender.Meta{RequestID: a.id, Signed: head.GetSigned()},
+		Length: -1,
+		Body:   a,
+	}, nil
+}
+
+func failureOf(end *wire.End, address netip.AddrPort) *result.Failure {
+	f := end.GetFailure()
+	if f == nil {
+		return failed(result.Unknown, result.AnswerMismatch, address, errOrder)
+	}
+	return &result.Failure{
+		Outcome:    result.ParseOutcome(f.GetOutcome()),
+		Step:       result.ParseStep(f.GetStep()),
+		Reason:     result.ParseReason(f.GetReason()),
+		Peer:       f.GetPeer(),
+		RetryAfter: time.Duration(f.GetRetryAfterMs()) * time.Millisecond,
+	}
+}
+
+var errOrder = errors.New("a frame of another request, or out of order")
+
+func (a *answer) next() (*wire.Frame, error) {
+	var f wire.Frame
+	if err := a.stream.Receive(&f); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if f.GetRequestId() != a.id || f.GetSequence() != a.sequence {
+		return nil, errOrder
+	}
+	a.sequence++
+	a.length += uint64(len(f.GetData()))
+	return &f, nil
+}
+
+// Read returns io.EOF when the other entry says that the answer is whole.
+func (a *answer) Read(p []byte) (int, error) {
+	for len(a.left) == 0 {
+		if a.done {
+			return 0, io.EOF
+		}
+		f, err := a.next()
+		if err != nil {
+			return 0, errors.Annotatef(err, "answer from %s", a.address)
+		}
+		if end := f.GetEnd(); end != nil {
+			if end.GetFailure() != nil {
+				return 0, failureOf(end, a.address)
+			}
+			if end.GetLength() != a.length {
+				return 0, errOrder
+			}
+			a.done = true
+			continue
+		}
+		a.left = f.GetData()
+	}
+	n := copy(p, a.left)
+	a.left = a.left[n:]
+	return n, nil
+}
+
+// Close ends the exchange.
+func (a *answer) Close() error {
+	a.stop()
+	a.stream.Close()
+	return nil
+}
+
+func toWire(r *Request) *wire.Relay {
+	m := &wire.Relay{
+		RequestId:    r.Attempt.RequestID,
+		Service:      string(r.Service),
+		Method:       r.Attempt.Method,
+		Target:       r.Attempt.Target,
+		Host:         r.Attempt.Host,
+		Headers:      headers(r.Attempt.Header),
+		Body:         r.Attempt.Body,
+		RemainingMs:  uint64(max(0, r.Attempt.Remaining.Milliseconds())),
+		Kind:         uint32(r.Kind),
+		Priority:     uint32(max(0, r.Attempt.Priority)),
+		Model:        r.Model,
+		PromptTokens: uint32(max(0, r.Prompt)),
+		OutputTokens: uint32(max(0, r.Output)),
+		LastEvent:    r.Attempt.LastEvent,
+		ObjectiveMs:  uint64(max(0, r.Objective.Milliseconds())),
+		Resumable:    r.Resumable,
+	}
+	for _, p := range r.Parts {
+		m.Parts = append(m.Parts, &wire.Part{Id: p.ID, Tokens: uint32(max(0, p.Tokens))})
+	}
+	return m
+}
+
+func headers(h http.Header) []*wire.Header {
+	var list []*wire.Header
+	for name, values := range h {
+		for _, v := range values {
+			list = append(list, &wire.Header{Name: name, Value: v})
+		}
+	}
+	return list
+}
+
+// FromWire returns the request that a message describes.
+func FromWire(m *wire.Relay) *Request {
+	header := make(http.Header, len(m.GetHeaders()))
+	for _, h := range m.GetHeaders() {
+		header.Add(h.GetName(), h.GetValue())
+	}
+	r := &Request{
+		Attempt: sender.Attempt{
+			RequestID: m.GetRequestId(),
+			Method:    m.GetMethod(),
+			Target:    m.GetTarget(),
+			Host:      m.GetHost(),
+			Header:    header,
+			Body:      m.GetBody(),
+			Remaining: time.Duration(m.GetRemainingMs()) * time.Millisecond,
+			Priority:  int(m.GetPriority()),
+			LastEvent: m.GetLastEvent(),
+		},
+		Service:   ident.Service(m.GetService()),
+		Kind:      rules.Kind(min(m.GetKind(), uint32(rules.Stream))),
+		Resumable: m.GetResumable(),
+		Objective: time.Duration(m.GetObjectiveMs()) * time.Millisecond,
+		Model:     m.GetModel(),
+		Prompt:    int(m.GetPromptTokens()),
+		Output:    int(m.GetOutputTokens()),
+	}
+	for _, p := range m.GetParts() {
+		r.Parts = append(r.Parts, pool.Part{ID: p.GetId(), Tokens: int(p.GetTokens())})
+	}
+	return r
+}
+
+// Reply writes the answer to a relayed request.
+type Reply struct {
+	Stream *link.Stream
+	ID     string
+
+	sequence uint64
+	length   uint64
+}
+
+// Head sends the head of the answer.
+func (r *Reply) Head(a *sender.Answer) error {
+	head := &wire.Head{Status: uint32(a.Status), Headers: headers(a.Header), Signed: a.Meta.Signed}
+	return r.send(&wire.Frame{Kind: &wire.Frame_Head{Head: head}})
+}
+
+// Write sends a part of the body.
+func (r *Reply) Write(p []byte) (int, error) {
+	for sent := 0; sent < len(p); {
+		part := p[sent:min(sent+frameBytes, len(p))]
+		if err := r.send(&wire.Frame{Kind: &wire.Frame_Data{Data: part}}); err != nil {
+			return sent, err
+		}
+		sent += len(part)
+		r.length += uint64(len(part))
+	}
+	return len(p), nil
+}
+
+// End sends the last word; a nil failure says that the answer is whole.
+func (r *Reply) End(f *result.Failure) error {
+	end := &wire.End{Length: r.length}
+	if f != nil {
+		end.Failure = &wire.Failure{
+			Outcome:      f.Outcome.String(),
+			Step:         f.Step.String(),
+			Reason:       f.Reason.String(),
+			Peer:         f.Peer,
+			RetryAfterMs: uint64(f.RetryAfter.Milliseconds()),
+		}
+	}
+	return r.send(&wire.Frame{Kind: &wire.Frame_End{End: end}})
+}
+
+func (r *Reply) send(f *wire.Frame) error {
+	f.RequestId = r.ID
+	f.Sequence = r.sequence
+	r.sequence++
+	r.Stream.SetWriteDeadline(time.Now().Add(writeTimeout))
+	return errors.Trace(r.Stream.Send(f))
+}
+
+// Watch calls gone when the other entry closes the stream: nothing more is due on it.
+func Watch(s *link.Stream, gone func()) {
+	var unexpected wire.Frame
+	_ = s.Receive(&unexpected)
+	gone()
+}
--- /dev/null
+++ b/io/sender/conn.go
@@ -0,0 +1,148 @@
+package sender
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+
+	"arbutustrestle/core/clock"
+	"arbutustrestle/core/ident"
+)
+
+const (
+	// readBufferBytes fits the head of an answer.
+	readBufferBytes = 4 << 10
+	// idleDefault is how long an idle connection is reused when the upstream doesn't
+	// say how long it keeps one.
+	idleDefault = 3 * time.Second
+	// idleGuard is taken off what the upstream says, since a request that crosses the
+	// close of its connection may count as run.
+	idleGuard = 700 * time.Millisecond
+	// maxIdle bounds the idle connections to one upstream.
+	maxIdle = 64
+)
+
+// conn is one connection to an upstream. It carries one request at a time.
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	key    connKey
+	// reused is false for the first request on the connection.
+	reused bool
+	// idleUntil is when the connection must not be reused any more.
+	idleUntil time.Time
+}
+
+// connKey names a run of an upstream at an address.
+type connKey struct {
+	upstream ident.Upstream
+	address  netip.AddrPort
+}
+
+// conns keeps idle connections. It is safe for concurrent use.
+type conns struct {
+	clock clock.Clock
+
+	mu   sync.Mutex
+	idle map[connKey][]*conn
+}
+
+// take returns the idle connection that was used last, or nil. One on which anything
+// has arrived is closed: what arrives between two requests belongs to neither.
+func (p *conns) take(k connKey) *conn {
+	for {
+		c := p.pop(k)
+		if c == nil {
+			return nil
+		}
+		if p.clock.Now().Before(c.idleUntil) && c.reader.Buffered() == 0 && quiet(c.Conn) {
+			return c
+		}
+		_ = c.Close()
+	}
+}
+
+func (p *conns) pop(k connKey) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[k]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[k] = list[:len(list)-1]
+	return c
+}
+
+func (p *conns) put(c *conn, keep time.Duration) {
+	c.reused = true
+	c.idleUntil = p.clock.Now().Add(keep)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.idle == nil {
+		p.idle = map[connKey][]*conn{}
+	}
+	list := p.idle[c.key]
+	if len(list) >= maxIdle {
+		_ = list[0].Close()
+		list = list[1:]
+	}
+	p.idle[c.key] = append(list, c)
+}
+
+// sweep closes connections that have been idle for too long.
+func (p *conns) sweep() {
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for k, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.Before(c.idleUntil) {
+				kept = append(kept, c)
+				continue
+			}
+			_ = c.Close()
+		}
+		if len(kept) == 0 {
+			delete(p.idle, k)
+			continue
+		}
+		p.idle[k] = kept
+	}
+}
+
+// quiet reports whether a connection is open and nothing has arrived on it.
+func quiet(c net.Conn) bool {
+	raw, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = control.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = n < 0 && (errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR))
+		return true
+	})
+	return err == nil && open
+}
+
+func dial(ctx context.Context, k connKey, timeout time.Duration) (*conn, error) {
+	d := net.Dialer{Timeout: timeout}
+	c, err := d.DialContext(ctx, "tcp", k.address.String())
+	if err != nil {
+		return nil, errors.Annotatef(err, "dial %s", k.upstream)
+	}
+	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes), key: k}, nil
+}
--- /dev/null
+++ b/io/wire/relay.go
@@ -0,0 +1,104 @@
+package wire
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/member"
+	"arbutustrestle/core/mesh"
+)
+
+// BeatToWire writes the records of a beat.
+func BeatToWire(records []mesh.Record) *Beat {
+	b := &Beat{}
+	for i := range records {
+		b.Records = append(b.Records, recordToWire(&records[i]))
+	}
+	return b
+}
+
+func recordToWire(r *mesh.Record) *BeatRecord {
+	m := &BeatRecord{
+		Id:               string(r.ID),
+		Start:            r.Start,
+		Sequence:         r.Sequence,
+		Zone:             string(r.Zone),
+		Region:           string(r.Region),
+		Peer:             r.Peer.String(),
+		Caller:           r.Caller.String(),
+		Phase:            uint32(r.Phase),
+		OperatorRevision: r.Operator,
+		ListRevision:     r.List,
+	}
+	for _, l := range r.Loads {
+		m.Loads = append(m.Loads, &ReplicaLoad{
+			Upstream:     string(l.Upstream),
+			InFlight:     uint32(max(0, l.InFlight)),
+			PromptTokens: uint32(max(0, l.PromptTokens)),
+		})
+	}
+	for _, s := range r.Services {
+		m.Services = append(m.Services, &ServiceLoad{
+			Service:     string(s.Service),
+			WaitMs:      milliseconds(s.Wait),
+			Replicas:    uint32(max(0, s.Replicas)),
+			TokensPerMs: float32(s.TokensPerMilli),
+		})
+	}
+	return m
+}
+
+// BeatFromWire returns a NotValid error for what no entry writes.
+func BeatFromWire(b *Beat) ([]mesh.Record, error) {
+	records := make([]mesh.Record, 0, len(b.GetRecords()))
+	for _, m := range b.GetRecords() {
+		r, err := recordFromWire(m)
+		if err != nil {
+			return nil, errors.Annotatef(err, "record of %q", m.GetId())
+		}
+		records = append(records, r)
+	}
+	return records, nil
+}
+
+func recordFromWire(m *BeatRecord) (mesh.Record, error) {
+	peer, err := netip.ParseAddrPort(m.GetPeer())
+	if err != nil {
+		return mesh.Record{}, errors.NewNotValid(err, "peer address")
+	}
+	caller, err := netip.ParseAddrPort(m.GetCaller())
+	if err != nil {
+		return mesh.Record{}, errors.NewNotValid(err, "caller address")
+	}
+	r := mesh.Record{
+		ID:       ident.Instance(m.GetId()),
+		Start:    m.GetStart(),
+		Sequence: m.GetSequence(),
+		Zone:     ident.Zone(m.GetZone()),
+		Region:   ident.Region(m.GetRegion()),
+		Peer:     peer,
+		Caller:   caller,
+		Phase:    member.Phase(min(m.GetPhase(), uint32(member.Stopped))),
+		Operator: m.GetOperatorRevision(),
+		List:     m.GetListRevision(),
+	}
+	for _, l := range m.GetLoads() {
+		r.Loads = append(r.Loads, mesh.ReplicaLoad{
+			Upstream:     ident.Upstream(l.GetUpstream()),
+			InFlight:     int(l.GetInFlight()),
+			PromptTokens: int(l.GetPromptTokens()),
+		})
+	}
+	for _, s := range m.GetServices() {
+		r.Services = append(r.Services, mesh.ServiceLoad{
+			Service:        ident.Service(s.GetService()),
+			Wait:           time.Duration(s.GetWaitMs()) * time.Millisecond,
+			Replicas:       int(s.GetReplicas()),
+			TokensPerMilli: float64(max(0, s.GetTokensPerMs())),
+		})
+	}
+	return r, nil
+}
