Count a relayed answer as whole only when its end says so

Cause: a link that ended between two frames gave io.EOF, which the reader of the answer took for its end; and a failure in place of the rest of a resumed stream was passed on as its rest. Change: only an End frame ends an answer; what isn't a success doesn't continue a stream. io/relay has table cases for each way to end.

--- a/io/edge/pass.go
+++ b/io/edge/pass.go
@@ -38,6 +38,10 @@
 	if success && call.Route.Kind == rules.Stream {
 		return c.passStream(ctx, cancel, call, a, sink, first)
 	}
+	if call.begun {
+		// The caller has the first part of a stream, which this doesn't continue.
+		return c.fail(ctx, call, result.UpstreamStatus, errors.Errorf("status %d instead of the rest of a stream", a.Status))
+	}
 	return c.passBody(ctx, call, a, sink, first)
 }
 
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -128,9 +128,15 @@
 
 var errOrder = errors.New("a frame of another request, or out of order")
 
+// next returns the next frame. A link that ends between two frames cuts the answer as
+// well as one that ends within one: only an End says that it is whole.
 func (a *answer) next() (*wire.Frame, error) {
 	var f wire.Frame
-	if err := a.stream.Receive(&f); err != nil {
+	err := a.stream.Receive(&f)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
 		return nil, errors.Trace(err)
 	}
 	if f.GetRequestId() != a.id || f.GetSequence() != a.sequence {
--- /dev/null
+++ b/io/relay/relay_test.go
@@ -0,0 +1,158 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/result"
+	"arbutustrestle/io/link"
+	"arbutustrestle/io/sender"
+	"arbutustrestle/io/wire"
+)
+
+// peer is an entry of another region that replies as a test says.
+type peer struct {
+	link.Handler
+	reply func(s *link.Stream, r *Reply)
+}
+
+func (p *peer) Notify(link.Identity, *wire.Notice) {}
+
+func (p *peer) Relay(_ context.Context, s *link.Stream, m *wire.Relay) {
+	p.reply(s, &Reply{Stream: s, ID: m.GetRequestId()})
+}
+
+// startPeer returns links with one open to a peer.
+func startPeer(t *testing.T, reply func(s *link.Stream, r *Reply)) (*link.Pool, netip.AddrPort) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	server := &link.Server{Handler: &peer{reply: reply}, Log: zerolog.Nop(), Self: identity("far")}
+	go func() { _ = server.Serve(ctx, listener) }()
+	address := listener.Addr().(*net.TCPAddr).AddrPort()
+	links := &link.Pool{Self: identity("near")}
+	t.Cleanup(links.Close)
+	// A beat opens the link.
+	if err := links.Notify(ctx, address, &wire.Notice{}); err != nil {
+		t.Fatal(err)
+	}
+	return links, address
+}
+
+func identity(id ident.Instance) link.Identity {
+	return link.Identity{Incarnation: ident.Incarnation{Instance: id, Start: 1}, Zone: "z", Region: "r"}
+}
+
+func head() *sender.Answer {
+	return &sender.Answer{Status: http.StatusOK, Header: http.Header{"X": {"y"}}, Meta: sender.Meta{Signed: true}}
+}
+
+// Only an End says that an answer is whole, whichever way the stream ends without.
+func TestAnswerEnds(t *testing.T) {
+	cases := []struct {
+		name  string
+		reply func(s *link.Stream, r *Reply)
+		body  string
+		whole bool
+	}{
+		{"whole", func(_ *link.Stream, r *Reply) {
+			_ = r.Head(head())
+			_, _ = r.Write([]byte("abc"))
+			_ = r.End(nil)
+		}, "abc", true},
+		{"closed between frames", func(s *link.Stream, r *Reply) {
+			_ = r.Head(head())
+			_, _ = r.Write([]byte("abc"))
+			s.Close()
+		}, "abc", false},
+		{"closed after the head", func(s *link.Stream, r *Reply) {
+			_ = r.Head(head())
+			s.Close()
+		}, "", false},
+		{"cut upstream", func(_ *link.Stream, r *Reply) {
+			_ = r.Head(head())
+			_, _ = r.Write([]byte("abc"))
+			_ = r.End(&result.Failure{Step: result.StepStream, Reason: result.AnswerCut, Peer: "u"})
+		}, "abc", false},
+		{"frame left out", func(_ *link.Stream, r *Reply) {
+			_ = r.Head(head())
+			_, _ = r.Write([]byte("abc"))
+			r.sequence++
+			_ = r.End(nil)
+		}, "abc", false},
+		{"too short", func(_ *link.Stream, r *Reply) {
+			_ = r.Head(head())
+			_, _ = r.Write([]byte("abc"))
+			r.length = 4
+			_ = r.End(nil)
+		}, "abc", false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			links, address := startPeer(t, c.reply)
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			answer, failure := Send(ctx, links, address, &Request{Attempt: sender.Attempt{RequestID: "1", Remaining: time.Second}})
+			if failure != nil {
+				t.Fatal(failure)
+			}
+			defer func() { _ = answer.Body.Close() }()
+			body, err := io.ReadAll(answer.Body)
+			if string(body) != c.body || (err == nil) != c.whole {
+				t.Fatalf("read %q, error %v", body, err)
+			}
+			if errors.Is(err, io.EOF) {
+				t.Fatalf("a cut answer ends like a whole one: %v", err)
+			}
+		})
+	}
+}
+
+// What is known of a request whose stream ends before the head.
+func TestNoHead(t *testing.T) {
+	cases := []struct {
+		name    string
+		reply   func(s *link.Stream, r *Reply)
+		outcome result.Outcome
+		reason  result.Reason
+	}{
+		{"refused", func(_ *link.Stream, r *Reply) {
+			_ = r.End(&result.Failure{Outcome: result.NotRun, Step: result.StepRoute, Reason: result.NoUpstream})
+		}, result.NotRun, result.NoUpstream},
+		{"closed", func(s *link.Stream, _ *Reply) { s.Close() }, result.Unknown, result.PeerUnreachable},
+		{"end without a head", func(_ *link.Stream, r *Reply) { _ = r.End(nil) }, result.Unknown, result.AnswerMismatch},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			links, address := startPeer(t, c.reply)
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			_, failure := Send(ctx, links, address, &Request{Attempt: sender.Attempt{RequestID: "1"}})
+			if failure == nil || failure.Outcome != c.outcome || failure.Reason != c.reason {
+				t.Fatalf("failure %v", failure)
+			}
+		})
+	}
+}
+
+// Without a link nothing is sent, and the request has not run.
+func TestNoLink(t *testing.T) {
+	links := &link.Pool{Self: identity("near")}
+	_, failure := Send(context.Background(), links, netip.MustParseAddrPort("127.0.0.1:1"), &Request{})
+	if failure == nil || failure.Outcome != result.NotRun {
+		t.Fatalf("failure %v", failure)
+	}
+}
