Relay no request to a draining entry

Change: core/spill leaves out entries that aren't ready; its tests cover peaks, old reports, homes and a burst between two reports.

--- a/core/spill/spill.go
+++ b/core/spill/spill.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"arbutustrestle/core/ident"
+	"arbutustrestle/core/member"
 	"arbutustrestle/core/mesh"
 )
 
@@ -62,7 +63,7 @@
 func (t *Table) Update(now time.Time, v *mesh.View) {
 	regions := map[ident.Service][]Region{}
 	for _, m := range v.Members {
-		if !m.Alive || m.Region == v.Self.Region || now.Sub(m.Heard) > staleAfter {
+		if m.Region == v.Self.Region || !m.Alive || m.Phase != member.Ready || now.Sub(m.Heard) > staleAfter {
 			continue
 		}
 		for _, s := range m.Services {
