Drop an attempt that was given up as its head came; go on with begun streams

Change: when the timer has fired, the attempt counts as failed and nothing is passed on; a begun stream is admitted for as long as its caller waits.

--- a/io/edge/run.go
+++ b/io/edge/run.go
@@ -12,7 +12,6 @@
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/pool"
 	"arbutustrestle/core/result"
-	"arbutustrestle/core/rules"
 	"arbutustrestle/core/spend"
 	"arbutustrestle/core/spill"
 	"arbutustrestle/io/follow"
@@ -103,7 +102,7 @@
 		wait = remote.First
 	}
 	call.waited = wait
-	if limit := waitLimit(call.Route, left); wait > limit {
+	if limit := waitLimit(call, left); wait > limit {
 		return place{}, refuse(result.StepAdmit, result.Overloaded, c.comeBack(wait-limit/2, left))
 	}
 	if away {
@@ -143,9 +142,13 @@
 	defaultObjective = 2 * time.Second
 )
 
-// waitLimit returns the longest projected wait with which a request is still sent.
-func waitLimit(r *rules.Route, left time.Duration) time.Duration {
-	objective := r.Objective
+// waitLimit returns the longest projected wait with which a request is still sent. A
+// stream that has begun is gone on with as long as its caller waits.
+func waitLimit(call *Call, left time.Duration) time.Duration {
+	if call.begun {
+		return left
+	}
+	objective := call.Route.Objective
 	if objective <= 0 {
 		objective = defaultObjective
 	}
@@ -180,7 +183,11 @@
 	patience := c.patience(call, lease.Projection.First, cancel)
 	defer patience.Stop()
 	answer, failure := c.Sender.Send(ctx, c.describe(call, lease))
-	patience.Stop()
+	if failure == nil && !patience.Stop() {
+		// The head came as the attempt was given up, and the rest won't come.
+		failure = c.fail(ctx, call, result.FirstByteTimeout, nil)
+		_ = answer.Body.Close()
+	}
 	if failure != nil {
 		c.endLease(lease, endingOf(failure))
 		call.uncount(failure)
@@ -272,7 +279,10 @@
 		Output:    call.Output,
 		Parts:     call.Parts,
 	})
-	patience.Stop()
+	if failure == nil && !patience.Stop() {
+		failure = c.fail(ctx, call, result.FirstByteTimeout, nil)
+		_ = answer.Body.Close()
+	}
 	if failure != nil {
 		call.uncount(failure)
 		return failure
