Let a reader of a closed stream return at once

Change: link.Stream.Close sets a read deadline that has passed first. The retry budget counts its slices by the steady clock, not the time of day. Ruled out: loops of our own; the dump showed 31 readers runnable in yamux's Read.

--- a/core/pool/lease.go
+++ b/core/pool/lease.go
@@ -1,6 +1,10 @@
 package pool
 
-import "time"
+import (
+	"time"
+
+	"arbutustrestle/core/mesh"
+)
 
 // Ending says how an attempt ended, as far as it speaks for or against its upstream.
 type Ending uint8
@@ -37,12 +41,15 @@
 // one goroutine.
 type Lease struct {
 	Projection
+	// Ahead is the prompt tokens that waited there to be read, by rank.
+	Ahead mesh.ByRank[int]
 	// Listed, Cold, InFlight and Uncached are as of the choice.
 	Listed   Listed
 	Cold     bool
 	InFlight int
 	Uncached int
 
+	rank    int
 	pool    *Pool
 	replica *replica
 	started time.Time
@@ -50,12 +57,17 @@
 	ended   bool
 }
 
-// Answered notes that the first event or answer has come.
+// Answered notes that an answer, or a further part of one, has come.
 func (l *Lease) Answered(now time.Time) {
 	l.pool.mu.Lock()
 	defer l.pool.mu.Unlock()
-	if l.readPrompt() {
-		l.noteSpeed(now)
+	l.replica.heard = now
+	if !l.readPrompt() {
+		return
+	}
+	l.noteSpeed(now)
+	if l.Projection.Wait == 0 {
+		l.pool.learn(l.Uncached, now.Sub(l.started))
 	}
 }
 
@@ -65,7 +77,8 @@
 		return false
 	}
 	l.first = true
-	l.replica.tokens -= l.Uncached
+	l.replica.tokens[l.rank] -= l.Uncached
+	l.replica.waiting--
 	return true
 }
 
@@ -93,6 +106,9 @@
 	l.ended = true
 	l.readPrompt()
 	r := l.replica
+	if e == Answered || e == Errored || e == Refused {
+		r.heard = now
+	}
 	r.inFlight--
 	switch e {
 	case Answered:
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -20,7 +20,8 @@
 	Self ident.Instance
 	// Region is the one whose upstreams this entry may connect to.
 	Region ident.Region
-	// PromptRate is the prompt tokens that an engine reads in a millisecond.
+	// PromptRate is the prompt tokens that an engine reads in a millisecond, until
+	// answers show otherwise.
 	PromptRate float64
 }
 
@@ -35,6 +36,9 @@
 	closed map[ident.Zone]struct{}
 	// near holds the entries of the own region, this one included.
 	near []ident.Instance
+	// rate is the prompt tokens that an engine reads in a millisecond, as answers show
+	// it.
+	rate float64
 }
 
 // New returns an empty pool.
@@ -44,6 +48,7 @@
 		replicas: map[ident.Upstream]*replica{},
 		closed:   map[ident.Zone]struct{}{},
 		near:     []ident.Instance{s.Self},
+		rate:     s.PromptRate,
 	}
 }
 
@@ -71,7 +76,9 @@
 	for _, l := range loads {
 		if r := p.replicas[l.Upstream]; r != nil {
 			r.others.inFlight += l.InFlight
-			r.others.tokens += l.PromptTokens
+			for rank, tokens := range l.PromptTokens {
+				r.others.tokens[rank] += tokens
+			}
 		}
 	}
 }
@@ -142,6 +149,8 @@
 	Tokens int
 	// Parts are those of the prompt, in order.
 	Parts []Part
+	// Rank is that of the route; zero is the most urgent.
+	Rank int
 	// Excluded upstreams have had the request already.
 	Excluded []ident.Upstream
 }
@@ -160,6 +169,7 @@
 	// cost orders candidates, in milliseconds.
 	cost float64
 	Projection
+	// uncached is the part of the prompt that has to be read.
 	uncached int
 }
 
@@ -184,15 +194,23 @@
 	if r.isCold(now) {
 		r.coldSent = now
 	}
+	rank := mesh.Rank(a.Rank)
+	ahead := r.ahead()
 	r.inFlight++
-	r.tokens += best.uncached
+	r.tokens[rank] += best.uncached
+	if r.waiting == 0 {
+		r.heard = now
+	}
+	r.waiting++
 	r.prompts.touch(now, a.Parts)
 	return &Lease{
 		Projection: best.Projection,
+		Ahead:      ahead,
 		Listed:     r.Listed,
 		Cold:       r.isCold(now),
 		InFlight:   r.inFlight,
 		Uncached:   best.uncached,
+		rank:       rank,
 		pool:       p,
 		replica:    r,
 		started:    now,
@@ -227,7 +245,7 @@
 
 // usable reports whether new work may go to an upstream at all.
 func (p *Pool) usable(now time.Time, r *replica) bool {
-	if r.Draining || now.Before(r.avoidUntil) {
+	if r.Draining || now.Before(r.avoidUntil) || r.silent(now) {
 		return false
 	}
 	if _, closed := p.closed[r.Zone]; closed {
@@ -281,6 +299,17 @@
 	// troubleCost is the cost of an upstream at which all requests fail, in
 	// milliseconds.
 	troubleCost = 3000
+	// sameRank and lessUrgent are the parts of the backlog of the same rank and of less
+	// urgent ones that hold a request up: prompts are read in turns, so that a short
+	// one ends before long ones that came first, and urgent ones are read first.
+	sameRank   = 0.6
+	lessUrgent = 0.07
+	// overtaken is how much longer the backlog takes for all but the most urgent rank:
+	// more urgent requests come while they wait.
+	overtaken = 2
+	// rereadCost is how many times the time to read a shared part counts that another
+	// upstream keeps: beside the time here it takes capacity, and memory from others.
+	rereadCost = 1.5
 	// maxSlow bounds how much slower than expected an upstream is taken to be.
 	maxSlow = 8
 )
@@ -290,16 +319,19 @@
 	running := float64(r.inFlight + r.others.inFlight)
 	uncached := a.Tokens
 	backlog := 0.0
+	reread := 0.0
 	if a.Tokens > 0 {
-		uncached = max(0, a.Tokens-p.kept(now, a, r, home))
-		backlog = float64(r.tokens+r.others.tokens) / p.settings.PromptRate
+		kept := p.kept(now, a, r, home)
+		uncached = max(0, a.Tokens-kept)
+		backlog = r.backlog(a.Rank) / p.rate
+		reread = float64(max(0, sharedTokens(a.Parts)-kept)) / p.rate * rereadCost
 	}
 	wait := backlog + p.queue(r, running)
 	first := wait + float64(uncached)/p.settings.PromptRate + running*runningCost
 	slow := min(max(r.slow, 1), maxSlow)
 	return candidate{
 		replica:  r,
-		cost:     first*slow + r.trouble*troubleCost,
+		cost:     first*slow + reread + r.trouble*troubleCost,
 		uncached: uncached,
 		Projection: Projection{
 			Wait:  millis(wait * slow),
@@ -308,17 +340,85 @@
 	}
 }
 
+// read returns the time in milliseconds from the start of a prompt to its first event.
+func (p *Pool) read(tokens int) float64 {
+	if tokens == 0 {
+		return 0
+	}
+	return firstStep + float64(tokens)/p.rate
+}
+
+const (
+	// firstStep is the time to the first event of a prompt that is kept, in
+	// milliseconds.
+	firstStep = 45
+	// sampleTokens is the shortest prompt that tells how fast prompts are read.
+	sampleTokens = 2000
+	// sampleStep is the weight of one sample.
+	sampleStep = 0.03
+	// maxRateError bounds by how much the rate may differ from the one that is set.
+	maxRateError = 3
+)
+
+// learn takes the time to a first answer that had nothing to wait for as a sample of
+// the rate at which prompts are read.
+func (p *Pool) learn(tokens int, took time.Duration) {
+	reading := float64(took)/float64(time.Millisecond) - firstStep
+	if tokens < sampleTokens || reading <= 0 {
+		return
+	}
+	sample := float64(tokens) / reading
+	set := p.settings.PromptRate
+	p.rate += sampleStep * (min(max(sample, set/maxRateError), set*maxRateError) - p.rate)
+}
+
+// ahead returns the prompt tokens that wait to be read, by rank.
+func (r *replica) ahead() mesh.ByRank[int] {
+	tokens := r.tokens
+	for rank, n := range r.others.tokens {
+		tokens[rank] += n
+	}
+	return tokens
+}
+
+// backlog returns the prompt tokens that an upstream reads before those of a request
+// of a rank.
+func (r *replica) backlog(rank int) float64 {
+	total := 0.0
+	own := mesh.Rank(rank)
+	for i, n := range r.ahead() {
+		switch {
+		case i < own:
+			total += float64(n)
+		case i == own:
+			total += sameRank * float64(n)
+		default:
+			total += lessUrgent * float64(n)
+		}
+	}
+	if own > 0 {
+		total *= overtaken
+	}
+	return total
+}
+
+// sharedTokens returns the length of the parts that other requests may share: all but
+// the last.
+func sharedTokens(parts []Part) int {
+	tokens := 0
+	for i := range len(parts) - 1 {
+		tokens += parts[i].Tokens
+	}
+	return tokens
+}
+
 // kept guesses the tokens of a prompt that an upstream needn't read again.
 func (p *Pool) kept(now time.Time, a Ask, r *replica, home bool) int {
 	kept := r.prompts.cached(now, a.Parts)
 	if !home || kept > 0 {
 		return kept
 	}
-	shared := 0
-	for _, part := range a.Parts[:len(a.Parts)-1] {
-		shared += part.Tokens
-	}
-	return int(float64(shared) * homeShare)
+	return int(float64(sharedTokens(a.Parts)) * homeShare)
 }
 
 // queue projects the wait for a slot in milliseconds: for 8 requests on 6 slots that
@@ -360,15 +460,19 @@
 			continue
 		}
 		s := byName[r.Service]
-		c := p.weigh(now, Ask{Tokens: boolTokens(p.services[r.Service].Engine)}, r, false)
 		if s == nil {
-			s = &mesh.ServiceLoad{Service: r.Service, Wait: c.Wait}
+			s = &mesh.ServiceLoad{Service: r.Service}
 			byName[r.Service] = s
 		}
+		for rank := range s.Waits {
+			c := p.weigh(now, Ask{Tokens: boolTokens(p.services[r.Service].Engine), Rank: rank}, r, false)
+			if s.Replicas == 0 || c.Wait < s.Waits[rank] {
+				s.Waits[rank] = c.Wait
+			}
+		}
 		s.Replicas++
-		s.Wait = min(s.Wait, c.Wait)
 		if p.services[r.Service].Engine {
-			s.TokensPerMilli += p.settings.PromptRate / min(max(r.slow, 1), maxSlow)
+			s.TokensPerMilli += p.rate / min(max(r.slow, 1), maxSlow)
 		}
 	}
 	list := make([]mesh.ServiceLoad, 0, len(byName))
--- /dev/null
+++ b/core/pool/pool_test.go
@@ -0,0 +1,278 @@
+package pool
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/mesh"
+	"arbutustrestle/core/rules"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func listed(n int) Listed {
+	return Listed{
+		ID:      ident.Upstream(fmt.Sprintf("engine-%d", n)),
+		Born:    start.Add(-time.Hour),
+		Service: "chat",
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(n)}), 80),
+		Zone:    ident.Zone(fmt.Sprintf("zone-%d", n%2)),
+		Region:  "west",
+		Slots:   64,
+	}
+}
+
+func newPool(self ident.Instance, engines int) *Pool {
+	p := New(Settings{Self: self, Region: "west", PromptRate: 60})
+	p.SetServices(map[ident.Service]rules.Service{
+		"chat": {Name: "chat", Warmup: 3 * time.Second, WarmupRate: 2.5, Engine: true},
+	})
+	for n := range engines {
+		p.Put(start, listed(n))
+	}
+	return p
+}
+
+// prompt is a request for a subject with some tokens of its own.
+func prompt(subject string, rank int) Ask {
+	return Ask{
+		Service: "chat",
+		Tokens:  12000,
+		Rank:    rank,
+		Parts:   []Part{{"system", 500}, {subject, 4900}, {subject + "-own", 6600}},
+	}
+}
+
+// An upstream that drains, is in an evacuated zone, has left, or is of another region
+// gets nothing new.
+func TestTaken(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(p *Pool)
+	}{
+		{"draining", func(p *Pool) {
+			l := listed(0)
+			l.Draining = true
+			p.Put(start, l)
+		}},
+		{"evacuated", func(p *Pool) { p.Evacuate("zone-0") }},
+		{"left", func(p *Pool) { p.Remove("engine-0") }},
+		{"replaced", func(p *Pool) {
+			l := listed(0)
+			l.Service = "other"
+			p.Put(start, l)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := newPool("entry-1", 1)
+			if _, found := p.Project(start, prompt("a", 0)); !found {
+				t.Fatal("not usable before")
+			}
+			c.change(p)
+			if _, found := p.Pick(start, prompt("a", 0)); found {
+				t.Fatal("picked")
+			}
+		})
+	}
+	p := newPool("entry-1", 0)
+	l := listed(0)
+	l.Region = "north"
+	p.Put(start, l)
+	if _, found := p.Pick(start, prompt("a", 0)); found {
+		t.Error("an upstream of another region is picked")
+	}
+}
+
+// An upstream that comes back under its id is another run: nothing of what was
+// believed of the first one counts, and leases of the first one change nothing.
+func TestNewRun(t *testing.T) {
+	p := newPool("entry-1", 1)
+	lease, _ := p.Pick(start, prompt("a", 0))
+	again := listed(0)
+	again.Born = start
+	again.Cold = 3 * time.Second
+	if !p.Put(start, again) {
+		t.Fatal("a new run changes nothing")
+	}
+	lease.End(start, Broken)
+	if r := p.replicas["engine-0"]; r.inFlight != 0 || r.failures != 0 || !r.isCold(start) || r.prompts.total != 0 {
+		t.Errorf("the new run inherits %+v", r)
+	}
+}
+
+// Two entries that disagree on who feeds a cold upstream send no more together than
+// the rules allow in any second: its rate and half as much again, and a few more.
+func TestColdFeeders(t *testing.T) {
+	const allowed = 2.5*1.5 + 3
+	cold := listed(0)
+	cold.Cold = 30 * time.Second
+	views := [][]ident.Instance{
+		{"entry-1", "entry-2", "entry-3"},
+		{"entry-1"},
+		{"entry-2"},
+	}
+	var sends []time.Time
+	for _, view := range views {
+		for _, self := range view {
+			p := newPool(self, 0)
+			p.Put(start, cold)
+			p.SetNear(view)
+			for at := time.Duration(0); at < 10*time.Second; at += 10 * time.Millisecond {
+				now := start.Add(at)
+				if lease, found := p.Pick(now, prompt("a", 0)); found {
+					sends = append(sends, now)
+					lease.End(now.Add(time.Millisecond), Answered)
+				}
+			}
+		}
+	}
+	// The view of all three and one of the lone ones overlap in one feeder at most.
+	perFeeder := map[time.Time]int{}
+	for _, at := range sends {
+		perFeeder[at]++
+	}
+	for at := range perFeeder {
+		n := 0
+		for _, other := range sends {
+			if !other.Before(at) && other.Before(at.Add(time.Second)) {
+				n++
+			}
+		}
+		if feeders := 3; float64(n) > allowed*float64(feeders)/2 {
+			t.Fatalf("%d requests in the second from %s, of three feeders", n, at.Sub(start))
+		}
+	}
+}
+
+// A zone that is taken back counts as cold.
+func TestRestoredIsCold(t *testing.T) {
+	p := newPool("entry-1", 1)
+	p.Evacuate("zone-0")
+	p.Restore(start, "zone-0")
+	picked := 0
+	for at := time.Duration(0); at < time.Second; at += 10 * time.Millisecond {
+		if _, found := p.Pick(start.Add(at), prompt("a", 0)); found {
+			picked++
+		}
+	}
+	if picked == 0 || picked > 3 {
+		t.Errorf("%d requests in the first second", picked)
+	}
+}
+
+// Requests for one subject go to the upstream that has read it, as long as that isn't
+// much busier than the others; entries that have sent nothing yet agree where.
+func TestSubjects(t *testing.T) {
+	first, second := newPool("entry-1", 8), newPool("entry-2", 8)
+	for n := range 30 {
+		subject := fmt.Sprintf("subject-%d", n)
+		a, _ := first.Pick(start, prompt(subject, 1))
+		b, _ := second.Pick(start, prompt(subject, 1))
+		a.End(start, Answered)
+		b.End(start, Answered)
+		if a.Listed.ID != b.Listed.ID {
+			t.Errorf("%s goes to %s and %s", subject, a.Listed.ID, b.Listed.ID)
+		}
+		again, _ := first.Pick(start, prompt(subject, 1))
+		again.End(start, Answered)
+		if again.Listed.ID != a.Listed.ID || again.Uncached != 0 {
+			t.Errorf("%s goes to %s after %s, %d tokens to read", subject, again.Listed.ID, a.Listed.ID, again.Uncached)
+		}
+	}
+}
+
+// A subject that everybody asks for doesn't pile up on one upstream.
+func TestPopularSubject(t *testing.T) {
+	p := newPool("entry-1", 4)
+	counts := map[ident.Upstream]int{}
+	for n := range 40 {
+		a := prompt("popular", 1)
+		a.Parts[2].ID = fmt.Sprintf("own-%d", n)
+		lease, _ := p.Pick(start, a)
+		counts[lease.Listed.ID]++
+	}
+	for id, n := range counts {
+		if n > 20 {
+			t.Errorf("%s got %d of 40", id, n)
+		}
+	}
+	if len(counts) < 4 {
+		t.Errorf("only %v were used", counts)
+	}
+}
+
+// Under a backlog of plans, a quick question waits little, and a plan waits for the
+// quick questions before it.
+func TestRanks(t *testing.T) {
+	p := newPool("entry-1", 1)
+	for n := range 10 {
+		p.Pick(start, prompt(fmt.Sprintf("s-%d", n), 1))
+	}
+	urgent, _ := p.Project(start, prompt("x", 0))
+	plan, _ := p.Project(start, prompt("x", 1))
+	if urgent.Wait*4 > plan.Wait {
+		t.Errorf("urgent waits %s, a plan %s", urgent.Wait, plan.Wait)
+	}
+}
+
+// What other entries have in flight counts like what this one has.
+func TestOthers(t *testing.T) {
+	p := newPool("entry-1", 2)
+	p.SetOthers([]mesh.ReplicaLoad{{Upstream: "engine-0", InFlight: 5, PromptTokens: mesh.ByRank[int]{60000}}})
+	for n := range 3 {
+		lease, _ := p.Pick(start, prompt(fmt.Sprintf("s-%d", n), 0))
+		if lease.Listed.ID != "engine-1" {
+			t.Errorf("request %d goes to %s", n, lease.Listed.ID)
+		}
+	}
+}
+
+// An upstream that fails is left out for longer each time, one that is silent while
+// requests wait gets no more, and what comes back after it could not be reached is
+// cold.
+func TestDistrust(t *testing.T) {
+	p := newPool("entry-1", 1)
+	lease, _ := p.Pick(start, prompt("a", 0))
+	lease.End(start, Broken)
+	if _, found := p.Pick(start.Add(firstAvoid/2), prompt("a", 0)); found {
+		t.Error("picked right after a failure")
+	}
+	again, found := p.Pick(start.Add(firstAvoid), prompt("a", 0))
+	if !found {
+		t.Fatal("not picked after the pause")
+	}
+	again.End(start.Add(firstAvoid), Answered)
+
+	waiting, _ := p.Pick(start, prompt("a", 0))
+	if _, found := p.Pick(start.Add(silentAfter+time.Second), prompt("a", 0)); found {
+		t.Error("a silent upstream is picked")
+	}
+	waiting.Answered(start.Add(silentAfter + time.Second))
+	if _, found := p.Pick(start.Add(silentAfter+time.Second), prompt("a", 0)); !found {
+		t.Error("not picked after it was heard")
+	}
+
+	p = newPool("entry-1", 1)
+	lease, _ = p.Pick(start, prompt("a", 0))
+	lease.End(start, Unreachable)
+	if !p.replicas["engine-0"].isCold(start.Add(time.Second)) {
+		t.Error("an upstream that could not be reached counts as warm")
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{20, 140, 1700} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p := newPool("entry-1", n)
+			a := prompt("a", 1)
+			for b.Loop() {
+				lease, _ := p.Pick(start, a)
+				lease.End(start, Answered)
+			}
+		})
+	}
+}
--- a/core/pool/replica.go
+++ b/core/pool/replica.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"arbutustrestle/core/ident"
+	"arbutustrestle/core/mesh"
 )
 
 // Listed is what an upstream says of itself in the published list.
@@ -33,7 +34,7 @@
 // foreign is what the other entries of the region have in flight at an upstream.
 type foreign struct {
 	inFlight int
-	tokens   int
+	tokens   mesh.ByRank[int]
 }
 
 // replica is one run of an upstream, and what is believed of it.
@@ -45,7 +46,7 @@
 	// inFlight and tokens count this entry's own requests: those not yet ended, and
 	// the prompt tokens of those not yet answered by a first event.
 	inFlight int
-	tokens   int
+	tokens   mesh.ByRank[int]
 	others   foreign
 
 	// coldUntil is zero while it is warm.
@@ -64,6 +65,10 @@
 	slow float64
 	// hold is the moving average of the time that a request holds its slot.
 	hold time.Duration
+	// waiting counts the requests of this entry without a first answer. heard is when
+	// the upstream last answered anything, or when waiting last rose from zero.
+	waiting int
+	heard   time.Time
 
 	prompts promptCache
 }
@@ -74,6 +79,9 @@
 	// firstAvoid doubles with each further failure in a row, up to maxAvoid.
 	firstAvoid = 400 * time.Millisecond
 	maxAvoid   = 3 * time.Second
+	// silentAfter is the silence of an upstream at which requests wait after which it
+	// gets no new ones.
+	silentAfter = 1200 * time.Millisecond
 	// defaultHold is taken before any request has ended.
 	defaultHold = 300 * time.Millisecond
 )
@@ -101,6 +109,11 @@
 	r.avoidUntil = now.Add(min(avoid, maxAvoid))
 }
 
+// silent reports whether requests wait there and nothing has been heard for long.
+func (r *replica) silent(now time.Time) bool {
+	return r.waiting > 0 && now.Sub(r.heard) > silentAfter
+}
+
 func (r *replica) succeeded() {
 	r.failures = 0
 	r.trouble -= averageStep * r.trouble
--- a/core/spend/spend.go
+++ b/core/spend/spend.go
@@ -33,7 +33,10 @@
 type Budget struct {
 	Limits Limits
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// began is the time of the first call; slices are counted from it, so that a time of
+	// day that is set doesn't move them.
+	began    time.Time
 	entries  int
 	services map[ident.Service]*window
 }
@@ -89,8 +92,11 @@
 		w = &window{}
 		b.services[s] = w
 	}
-	step := max(int64(b.Limits.Window)/slices, 1)
-	w.advance(now.UnixNano() / step)
+	if b.began.IsZero() {
+		b.began = now
+	}
+	step := max(b.Limits.Window/slices, 1)
+	w.advance(int64(now.Sub(b.began) / step))
 	return w
 }
 
--- a/core/spill/spill.go
+++ b/core/spill/spill.go
@@ -10,15 +10,19 @@
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/member"
 	"arbutustrestle/core/mesh"
+	"arbutustrestle/core/rank"
 )
 
 const (
 	// crossing is the time that the way to another region and back adds to the first
 	// answer.
 	crossing = 130 * time.Millisecond
-	// margin is what another region has to be better by, since reports are late and
+	// minMargin is what another region has to be better by, since reports are late and
 	// bytes between regions are paid for.
-	margin = 120 * time.Millisecond
+	minMargin = 60 * time.Millisecond
+	// marginSpread is added in part, by subject: the subjects that go away are then the
+	// same for all entries and over time, and each is read in few regions.
+	marginSpread = 200 * time.Millisecond
 	// staleAfter is the age from which on a region's report isn't used.
 	staleAfter = 3 * time.Second
 )
@@ -26,8 +30,8 @@
 // Region is what is known of another region for one service.
 type Region struct {
 	Name ident.Region
-	// Wait is what its entries report, the least of them.
-	Wait time.Duration
+	// Waits are what its entries report by rank, the longest of them.
+	Waits mesh.ByRank[time.Duration]
 	// Rate is the prompt tokens that it reads in a millisecond, or 0.
 	Rate     float64
 	Replicas int
@@ -78,14 +82,16 @@
 func merge(list []Region, r mesh.Record, s mesh.ServiceLoad) []Region {
 	for i := range list {
 		if list[i].Name == r.Region {
-			list[i].Wait = max(list[i].Wait, s.Wait)
+			for rank, wait := range s.Waits {
+				list[i].Waits[rank] = max(list[i].Waits[rank], wait)
+			}
 			list[i].Replicas = max(list[i].Replicas, s.Replicas)
 			list[i].Rate = max(list[i].Rate, s.TokensPerMilli)
 			list[i].Entries = append(list[i].Entries, r)
 			return list
 		}
 	}
-	return append(list, Region{Name: r.Region, Wait: s.Wait, Rate: s.TokensPerMilli, Replicas: s.Replicas, Entries: []mesh.Record{r}})
+	return append(list, Region{Name: r.Region, Waits: s.Waits, Rate: s.TokensPerMilli, Replicas: s.Replicas, Entries: []mesh.Record{r}})
 }
 
 // Ask is what the decision has to know of a request.
@@ -97,6 +103,10 @@
 	// upstream here takes the request.
 	Local time.Duration
 	Here  bool
+	// Rank is that of the route; zero is the most urgent.
+	Rank int
+	// Subject names what requests share; empty for none.
+	Subject string
 	// Allowed reports whether a region may serve the request.
 	Allowed func(ident.Region) bool
 	// Excluded regions have refused it.
@@ -106,8 +116,10 @@
 // Choice is a region to send a request to.
 type Choice struct {
 	Region Region
-	// First is the projected time to the first answer there, the way included.
+	// First is the projected time to the first answer there, the way included, and Wait
+	// the part of it until an upstream turns to the request.
 	First time.Duration
+	Wait  time.Duration
 }
 
 // Pick returns the region where the first answer is due soonest, when it is better
@@ -121,29 +133,36 @@
 		if r.Replicas == 0 || !a.Allowed(r.Name) || contains(a.Excluded, r.Name) {
 			continue
 		}
-		first := t.project(now, a, r)
-		if !found || first < best.First {
-			best = Choice{Region: r, First: first}
+		c := t.project(now, a, r)
+		if !found || c.First < best.First {
+			best = c
 			found = true
 		}
 	}
-	if !found || a.Here && best.First+margin >= a.Local {
+	if !found || a.Here && best.First+margin(a.Subject) >= a.Local {
 		return Choice{}, false
 	}
 	return best, true
 }
 
+// margin returns what another region has to be better by for a subject.
+func margin(subject string) time.Duration {
+	part := float64(rank.Score("margin", subject)>>32) / (1 << 32)
+	return minMargin + time.Duration(part*float64(marginSpread))
+}
+
 // project adds to a region's report the way, the prompt, and what was sent there
 // since the report was made.
-func (t *Table) project(now time.Time, a Ask, r Region) time.Duration {
-	first := r.Wait + crossing
+func (t *Table) project(now time.Time, a Ask, r Region) Choice {
+	wait := r.Waits[mesh.Rank(a.Rank)] + crossing
 	if r.Rate <= 0 {
-		return first
+		return Choice{Region: r, First: wait, Wait: wait}
 	}
-	single := r.Rate / float64(r.Replicas)
-	read := float64(a.Tokens) / single
 	pending := t.pending(now, sentKey{r.Name, a.Service}) / r.Rate
-	return first + time.Duration((read+pending)*float64(time.Millisecond))
+	wait += time.Duration(pending * float64(time.Millisecond))
+	single := r.Rate / float64(r.Replicas)
+	read := time.Duration(float64(a.Tokens) / single * float64(time.Millisecond))
+	return Choice{Region: r, First: wait + read, Wait: wait}
 }
 
 func (t *Table) pending(now time.Time, k sentKey) float64 {
--- a/core/spill/spill_test.go
+++ b/core/spill/spill_test.go
@@ -19,7 +19,7 @@
 			Region: region,
 			Phase:  member.Ready,
 			Services: []mesh.ServiceLoad{
-				{Service: "chat", Wait: wait, Replicas: 4, TokensPerMilli: 320},
+				{Service: "chat", Waits: mesh.ByRank[time.Duration]{wait, wait, wait, wait}, Replicas: 4, TokensPerMilli: 320},
 			},
 		},
 		Alive: true,
--- a/io/edge/call.go
+++ b/io/edge/call.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"arbutustrestle/core/ident"
+	"arbutustrestle/core/mesh"
 	"arbutustrestle/core/pool"
 	"arbutustrestle/core/result"
 	"arbutustrestle/core/rules"
@@ -74,8 +75,14 @@
 	first time.Time
 	// bytes counts those of the answer that were passed on.
 	bytes int
-	// waited is the projected wait on which the request was sent or refused.
-	waited time.Duration
+	// projected is what the request was sent or refused on, and uncached the part of its
+	// prompt that was expected to be read.
+	projected pool.Projection
+	uncached  int
+	// ahead is the prompt tokens that waited at the upstream, and inFlight the requests
+	// of this entry there, this one included.
+	ahead    mesh.ByRank[int]
+	inFlight int
 }
 
 // whole is an answer that was read to its end.
@@ -87,7 +94,22 @@
 
 // ask returns what the choice of an upstream has to know.
 func (c *Call) ask() pool.Ask {
-	return pool.Ask{Service: c.Service, Tokens: c.Prompt, Parts: c.Parts, Excluded: c.tried}
+	return pool.Ask{
+		Service:  c.Service,
+		Tokens:   c.Prompt,
+		Parts:    c.Parts,
+		Rank:     c.Route.Priority,
+		Excluded: c.tried,
+	}
+}
+
+// subject returns the longest shared start of the prompt: all but the last part, which
+// is the request's own.
+func (c *Call) subject() string {
+	if len(c.Parts) < 2 {
+		return ""
+	}
+	return c.Parts[len(c.Parts)-2].ID
 }
 
 // count notes that the request is sent.
--- a/io/edge/pass.go
+++ b/io/edge/pass.go
@@ -28,21 +28,21 @@
 	minStall = 1500 * time.Millisecond
 )
 
-// pass passes an answer on. The first function is called when its first byte is there.
-func (c *Core) pass(ctx context.Context, cancel context.CancelCauseFunc, call *Call, a *sender.Answer, sink Sink, first func()) *result.Failure {
+// pass passes an answer on. The function heard is called whenever a part of it comes.
+func (c *Core) pass(ctx context.Context, cancel context.CancelCauseFunc, call *Call, a *sender.Answer, sink Sink, heard func()) *result.Failure {
 	defer func() { _ = a.Body.Close() }()
 	success := a.Status >= 200 && a.Status < 300
 	if success && !a.Meta.Signed {
 		return c.fail(ctx, call, result.AnswerMismatch, errors.New("a success without a signature"))
 	}
 	if success && call.Route.Kind == rules.Stream {
-		return c.passStream(ctx, cancel, call, a, sink, first)
+		return c.passStream(ctx, cancel, call, a, sink, heard)
 	}
 	if call.begun {
 		// The caller has the first part of a stream, which this doesn't continue.
 		return c.fail(ctx, call, result.UpstreamStatus, errors.Errorf("status %d instead of the rest of a stream", a.Status))
 	}
-	return c.passBody(ctx, call, a, sink, first)
+	return c.passBody(ctx, call, a, sink, heard)
 }
 
 func (c *Core) fail(ctx context.Context, call *Call, reason result.Reason, err error) *result.Failure {
@@ -58,9 +58,9 @@
 
 // passBody reads an answer whole and passes it on; a long one is passed on as it
 // comes once more than holdBytes of it are there.
-func (c *Core) passBody(ctx context.Context, call *Call, a *sender.Answer, sink Sink, first func()) *result.Failure {
+func (c *Core) passBody(ctx context.Context, call *Call, a *sender.Answer, sink Sink, heard func()) *result.Failure {
 	held, err := io.ReadAll(io.LimitReader(a.Body, holdBytes))
-	first()
+	heard()
 	if err != nil {
 		return c.fail(ctx, call, result.AnswerCut, err)
 	}
@@ -125,7 +125,7 @@
 
 // passStream passes events on as they come. Of a stream that may be resumed only whole
 // events are passed on, so that another upstream can go on after the last of them.
-func (c *Core) passStream(ctx context.Context, cancel context.CancelCauseFunc, call *Call, a *sender.Answer, sink Sink, first func()) *result.Failure {
+func (c *Core) passStream(ctx context.Context, cancel context.CancelCauseFunc, call *Call, a *sender.Answer, sink Sink, heard func()) *result.Failure {
 	stall := c.stall(call, cancel)
 	defer stall.Stop()
 	events := &events{whole: call.Route.Resumable}
@@ -134,7 +134,8 @@
 		n, err := a.Body.Read(buffer)
 		if n > 0 {
 			stall.Reset(stallTime(call.Route))
-			if failure := c.passEvents(call, a, events, buffer[:n], sink, first); failure != nil {
+			heard()
+			if failure := c.passEvents(call, a, events, buffer[:n], sink); failure != nil {
 				return failure
 			}
 		}
@@ -147,12 +148,12 @@
 	}
 }
 
-func (c *Core) passEvents(call *Call, a *sender.Answer, e *events, p []byte, sink Sink, first func()) *result.Failure {
+func (c *Core) passEvents(call *Call, a *sender.Answer, e *events, p []byte, sink Sink) *result.Failure {
 	ready := e.add(p)
 	if len(ready) == 0 {
 		return nil
 	}
-	if failure := c.begin(call, a, sink, first); failure != nil {
+	if failure := c.begin(call, a, sink); failure != nil {
 		return failure
 	}
 	n, err := sink.Write(ready)
@@ -167,8 +168,7 @@
 }
 
 // begin passes the head on, once for all upstreams that a stream comes from.
-func (c *Core) begin(call *Call, a *sender.Answer, sink Sink, first func()) *result.Failure {
-	first()
+func (c *Core) begin(call *Call, a *sender.Answer, sink Sink) *result.Failure {
 	if call.begun {
 		return nil
 	}
@@ -183,7 +183,7 @@
 // endStream passes on what follows the last whole event; at a proper end that is
 // part of the answer.
 func (c *Core) endStream(call *Call, a *sender.Answer, e *events, sink Sink) *result.Failure {
-	if failure := c.begin(call, a, sink, func() {}); failure != nil {
+	if failure := c.begin(call, a, sink); failure != nil {
 		return failure
 	}
 	if len(e.partial) == 0 {
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -69,7 +69,10 @@
 	if !found {
 		return refuse(result.StepRoute, result.NoUpstream, noUpstreamWait)
 	}
-	call.waited = lease.Projection.Wait
+	call.projected = lease.Projection
+	call.uncached = lease.Uncached
+	call.ahead = lease.Ahead
+	call.inFlight = lease.InFlight
 	call.peer = string(lease.Listed.ID)
 	call.count()
 	answer, failure := c.Sender.Send(ctx, c.describe(call, lease))
@@ -84,7 +87,7 @@
 }
 
 // copyAnswer passes an answer back as it comes.
-func (c *Core) copyAnswer(ctx context.Context, call *Call, a *sender.Answer, reply *relay.Reply, first func(time.Time)) *result.Failure {
+func (c *Core) copyAnswer(ctx context.Context, call *Call, a *sender.Answer, reply *relay.Reply, heard func(time.Time)) *result.Failure {
 	call.begun = true
 	StripHop(a.Header)
 	if err := reply.Head(a); err != nil {
@@ -94,10 +97,11 @@
 	for {
 		n, err := a.Body.Read(buffer)
 		if n > 0 {
+			now := c.Clock.Now()
 			if call.first.IsZero() {
-				call.first = c.Clock.Now()
-				first(call.first)
+				call.first = now
 			}
+			heard(now)
 			call.bytes += n
 			if _, err := reply.Write(buffer[:n]); err != nil {
 				return gone(call, err)
--- a/io/edge/run.go
+++ b/io/edge/run.go
@@ -97,11 +97,11 @@
 	if !here && !away {
 		return place{}, refuse(result.StepRoute, result.NoUpstream, c.comeBack(noUpstreamWait, left))
 	}
-	wait := local.Wait
+	call.projected = local
 	if away {
-		wait = remote.First
+		call.projected = pool.Projection{Wait: remote.Wait, First: remote.First}
 	}
-	call.waited = wait
+	wait := call.projected.Wait
 	if limit := waitLimit(call, left); wait > limit {
 		return place{}, refuse(result.StepAdmit, result.Overloaded, c.comeBack(wait-limit/2, left))
 	}
@@ -112,6 +112,9 @@
 	if !found {
 		return place{}, refuse(result.StepRoute, result.NoUpstream, c.comeBack(noUpstreamWait, left))
 	}
+	call.uncached = lease.Uncached
+	call.ahead = lease.Ahead
+	call.inFlight = lease.InFlight
 	return place{lease: lease}, nil
 }
 
@@ -125,6 +128,8 @@
 		Tokens:   call.Prompt,
 		Local:    local.First,
 		Here:     here,
+		Rank:     call.Route.Priority,
+		Subject:  call.subject(),
 		Allowed:  call.Route.Allows,
 		Excluded: call.visited,
 	})
--- a/io/edge/serve.go
+++ b/io/edge/serve.go
@@ -240,7 +240,12 @@
 			Str("service", string(call.Service)).
 			Uint64("config-version", call.Version).
 			Int("sends", call.sends).
-			Int64("projected-wait-ms", call.waited.Milliseconds()).
+			Int64("projected-wait-ms", call.projected.Wait.Milliseconds()).
+			Int64("projected-first-ms", call.projected.First.Milliseconds()).
+			Int("prompt-tokens", call.Prompt).
+			Int("uncached-tokens", call.uncached).
+			Ints("tokens-ahead", call.ahead[:]).
+			Int("in-flight-there", call.inFlight).
 			Int64("left-ms", call.Deadline.Sub(now).Milliseconds())
 		c.Times.Request(call.Route.Kind, took)
 	}
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -91,8 +91,13 @@
 	_ = s.conn.SetReadDeadline(at)
 }
 
-// Close ends the exchange in both directions.
+// ended is a deadline that has passed.
+var ended = time.Unix(1, 0)
+
+// Close ends the exchange in both directions. A reader returns at once: yamux would
+// let it wait for the other end, and spin while the session ends.
 func (s *Stream) Close() {
+	_ = s.conn.SetReadDeadline(ended)
 	_ = s.conn.Close()
 }
 
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -56,11 +56,7 @@
 		return nil, failed(result.Unknown, result.PeerUnreachable, address, err)
 	}
 	stream.SetDeadline(time.Time{})
-	stop := context.AfterFunc(ctx, func() {
-		stream.Close()
-		// A reader would else wait until the other end has closed as well.
-		stream.SetReadDeadline(time.Unix(1, 0))
-	})
+	stop := context.AfterFunc(ctx, stream.Close)
 	a := &answer{stream: stream, stop: stop, id: r.Attempt.RequestID, address: address}
 	head, failure := a.head()
 	if failure != nil {
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -156,3 +156,27 @@
 		t.Fatalf("failure %v", failure)
 	}
 }
+
+// A request that is given up ends at once here, though the other entry doesn't close
+// the stream: a reader that waited for it would hold the caller up.
+func TestGivenUp(t *testing.T) {
+	block := make(chan struct{})
+	t.Cleanup(func() { close(block) })
+	links, address := startPeer(t, func(_ *link.Stream, r *Reply) {
+		_ = r.Head(head())
+		<-block
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	answer, failure := Send(ctx, links, address, &Request{Attempt: sender.Attempt{RequestID: "1"}})
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	time.AfterFunc(20*time.Millisecond, cancel)
+	began := time.Now()
+	if _, err := answer.Body.Read(make([]byte, 1)); err == nil || errors.Is(err, io.EOF) {
+		t.Fatalf("error %v", err)
+	}
+	if took := time.Since(began); took > time.Second {
+		t.Fatalf("took %s", took)
+	}
+}
--- a/io/wire/relay.go
+++ b/io/wire/relay.go
@@ -37,13 +37,13 @@
 		m.Loads = append(m.Loads, &ReplicaLoad{
 			Upstream:     string(l.Upstream),
 			InFlight:     uint32(max(0, l.InFlight)),
-			PromptTokens: uint32(max(0, l.PromptTokens)),
+			PromptTokens: tokensToWire(l.PromptTokens),
 		})
 	}
 	for _, s := range r.Services {
 		m.Services = append(m.Services, &ServiceLoad{
 			Service:     string(s.Service),
-			WaitMs:      milliseconds(s.Wait),
+			WaitMs:      waitsToWire(s.Waits),
 			Replicas:    uint32(max(0, s.Replicas)),
 			TokensPerMs: float32(s.TokensPerMilli),
 		})
@@ -89,16 +89,48 @@
 		r.Loads = append(r.Loads, mesh.ReplicaLoad{
 			Upstream:     ident.Upstream(l.GetUpstream()),
 			InFlight:     int(l.GetInFlight()),
-			PromptTokens: int(l.GetPromptTokens()),
+			PromptTokens: tokensFromWire(l.GetPromptTokens()),
 		})
 	}
 	for _, s := range m.GetServices() {
 		r.Services = append(r.Services, mesh.ServiceLoad{
 			Service:        ident.Service(s.GetService()),
-			Wait:           time.Duration(s.GetWaitMs()) * time.Millisecond,
+			Waits:          waitsFromWire(s.GetWaitMs()),
 			Replicas:       int(s.GetReplicas()),
 			TokensPerMilli: float64(max(0, s.GetTokensPerMs())),
 		})
 	}
 	return r, nil
 }
+
+func tokensToWire(tokens mesh.ByRank[int]) []uint32 {
+	list := make([]uint32, len(tokens))
+	for rank, n := range tokens {
+		list[rank] = uint32(max(0, n))
+	}
+	return list
+}
+
+func tokensFromWire(list []uint32) mesh.ByRank[int] {
+	var tokens mesh.ByRank[int]
+	for rank := range min(len(list), len(tokens)) {
+		tokens[rank] = int(list[rank])
+	}
+	return tokens
+}
+
+func waitsToWire(waits mesh.ByRank[time.Duration]) []uint32 {
+	list := make([]uint32, len(waits))
+	for rank, w := range waits {
+		list[rank] = milliseconds(w)
+	}
+	return list
+}
+
+func waitsFromWire(list []uint32) mesh.ByRank[time.Duration] {
+	var waits mesh.ByRank[time.Duration]
+	for rank := range min(len(list), len(waits)) {
+		waits[rank] = time.Duration(list[rank]) * time.Millisecond
+	}
+	return waits
+}
