Take late in a drain only what ends in time, and nothing between the last look and the end

Change: io/edge.Drain admits after 3 s only what has to be answered before the process ends (table test first); the daemon refuses all before its last look and closes gracefully.

--- a/io/daemon/gateway.go
+++ b/io/daemon/gateway.go
@@ -343,10 +343,8 @@
 }
 
 const (
-	// refuseBefore is how long before the end of the grace time new requests are
-	// refused, so that those that run can end.
-	refuseBefore = 3500 * time.Millisecond
-	// exitBefore is how long before it the process ends, whatever still runs.
+	// exitBefore is how long before the end of the grace time the process ends,
+	// whatever still runs.
 	exitBefore = 250 * time.Millisecond
 	// minDrain is the time in which callers learn of the other entries.
 	minDrain = 3 * time.Second
@@ -361,23 +359,35 @@
 	grace := g.settings.Bounds.Grace
 	g.log.Info().Int("in-flight", g.core.InFlight()).Dur("grace", grace).Msg("draining")
 	g.loop.SetPhase(ctx, member.Draining)
-	for {
-		time.Sleep(drainStep)
-		passed := time.Since(began)
-		if passed > grace-refuseBefore {
-			g.core.RefuseNew()
-		}
-		if passed > grace-exitBefore || passed > minDrain && g.core.InFlight() == 0 {
-			break
-		}
-	}
+	g.core.Drain(edge.Drain{Strict: began.Add(min(minDrain, grace/2)), Exit: began.Add(grace - exitBefore)})
+	exit := began.Add(grace - exitBefore)
+	g.awaitQuiet(began.Add(minDrain), exit)
+	// A request that comes between the last look and the end would be cut.
+	g.core.Drain(edge.Drain{Strict: began, Exit: began})
+	g.awaitQuiet(began, exit)
 	g.loop.SetPhase(ctx, member.Stopped)
 	time.Sleep(drainStep)
 	g.log.Info().Int("in-flight", g.core.InFlight()).Dur("took", time.Since(began)).Msg("stopped")
-	_ = g.caller.Close()
+	closing, cancel := context.WithDeadline(ctx, exit)
+	defer cancel()
+	if err := g.caller.Shutdown(closing); err != nil {
+		g.log.Warn().Err(err).Int("in-flight", g.core.InFlight()).Msg("requests cut off at the end of the grace time")
+	}
 	for _, s := range g.others {
 		_ = s.Close()
 	}
 	g.cancel()
 	g.links.Close()
 }
+
+// awaitQuiet returns when no request is in flight, not before one time and not after
+// another.
+func (g *gateway) awaitQuiet(after, until time.Time) {
+	for {
+		now := time.Now()
+		if now.After(until) || now.After(after) && g.core.InFlight() == 0 {
+			return
+		}
+		time.Sleep(drainStep)
+	}
+}
--- /dev/null
+++ b/io/edge/drain_test.go
@@ -0,0 +1,34 @@
+package edge
+
+import (
+	"testing"
+	"time"
+)
+
+// A request that was taken late in a drain and outlasts the process would be cut,
+// though its caller could have gone elsewhere.
+func TestDrainAdmits(t *testing.T) {
+	term := time.Unix(1_800_000_000, 0)
+	d := Drain{Strict: term.Add(3 * time.Second), Exit: term.Add(8 * time.Second)}
+	cases := []struct {
+		name     string
+		drain    Drain
+		at       time.Duration
+		lifetime time.Duration
+		want     bool
+	}{
+		{"no drain", Drain{}, 5 * time.Second, 15 * time.Second, true},
+		{"a plan right after the signal", d, time.Second, 15 * time.Second, true},
+		{"a plan when callers know", d, 4300 * time.Millisecond, 10 * time.Second, false},
+		{"a quick question when callers know", d, 4300 * time.Millisecond, 3 * time.Second, true},
+		{"a quick question at the end", d, 6 * time.Second, 3 * time.Second, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			now := term.Add(c.at)
+			if got := c.drain.Admits(now, now.Add(c.lifetime)); got != c.want {
+				t.Errorf("admitted: %v", got)
+			}
+		})
+	}
+}
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -62,7 +62,7 @@
 
 func (c *Core) relayOnce(ctx context.Context, call *Call, reply *relay.Reply) *result.Failure {
 	now := c.Clock.Now()
-	if c.flight.refusing.Load() {
+	if !c.admits(call.Deadline) {
 		return refuse(result.StepAdmit, result.Draining, 0)
 	}
 	lease, found := c.Pool.Pick(now, call.ask())
--- a/io/edge/serve.go
+++ b/io/edge/serve.go
@@ -29,8 +29,8 @@
 // flight counts the requests that are being served.
 type flight struct {
 	requests atomic.Int64
-	// refusing is set while new requests are refused, at the end of a drain.
-	refusing atomic.Bool
+	// drain is nil until the entry is told to stop.
+	drain atomic.Pointer[Drain]
 }
 
 // InFlight returns the number of requests that are being served.
@@ -38,9 +38,15 @@
 	return int(c.flight.requests.Load())
 }
 
-// RefuseNew refuses all requests that come from now on.
-func (c *Core) RefuseNew() {
-	c.flight.refusing.Store(true)
+// Drain begins the way to the end: what comes too late to be answered is refused.
+func (c *Core) Drain(d Drain) {
+	c.flight.drain.Store(&d)
+}
+
+// admits reports whether a request that has to be answered by a deadline is taken.
+func (c *Core) admits(deadline time.Time) bool {
+	d := c.flight.drain.Load()
+	return d == nil || d.Admits(c.Clock.Now(), deadline)
 }
 
 // Handler serves callers. It matches no paths itself: routes do.
@@ -95,7 +101,7 @@
 	if err != nil {
 		return badRequest(result.BadRequest, err)
 	}
-	if view.Config == nil || c.flight.refusing.Load() {
+	if view.Config == nil {
 		return refuse(result.StepAdmit, result.NotReady, notReadyWait)
 	}
 	route, found := view.Config.Match(r.Host, r.URL.EscapedPath())
@@ -106,6 +112,12 @@
 	call.Version = view.Config.Version
 	call.Service = route.Pick(rand.Float64())
 	call.Deadline = call.Arrived.Add(lifetime(route.Timeout, request.Remaining))
+	if !c.admits(call.Deadline) {
+		return refuse(result.StepAdmit, result.Draining, minComeBack)
+	}
+	if !route.Resumable {
+		call.LastEvent = ""
+	}
 	return readBody(call, r, view.Config.Limits.BodyBytes)
 }
 
--- a/io/entry/admit.go
+++ b/io/entry/admit.go
@@ -64,8 +64,10 @@
 	admit admit.Gate
 	// refused counts the refusals since the last demand.
 	refused atomic.Int64
-	// wanted is the last demand.
+	// wanted is the last demand, and want what it follows from; want is used under the
+	// lock of Gates.
 	wanted atomic.Int64
+	want   share.Want
 
 	mu sync.Mutex
 	// waiting has a channel for each ticket in the queue; it is closed when the
@@ -137,7 +139,7 @@
 	for _, name := range slices.Sorted(maps.Keys(g.gates)) {
 		gate := g.gates[name]
 		admitted, waiting := gate.admit.Load()
-		wanted := admitted + waiting + int(gate.refused.Swap(0))
+		wanted := gate.want.Sample(admitted, waiting, int(gate.refused.Swap(0)))
 		gate.wanted.Store(int64(wanted))
 		if wanted > 0 {
 			demands = append(demands, node.Demand{Group: name, Wanted: wanted})
