Project the wait behind the prompt that an engine is reading

Change: core/pool keeps the requests without a first answer in order, takes off what was read of the oldest, and tells the others of the region; a request waits for what is as urgent and for the rest of a prompt that is being read.

--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -48,8 +48,17 @@
 type ReplicaLoad struct {
 	Upstream ident.Upstream
 	InFlight int
-	// PromptTokens were sent and have not been answered by a first event.
+	// PromptTokens were sent and have not been read yet.
 	PromptTokens ByRank[int]
+	// Reading is the one of these prompts that is read first.
+	Reading Reading
+}
+
+// Reading is what is left of a prompt that an engine is reading. Engines read a prompt
+// to its end before they turn to the next one, however urgent.
+type Reading struct {
+	Rank   int
+	Tokens int
 }
 
 // ServiceLoad is what a further request for a service would meet in a region.
--- a/core/pool/lease.go
+++ b/core/pool/lease.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"arbutustrestle/core/mesh"
@@ -49,7 +50,7 @@
 	InFlight int
 	Uncached int
 
-	rank    int
+	request *waiting
 	pool    *Pool
 	replica *replica
 	started time.Time
@@ -65,6 +66,7 @@
 	if !l.readPrompt() {
 		return
 	}
+	l.replica.turned = now
 	l.noteSpeed(now)
 	if l.Projection.Wait == 0 {
 		l.pool.learn(l.Uncached, now.Sub(l.started))
@@ -77,8 +79,8 @@
 		return false
 	}
 	l.first = true
-	l.replica.tokens[l.rank] -= l.Uncached
-	l.replica.waiting--
+	r := l.replica
+	r.waiting = slices.DeleteFunc(r.waiting, func(w *waiting) bool { return w == l.request })
 	return true
 }
 
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -79,6 +79,7 @@
 			for rank, tokens := range l.PromptTokens {
 				r.others.tokens[rank] += tokens
 			}
+			r.others.reading = append(r.others.reading, l.Reading)
 		}
 	}
 }
@@ -194,14 +195,13 @@
 	if r.isCold(now) {
 		r.coldSent = now
 	}
-	rank := mesh.Rank(a.Rank)
-	ahead := r.ahead()
+	ahead, _ := p.ahead(now, r)
+	request := &waiting{rank: mesh.Rank(a.Rank), tokens: best.uncached, sent: now}
 	r.inFlight++
-	r.tokens[rank] += best.uncached
-	if r.waiting == 0 {
+	if len(r.waiting) == 0 {
 		r.heard = now
 	}
-	r.waiting++
+	r.waiting = append(r.waiting, request)
 	r.prompts.touch(now, a.Parts)
 	return &Lease{
 		Projection: best.Projection,
@@ -210,7 +210,7 @@
 		Cold:       r.isCold(now),
 		InFlight:   r.inFlight,
 		Uncached:   best.uncached,
-		rank:       rank,
+		request:    request,
 		pool:       p,
 		replica:    r,
 		started:    now,
@@ -299,17 +299,12 @@
 	// troubleCost is the cost of an upstream at which all requests fail, in
 	// milliseconds.
 	troubleCost = 3000
-	// sameRank and lessUrgent are the parts of the backlog of the same rank and of less
-	// urgent ones that hold a request up: prompts are read in turns, so that a short
-	// one ends before long ones that came first, and urgent ones are read first.
-	sameRank   = 0.6
-	lessUrgent = 0.07
 	// overtaken is how much longer the backlog takes for all but the most urgent rank:
 	// more urgent requests come while they wait.
-	overtaken = 2
+	overtaken = 1.5
 	// rereadCost is how many times the time to read a shared part counts that another
 	// upstream keeps: beside the time here it takes capacity, and memory from others.
-	rereadCost = 1.5
+	rereadCost = 4
 	// maxSlow bounds how much slower than expected an upstream is taken to be.
 	maxSlow = 8
 )
@@ -323,7 +318,7 @@
 	if a.Tokens > 0 {
 		kept := p.kept(now, a, r, home)
 		uncached = max(0, a.Tokens-kept)
-		backlog = r.backlog(a.Rank) / p.rate
+		backlog = p.backlog(now, r, mesh.Rank(a.Rank)) / p.rate
 		reread = float64(max(0, sharedTokens(a.Parts)-kept)) / p.rate * rereadCost
 	}
 	wait := backlog + p.queue(r, running)
@@ -372,34 +367,56 @@
 	p.rate += sampleStep * (min(max(sample, set/maxRateError), set*maxRateError) - p.rate)
 }
 
-// ahead returns the prompt tokens that wait to be read, by rank.
-func (r *replica) ahead() mesh.ByRank[int] {
-	tokens := r.tokens
+// ahead returns the prompt tokens that wait to be read at an upstream, by rank, and the
+// prompts one of which is being read.
+func (p *Pool) ahead(now time.Time, r *replica) (mesh.ByRank[int], []mesh.Reading) {
+	tokens, reading := p.own(now, r)
 	for rank, n := range r.others.tokens {
 		tokens[rank] += n
 	}
-	return tokens
+	return tokens, append(r.others.reading[:len(r.others.reading):len(r.others.reading)], reading)
+}
+
+// own returns the same for the requests of this entry alone. Of the oldest, what was
+// read since it was sent, or since the upstream last turned to another, is taken off.
+func (p *Pool) own(now time.Time, r *replica) (mesh.ByRank[int], mesh.Reading) {
+	var tokens mesh.ByRank[int]
+	var reading mesh.Reading
+	for i, w := range r.waiting {
+		left := w.tokens
+		if i == 0 {
+			since := w.sent
+			if r.turned.After(since) {
+				since = r.turned
+			}
+			read := p.rate * float64(now.Sub(since)) / float64(time.Millisecond)
+			left = max(0, left-int(read))
+			reading = mesh.Reading{Rank: w.rank, Tokens: left}
+		}
+		tokens[w.rank] += left
+	}
+	return tokens, reading
 }
 
 // backlog returns the prompt tokens that an upstream reads before those of a request
-// of a rank.
-func (r *replica) backlog(rank int) float64 {
-	total := 0.0
-	own := mesh.Rank(rank)
-	for i, n := range r.ahead() {
-		switch {
-		case i < own:
-			total += float64(n)
-		case i == own:
-			total += sameRank * float64(n)
-		default:
-			total += lessUrgent * float64(n)
+// of a rank: all that are as urgent, and what is left of a less urgent prompt that is
+// being read.
+func (p *Pool) backlog(now time.Time, r *replica, rank int) float64 {
+	tokens, reading := p.ahead(now, r)
+	total := 0
+	for _, n := range tokens[:rank+1] {
+		total += n
+	}
+	blocking := 0
+	for _, x := range reading {
+		if x.Rank > rank {
+			blocking = max(blocking, x.Tokens)
 		}
 	}
-	if own > 0 {
-		total *= overtaken
+	if rank > 0 {
+		return overtaken*float64(total) + float64(blocking)
 	}
-	return total
+	return float64(total + blocking)
 }
 
 // sharedTokens returns the length of the parts that other requests may share: all but
@@ -438,14 +455,16 @@
 }
 
 // Loads returns what this entry has in flight at each upstream.
-func (p *Pool) Loads() []mesh.ReplicaLoad {
+func (p *Pool) Loads(now time.Time) []mesh.ReplicaLoad {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var list []mesh.ReplicaLoad
 	for id, r := range p.replicas {
-		if r.inFlight > 0 {
-			list = append(list, mesh.ReplicaLoad{Upstream: id, InFlight: r.inFlight, PromptTokens: r.tokens})
+		if r.inFlight == 0 {
+			continue
 		}
+		tokens, reading := p.own(now, r)
+		list = append(list, mesh.ReplicaLoad{Upstream: id, InFlight: r.inFlight, PromptTokens: tokens, Reading: reading})
 	}
 	return list
 }
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -205,8 +205,8 @@
 	}
 }
 
-// Under a backlog of plans, a quick question waits little, and a plan waits for the
-// quick questions before it.
+// Under a backlog of plans, a quick question waits for the one that is being read, and
+// a plan for all of them.
 func TestRanks(t *testing.T) {
 	p := newPool("entry-1", 1)
 	for n := range 10 {
@@ -214,11 +214,31 @@
 	}
 	urgent, _ := p.Project(start, prompt("x", 0))
 	plan, _ := p.Project(start, prompt("x", 1))
-	if urgent.Wait*4 > plan.Wait {
+	if urgent.Wait < 100*time.Millisecond || urgent.Wait*4 > plan.Wait {
 		t.Errorf("urgent waits %s, a plan %s", urgent.Wait, plan.Wait)
 	}
 }
 
+// A long prompt holds up all that come after it, however urgent, so that quick
+// questions go elsewhere until most of it has been read.
+func TestLongPrompt(t *testing.T) {
+	p := newPool("entry-1", 2)
+	long := Ask{Service: "chat", Tokens: 50000, Rank: 1}
+	first, _ := p.Pick(start, long)
+	for n := range 3 {
+		quick := Ask{Service: "chat", Tokens: 1500}
+		lease, _ := p.Pick(start.Add(time.Duration(n)*time.Millisecond), quick)
+		if lease.Listed.ID == first.Listed.ID {
+			t.Errorf("quick question %d waits behind the long prompt", n)
+		}
+		lease.End(start.Add(time.Duration(n)*time.Millisecond), Answered)
+	}
+	later := start.Add(800 * time.Millisecond)
+	if wait := p.weigh(later, Ask{Service: "chat", Tokens: 1500}, p.replicas[first.Listed.ID], false).Wait; wait > 100*time.Millisecond {
+		t.Errorf("after most of it was read, a quick question would wait %s", wait)
+	}
+}
+
 // What other entries have in flight counts like what this one has.
 func TestOthers(t *testing.T) {
 	p := newPool("entry-1", 2)
--- a/core/pool/replica.go
+++ b/core/pool/replica.go
@@ -35,6 +35,8 @@
 type foreign struct {
 	inFlight int
 	tokens   mesh.ByRank[int]
+	// reading holds the prompts that are read first, one of each entry.
+	reading []mesh.Reading
 }
 
 // replica is one run of an upstream, and what is believed of it.
@@ -43,10 +45,10 @@
 	// gone is set when it has left the list; what runs there may still end.
 	gone bool
 
-	// inFlight and tokens count this entry's own requests: those not yet ended, and
-	// the prompt tokens of those not yet answered by a first event.
+	// inFlight counts this entry's own requests that have not ended, and waiting holds
+	// those without a first answer, in the order in which they were sent.
 	inFlight int
-	tokens   mesh.ByRank[int]
+	waiting  []*waiting
 	others   foreign
 
 	// coldUntil is zero while it is warm.
@@ -65,14 +67,22 @@
 	slow float64
 	// hold is the moving average of the time that a request holds its slot.
 	hold time.Duration
-	// waiting counts the requests of this entry without a first answer. heard is when
-	// the upstream last answered anything, or when waiting last rose from zero.
-	waiting int
-	heard   time.Time
+	// heard is when the upstream last answered anything, or when a request was sent while
+	// none waited; turned is when it last gave a first answer.
+	heard  time.Time
+	turned time.Time
 
 	prompts promptCache
 }
 
+// waiting is a request without a first answer.
+type waiting struct {
+	rank int
+	// tokens is the part of its prompt that has to be read.
+	tokens int
+	sent   time.Time
+}
+
 const (
 	// averageStep is the weight of the newest request in moving averages.
 	averageStep = 0.15
@@ -111,7 +121,7 @@
 
 // silent reports whether requests wait there and nothing has been heard for long.
 func (r *replica) silent(now time.Time) bool {
-	return r.waiting > 0 && now.Sub(r.heard) > silentAfter
+	return len(r.waiting) > 0 && now.Sub(r.heard) > silentAfter
 }
 
 func (r *replica) succeeded() {
--- a/io/edge/call.go
+++ b/io/edge/call.go
@@ -73,6 +73,9 @@
 	peer string
 	// first is when the first byte of the answer was passed on.
 	first time.Time
+	// last is when a part of a stream last came, and pause the longest time between two.
+	last  time.Time
+	pause time.Duration
 	// bytes counts those of the answer that were passed on.
 	bytes int
 	// projected is what the request was sent or refused on, and uncached the part of its
@@ -92,6 +95,14 @@
 	body   []byte
 }
 
+// heard notes that a part of the answer has come.
+func (c *Call) heard(now time.Time) {
+	if !c.last.IsZero() {
+		c.pause = max(c.pause, now.Sub(c.last))
+	}
+	c.last = now
+}
+
 // ask returns what the choice of an upstream has to know.
 func (c *Call) ask() pool.Ask {
 	return pool.Ask{
@@ -136,9 +147,9 @@
 	}
 }
 
-// last returns the failure to end the request with: what an earlier attempt left
+// final returns the failure to end the request with: what an earlier attempt left
 // unknown stays unknown, whatever is known of the last one.
-func (c *Call) last(f *result.Failure) *result.Failure {
+func (c *Call) final(f *result.Failure) *result.Failure {
 	if f.Outcome != result.NotRun || c.unknown == nil {
 		return f
 	}
--- a/io/edge/pass.go
+++ b/io/edge/pass.go
@@ -134,6 +134,7 @@
 		n, err := a.Body.Read(buffer)
 		if n > 0 {
 			stall.Reset(stallTime(call.Route))
+			call.heard(c.Clock.Now())
 			heard()
 			if failure := c.passEvents(call, a, events, buffer[:n], sink); failure != nil {
 				return failure
--- a/io/edge/run.go
+++ b/io/edge/run.go
@@ -52,7 +52,7 @@
 	for {
 		to, refusal := c.choose(call)
 		if refusal != nil {
-			return c.give(call, sink, call.last(refusal))
+			return c.give(call, sink, call.final(refusal))
 		}
 		failure := c.attempt(ctx, call, to, sink)
 		if failure == nil {
@@ -60,7 +60,7 @@
 		}
 		call.note(failure)
 		if !c.again(ctx, call, failure) {
-			return c.give(call, sink, call.last(failure))
+			return c.give(call, sink, call.final(failure))
 		}
 		c.Metrics.Retried(failure)
 		c.Log.Info().
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -203,7 +203,7 @@
 	l.mesh.Self(func(r *mesh.Record) {
 		r.Operator = l.stores[publ.Operator].Revision()
 		r.List = l.stores[publ.Upstreams].Revision()
-		r.Loads = l.parts.Pool.Loads()
+		r.Loads = l.parts.Pool.Loads(now)
 		r.Services = l.parts.Pool.Services(now)
 	})
 	for _, s := range l.mesh.Beat(now) {
--- a/io/wire/relay.go
+++ b/io/wire/relay.go
@@ -35,9 +35,11 @@
 	}
 	for _, l := range r.Loads {
 		m.Loads = append(m.Loads, &ReplicaLoad{
-			Upstream:     string(l.Upstream),
-			InFlight:     uint32(max(0, l.InFlight)),
-			PromptTokens: tokensToWire(l.PromptTokens),
+			Upstream:      string(l.Upstream),
+			InFlight:      uint32(max(0, l.InFlight)),
+			PromptTokens:  tokensToWire(l.PromptTokens),
+			ReadingRank:   uint32(max(0, l.Reading.Rank)),
+			ReadingTokens: uint32(max(0, l.Reading.Tokens)),
 		})
 	}
 	for _, s := range r.Services {
@@ -90,6 +92,7 @@
 			Upstream:     ident.Upstream(l.GetUpstream()),
 			InFlight:     int(l.GetInFlight()),
 			PromptTokens: tokensFromWire(l.GetPromptTokens()),
+			Reading:      mesh.Reading{Rank: int(l.GetReadingRank()), Tokens: int(l.GetReadingTokens())},
 		})
 	}
 	for _, s := range m.GetServices() {
