Count a subject's preferred upstream though the first part of the prompt is kept anywhere

Change: the credit is the greater of what was sent and 0.8 of the shared parts; a test with two entries that have sent other subjects failed first.

--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -292,7 +292,7 @@
 const (
 	// homeShare is the part of the shared prompt that the preferred upstream is
 	// believed to keep though this entry didn't send it there.
-	homeShare = 0.5
+	homeShare = 0.8
 	// runningCost is what each running request adds to the time until an answer
 	// begins, in milliseconds, since steps of a fuller batch take longer.
 	runningCost = 1.5
@@ -432,10 +432,10 @@
 // kept guesses the tokens of a prompt that an upstream needn't read again.
 func (p *Pool) kept(now time.Time, a Ask, r *replica, home bool) int {
 	kept := r.prompts.cached(now, a.Parts)
-	if !home || kept > 0 {
+	if !home {
 		return kept
 	}
-	return int(float64(sharedTokens(a.Parts)) * homeShare)
+	return max(kept, int(float64(sharedTokens(a.Parts))*homeShare))
 }
 
 // queue projects the wait for a slot in milliseconds: for 8 requests on 6 slots that
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -296,3 +296,29 @@
 		})
 	}
 }
+
+// Entries agree on where a subject goes although each has sent other subjects, with
+// which it shares the first part of the prompt, to all upstreams.
+func TestSubjectsAfterOthers(t *testing.T) {
+	first, second := newPool("entry-1", 8), newPool("entry-2", 8)
+	for n := range 40 {
+		a, _ := first.Pick(start, prompt(fmt.Sprintf("other-%d", n), 1))
+		b, _ := second.Pick(start, prompt(fmt.Sprintf("another-%d", n), 1))
+		a.End(start, Answered)
+		b.End(start, Answered)
+	}
+	differ := 0
+	for n := range 40 {
+		subject := fmt.Sprintf("subject-%d", n)
+		a, _ := first.Pick(start, prompt(subject, 1))
+		b, _ := second.Pick(start, prompt(subject, 1))
+		a.End(start, Answered)
+		b.End(start, Answered)
+		if a.Listed.ID != b.Listed.ID {
+			differ++
+		}
+	}
+	if differ > 0 {
+		t.Errorf("%d of 40 subjects go to two upstreams", differ)
+	}
+}
