Leave watches waiting for 3.5 s

Change: 1.5 -> 3.5 s. A connection that has gone silent is noticed within 4.2 s, which is inside the 5 s after which a machine is held to the bounds again, and beats tell what a peer holds.

--- a/io/follow/values.go
+++ b/io/follow/values.go
@@ -17,7 +17,7 @@
 	// watchWait is how long a watch is left waiting. A connection that has gone silent
 	// is noticed that late, which leaves the rest of the time in which a change must be
 	// in force for a new read.
-	watchWait = 1500 * time.Millisecond
+	watchWait = 3500 * time.Millisecond
 	// listTimeout bounds one read of a group.
 	listTimeout = 1200 * time.Millisecond
 	// firstBackoff and maxBackoff bound the pause after a failed read, with jitter.
