Keep the connection of a refused attempt; prove the bytes on connections

Cause: a table test of what an upstream may answer showed that a connection on which a request was shed, or met another upstream, was given back and then closed. Change: an exchange ends once.

--- a/io/sender/sender.go
+++ b/io/sender/sender.go
@@ -156,6 +156,8 @@
 	sent chan error
 	// spoiled connections are not reused, though the answer is whole.
 	spoiled bool
+	// ended is set once the connection was given back or closed.
+	ended bool
 }
 
 func (x *exchange) run(ctx context.Context) (*Answer, *result.Failure) {
@@ -318,6 +320,7 @@
 // release gives the connection back if the whole request was read off it. One that
 // was answered early is closed: the upstream may still be reading its body.
 func (x *exchange) release(keep time.Duration) {
+	x.ended = true
 	select {
 	case err := <-x.sent:
 		x.spoiled = x.spoiled || err != nil
@@ -332,6 +335,10 @@
 }
 
 func (x *exchange) discard() {
+	if x.ended {
+		return
+	}
+	x.ended = true
 	x.stop()
 	_ = x.conn.Close()
 }
--- /dev/null
+++ b/io/sender/sender_test.go
@@ -0,0 +1,345 @@
+package sender
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+
+	"arbutustrestle/core/clock"
+	"arbutustrestle/core/result"
+)
+
+// codec speaks of attempts in headers of the test's own.
+type codec struct{}
+
+func (codec) Head(a *Attempt) http.Header {
+	return http.Header{"Id": {a.RequestID}, "Wants": {string(a.Upstream)}}
+}
+
+func (codec) Read(status int, h http.Header) Meta {
+	return Meta{
+		RequestID: h.Get("Id"),
+		NotRun:    h.Get("Not-Run") != "",
+		Replaced:  status == http.StatusMisdirectedRequest,
+		Signed:    h.Get("Signed") != "",
+	}
+}
+
+// upstream does what a test says with each request of each connection.
+type upstream struct {
+	address netip.AddrPort
+
+	mu sync.Mutex
+	// arrivals holds "CONNECTION/ID" of each request.
+	arrivals []string
+}
+
+// startUpstream serves connections; serve is called for each request and returns false
+// to end the connection.
+func startUpstream(t *testing.T, serve func(c *net.TCPConn, r *http.Request, id string) bool) *upstream {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	u := &upstream{address: l.Addr().(*net.TCPAddr).AddrPort()}
+	go func() {
+		for n := 0; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go u.serve(c.(*net.TCPConn), n, serve)
+		}
+	}()
+	return u
+}
+
+func (u *upstream) serve(c *net.TCPConn, n int, serve func(*net.TCPConn, *http.Request, string) bool) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		id := r.Header.Get("Id")
+		u.mu.Lock()
+		u.arrivals = append(u.arrivals, fmt.Sprintf("%d/%s", n, id))
+		u.mu.Unlock()
+		if !serve(c, r, id) {
+			return
+		}
+	}
+}
+
+func (u *upstream) seen() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return strings.Join(u.arrivals, " ")
+}
+
+func say(c net.Conn, format string, args ...any) {
+	_, _ = fmt.Fprintf(c, strings.ReplaceAll(format, "\n", "\r\n"), args...)
+}
+
+func reset(c *net.TCPConn) bool {
+	_ = c.SetLinger(0)
+	return false
+}
+
+func newClient() *Client {
+	return NewClient(codec{}, clock.System{}, time.Second)
+}
+
+func attempt(u *upstream, id string) *Attempt {
+	return &Attempt{RequestID: id, Upstream: "u-1", Address: u.address, Method: http.MethodPost, Target: "/x?y=%2F", Host: "h", Body: []byte("body")}
+}
+
+// send makes one attempt and reads the answer to its end.
+func send(t *testing.T, c *Client, a *Attempt) (string, *result.Failure, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	answer, failure := c.Send(ctx, a)
+	if failure != nil {
+		return "", failure, nil
+	}
+	body, err := io.ReadAll(answer.Body)
+	_ = answer.Body.Close()
+	return string(body), nil, err
+}
+
+// What one answer says of the request, of itself, and of its connection.
+func TestAnswers(t *testing.T) {
+	cases := []struct {
+		name  string
+		serve func(c *net.TCPConn, r *http.Request, id string) bool
+		// body, cut and failure describe the first answer; next is the connection that the
+		// second request arrives on.
+		body    string
+		cut     bool
+		outcome result.Outcome
+		reason  result.Reason
+		next    string
+	}{
+		{name: "whole", serve: func(c *net.TCPConn, _ *http.Request, id string) bool {
+			say(c, "HTTP/1.1 200 OK\nId: %s\nContent-Length: 2\n\nab", id)
+			return true
+		}, body: "ab", next: "0/2"},
+		{name: "chunked", serve: func(c *net.TCPConn, _ *http.Request, id string) bool {
+			say(c, "HTTP/1.1 200 OK\nId: %s\nTransfer-Encoding: chunked\n\n2\nab\n0\n\n", id)
+			return true
+		}, body: "ab", next: "0/2"},
+		{name: "bytes after the answer", serve: func(c *net.TCPConn, _ *http.Request, id string) bool {
+			say(c, "HTTP/1.1 200 OK\nId: %s\nContent-Length: 2\n\nabHTTP/1.1 200 OK\nId: 2\nContent-Length: 1\n\nz", id)
+			return true
+		}, body: "ab", next: "1/2"},
+		{name: "late answer of another request first", serve: func(c *net.TCPConn, _ *http.Request, id string) bool {
+			say(c, "HTTP/1.1 200 OK\nId: 0\nContent-Length: 1\n\nzHTTP/1.1 200 OK\nId: %s\nContent-Length: 2\n\nab", id)
+			return true
+		}, body: "ab", next: "1/2"},
+		{name: "answer without an id", serve: func(c *net.TCPConn, _ *http.Request, _ string) bool {
+			say(c, "HTTP/1.1 200 OK\nContent-Length: 2\n\nab")
+			return true
+		}, outcome: result.Unknown, reason: result.AnswerMismatch, next: "1/2"},
+		{name: "no answer in the protocol", serve: func(c *net.TCPConn, _ *http.Request, _ string) bool {
+			say(c, "\x00\x01 what\n\n")
+			return false
+		}, outcome: result.Unknown, reason: result.AnswerMismatch, next: "1/2"},
+		{name: "closed without an answer", serve: func(*net.TCPConn, *http.Request, string) bool { return false },
+			outcome: result.Unknown, reason: result.AnswerCut, next: "1/2"},
+		{name: "reset without an answer", serve: func(c *net.TCPConn, _ *http.Request, _ string) bool { return reset(c) },
+			outcome: result.Unknown, reason: result.AnswerCut, next: "1/2"},
+		{name: "cut in the body", serve: func(c *net.TCPConn, _ *http.Request, id string) bool {
+			say(c, "HTTP/1.1 200 OK\nId: %s\nContent-Length: 9\n\nab", id)
+			return false
+		}, body: "ab", cut: true, next: "1/2"},
+		{name: "cut between chunks", serve: func(c *net.TCPConn, _ *http.Request, id string) bool {
+			say(c, "HTTP/1.1 200 OK\nId: %s\nTransfer-Encoding: chunked\n\n2\nab\n", id)
+			return false
+		}, body: "ab", cut: true, next: "1/2"},
+		{name: "no length, closed", serve: func(c *net.TCPConn, _ *http.Request, id string) bool {
+			say(c, "HTTP/1.1 200 OK\nId: %s\n\nab", id)
+			return false
+		}, body: "ab", next: "1/2"},
+		{name: "no length, reset", serve: func(c *net.TCPConn, _ *http.Request, id string) bool {
+			say(c, "HTTP/1.1 200 OK\nId: %s\n\nab", id)
+			time.Sleep(50 * time.Millisecond)
+			return reset(c)
+		}, body: "ab", cut: true, next: "1/2"},
+		{name: "told to close", serve: func(c *net.TCPConn, _ *http.Request, id string) bool {
+			say(c, "HTTP/1.1 200 OK\nId: %s\nConnection: close\nContent-Length: 2\n\nab", id)
+			return true
+		}, body: "ab", next: "1/2"},
+		{name: "no time to keep", serve: func(c *net.TCPConn, _ *http.Request, id string) bool {
+			say(c, "HTTP/1.1 200 OK\nId: %s\nKeep-Alive: timeout=0\nContent-Length: 2\n\nab", id)
+			return true
+		}, body: "ab", next: "1/2"},
+		{name: "shed", serve: func(c *net.TCPConn, _ *http.Request, id string) bool {
+			say(c, "HTTP/1.1 503 Full\nId: %s\nNot-Run: 1\nContent-Length: 2\n\nab", id)
+			return true
+		}, outcome: result.NotRun, reason: result.UpstreamRefused, next: "0/2"},
+		{name: "another upstream", serve: func(c *net.TCPConn, _ *http.Request, id string) bool {
+			say(c, "HTTP/1.1 421 Misdirected\nId: %s\nContent-Length: 0\n\n", id)
+			return true
+		}, outcome: result.NotRun, reason: result.UpstreamLeaving, next: "0/2"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			u := startUpstream(t, func(conn *net.TCPConn, r *http.Request, id string) bool {
+				if id == "2" {
+					say(conn, "HTTP/1.1 200 OK\nId: 2\nContent-Length: 0\n\n")
+					return true
+				}
+				return c.serve(conn, r, id)
+			})
+			client := newClient()
+			body, failure, err := send(t, client, attempt(u, "1"))
+			switch {
+			case failure == nil && c.reason != result.ReasonNone:
+				t.Fatalf("answered %q", body)
+			case failure != nil && (failure.Outcome != c.outcome || failure.Reason != c.reason):
+				t.Fatalf("failure %v", failure)
+			case body != c.body || (err != nil) != c.cut:
+				t.Fatalf("read %q, error %v", body, err)
+			}
+			if body, failure, err := send(t, client, attempt(u, "2")); body != "" || failure != nil || err != nil {
+				t.Fatalf("second: %q, %v, %v", body, failure, err)
+			}
+			if want := "0/1 " + c.next; u.seen() != want {
+				t.Fatalf("arrivals %q, not %q", u.seen(), want)
+			}
+		})
+	}
+}
+
+// The request arrives as it was sent, and once.
+func TestRequestBytes(t *testing.T) {
+	got := make(chan string, 1)
+	u := startUpstream(t, func(c *net.TCPConn, r *http.Request, id string) bool {
+		body, _ := io.ReadAll(r.Body)
+		got <- fmt.Sprintf("%s %s %s %s %s", r.Method, r.RequestURI, r.Host, r.Header.Get("Wants"), body)
+		say(c, "HTTP/1.1 200 OK\nId: %s\nContent-Length: 0\n\n", id)
+		return true
+	})
+	if _, failure, err := send(t, newClient(), attempt(u, "1")); failure != nil || err != nil {
+		t.Fatal(failure, err)
+	}
+	if want := "POST /x?y=%2F h u-1 body"; <-got != want {
+		t.Fatalf("not %q", want)
+	}
+}
+
+// An upstream that answers before it has read a long body may read on: its connection
+// isn't given to the next request.
+func TestEarlyAnswer(t *testing.T) {
+	u := startUpstream(t, func(c *net.TCPConn, _ *http.Request, id string) bool {
+		say(c, "HTTP/1.1 413 Long\nId: %s\nContent-Length: 2\n\nab", id)
+		time.Sleep(200 * time.Millisecond)
+		return id != "1"
+	})
+	client := newClient()
+	long := attempt(u, "1")
+	long.Body = make([]byte, 8<<20)
+	if body, failure, err := send(t, client, long); body != "ab" || failure != nil || err != nil {
+		t.Fatalf("%q, %v, %v", body, failure, err)
+	}
+	if _, failure, _ := send(t, client, attempt(u, "2")); failure != nil {
+		t.Fatal(failure)
+	}
+	if u.seen() != "0/1 1/2" {
+		t.Fatalf("arrivals %q", u.seen())
+	}
+}
+
+// A connection that was closed or spoken on while it was idle isn't used.
+func TestIdleConnection(t *testing.T) {
+	for _, name := range []string{"closed", "reset", "unasked bytes"} {
+		t.Run(name, func(t *testing.T) {
+			u := startUpstream(t, func(c *net.TCPConn, _ *http.Request, id string) bool {
+				say(c, "HTTP/1.1 200 OK\nId: %s\nContent-Length: 0\n\n", id)
+				if id != "1" {
+					return true
+				}
+				time.Sleep(20 * time.Millisecond)
+				switch name {
+				case "reset":
+					return reset(c)
+				case "unasked bytes":
+					say(c, "HTTP/1.1 200 OK\nId: 2\nContent-Length: 1\n\nz")
+					return true
+				}
+				return false
+			})
+			client := newClient()
+			if _, failure, _ := send(t, client, attempt(u, "1")); failure != nil {
+				t.Fatal(failure)
+			}
+			time.Sleep(100 * time.Millisecond)
+			if body, failure, err := send(t, client, attempt(u, "2")); body != "" || failure != nil || err != nil {
+				t.Fatalf("%q, %v, %v", body, failure, err)
+			}
+			if u.seen() != "0/1 1/2" {
+				t.Fatalf("arrivals %q", u.seen())
+			}
+		})
+	}
+}
+
+// Where nobody listens nothing was sent.
+func TestRefusedDial(t *testing.T) {
+	l, _ := net.Listen("tcp", "127.0.0.1:0")
+	u := &upstream{address: l.Addr().(*net.TCPAddr).AddrPort()}
+	_ = l.Close()
+	_, failure, _ := send(t, newClient(), attempt(u, "1"))
+	if failure == nil || failure.Outcome != result.NotRun || failure.Reason != result.ConnectFailed {
+		t.Fatalf("failure %v", failure)
+	}
+}
+
+// A caller that leaves closes the upstream's connection at once, before the answer and
+// within it.
+func TestCancel(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		t.Run(fmt.Sprintf("begun %v", begun), func(t *testing.T) {
+			gone := make(chan time.Time, 1)
+			u := startUpstream(t, func(c *net.TCPConn, _ *http.Request, id string) bool {
+				if begun {
+					say(c, "HTTP/1.1 200 OK\nId: %s\nContent-Length: 9\n\nab", id)
+				}
+				_, _ = c.Read(make([]byte, 1))
+				gone <- time.Now()
+				return false
+			})
+			ctx, cancel := context.WithCancel(context.Background())
+			time.AfterFunc(50*time.Millisecond, cancel)
+			answer, failure := newClient().Send(ctx, attempt(u, "1"))
+			if failure == nil {
+				_, err := io.ReadAll(answer.Body)
+				if err == nil || errors.Is(err, io.EOF) {
+					t.Fatalf("error %v", err)
+				}
+				_ = answer.Body.Close()
+			} else if failure.Outcome != result.Unknown || failure.Reason != result.CallerGone {
+				t.Fatalf("failure %v", failure)
+			}
+			select {
+			case <-gone:
+			case <-time.After(2 * time.Second):
+				t.Fatal("the connection stays open")
+			}
+		})
+	}
+}
