Explain a request from logs; tell callers of shed requests when to come back

Cause: tests of the whole request path with stand-ins (io/edge) found that an attempt on a route without an objective was given up after milliseconds, and that a request shed by upstreams was refused without a Retry-After. Change: patience of 500 ms at least; a refusal of what has not run always says when to come back, within a third of the time left; 'explain ID LOG...' shows the timeline of a request with the beliefs around it; log times have milliseconds. Ruled out: the upstreams of the test; the cancelled dial was the cause.

--- a/io/cmds/cmds.go
+++ b/io/cmds/cmds.go
@@ -47,6 +47,7 @@
 		&entryCommand{out: os.Stdout},
 		&statusCommand{out: os.Stdout},
 		&drainCommand{out: os.Stdout},
+		&explainCommand{out: os.Stdout},
 	}
 }
 
--- a/io/edge/run.go
+++ b/io/edge/run.go
@@ -74,12 +74,18 @@
 	}
 }
 
-// give passes an upstream's own failure on when that is all there is.
+// give passes an upstream's own failure on when that is all there is. A caller whose
+// request has not run is told when to come back.
 func (c *Core) give(call *Call, sink Sink, f *result.Failure) *result.Failure {
-	if call.held == nil || call.begun {
-		return f
+	if call.held != nil && !call.begun {
+		return c.passWhole(call, sink, call.held)
 	}
-	return c.passWhole(call, sink, call.held)
+	if f.Outcome == result.NotRun && f.RetryAfter == 0 {
+		told := *f
+		told.RetryAfter = c.comeBack(noUpstreamWait, call.Deadline.Sub(c.Clock.Now()))
+		return &told
+	}
+	return f
 }
 
 // choose finds the place where the first answer is due soonest, or says why the
@@ -163,10 +169,17 @@
 // comeBack spreads the return of refused callers. They may come back within a third
 // of the time that they have left.
 func (c *Core) comeBack(wait, left time.Duration) time.Duration {
-	wait = min(max(wait, minComeBack), left/3)
-	return wait + time.Duration(rand.Float64()*0.5*float64(wait))
+	limit := max(left/3, time.Millisecond)
+	spread := time.Duration(rand.Float64() * comeBackSpread * float64(wait))
+	if wait = max(wait, minComeBack) + spread; wait <= limit {
+		return wait
+	}
+	return limit - time.Duration(rand.Float64()*comeBackSpread*float64(limit)/2)
 }
 
+// comeBackSpread is the part of a wait over which the return of callers is spread.
+const comeBackSpread = 0.5
+
 func refuse(step result.Step, reason result.Reason, after time.Duration) *result.Failure {
 	return &result.Failure{Outcome: result.NotRun, Step: step, Reason: reason, RetryAfter: after}
 }
@@ -344,11 +357,15 @@
 		return time.NewTimer(time.Hour)
 	}
 	left := call.Deadline.Sub(c.Clock.Now())
-	wait := min(max(overdue*projected, call.Route.Objective), left/2)
+	wait := min(max(overdue*projected, call.Route.Objective, minPatience), left/2)
 	return time.AfterFunc(wait, func() {
 		cancel(&result.Failure{Outcome: result.Unknown, Step: result.StepAttempt, Reason: result.FirstByteTimeout})
 	})
 }
 
-// overdue is how many times the projected time an attempt is waited for.
-const overdue = 3
+const (
+	// overdue is how many times the projected time an attempt is waited for.
+	overdue = 3
+	// minPatience is waited for whatever was projected.
+	minPatience = 500 * time.Millisecond
+)
--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -9,6 +9,13 @@
 	"github.com/rs/zerolog"
 )
 
+// timeFormat has milliseconds, so that the lines of one request can be put in order.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+func init() {
+	zerolog.TimeFieldFormat = timeFormat
+}
+
 // New returns a logger that writes lines of the given level ("debug", "info",
 // "warn" or "error") and above. It returns a NotValid error for another level.
 func New(w io.Writer, level, instance string) (zerolog.Logger, error) {
