--- a/io/cmds/explain.go
+++ b/io/cmds/explain.go
@@ -98,7 +98,10 @@
 			continue
 		}
 		var fields map[string]any
-		if json.Unmarshal([]byte("{"+text), &fields) != nil {
+		decoder := json.NewDecoder(strings.NewReader("{" + text))
+		// Run numbers don't fit a float.
+		decoder.UseNumber()
+		if decoder.Decode(&fields) != nil {
 			continue
 		}
 		lines = append(lines, newLine(fields))
--- a/io/follow/values.go
+++ b/io/follow/values.go
@@ -14,10 +14,10 @@
 )
 
 const (
-	// watchWait is how long a watch is left waiting. A connection that has gone silent
-	// is noticed that late, which leaves the rest of the time in which a change must be
-	// in force for a new read.
-	watchWait = 3500 * time.Millisecond
+	// watchWait is how long a watch is left waiting. A watch that has gone silent is
+	// noticed that late, which leaves the rest of the 3 s in which a change must be in
+	// force for a new read.
+	watchWait = 2 * time.Second
 	// listTimeout bounds one read of a group.
 	listTimeout = 1200 * time.Millisecond
 	// firstBackoff and maxBackoff bound the pause after a failed read, with jitter.
