Tell a region's entries every 105 ms or so what is in flight

Change: beats within a region come at 35 ms for each entry there, 400 ms at most; to other regions every 400 ms as before. A record that is passed on carries its age, so that a killed entry isn't kept alive by late introductions (TestLeave failed first).

--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -1,7 +1,8 @@
 // Package mesh keeps what an entry knows of the others where no published list names
 // them: entries find each other through seeds and tell each other who they know. It
-// compares no clocks of two machines: a record is as fresh as the moment at which
-// its sequence was last seen to grow.
+// compares no clocks of two machines: a record is as fresh as the moment at which its
+// sequence was last seen to grow, here or, less the time for which it was held, at the
+// entry that passed it on.
 package mesh
 
 import (
@@ -16,18 +17,24 @@
 )
 
 const (
-	// BeatInterval is the time between two beats. Five of them fit the time after
-	// which a silent entry is left out.
+	// Tick is the time between two calls of Beat.
+	Tick = 100 * time.Millisecond
+	// BeatInterval is the time between two beats to an entry of another region. Five of
+	// them fit the time after which a silent entry is left out.
 	BeatInterval = 400 * time.Millisecond
+	// nearShare is how much longer the interval within a region gets with each entry
+	// there: what an entry has in flight matters to the others until they hear of it, and
+	// the cost of telling grows with their number.
+	nearShare = 35 * time.Millisecond
 	// silentAfter is the silence after which an entry is not named to callers.
 	silentAfter = 2500 * time.Millisecond
 	// forgetAfter is the silence after which an entry counts no more; until then it
 	// is still sent beats now and then, so that islands find each other again.
 	forgetAfter = 2 * time.Minute
-	// retryBeats is the number of beats between two sent to a silent entry or seed.
-	retryBeats = 3
-	// introduceBeats is the number of beats between two that name third entries.
-	introduceBeats = 5
+	// retryInterval is the time between two beats to a silent entry or seed.
+	retryInterval = 1200 * time.Millisecond
+	// introduceInterval is the time between two beats that name third entries.
+	introduceInterval = 2 * time.Second
 	// maxFanout bounds the alive entries of one kind of place that a beat goes to.
 	maxFanout = 12
 )
@@ -88,6 +95,9 @@
 	// Operator and List are the revisions of the published values that it holds.
 	Operator uint64
 	List     uint64
+	// Age is how long ago the sender of a beat heard of this state; zero in its own
+	// record. Times on the way are not in it.
+	Age time.Duration
 	// Loads is told within a region, Services everywhere. Both are missing from
 	// records that a third entry passes on.
 	Loads    []ReplicaLoad
@@ -111,8 +121,14 @@
 	seeds  []netip.AddrPort
 	random *rand.Rand
 	others map[ident.Instance]*held
-	beats  int
 	last   time.Time
+
+	// The times at which beats of each kind were last sent.
+
+	near       time.Time
+	far        time.Time
+	retried    time.Time
+	introduced time.Time
 }
 
 // New returns the state of an entry that knows nobody but its seeds.
@@ -139,40 +155,64 @@
 	Records []Record
 }
 
-// Beat returns the beats that are due now. It is called every BeatInterval, and once
-// more when the phase changes.
+// Beat returns the beats that are due now. It is called every Tick.
 func (s *State) Beat(now time.Time) []Send {
 	s.notePause(now)
-	s.beats++
+	near, far, silent := s.places(now)
 	s.self.Sequence++
-	introduced := s.self
-	introduced.Loads = nil
-	near := []Record{s.self}
-	far := []Record{introduced}
-	if s.beats%introduceBeats == 1 || len(s.others) == 0 {
+	own := s.self
+	own.Loads = nil
+	toNear := []Record{s.self}
+	toFar := []Record{own}
+	if due(&s.introduced, now, introduceInterval) || len(near)+len(far) == 0 {
 		known := s.introductions(now)
-		near = append(near, known...)
-		far = append(far, known...)
+		toNear = append(toNear, known...)
+		toFar = append(toFar, known...)
+		s.near = time.Time{}
+		s.far = time.Time{}
 	}
 	var sends []Send
-	for _, h := range s.targets(now) {
-		records := far
-		if h.Region == s.self.Region {
-			records = near
-		}
-		sends = append(sends, Send{To: h.ID, Address: h.Peer, Records: records})
+	if due(&s.near, now, min(nearShare*time.Duration(len(near)+1), BeatInterval)) {
+		sends = appendSends(sends, s.sample(near), toNear)
+	}
+	if due(&s.far, now, BeatInterval) {
+		sends = appendSends(sends, s.sample(far), toFar)
 	}
-	if s.beats%retryBeats != 1 {
+	if !due(&s.retried, now, retryInterval) {
 		return sends
 	}
+	sends = appendSends(sends, silent, toFar)
 	for _, address := range s.seeds {
 		if address != s.self.Peer && !s.knows(now, address) {
-			sends = append(sends, Send{Address: address, Records: far})
+			sends = append(sends, Send{Address: address, Records: toFar})
 		}
 	}
 	return sends
 }
 
+// Announce makes the next call of Beat send to all.
+func (s *State) Announce() {
+	s.near = time.Time{}
+	s.far = time.Time{}
+}
+
+// due reports whether an interval has passed since a time, and moves the time on. Half a
+// tick early is due, since ticks come a little late.
+func due(last *time.Time, now time.Time, interval time.Duration) bool {
+	if !last.IsZero() && now.Sub(*last) < interval-Tick/2 {
+		return false
+	}
+	*last = now
+	return true
+}
+
+func appendSends(sends []Send, to []*held, records []Record) []Send {
+	for _, h := range to {
+		sends = append(sends, Send{To: h.ID, Address: h.Peer, Records: records})
+	}
+	return sends
+}
+
 // notePause shifts what was heard by the time for which this process stood still:
 // its silence says nothing of the others.
 func (s *State) notePause(now time.Time) {
@@ -185,10 +225,9 @@
 	s.last = now
 }
 
-// targets returns the entries that a beat goes to: the alive ones, bounded in each
-// kind of place, and now and then a silent one.
-func (s *State) targets(now time.Time) []*held {
-	var near, far, silent []*held
+// places divides the other entries into the alive ones of the own region and of others,
+// and the silent ones.
+func (s *State) places(now time.Time) (near, far, silent []*held) {
 	for _, id := range s.sorted() {
 		h := s.others[id]
 		switch {
@@ -200,11 +239,7 @@
 			far = append(far, h)
 		}
 	}
-	list := append(s.sample(near), s.sample(far)...)
-	if s.beats%retryBeats == 0 {
-		list = append(list, silent...)
-	}
-	return list
+	return near, far, silent
 }
 
 func (s *State) sample(list []*held) []*held {
@@ -221,6 +256,7 @@
 		h := s.others[id]
 		if h.alive(now) {
 			r := h.Record
+			r.Age = now.Sub(h.heard)
 			r.Loads = nil
 			r.Services = nil
 			list = append(list, r)
@@ -264,7 +300,7 @@
 func (s *State) take(now time.Time, r Record, direct bool) bool {
 	h := s.others[r.ID]
 	if h == nil {
-		h = &held{Record: r, heard: now}
+		h = &held{Record: r, heard: now.Add(-r.Age)}
 		if direct {
 			h.direct = now
 		}
@@ -289,6 +325,7 @@
 	}
 	h.past = append(h.past, h.Start)
 	h.Record = Record{Start: r.Start}
+	h.heard = time.Time{}
 	h.direct = time.Time{}
 	h.update(now, r, direct)
 	return true
@@ -306,7 +343,9 @@
 	// What an entry has said of its end is not taken back within a run.
 	r.Phase = max(r.Phase, h.Phase)
 	h.Record = r
-	h.heard = now
+	if heard := now.Add(-r.Age); heard.After(h.heard) {
+		h.heard = heard
+	}
 }
 
 func (h *held) alive(now time.Time) bool {
--- a/core/mesh/mesh_test.go
+++ b/core/mesh/mesh_test.go
@@ -53,7 +53,7 @@
 }
 
 func (w *world) pass(d time.Duration) {
-	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(BeatInterval) {
+	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(Tick) {
 		w.deliver()
 		for from, s := range w.states {
 			for _, send := range s.Beat(w.now) {
--- a/core/pool/lease.go
+++ b/core/pool/lease.go
@@ -68,7 +68,7 @@
 	}
 	l.replica.turned = now
 	l.noteSpeed(now)
-	if l.Projection.Wait == 0 {
+	if l.Wait == 0 {
 		l.pool.learn(l.Uncached, now.Sub(l.started))
 	}
 }
@@ -93,7 +93,7 @@
 // noteSpeed compares the time to the first answer with what was projected.
 func (l *Lease) noteSpeed(now time.Time) {
 	took := max(now.Sub(l.started), speedFloor)
-	expected := max(l.Projection.First, speedFloor)
+	expected := max(l.First, speedFloor)
 	ratio := min(float64(took)/float64(expected), maxSlow)
 	l.replica.slow += averageStep * (ratio - l.replica.slow)
 }
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -335,14 +335,6 @@
 	}
 }
 
-// read returns the time in milliseconds from the start of a prompt to its first event.
-func (p *Pool) read(tokens int) float64 {
-	if tokens == 0 {
-		return 0
-	}
-	return firstStep + float64(tokens)/p.rate
-}
-
 const (
 	// firstStep is the time to the first event of a prompt that is kept, in
 	// milliseconds.
--- a/io/cmds/explain.go
+++ b/io/cmds/explain.go
@@ -60,7 +60,7 @@
 		return fail(errors.NotFoundf("request %s in %d lines; give the logs of all instances, and of the time of the request,", f.Arg(0), len(lines)))
 	}
 	for _, l := range timeline {
-		fmt.Fprintln(c.out, l.String())
+		_, _ = fmt.Fprintln(c.out, l.String())
 	}
 	return ExitDone
 }
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -362,7 +362,7 @@
 		w := newWorld(t, after, after).ready(t)
 		response, body, err := w.ask(t, "/resume/", "", nil)
 		want := "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
-		if err != nil || response.StatusCode != 200 || body != want {
+		if err != nil || response.StatusCode != http.StatusOK || body != want {
 			t.Fatalf("%q, error %v", body, err)
 		}
 		if w.arrivals() != 2 || !strings.Contains(w.upstreams[0].seen()+" "+w.upstreams[1].seen(), "q1") {
--- a/io/edge/run.go
+++ b/io/edge/run.go
@@ -198,7 +198,7 @@
 	call.count()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	patience := c.patience(call, lease.Projection.First, cancel)
+	patience := c.patience(call, lease.First, cancel)
 	defer patience.Stop()
 	answer, failure := c.Sender.Send(ctx, c.describe(call, lease))
 	if failure == nil && !patience.Stop() {
--- a/io/edge/serve.go
+++ b/io/edge/serve.go
@@ -20,8 +20,6 @@
 const (
 	// defaultTimeout bounds a request when neither its route nor its caller does.
 	defaultTimeout = 30 * time.Second
-	// bodyTimeout bounds the time in which a caller sends its body.
-	bodyTimeout = 10 * time.Second
 	// notReadyWait is when callers may come back to an entry that knows no config yet.
 	notReadyWait = 400 * time.Millisecond
 )
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -85,7 +85,6 @@
 	// leaving holds upstreams that left the list while the platform was away, with the
 	// time at which they are taken to be gone.
 	leaving map[ident.Upstream]time.Time
-	stop    context.CancelFunc
 	sweepAt time.Time
 
 	sendMu  sync.Mutex
@@ -140,7 +139,7 @@
 	for g := range publ.Groups {
 		l.work.Go(func() { l.watch(ctx, g) })
 	}
-	ticker := time.NewTicker(mesh.BeatInterval)
+	ticker := time.NewTicker(mesh.Tick)
 	defer ticker.Stop()
 	l.tick(ctx, l.parts.Clock.Now())
 	for {
@@ -190,6 +189,7 @@
 	l.phase = p
 	l.parts.Log.Info().Str("phase", p.String()).Msg("phase changed")
 	l.mesh.Self(func(r *mesh.Record) { r.Phase = p })
+	l.mesh.Announce()
 	l.beat(ctx, now)
 }
 
--- a/io/follow/values.go
+++ b/io/follow/values.go
@@ -125,7 +125,7 @@
 	}
 	l.health[g].revision.Store(store.Revision())
 	for _, item := range changes {
-		l.bring(now, g, item)
+		l.bring(now, item)
 	}
 	if len(changes) > 0 {
 		l.publish(now)
@@ -134,7 +134,7 @@
 }
 
 // bring brings one value in force.
-func (l *Loop) bring(now time.Time, g publ.Group, item publ.Item) {
+func (l *Loop) bring(now time.Time, item publ.Item) {
 	change, err := l.parts.Decoder.Decode(item)
 	if err != nil {
 		l.parts.Metrics.Events.Add("value-refused", 1)
--- a/io/sender/sender.go
+++ b/io/sender/sender.go
@@ -248,6 +248,7 @@
 }
 
 func (x *exchange) readHead() (*Answer, error) {
+	//nolint:bodyclose // the body goes on in the answer, which is closed by its user
 	response, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.attempt.Method})
 	if err != nil {
 		return nil, errors.Trace(err)
--- a/io/wire/relay.go
+++ b/io/wire/relay.go
@@ -32,6 +32,7 @@
 		Phase:            uint32(r.Phase),
 		OperatorRevision: r.Operator,
 		ListRevision:     r.List,
+		AgeMs:            milliseconds(r.Age),
 	}
 	for _, l := range r.Loads {
 		m.Loads = append(m.Loads, &ReplicaLoad{
@@ -86,6 +87,7 @@
 		Phase:    member.Phase(min(m.GetPhase(), uint32(member.Stopped))),
 		Operator: m.GetOperatorRevision(),
 		List:     m.GetListRevision(),
+		Age:      time.Duration(m.GetAgeMs()) * time.Millisecond,
 	}
 	for _, l := range m.GetLoads() {
 		r.Loads = append(r.Loads, mesh.ReplicaLoad{
