Let entries that start together meet at once, and requests wait briefly for a place

Change: an entry that knows nobody tries seeds every 0.2 s; one that is met is answered at the next tick with all that is known; a request for which no upstream is usable waits for a quarter of its objective. TestMeetSoon failed first.

--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -31,8 +31,10 @@
 	// forgetAfter is the silence after which an entry counts no more; until then it
 	// is still sent beats now and then, so that islands find each other again.
 	forgetAfter = 2 * time.Minute
-	// retryInterval is the time between two beats to a silent entry or seed.
+	// retryInterval is the time between two beats to a silent entry or seed, and
+	// aloneInterval that of an entry which knows nobody yet.
 	retryInterval = 1200 * time.Millisecond
+	aloneInterval = 200 * time.Millisecond
 	// introduceInterval is the time between two beats that name third entries.
 	introduceInterval = 2 * time.Second
 	// maxFanout bounds the alive entries of one kind of place that a beat goes to.
@@ -178,7 +180,11 @@
 	if due(&s.far, now, BeatInterval) {
 		sends = appendSends(sends, s.sample(far), toFar)
 	}
-	if !due(&s.retried, now, retryInterval) {
+	retry := retryInterval
+	if len(near)+len(far) == 0 {
+		retry = aloneInterval
+	}
+	if !due(&s.retried, now, retry) {
 		return sends
 	}
 	sends = appendSends(sends, silent, toFar)
@@ -190,10 +196,9 @@
 	return sends
 }
 
-// Announce makes the next call of Beat send to all.
+// Announce makes the next call of Beat send to all, and name third entries.
 func (s *State) Announce() {
-	s.near = time.Time{}
-	s.far = time.Time{}
+	s.introduced = time.Time{}
 }
 
 // due reports whether an interval has passed since a time, and moves the time on. Half a
@@ -283,16 +288,23 @@
 	return false
 }
 
-// Take takes in a beat. It reports whether its sender was not known before, or is in
-// another phase or run than before, so that a beat should answer at once.
+// Take takes in a beat. It reports whether something else is believed of an entry than
+// before. One that is met for the first time, or in a new run, is answered at the next
+// tick with all that is known, so that entries which start together meet at once.
 func (s *State) Take(now time.Time, records []Record) bool {
 	changed := false
 	for i, r := range records {
 		if r.ID == s.self.ID || r.ID == "" {
 			continue
 		}
-		fresh := s.take(now, r, i == 0)
-		changed = changed || i == 0 && fresh
+		known := s.others[r.ID]
+		met := known != nil && known.Start == r.Start
+		if s.take(now, r, i == 0) {
+			changed = true
+			if !met {
+				s.Announce()
+			}
+		}
 	}
 	return changed
 }
--- a/core/mesh/mesh_test.go
+++ b/core/mesh/mesh_test.go
@@ -152,6 +152,25 @@
 	}
 }
 
+// Entries that start together know each other within a second, though the seeds are the
+// last to start.
+func TestMeetSoon(t *testing.T) {
+	w := newWorld(t)
+	w.seeds = []netip.AddrPort{address(1), address(2), address(200)}
+	for _, n := range []int{0, 3, 4, 5, 6, 7, 8} {
+		w.start(n, 1)
+	}
+	w.pass(300 * time.Millisecond)
+	w.start(1, 1)
+	w.start(2, 1)
+	w.pass(time.Second)
+	for n := range 9 {
+		w.expect(n, 0, 0, 3, 6)
+		w.expect(n, 1, 1, 4, 7)
+		w.expect(n, 2, 2, 5, 8)
+	}
+}
+
 // Regions that are cut off from each other name their own entries, and find each other
 // again after the cut though no seed is in one of them.
 func TestIslands(t *testing.T) {
--- a/io/edge/run.go
+++ b/io/edge/run.go
@@ -39,6 +39,31 @@
 	flight flight
 }
 
+const (
+	// awaitStep is the time between two looks for an upstream while there is none.
+	awaitStep = 40 * time.Millisecond
+	// awaitShare is the part of a route's objective for which a request waits for one to
+	// appear, as when an entry has just started and has not heard from other regions.
+	awaitShare = 0.25
+)
+
+// awaitPlace waits a little while no upstream takes a request, and reports false when it
+// has waited long enough.
+func (c *Core) awaitPlace(ctx context.Context, call *Call) bool {
+	limit := time.Duration(awaitShare * float64(objectiveOf(call)))
+	if c.Clock.Now().Sub(call.Arrived) >= limit {
+		return false
+	}
+	timer := time.NewTimer(awaitStep)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // place is where a request goes next: to an upstream here, or to another region.
 type place struct {
 	// lease is nil for another region.
@@ -51,6 +76,9 @@
 func (c *Core) run(ctx context.Context, call *Call, sink Sink) *result.Failure {
 	for {
 		to, refusal := c.choose(call)
+		if refusal != nil && refusal.Reason == result.NoUpstream && c.awaitPlace(ctx, call) {
+			continue
+		}
 		if refusal != nil {
 			return c.give(call, sink, call.final(refusal))
 		}
@@ -159,11 +187,14 @@
 	if call.begun {
 		return left
 	}
-	objective := call.Route.Objective
-	if objective <= 0 {
-		objective = defaultObjective
+	return min(time.Duration(admitShare*float64(objectiveOf(call))), left)
+}
+
+func objectiveOf(call *Call) time.Duration {
+	if call.Route.Objective <= 0 {
+		return defaultObjective
 	}
-	return min(time.Duration(admitShare*float64(objective)), left)
+	return call.Route.Objective
 }
 
 // comeBack spreads the return of refused callers. They may come back within a third
