--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -293,9 +293,10 @@
 	// homeShare is the part of the shared prompt that the preferred upstream is
 	// believed to keep though this entry didn't send it there.
 	homeShare = 0.8
-	// runningCost is what each running request adds to the time until an answer
-	// begins, in milliseconds, since steps of a fuller batch take longer.
-	runningCost = 1.5
+	// runningCost is what each running request adds to the cost of an upstream, in
+	// milliseconds: steps of a fuller batch take longer, for this request and for all
+	// that run there.
+	runningCost = 8
 	// troubleCost is the cost of an upstream at which all requests fail, in
 	// milliseconds.
 	troubleCost = 3000
