--- a/io/cmds/gateway.go
+++ b/io/cmds/gateway.go
@@ -39,7 +39,7 @@
 // Execute runs the instance.
 func (c *GatewayCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if f.NArg() != 1 {
-		return usage("gateway needs one settings file, such as examples/gateway-west-eu-1.ini")
+		return usage("gateway needs one settings file, such as examples/gateway/west-eu-1.ini")
 	}
 	settings, err := config.ReadGateway(f.Arg(0))
 	if err != nil {
--- a/io/config/config.go
+++ b/io/config/config.go
@@ -117,7 +117,7 @@
 	return entry, nil
 }
 
-// CheckEntry returns every fault of a settings file, and what it names that a table
+// CheckEntry returns every fault of a settings file, of an entry instance or a gateway, and what it names that a table
 // does not have; a nil table is not looked at. The error is that with which the file
 // could not be read.
 func CheckEntry(file string, t *table.Table) (table.Faults, error) {
@@ -125,6 +125,10 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "reading settings")
 	}
+	if IsGateway(data) {
+		_, faults := ParseGateway(file, data)
+		return faults, nil
+	}
 	entry, faults := ParseEntry(file, data)
 	if t != nil && entry.Zone != "" && entry.Region != "" {
 		faults = append(faults, entry.CheckAgainst(t)...)
--- a/io/config/gateway.go
+++ b/io/config/gateway.go
@@ -74,6 +74,17 @@
 	}
 }
 
+// IsGateway reports whether settings are those of a gateway: only these have a list of
+// places.
+func IsGateway(data []byte) bool {
+	for line := range strings.Lines(string(data)) {
+		if strings.TrimSpace(line) == "[places]" {
+			return true
+		}
+	}
+	return false
+}
+
 // ReadGateway reads the settings file of a gateway. It returns table.Faults, whose
 // columns are keys such as "instance.zone", or the error with which the file could not
 // be read.
--- a/io/edge/serve.go
+++ b/io/edge/serve.go
@@ -257,7 +257,7 @@
 			Ints("tokens-ahead", call.ahead[:]).
 			Int("in-flight-there", call.inFlight).
 			Int64("left-ms", call.Deadline.Sub(now).Milliseconds())
-		c.Times.Request(call.Route.Kind, took)
+		c.noteTimes(call, took)
 	}
 	if !call.first.IsZero() {
 		line = line.Int64("first-ms", call.first.Sub(call.Arrived).Milliseconds()).Int("bytes", call.bytes).Int64("longest-pause-ms", call.pause.Milliseconds())
@@ -274,3 +274,15 @@
 		AnErr("cause", f.Cause).
 		Msg("request not answered")
 }
+
+// noteTimes records the times of a request that found its route.
+func (c *Core) noteTimes(call *Call, took time.Duration) {
+	kind := call.Route.Kind
+	c.Times.note(wholeRequest, kind, took)
+	if !call.first.IsZero() {
+		c.Times.note(firstByte, kind, call.first.Sub(call.Arrived))
+	}
+	if call.pause > 0 {
+		c.Times.note(longestPause, kind, call.pause)
+	}
+}
--- a/io/edge/times.go
+++ b/io/edge/times.go
@@ -20,37 +20,65 @@
 // Times keeps latency histograms. Its zero value is empty; it is safe for concurrent
 // use.
 type Times struct {
-	mu       sync.Mutex
-	requests map[rules.Kind]*hdrhistogram.Histogram
+	mu    sync.Mutex
+	times map[timeOf]*hdrhistogram.Histogram
 }
 
-// Request notes the time that a request took, whatever its outcome.
-func (t *Times) Request(k rules.Kind, took time.Duration) {
+// timeOf names a histogram: what was timed, of which kind of request.
+type timeOf struct {
+	what span
+	kind rules.Kind
+}
+
+// span is a part of a request's time.
+type span uint8
+
+const (
+	// wholeRequest is the time from its head to the end of its answer.
+	wholeRequest span = iota
+	// firstByte is the time to the first byte of its answer.
+	firstByte
+	// longestPause is the longest time between two parts of a stream.
+	longestPause
+	spans
+)
+
+var spanNames = [spans]string{"request-ms", "first-ms", "longest-pause-ms"}
+
+// note records a time.
+func (t *Times) note(what span, k rules.Kind, took time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.requests == nil {
-		t.requests = map[rules.Kind]*hdrhistogram.Histogram{}
+	if t.times == nil {
+		t.times = map[timeOf]*hdrhistogram.Histogram{}
 	}
-	h := t.requests[k]
+	name := timeOf{what, k}
+	h := t.times[name]
 	if h == nil {
 		h = hdrhistogram.New(1, longest, digits)
-		t.requests[k] = h
+		t.times[name] = h
 	}
+	// The value is within the histogram's range, outside of which alone it fails.
 	_ = h.RecordValue(min(max(took.Milliseconds(), 1), longest))
 }
 
 // Show adds the histograms to the counters.
 func (t *Times) Show(m *metric.Set) {
-	m.Func("request-ms", func() any { return t.percentiles() })
+	for what, name := range spanNames {
+		m.Func(name, func() any { return t.percentiles(span(what)) })
+	}
 }
 
 // percentiles returns the times of each kind of request, in milliseconds.
-func (t *Times) percentiles() any {
+func (t *Times) percentiles(what span) any {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	shown := map[string]map[string]int64{}
-	for kind, h := range t.requests {
-		shown[kind.String()] = map[string]int64{
+	for name, h := range t.times {
+		if name.what != what {
+			continue
+		}
+		shown[name.kind.String()] = map[string]int64{
 			"count": h.TotalCount(),
 			"p50":   h.ValueAtQuantile(50),
 			"p90":   h.ValueAtQuantile(90),
