--- a/core/pool/replica.go
+++ b/core/pool/replica.go
@@ -42,8 +42,6 @@
 // replica is one run of an upstream, and what is believed of it.
 type replica struct {
 	Listed
-	// gone is set when it has left the list; what runs there may still end.
-	gone bool
 
 	// inFlight counts this entry's own requests that have not ended, and waiting holds
 	// those without a first answer, in the order in which they were sent.
--- a/core/spill/spill.go
+++ b/core/spill/spill.go
@@ -4,6 +4,7 @@
 package spill
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -55,9 +56,8 @@
 
 // sent is a decaying count.
 type sent struct {
-	tokens   float64
-	requests float64
-	at       time.Time
+	tokens float64
+	at     time.Time
 }
 
 // reportDelay is the time after which what was sent shows in a region's reports.
@@ -130,7 +130,7 @@
 	var best Choice
 	found := false
 	for _, r := range t.regions[a.Service] {
-		if r.Replicas == 0 || !a.Allowed(r.Name) || contains(a.Excluded, r.Name) {
+		if r.Replicas == 0 || !a.Allowed(r.Name) || slices.Contains(a.Excluded, r.Name) {
 			continue
 		}
 		c := t.project(now, a, r)
@@ -179,7 +179,6 @@
 	s.at = now
 	left := max(0, 1-float64(age)/float64(reportDelay))
 	s.tokens *= left
-	s.requests *= left
 }
 
 // Sent notes that a request went to a region.
@@ -197,14 +196,4 @@
 	}
 	s.decay(now)
 	s.tokens += float64(tokens)
-	s.requests++
-}
-
-func contains(list []ident.Region, name ident.Region) bool {
-	for _, r := range list {
-		if r == name {
-			return true
-		}
-	}
-	return false
 }
