--- a/io/edge/run.go
+++ b/io/edge/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
-	"time"
 
 	"github.com/rs/zerolog"
 
