--- a/io/link/link.go
+++ b/io/link/link.go
@@ -51,12 +51,16 @@
 type Stream struct {
 	conn   net.Conn
 	reader *bufio.Reader
+	// owner is that of the session; nil for the stream of the hellos.
+	owner *streams
 	// Peer is the incarnation at the other end, as it named itself.
 	Peer Identity
 }
 
-func newStream(conn net.Conn, peer Identity) *Stream {
-	return &Stream{conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), Peer: peer}
+func newStream(conn net.Conn, peer Identity, owner *streams) *Stream {
+	s := &Stream{conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), owner: owner, Peer: peer}
+	owner.note(s)
+	return s
 }
 
 // Send writes one message. The error is of the connection.
@@ -94,17 +98,23 @@
 // ended is a deadline that has passed.
 var ended = time.Unix(1, 0)
 
-// Close ends the exchange in both directions. A reader returns at once: yamux would
-// let it wait for the other end, and spin while the session ends.
+// Close ends the exchange. What the other end has sent can still be read.
 func (s *Stream) Close() {
-	_ = s.conn.SetReadDeadline(ended)
+	s.owner.forget(s)
 	_ = s.conn.Close()
 }
 
+// Abort ends the exchange for readers too, which return at once.
+func (s *Stream) Abort() {
+	_ = s.conn.SetReadDeadline(ended)
+	s.Close()
+}
+
 // session is one yamux session with a peer that has said who it is.
 type session struct {
-	mux  *yamux.Session
-	peer Identity
+	mux     *yamux.Session
+	peer    Identity
+	streams *streams
 }
 
 func (s *session) open() (*Stream, error) {
@@ -112,7 +122,7 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "open a stream to %s", s.peer.Incarnation)
 	}
-	return newStream(conn, s.peer), nil
+	return newStream(conn, s.peer, s.streams), nil
 }
 
 // muxConfig returns the settings of a session; a zero interval takes
@@ -133,7 +143,8 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "dial %s", address)
 	}
-	mux, err := yamux.Client(conn, muxConfig(keepAlive))
+	open := &streams{}
+	mux, err := yamux.Client(&endingConn{Conn: conn, streams: open}, muxConfig(keepAlive))
 	if err != nil {
 		_ = conn.Close()
 		return nil, errors.Annotatef(err, "start a session with %s", address)
@@ -143,7 +154,7 @@
 		_ = mux.Close()
 		return nil, errors.Annotatef(err, "greet %s", address)
 	}
-	return &session{mux: mux, peer: peer}, nil
+	return &session{mux: mux, peer: peer, streams: open}, nil
 }
 
 func greet(mux *yamux.Session, self Identity) (Identity, error) {
@@ -151,7 +162,7 @@
 	if err != nil {
 		return Identity{}, errors.Trace(err)
 	}
-	s := newStream(conn, Identity{})
+	s := newStream(conn, Identity{}, nil)
 	defer s.Close()
 	_ = conn.SetDeadline(time.Now().Add(helloTimeout))
 	if err := s.Send(helloOf(self)); err != nil {
--- a/io/link/server.go
+++ b/io/link/server.go
@@ -66,7 +66,8 @@
 }
 
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
-	mux, err := yamux.Server(conn, muxConfig(s.KeepAlive))
+	open := &streams{}
+	mux, err := yamux.Server(&endingConn{Conn: conn, streams: open}, muxConfig(s.KeepAlive))
 	if err != nil {
 		_ = conn.Close()
 		return
@@ -79,7 +80,7 @@
 		s.Log.Warn().Err(err).Str("step", "hello").Str("peer", conn.RemoteAddr().String()).Msg("link refused")
 		return
 	}
-	s.serveSession(ctx, mux, peer)
+	s.serveSession(ctx, &session{mux: mux, peer: peer, streams: open})
 }
 
 func (s *Server) answerHello(mux *yamux.Session) (Identity, error) {
@@ -90,7 +91,7 @@
 	if err != nil {
 		return Identity{}, errors.Trace(err)
 	}
-	first := newStream(conn, Identity{})
+	first := newStream(conn, Identity{}, nil)
 	defer first.Close()
 	_ = conn.SetDeadline(time.Now().Add(helloTimeout))
 	peer, err := receiveHello(first)
@@ -100,17 +101,17 @@
 	return peer, first.Send(helloOf(s.Self))
 }
 
-func (s *Server) serveSession(ctx context.Context, mux *yamux.Session, peer Identity) {
+func (s *Server) serveSession(ctx context.Context, from *session) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	for {
-		conn, err := mux.Accept()
+		conn, err := from.mux.Accept()
 		if err != nil {
 			return
 		}
-		stream := newStream(conn, peer)
+		stream := newStream(conn, from.peer, from.streams)
 		s.work.Go(func() {
-			defer stream.Close()
+			defer stream.Abort()
 			s.serveStream(ctx, stream)
 		})
 	}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -56,7 +56,7 @@
 		return nil, failed(result.Unknown, result.PeerUnreachable, address, err)
 	}
 	stream.SetDeadline(time.Time{})
-	stop := context.AfterFunc(ctx, stream.Close)
+	stop := context.AfterFunc(ctx, stream.Abort)
 	a := &answer{stream: stream, stop: stop, id: r.Attempt.RequestID, address: address}
 	head, failure := a.head()
 	if failure != nil {
