Write and read failures and headers of peers' answers in one place

Cause: io/relay had written again what io/entry had: failures and headers as messages, in both directions; core/pool had a count of upstreams that nothing read. Change: io/wire has the four functions, next to the other codecs; io/entry keeps only the filter of private headers. Behaviour as before; no test is touched.

--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -191,17 +191,3 @@
 	}
 	return 0
 }
-
-// Size returns the number of upstreams of a service that are listed in the region and
-// not leaving.
-func (p *Pool) Size(s ident.Service) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	n := 0
-	for _, r := range p.replicas {
-		if r.Service == s && !r.Draining {
-			n++
-		}
-	}
-	return n
-}
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -104,7 +104,7 @@
 // call the target says itself what its records know.
 func (f *forwarder) refused(c *Call, failure *wire.Failure) *result.Failure {
 	c.asked = true
-	return failureFromWire(failure)
+	return wire.FailureFromWire(failure)
 }
 
 // relay passes the answer's frames on until the closing one.
@@ -118,7 +118,7 @@
 		switch kind := frame.GetKind().(type) {
 		case *wire.Frame_Head:
 			c.Begun = true
-			h := upcall.Head{Status: int(kind.Head.GetStatus()), Header: headersFromWire(kind.Head.GetHeaders()), Peer: string(t.instance)}
+			h := upcall.Head{Status: int(kind.Head.GetStatus()), Header: wire.HeadersFromWire(kind.Head.GetHeaders()), Peer: string(t.instance)}
 			err = c.Answer.Begin(h)
 		case *wire.Frame_Data:
 			c.Tokens++
--- a/io/entry/peer.go
+++ b/io/entry/peer.go
@@ -53,7 +53,7 @@
 }
 
 func (w *frameWriter) end(f *result.Failure, trailerPeer string) error {
-	end := &wire.End{Length: w.length, Failure: failureToWire(f), Peer: trailerPeer}
+	end := &wire.End{Length: w.length, Failure: wire.FailureToWire(f), Peer: trailerPeer}
 	return w.send(&wire.Frame{Kind: &wire.Frame_End{End: end}})
 }
 
@@ -223,7 +223,7 @@
 	}
 	sink.extend()
 	if !source.decided {
-		verdict := &wire.Verdict{RequestId: source.request.GetRequestId(), Failure: failureToWire(f)}
+		verdict := &wire.Verdict{RequestId: source.request.GetRequestId(), Failure: wire.FailureToWire(f)}
 		_ = source.stream.Send(verdict)
 		return
 	}
@@ -243,7 +243,7 @@
 		Service:    ident.Service(f.GetService()),
 		Method:     f.GetMethod(),
 		Path:       f.GetPath(),
-		Header:     headersFromWire(f.GetHeaders()),
+		Header:     wire.HeadersFromWire(f.GetHeaders()),
 		Session:    f.GetSession(),
 		Key:        f.GetKey(),
 		Repeatable: f.GetKey() == "",
@@ -273,46 +273,13 @@
 	return c.Via.Arrive(here, revision)
 }
 
+// headersToWire writes what a peer may have of a header.
 func headersToWire(h http.Header) []*wire.Header {
-	var list []*wire.Header
+	public := make(http.Header, len(h))
 	for name, values := range h {
-		if isPrivateHeader(name) {
-			continue
+		if !isPrivateHeader(name) {
+			public[name] = values
 		}
-		for _, v := range values {
-			list = append(list, &wire.Header{Name: name, Value: v})
-		}
-	}
-	return list
-}
-
-func headersFromWire(list []*wire.Header) http.Header {
-	h := make(http.Header, len(list))
-	for _, f := range list {
-		h.Add(f.GetName(), f.GetValue())
-	}
-	return h
-}
-
-func failureToWire(f *result.Failure) *wire.Failure {
-	if f == nil {
-		return nil
-	}
-	return &wire.Failure{
-		Outcome:      f.Outcome.String(),
-		Step:         f.Step.String(),
-		Reason:       f.Reason.String(),
-		Peer:         f.Peer,
-		RetryAfterMs: uint64(f.RetryAfter.Milliseconds()),
-	}
-}
-
-func failureFromWire(f *wire.Failure) *result.Failure {
-	return &result.Failure{
-		Outcome:    result.ParseOutcome(f.GetOutcome()),
-		Step:       result.ParseStep(f.GetStep()),
-		Reason:     result.ParseReason(f.GetReason()),
-		Peer:       f.GetPeer(),
-		RetryAfter: time.Duration(f.GetRetryAfterMs()) * time.Millisecond,
 	}
+	return wire.HeadersToWire(public)
 }
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"net/netip"
 	"time"
 
@@ -99,13 +98,9 @@
 	if head == nil {
 		return nil, failed(result.Unknown, result.AnswerMismatch, a.address, errOrder)
 	}
-	header := make(http.Header, len(head.GetHeaders()))
-	for _, h := range head.GetHeaders() {
-		header.Add(h.GetName(), h.GetValue())
-	}
 	return &sender.Answer{
 		Status: int(head.GetStatus()),
-		Header: header,
+		Header: wire.HeadersFromWire(head.GetHeaders()),
 		Meta:   sender.Meta{RequestID: a.id, Signed: head.GetSigned()},
 		Length: -1,
 		Body:   a,
@@ -117,13 +112,7 @@
 	if f == nil {
 		return failed(result.Unknown, result.AnswerMismatch, address, errOrder)
 	}
-	return &result.Failure{
-		Outcome:    result.ParseOutcome(f.GetOutcome()),
-		Step:       result.ParseStep(f.GetStep()),
-		Reason:     result.ParseReason(f.GetReason()),
-		Peer:       f.GetPeer(),
-		RetryAfter: time.Duration(f.GetRetryAfterMs()) * time.Millisecond,
-	}
+	return wire.FailureFromWire(f)
 }
 
 var errOrder = errors.New("a frame of another request, or out of order")
@@ -188,7 +177,7 @@
 		Method:       r.Attempt.Method,
 		Target:       r.Attempt.Target,
 		Host:         r.Attempt.Host,
-		Headers:      headers(r.Attempt.Header),
+		Headers:      wire.HeadersToWire(r.Attempt.Header),
 		Body:         r.Attempt.Body,
 		RemainingMs:  uint64(max(0, r.Attempt.Remaining.Milliseconds())),
 		Kind:         uint32(r.Kind),
@@ -206,29 +195,15 @@
 	return m
 }
 
-func headers(h http.Header) []*wire.Header {
-	var list []*wire.Header
-	for name, values := range h {
-		for _, v := range values {
-			list = append(list, &wire.Header{Name: name, Value: v})
-		}
-	}
-	return list
-}
-
 // FromWire returns the request that a message describes.
 func FromWire(m *wire.Relay) *Request {
-	header := make(http.Header, len(m.GetHeaders()))
-	for _, h := range m.GetHeaders() {
-		header.Add(h.GetName(), h.GetValue())
-	}
 	r := &Request{
 		Attempt: sender.Attempt{
 			RequestID: m.GetRequestId(),
 			Method:    m.GetMethod(),
 			Target:    m.GetTarget(),
 			Host:      m.GetHost(),
-			Header:    header,
+			Header:    wire.HeadersFromWire(m.GetHeaders()),
 			Body:      m.GetBody(),
 			Remaining: time.Duration(m.GetRemainingMs()) * time.Millisecond,
 			Priority:  int(m.GetPriority()),
@@ -259,7 +234,7 @@
 
 // Head sends the head of the answer.
 func (r *Reply) Head(a *sender.Answer) error {
-	head := &wire.Head{Status: uint32(a.Status), Headers: headers(a.Header), Signed: a.Meta.Signed}
+	head := &wire.Head{Status: uint32(a.Status), Headers: wire.HeadersToWire(a.Header), Signed: a.Meta.Signed}
 	return r.send(&wire.Frame{Kind: &wire.Frame_Head{Head: head}})
 }
 
@@ -278,16 +253,7 @@
 
 // End sends the last word; a nil failure says that the answer is whole.
 func (r *Reply) End(f *result.Failure) error {
-	end := &wire.End{Length: r.length}
-	if f != nil {
-		end.Failure = &wire.Failure{
-			Outcome:      f.Outcome.String(),
-			Step:         f.Step.String(),
-			Reason:       f.Reason.String(),
-			Peer:         f.Peer,
-			RetryAfterMs: uint64(f.RetryAfter.Milliseconds()),
-		}
-	}
+	end := &wire.End{Length: r.length, Failure: wire.FailureToWire(f)}
 	return r.send(&wire.Frame{Kind: &wire.Frame_End{End: end}})
 }
 
--- /dev/null
+++ b/io/wire/answer.go
@@ -0,0 +1,54 @@
+package wire
+
+import (
+	"net/http"
+	"time"
+
+	"arbutustrestle/core/result"
+)
+
+// HeadersToWire writes a header, one message for each value.
+func HeadersToWire(h http.Header) []*Header {
+	var list []*Header
+	for name, values := range h {
+		for _, v := range values {
+			list = append(list, &Header{Name: name, Value: v})
+		}
+	}
+	return list
+}
+
+// HeadersFromWire reads a header.
+func HeadersFromWire(list []*Header) http.Header {
+	h := make(http.Header, len(list))
+	for _, f := range list {
+		h.Add(f.GetName(), f.GetValue())
+	}
+	return h
+}
+
+// FailureToWire writes a failure; nil stays nil.
+func FailureToWire(f *result.Failure) *Failure {
+	if f == nil {
+		return nil
+	}
+	return &Failure{
+		Outcome:      f.Outcome.String(),
+		Step:         f.Step.String(),
+		Reason:       f.Reason.String(),
+		Peer:         f.Peer,
+		RetryAfterMs: uint64(f.RetryAfter.Milliseconds()),
+	}
+}
+
+// FailureFromWire reads a failure. What can't be read is Unknown, so that nothing
+// claims that a request has not run.
+func FailureFromWire(f *Failure) *result.Failure {
+	return &result.Failure{
+		Outcome:    result.ParseOutcome(f.GetOutcome()),
+		Step:       result.ParseStep(f.GetStep()),
+		Reason:     result.ParseReason(f.GetReason()),
+		Peer:       f.GetPeer(),
+		RetryAfter: time.Duration(f.GetRetryAfterMs()) * time.Millisecond,
+	}
+}
