--- a/io/config/gateway.go
+++ b/io/config/gateway.go
@@ -15,6 +15,10 @@
 	"arbutustrestle/core/table"
 )
 
+// maxRetryFree catches a slip of the pen: no installation allows a million attempts a
+// window beyond those that requests earn.
+const maxRetryFree = 1 << 20
+
 // Gateway holds the settings of an entry instance that serves by published routes.
 type Gateway struct {
 	ID     ident.Instance
@@ -44,7 +48,7 @@
 	// spend.Limits.
 	RetryRatio  float64
 	RetryWindow time.Duration
-	RetryFree   int
+	RetryFree   float64
 	// Grace is the time from SIGTERM until the process is killed.
 	Grace time.Duration
 	// DirectoryHold is how long callers keep an answer of the directory.
@@ -67,7 +71,7 @@
 		{path{"log", "level"}, "info", level(&g.LogLevel)},
 		{path{"bounds", "retry-ratio"}, "0.1", number(&g.Bounds.RetryRatio, 0, 1)},
 		{path{"bounds", "retry-window"}, "10s", duration(&g.Bounds.RetryWindow, time.Second, time.Hour)},
-		{path{"bounds", "retry-free"}, "0", count(&g.Bounds.RetryFree, 0, 1<<20)},
+		{path{"bounds", "retry-free"}, "0", number(&g.Bounds.RetryFree, 0, maxRetryFree)},
 		{path{"bounds", "grace"}, "8s", duration(&g.Bounds.Grace, time.Second, time.Hour)},
 		{path{"bounds", "directory-hold"}, "1s", duration(&g.Bounds.DirectoryHold, time.Second, time.Minute)},
 		{path{"engines", "prompt-rate"}, "80", number(&g.PromptRate, 0.01, 1e6)},
@@ -138,9 +142,14 @@
 	return func(text string) (string, string) {
 		parsed, err := strconv.ParseFloat(text, 64)
 		if err != nil || !(parsed >= low && parsed <= high) {
-			return fmt.Sprintf("%q is out of range", text), fmt.Sprintf("use a number from %v to %v", low, high)
+			return fmt.Sprintf("%q is out of range", text), "use a number from " + plain(low) + " to " + plain(high)
 		}
 		*into = parsed
 		return "", ""
 	}
 }
+
+// plain writes a number without an exponent.
+func plain(f float64) string {
+	return strconv.FormatFloat(f, 'f', -1, 64)
+}
--- a/io/daemon/gateway.go
+++ b/io/daemon/gateway.go
@@ -102,7 +102,7 @@
 	return &spend.Budget{Limits: spend.Limits{
 		Ratio:  s.Bounds.RetryRatio,
 		Window: s.Bounds.RetryWindow,
-		Free:   float64(s.Bounds.RetryFree),
+		Free:   s.Bounds.RetryFree,
 	}}
 }
 
