--- a/io/edge/call.go
+++ b/io/edge/call.go
@@ -67,8 +67,9 @@
 	unknown *result.Failure
 	// held is an upstream's own failure that is passed on if nothing better comes.
 	held *whole
-	// begun is set once the head of the answer was passed on.
-	begun bool
+	// begun is set once the head of the answer was passed on, with a status.
+	begun  bool
+	status int
 	// peer is the upstream, or the entry of another region, that was asked last.
 	peer string
 	// first is when the first byte of the answer was passed on.
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -413,3 +413,41 @@
 		t.Fatal("the upstream goes on working")
 	}
 }
+
+// logText is what an entry has logged; it is safe for concurrent use.
+type logText struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *logText) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *logText) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+// TestStatusInLog looks for the status that an upstream answered with in the line of a
+// request's end: an upstream's own failure is answered in whole too, and who looks for
+// it has nothing else to go by.
+func TestStatusInLog(t *testing.T) {
+	for name, do := range map[string]reply{`"status":200`: fine, `"status":500`: broken} {
+		w := newWorld(t, do, do).ready(t)
+		text := &logText{}
+		w.core.Log = zerolog.New(text)
+		if _, _, err := w.ask(t, "/once/", "", nil); err != nil {
+			t.Fatal(err)
+		}
+		// The line is written after the answer.
+		for end := time.Now().Add(5 * time.Second); !strings.Contains(text.String(), name); time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("no %s in %s", name, text)
+			}
+		}
+	}
+}
--- a/io/edge/pass.go
+++ b/io/edge/pass.go
@@ -80,8 +80,7 @@
 }
 
 func (c *Core) passWhole(call *Call, sink Sink, w *whole) *result.Failure {
-	call.begun = true
-	call.first = c.Clock.Now()
+	c.started(call, w.status)
 	if err := sink.Begin(w.status, w.header, int64(len(w.body))); err != nil {
 		return gone(call, err)
 	}
@@ -93,9 +92,15 @@
 	return nil
 }
 
-func (c *Core) passLong(ctx context.Context, call *Call, w *whole, rest io.Reader, sink Sink) *result.Failure {
+// started notes that the head of the answer is passed on.
+func (c *Core) started(call *Call, status int) {
 	call.begun = true
+	call.status = status
 	call.first = c.Clock.Now()
+}
+
+func (c *Core) passLong(ctx context.Context, call *Call, w *whole, rest io.Reader, sink Sink) *result.Failure {
+	c.started(call, w.status)
 	if err := sink.Begin(w.status, w.header, -1); err != nil {
 		return gone(call, err)
 	}
@@ -173,8 +178,7 @@
 	if call.begun {
 		return nil
 	}
-	call.begun = true
-	call.first = c.Clock.Now()
+	c.started(call, a.Status)
 	if err := sink.Begin(a.Status, a.Header, -1); err != nil {
 		return gone(call, err)
 	}
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -89,6 +89,7 @@
 // copyAnswer passes an answer back as it comes.
 func (c *Core) copyAnswer(ctx context.Context, call *Call, a *sender.Answer, reply *relay.Reply, heard func(time.Time)) *result.Failure {
 	call.begun = true
+	call.status = a.Status
 	StripHop(a.Header)
 	if err := reply.Head(a); err != nil {
 		return gone(call, err)
--- a/io/edge/serve.go
+++ b/io/edge/serve.go
@@ -260,7 +260,7 @@
 		c.noteTimes(call, took)
 	}
 	if !call.first.IsZero() {
-		line = line.Int64("first-ms", call.first.Sub(call.Arrived).Milliseconds()).Int("bytes", call.bytes).Int64("longest-pause-ms", call.pause.Milliseconds())
+		line = line.Int("status", call.status).Int64("first-ms", call.first.Sub(call.Arrived).Milliseconds()).Int("bytes", call.bytes).Int64("longest-pause-ms", call.pause.Milliseconds())
 	}
 	if f == nil {
 		line.Str("outcome", result.Done.String()).Msg("request answered")
