Beat in turns, and name third entries to few

Beats went to random entries of the region, so that some would have been believed silent without those names.

Change: beats go through the others in turns, each hears one in 1.6 s at most; third entries are named to newcomers and every 4 s to three others. A drain is said to all at once, which only a sample heard before (TestLargeAnnounce failed). Who learns of an entry beats at once.

Ruled out: fewer names alone, with random beats (false silence in 0.03 to 3 percent of cases).

--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -36,9 +36,16 @@
 	retryInterval = 1200 * time.Millisecond
 	aloneInterval = 200 * time.Millisecond
 	// introduceInterval is the time between two beats that name third entries.
-	introduceInterval = 2 * time.Second
-	// maxFanout bounds the alive entries of one kind of place that a beat goes to.
-	maxFanout = 12
+	introduceInterval = 4 * time.Second
+	// fanout is how many alive entries of one kind of place a beat goes to at least; they
+	// take turns. With more of them, a beat goes to as many as it takes for each to hear
+	// one every fourth beat, well within silentAfter.
+	fanout = 12
+	rounds = 4
+	// nearIntroduced and farIntroduced are how many are told of third entries each time.
+	// Who is told passes it on, so that a few suffice.
+	nearIntroduced = 2
+	farIntroduced  = 1
 )
 
 // Ranks is the number of ranks that are told apart; less urgent requests count with
@@ -128,6 +135,14 @@
 	others map[ident.Instance]*held
 	last   time.Time
 
+	// newcomers were met since the last beat and are told of all others.
+	newcomers map[ident.Instance]struct{}
+	// announcing makes the next beat go to all.
+	announcing bool
+	// nearTurn and farTurn say whose turn it is to get a beat.
+	nearTurn turns
+	farTurn  turns
+
 	// The times at which beats of each kind were last sent.
 
 	near       time.Time
@@ -138,7 +153,15 @@
 
 // New returns the state of an entry that knows nobody but its seeds.
 func New(self Record, seeds []netip.AddrPort, random *rand.Rand) *State {
-	return &State{self: self, seeds: seeds, random: random, others: map[ident.Instance]*held{}}
+	return &State{
+		self:   self,
+		seeds:  seeds,
+		random: random,
+		others: map[ident.Instance]*held{},
+		// Entries that start together don't all begin with the same one.
+		nearTurn: turns{self.ID},
+		farTurn:  turns{self.ID},
+	}
 }
 
 // Self changes what the entry says of itself from the next beat on.
@@ -167,27 +190,10 @@
 	s.self.Sequence++
 	own := s.self
 	own.Loads = nil
-	toNear := []Record{s.self}
-	toFar := []Record{own}
-	if due(&s.introduced, now, introduceInterval) || len(near)+len(far) == 0 {
-		known := s.introductions(now)
-		toNear = append(toNear, known...)
-		toFar = append(toFar, known...)
-		s.near = time.Time{}
-		s.far = time.Time{}
-	}
-	var sends []Send
-	if due(&s.near, now, min(nearShare*time.Duration(len(near)+1), BeatInterval)) {
-		chosen := s.sample(near)
-		sends = appendSends(sends, chosen, toNear)
-		if s.self.Watches {
-			// All others rely on hearing from it; what it has in flight is told to some.
-			sends = appendSends(sends, near[len(chosen):], toFar[:1])
-		}
-	}
-	if due(&s.far, now, BeatInterval) {
-		sends = appendSends(sends, s.sample(far), toFar)
-	}
+	sends := s.introduce(now, near, far)
+	sends = append(sends, s.beatNear(now, near, own)...)
+	sends = append(sends, s.beatFar(now, far, own)...)
+	s.announcing = false
 	retry := retryInterval
 	if len(near)+len(far) == 0 {
 		retry = aloneInterval
@@ -195,18 +201,68 @@
 	if !due(&s.retried, now, retry) {
 		return sends
 	}
-	sends = appendSends(sends, silent, toFar)
+	toSilent := []Record{own}
+	sends = appendSends(sends, silent, toSilent)
 	for _, address := range s.seeds {
 		if address != s.self.Peer && !s.knows(now, address) {
-			sends = append(sends, Send{Address: address, Records: toFar})
+			sends = append(sends, Send{Address: address, Records: toSilent})
 		}
 	}
 	return sends
 }
 
-// Announce makes the next call of Beat send to all, and name third entries.
+// beatNear tells entries of the region what this one has in flight.
+func (s *State) beatNear(now time.Time, near []*held, own Record) []Send {
+	interval := min(nearShare*time.Duration(len(near)+1), BeatInterval)
+	if !due(&s.near, now, interval) && !s.announcing {
+		return nil
+	}
+	chosen, rest := s.nearTurn.next(near)
+	sends := appendSends(nil, chosen, []Record{s.self})
+	if s.self.Watches || s.announcing {
+		// All others rely on hearing from it; what it has in flight is told to some.
+		sends = appendSends(sends, rest, []Record{own})
+	}
+	return sends
+}
+
+// beatFar tells entries of other regions what requests for a service would meet here.
+func (s *State) beatFar(now time.Time, far []*held, own Record) []Send {
+	if !due(&s.far, now, BeatInterval) && !s.announcing {
+		return nil
+	}
+	chosen, rest := s.farTurn.next(far)
+	sends := appendSends(nil, chosen, []Record{own})
+	if s.announcing {
+		sends = appendSends(sends, rest, []Record{own})
+	}
+	return sends
+}
+
+// introduce tells newcomers, and now and then a few others, of all that are known.
+func (s *State) introduce(now time.Time, near, far []*held) []Send {
+	var to []*held
+	if due(&s.introduced, now, introduceInterval) {
+		to = append(to, s.sample(near, nearIntroduced)...)
+		to = append(to, s.sample(far, farIntroduced)...)
+	}
+	for id := range s.newcomers {
+		if h := s.others[id]; !slices.Contains(to, h) {
+			to = append(to, h)
+		}
+	}
+	s.newcomers = nil
+	if len(to) == 0 {
+		return nil
+	}
+	own := s.self
+	own.Loads = nil
+	return appendSends(nil, to, append([]Record{own}, s.introductions(now)...))
+}
+
+// Announce makes the next call of Beat send to all.
 func (s *State) Announce() {
-	s.introduced = time.Time{}
+	s.announcing = true
 }
 
 // due reports whether an interval has passed since a time, and moves the time on. Half a
@@ -255,12 +311,33 @@
 	return near, far, silent
 }
 
-func (s *State) sample(list []*held) []*held {
-	if len(list) <= maxFanout {
-		return list
+// turns goes through a list by parts, so that each entry gets a beat as often as the
+// others, also while the list changes.
+type turns struct {
+	// last is the one that came last.
+	last ident.Instance
+}
+
+// next returns the part of a sorted list whose turn it is, and the rest.
+func (t *turns) next(list []*held) (chosen, rest []*held) {
+	count := max(fanout, (len(list)+rounds-1)/rounds)
+	if len(list) <= count {
+		return list, nil
 	}
-	s.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	return list[:maxFanout]
+	from := slices.IndexFunc(list, func(h *held) bool { return h.ID > t.last })
+	from = max(from, 0)
+	around := append(slices.Clone(list[from:]), list[:from]...)
+	t.last = around[count-1].ID
+	return around[:count], around[count:]
+}
+
+// sample returns some of a list, which it doesn't change.
+func (s *State) sample(list []*held, count int) []*held {
+	var chosen []*held
+	for _, i := range s.random.Perm(len(list))[:min(count, len(list))] {
+		chosen = append(chosen, list[i])
+	}
+	return chosen
 }
 
 func (s *State) introductions(now time.Time) []Record {
@@ -297,7 +374,7 @@
 }
 
 // Take takes in a beat. It reports whether something else is believed of an entry than
-// before. One that is met for the first time, or in a new run, is answered at the next
+// before. One that is heard for the first time, or in a new run, is answered at the next
 // tick with all that is known, so that entries which start together meet at once.
 func (s *State) Take(now time.Time, records []Record) bool {
 	changed := false
@@ -309,7 +386,11 @@
 		met := known != nil && known.Start == r.Start
 		if s.take(now, r, i == 0) {
 			changed = true
-			if !met {
+			if !met && i == 0 {
+				s.meet(r.ID)
+			}
+			if !met && i > 0 {
+				// It may not know of this entry yet.
 				s.Announce()
 			}
 		}
@@ -317,6 +398,13 @@
 	return changed
 }
 
+func (s *State) meet(id ident.Instance) {
+	if s.newcomers == nil {
+		s.newcomers = map[ident.Instance]struct{}{}
+	}
+	s.newcomers[id] = struct{}{}
+}
+
 func (s *State) take(now time.Time, r Record, direct bool) bool {
 	h := s.others[r.ID]
 	if h == nil {
--- a/core/mesh/mesh_test.go
+++ b/core/mesh/mesh_test.go
@@ -20,6 +20,8 @@
 	seeds   []netip.AddrPort
 	cut     func(from, to netip.AddrPort) bool
 	pending []delivery
+	// records counts those that were sent.
+	records int
 }
 
 type delivery struct {
@@ -57,6 +59,7 @@
 		w.deliver()
 		for from, s := range w.states {
 			for _, send := range s.Beat(w.now) {
+				w.records += len(send.Records)
 				if w.cut == nil || !w.cut(from, send.Address) {
 					w.pending = append(w.pending, delivery{w.now.Add(delay), send.Address, send.Records})
 				}
