Guess what other entries have sent since they were last heard

Change: core/pool draws for each upstream how much may have come since, from its own pace and the age of the others' word; less than half a request at each is left out.

Ruled out: guesses in small regions (mean wait 30 to 38 ms at six entries); half, one and three times the average (110, 92, 63 ms at 28 entries, with more shed at three).

Figures: TestHerd, 28 entries: mean wait 160 -> 100 ms against the baseline in the same run; at six entries unchanged.

--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -213,8 +213,7 @@
 
 // beatNear tells entries of the region what this one has in flight.
 func (s *State) beatNear(now time.Time, near []*held, own Record) []Send {
-	interval := min(nearShare*time.Duration(len(near)+1), BeatInterval)
-	if !due(&s.near, now, interval) && !s.announcing {
+	if !due(&s.near, now, nearInterval(len(near)+1)) && !s.announcing {
 		return nil
 	}
 	chosen, rest := s.nearTurn.next(near)
@@ -226,6 +225,19 @@
 	return sends
 }
 
+// nearInterval returns the time between two beats in a region of some entries.
+func nearInterval(entries int) time.Duration {
+	return min(nearShare*time.Duration(entries), BeatInterval)
+}
+
+// WordAge returns how old on average is what an entry knows of what another one of its
+// region has in flight, where there are so many of them.
+func WordAge(entries int) time.Duration {
+	others := entries - 1
+	each := max(fanout, (others+rounds-1)/rounds)
+	return nearInterval(entries) * time.Duration(max(1, others)) / time.Duration(2*min(each, max(1, others)))
+}
+
 // beatFar tells entries of other regions what requests for a service would meet here.
 func (s *State) beatFar(now time.Time, far []*held, own Record) []Send {
 	if !due(&s.far, now, BeatInterval) && !s.announcing {
--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -69,6 +69,7 @@
 	}
 	r.waiting = append(r.waiting, request)
 	r.prompts.touch(now, a.Parts)
+	p.sent(now, a.Service, best.uncached)
 	return &Lease{
 		Projection: best.Projection,
 		Ahead:      ahead,
@@ -87,11 +88,13 @@
 	var best candidate
 	found := false
 	home := p.affine(a)
+	unknown := p.unknown(now, a.Service)
 	for _, r := range p.replicas {
 		if r.Service != a.Service || !p.usable(now, r) || slices.Contains(a.Excluded, r.ID) {
 			continue
 		}
 		c := p.weigh(now, a, r, r.ID == home)
+		c.cost += guess(unknown)
 		if !found || c.cost < best.cost || c.cost == best.cost && c.replica.ID < best.replica.ID {
 			best = c
 			found = true
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -35,6 +35,10 @@
 	closed map[ident.Zone]struct{}
 	// near holds the entries of the own region, this one included.
 	near []ident.Instance
+	// wordAge is how old what others have in flight is on average, and paces how fast
+	// this entry sends.
+	wordAge time.Duration
+	paces   map[ident.Service]*pace
 	// rate is the prompt tokens that an engine reads in a millisecond, as answers show
 	// it.
 	rate float64
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -240,7 +240,9 @@
 func (l *Loop) publish(now time.Time) {
 	v := l.mesh.View(now)
 	l.logMembers(v)
-	l.parts.Pool.SetNear(v.Near())
+	near := v.Near()
+	l.parts.Pool.SetNear(near)
+	l.parts.Pool.SetWordAge(mesh.WordAge(len(near)))
 	var loads []mesh.ReplicaLoad
 	alive := 1
 	for _, m := range v.Members {
