Count how late a region's first answers come when another may serve sooner

Cause: what running requests hold of an engine's memory and slots isn't seen here.

Change: core/pool keeps, for each service and rank, by how much first answers come later than projected; the projection and what other regions are told include it.

--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -77,6 +77,7 @@
 		Cold:       r.isCold(now),
 		InFlight:   r.inFlight,
 		Uncached:   best.uncached,
+		excess:     p.excess(now, a.Service, request.rank),
 		request:    request,
 		pool:       p,
 		replica:    r,
--- a/core/pool/lease.go
+++ b/core/pool/lease.go
@@ -50,6 +50,8 @@
 	InFlight int
 	Uncached int
 
+	// excess is the part of First that is not the upstream's own.
+	excess  time.Duration
 	request *waiting
 	pool    *Pool
 	replica *replica
@@ -68,6 +70,7 @@
 	}
 	l.replica.turned = now
 	l.noteSpeed(now)
+	l.pool.noteLate(now, l.Listed.Service, l.request.rank, now.Sub(l.started), l.First-l.excess)
 	if l.Wait == 0 {
 		l.pool.learn(l.Uncached, now.Sub(l.started))
 	}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -39,6 +39,8 @@
 	// this entry sends.
 	wordAge time.Duration
 	paces   map[ident.Service]*pace
+	// late is by how much first answers come later than projected.
+	late map[ident.Service]*mesh.ByRank[excess]
 	// rate is the prompt tokens that an engine reads in a millisecond, as answers show
 	// it.
 	rate float64
@@ -172,8 +174,9 @@
 		}
 		for rank := range s.Waits {
 			c := p.weigh(now, Ask{Tokens: boolTokens(p.services[r.Service].Engine), Rank: rank}, r, false)
-			if s.Replicas == 0 || c.Wait < s.Waits[rank] {
-				s.Waits[rank] = c.Wait
+			wait := c.Wait + p.excess(now, r.Service, rank)
+			if s.Replicas == 0 || wait < s.Waits[rank] {
+				s.Waits[rank] = wait
 			}
 		}
 		s.Replicas++
--- a/core/pool/weigh.go
+++ b/core/pool/weigh.go
@@ -48,7 +48,7 @@
 		uncached: uncached,
 		Projection: Projection{
 			Wait:  millis(wait * slow),
-			First: millis(first * slow),
+			First: millis(first*slow) + p.excess(now, a.Service, mesh.Rank(a.Rank)),
 		},
 	}
 }
