Draw guesses from hashes, and in regions of more than twelve entries only

Cause: TestHerd failed 2 of 6 runs: the guesses came from the process's own random numbers, in the order of a map, and its bound on requests turned away lay within that chance.

Change: guesses come from a hash of the choice and the upstream, so that every run gives the same figures. They are left out by the number of entries, not of unknown requests: with word of 100 ms, 28 entries still all chose the same upstream first (mean wait 133 ms; 69 with guesses).

Ruled out: one entry that sums what all have in flight for a region, built as far as its core and dropped: word of 100 ms instead of 450 ms gave 69 against 72 ms.

Figures: TestHerd, 28 entries: mean wait 167 -> 72 ms; at six entries unchanged.

--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -89,13 +89,13 @@
 	var best candidate
 	found := false
 	home := p.affine(a)
-	unknown := p.unknown(now, a.Service)
+	draw := p.newDraw(p.unknown(now, a.Service))
 	for _, r := range p.replicas {
 		if r.Service != a.Service || !p.usable(now, r) || slices.Contains(a.Excluded, r.ID) {
 			continue
 		}
 		c := p.weigh(now, a, r, r.ID == home)
-		c.cost += guess(unknown)
+		c.cost += draw.guess(r.ID)
 		if !found || c.cost < best.cost || c.cost == best.cost && c.replica.ID < best.replica.ID {
 			best = c
 			found = true
--- a/core/pool/herd_test.go
+++ b/core/pool/herd_test.go
@@ -36,9 +36,10 @@
 	do func(now time.Time)
 }
 
-func newHerd(entries, engines, plain int, guesses bool) *herd {
+func newHerd(entries int, wordAge time.Duration, guesses bool) *herd {
+	const engines, plain = 56, 4
 	h := &herd{random: rand.New(rand.NewPCG(1, 2)), now: start, busy: map[ident.Upstream]time.Time{}, slots: map[ident.Upstream][]time.Time{}}
-	h.wordAge = mesh.WordAge(entries)
+	h.wordAge = wordAge
 	var near []ident.Instance
 	for n := range entries {
 		near = append(near, ident.Instance(fmt.Sprintf("entry-%d", n)))
@@ -157,6 +158,19 @@
 	return total / time.Duration(max(1, len(h.waits)))
 }
 
+// mixed sends urgent prompts and plain requests for a while, about half of what the
+// upstreams bear.
+func (h *herd) mixed() {
+	plain := false
+	h.run(20*time.Second, 470, func() Ask {
+		plain = !plain
+		if plain {
+			return Ask{Service: "app"}
+		}
+		return Ask{Service: "chat", Tokens: 4000 + h.random.IntN(4000)}
+	})
+}
+
 // TestHerd answers the pattern that many entries run after the upstream that looked best
 // when they last heard of each other. Its baseline, in the same run, takes what it heard
 // for all there is.
@@ -166,15 +180,8 @@
 		var waits [2]time.Duration
 		var shed [2]int
 		for i, guesses := range []bool{false, true} {
-			h := newHerd(entries, 56, 4, guesses)
-			subject := 0
-			h.run(20*time.Second, 470, func() Ask {
-				subject++
-				if subject%2 == 0 {
-					return Ask{Service: "app"}
-				}
-				return Ask{Service: "chat", Tokens: 4000 + h.random.IntN(4000)}
-			})
+			h := newHerd(entries, mesh.WordAge(entries), guesses)
+			h.mixed()
 			waits[i], shed[i] = h.mean(), h.shed
 			t.Logf("%d entries, guesses %t: mean wait %s of %d, %d shed of %d", entries, guesses, h.mean(), len(h.waits), h.shed, h.count-len(h.waits))
 		}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -39,6 +39,8 @@
 	// this entry sends.
 	wordAge time.Duration
 	paces   map[ident.Service]*pace
+	// draws counts the choices that were made with guesses.
+	draws uint64
 	// late is by how much first answers come later than projected.
 	late map[ident.Service]*mesh.ByRank[excess]
 	// rate is the prompt tokens that an engine reads in a millisecond, as answers show
--- a/core/pool/spread.go
+++ b/core/pool/spread.go
@@ -2,10 +2,11 @@
 
 import (
 	"math"
-	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"arbutustrestle/core/ident"
+	"arbutustrestle/core/rank"
 )
 
 // Entries that choose by the same old word of each other all choose the same upstream,
@@ -17,10 +18,10 @@
 	paceTime = 2 * time.Second
 	// paceStep is the weight of the newest request in the average of their work.
 	paceStep = 0.05
-	// fewUnknown requests at each upstream are better left out than guessed: with half a
-	// request at each, in a region of six entries, guesses made the mean wait longer by a
-	// tenth (TestHerd).
-	fewUnknown = 0.5
+	// fewOthers entries beside this one are better not guessed at: of several requests that
+	// each sends between two words, only the first go to the same upstream. With five
+	// others guesses made the mean wait longer by a tenth (TestHerd).
+	fewOthers = 11
 )
 
 // pace is how fast this entry sends requests for a service, and how much work each is.
@@ -64,7 +65,7 @@
 func (p *Pool) unknown(now time.Time, service ident.Service) float64 {
 	known := p.paces[service]
 	others := float64(len(p.near) - 1)
-	if known == nil || others <= 0 || p.wordAge <= 0 {
+	if known == nil || others <= fewOthers || p.wordAge <= 0 {
 		return 0
 	}
 	upstreams := 0
@@ -80,12 +81,32 @@
 	}
 	age := min(p.wordAge, hold/time.Duration(upstreams))
 	arrived := known.now(now) * float64(age.Milliseconds()) * others / float64(upstreams)
-	return max(0, arrived-fewUnknown) * known.work
+	return arrived * known.work
 }
 
-// guess draws what may be there beyond what is known, around the average.
-func guess(unknown float64) float64 {
-	return 2 * unknown * rand.Float64()
+// draw is one choice's draws. They come from hashes, so that they don't depend on the
+// order in which upstreams are looked at.
+type draw struct {
+	key     string
+	unknown float64
+}
+
+// newDraw begins the draws of a choice around an average.
+func (p *Pool) newDraw(unknown float64) draw {
+	if unknown <= 0 {
+		return draw{}
+	}
+	p.draws++
+	return draw{string(p.settings.Self) + strconv.FormatUint(p.draws, 36), unknown}
+}
+
+// guess returns what may be at an upstream beyond what is known.
+func (d draw) guess(id ident.Upstream) float64 {
+	if d.unknown <= 0 {
+		return 0
+	}
+	part := float64(rank.Score(d.key, string(id))>>11) / (1 << 53)
+	return 2 * d.unknown * part
 }
 
 // SetWordAge says how old what others have in flight is on average.
