Project a request's own prompt at the rate at which engines were seen to read

Cause: the time to read a request's own prompt was projected at the rate of the settings, 58 tokens a millisecond, though what waits before it went by the rate that answers show; engines of the grown sites read 82 and 85.

Change: one rate for both.

--- a/core/pool/weigh.go
+++ b/core/pool/weigh.go
@@ -40,7 +40,7 @@
 		reread = float64(max(0, sharedTokens(a.Parts)-kept)) / p.rate * rereadCost
 	}
 	wait := backlog + p.queue(r, running)
-	first := wait + float64(uncached)/p.settings.PromptRate + running*runningCost
+	first := wait + float64(uncached)/p.rate + running*runningCost
 	slow := min(max(r.slow, 1), maxSlow)
 	return candidate{
 		replica:  r,
