Read settings again when their file changes without a signal

What needs a restart is named in the log's line. Test: TestReload (seeds in place, others named, faults change nothing, each once).

--- a/io/cmds/gateway.go
+++ b/io/cmds/gateway.go
@@ -27,9 +27,9 @@
 func (*GatewayCommand) Usage() string {
 	return `gateway SETTINGS.ini
   Runs an entry instance on a platform that publishes routes, until SIGTERM or
-  SIGINT, then finishes what runs and exits with 0. SIGHUP reads the settings
-  again. Settings that fail their checks end it with 1 before it listens. Logs
-  JSON lines on stdout.
+  SIGINT, then finishes what runs and exits with 0. SIGHUP, or a change
+  of the file, has the settings read again. Settings that fail their checks end it
+  with 1 before it listens. Logs JSON lines on stdout.
 `
 }
 
--- a/io/config/gateway.go
+++ b/io/config/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
 	"os"
 	"strconv"
@@ -78,6 +79,35 @@
 	}
 }
 
+// Restart returns the keys by which other settings differ and that take effect at a
+// restart only: all but the seeds.
+func (g Gateway) Restart(other Gateway) []string {
+	var keys []string
+	for _, k := range []struct {
+		key    string
+		differ bool
+	}{
+		{"instance.id", g.ID != other.ID},
+		{"instance.zone", g.Zone != other.Zone},
+		{"instance.region", g.Region != other.Region},
+		{"instance.caller-address", g.Caller != other.Caller},
+		{"instance.ready-address", g.Ready != other.Ready},
+		{"instance.peer-address", g.Peer != other.Peer},
+		{"instance.directory-address", g.Directory != other.Directory},
+		{"instance.metrics-address", g.Metrics != other.Metrics},
+		{"places.zones", !maps.Equal(g.Zones, other.Zones)},
+		{"platform.address", g.Platform != other.Platform},
+		{"log.level", g.LogLevel != other.LogLevel},
+		{"bounds", g.Bounds != other.Bounds},
+		{"engines.prompt-rate", g.PromptRate != other.PromptRate},
+	} {
+		if k.differ {
+			keys = append(keys, k.key)
+		}
+	}
+	return keys
+}
+
 // IsGateway reports whether settings are those of a gateway: only these have a list of
 // places.
 func IsGateway(data []byte) bool {
--- a/io/daemon/gateway.go
+++ b/io/daemon/gateway.go
@@ -255,7 +255,7 @@
 }
 
 // RunGateway runs an entry that serves by published routes until it has been told to
-// stop and has drained. It reads the settings again at SIGHUP.
+// stop and has drained. It reads the settings again at SIGHUP and when the file changes.
 func RunGateway(file string, settings config.Gateway, a Adapter, out io.Writer) error {
 	lines := logs.NewBounded(out)
 	defer lines.Close()
@@ -276,16 +276,29 @@
 	if err := g.start(); err != nil {
 		return errors.Annotate(err, "start")
 	}
-	for s := range signals {
-		if s != syscall.SIGHUP {
-			break
-		}
-		g.reload(file)
-	}
+	g.awaitStop(signals, newReloader(file, settings, g.loop.SetSeeds, g.log))
 	g.drain()
 	return nil
 }
 
+// awaitStop returns when the entry has been told to stop, and takes in settings that
+// change until then.
+func (g *gateway) awaitStop(signals <-chan os.Signal, r *reloader) {
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				return
+			}
+			r.read("signal")
+		case <-ticker.C:
+			r.look()
+		}
+	}
+}
+
 // start opens all listeners before anything is served.
 func (g *gateway) start() error {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -330,18 +343,6 @@
 	}
 }
 
-// reload takes in what can change while the entry runs. Settings with a fault change
-// nothing.
-func (g *gateway) reload(file string) {
-	settings, err := config.ReadGateway(file)
-	if err != nil {
-		g.log.Error().Err(err).Str("step", "reload").Msg("settings not read again; those in force stay")
-		return
-	}
-	g.loop.SetSeeds(settings.Seeds)
-	g.log.Info().Int("seeds", len(settings.Seeds)).Msg("settings read again")
-}
-
 const (
 	// exitBefore is how long before the end of the grace time the process ends,
 	// whatever still runs.
