--- a/core/mesh/beats.go
+++ b/core/mesh/beats.go
@@ -91,8 +91,8 @@
 	return min(nearShare*time.Duration(entries), BeatInterval)
 }
 
-// WordAge returns how old on average is what an entry knows of what another one of its
-// region has in flight, where there are so many of them.
+// WordAge returns how old, on average, an entry's word is of what another one has in flight,
+// in a region of a number of entries.
 func WordAge(entries int) time.Duration {
 	others := entries - 1
 	each := max(fanout, (others+rounds-1)/rounds)
@@ -120,7 +120,7 @@
 		to = append(to, s.sample(far, farIntroduced)...)
 	}
 	for id := range s.newcomers {
-		if h := s.others[id]; !slices.Contains(to, h) {
+		if h := s.others[id]; h != nil && !slices.Contains(to, h) {
 			to = append(to, h)
 		}
 	}
