--- a/Makefile
+++ b/Makefile
@@ -47,9 +47,11 @@
 	go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
 	PATH="$(GOBIN):$$PATH" protoc --go_out=. --go_opt=module=arbutustrestle io/wire/wire.proto
 
-# Starts the stand-ins and the entry instances and walks through the main job.
+# Starts the stand-ins and the entry instances and walks through the main job, then does
+# the same for gateways before stand-ins of a store and an upstream.
 demo: build
 	go run ./cmd/demo
+	go test -count=1 -v -run '^TestWholePath$$' ./platform
 
 # Prints the cost of each decision and of idle processes at growing sizes, and the
 # slopes. Takes some twenty minutes; other work on the machine shows in the times.
