End a request whose upstream has fallen silent and is gone

Cause: an upstream without power closes nothing.

Change: a request that may not be sent elsewhere is watched: after 1.5 s or five of its pauses without a part of the answer, a connection to the upstream is opened; when that fails and nothing has come meanwhile, the request ends, unknown, so that its caller may decide. An upstream that stands still takes connections and is waited for.

Ruled out: silence alone (a prompt that is read again pauses a stream for seconds); the word of other requests there (an upstream that is avoided gets none).

Test: TestUpstreamGone (gone and still) failed first, told after 3 s.

--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -105,6 +105,8 @@
 	mu sync.Mutex
 	// runs holds the id of each request that arrived, and its last event.
 	runs []string
+	// then replaces what it was started with.
+	then reply
 }
 
 func (u *upstream) seen() string {
@@ -115,6 +117,15 @@
 
 type reply func(c net.Conn, r *http.Request)
 
+// do replaces what both upstreams do with requests from now on.
+func (w *world) do(do reply) {
+	for _, u := range w.upstreams {
+		u.mu.Lock()
+		u.then = do
+		u.mu.Unlock()
+	}
+}
+
 func (u *upstream) serve(t *testing.T, do reply) {
 	for {
 		c, err := u.listener.Accept()
@@ -130,6 +141,10 @@
 			_, _ = io.Copy(io.Discard, r.Body)
 			u.mu.Lock()
 			u.runs = append(u.runs, r.Header.Get("Id")+r.Header.Get("Last"))
+			do := do
+			if u.then != nil {
+				do = u.then
+			}
 			u.mu.Unlock()
 			do(c, r)
 		}()
@@ -174,6 +189,7 @@
 		{Name: "single", Host: "h", Prefix: "/single/", Kind: rules.Unsafe, Attempts: 1, Timeout: 500 * time.Millisecond, Targets: to},
 		{Name: "stream", Host: "h", Prefix: "/stream/", Kind: rules.Stream, Attempts: 2, Timeout: 2 * time.Second, Targets: to},
 		{Name: "resume", Host: "h", Prefix: "/resume/", Kind: rules.Stream, Resumable: true, Attempts: 2, Timeout: 2 * time.Second, Targets: to},
+		{Name: "long", Host: "h", Prefix: "/long/", Kind: rules.Stream, Attempts: 1, Timeout: 20 * time.Second, Targets: to},
 		{Name: "homes", Host: "h", Prefix: "/homes/", Kind: rules.Safe, Attempts: 2, Homes: []ident.Region{"far"}, Targets: to},
 	}
 }
@@ -451,3 +467,41 @@
 		}
 	}
 }
+
+// TestUpstreamGone has an upstream fall silent in the middle of a stream that may not be
+// resumed, without closing anything, as one without power does. The caller has to be told
+// soon after. An upstream that takes connections may only stand still, and is waited for.
+func TestUpstreamGone(t *testing.T) {
+	t.Parallel()
+	for name, dark := range map[string]bool{"gone": true, "still": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, nil, nil)
+			silent := func(c net.Conn, r *http.Request) {
+				if dark {
+					for _, u := range w.upstreams {
+						_ = u.listener.Close()
+					}
+				}
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+				_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len("id: 1\ndata: a\n\n"), "id: 1\ndata: a\n\n")
+				time.Sleep(2 * minStall)
+				_, _ = io.WriteString(c, "0\r\n\r\n")
+			}
+			w.do(silent)
+			w.ready(t)
+			began := time.Now()
+			_, body, err := w.ask(t, "/long/", "", nil)
+			took := time.Since(began)
+			if !strings.HasPrefix(body, "id: 1") {
+				t.Fatalf("%q, error %v", body, err)
+			}
+			if dark && (err == nil || took > minStall+time.Second) {
+				t.Errorf("told after %s, error %v", took, err)
+			}
+			if !dark && err != nil {
+				t.Errorf("cut after %s: %v", took, err)
+			}
+		})
+	}
+}
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -75,13 +75,20 @@
 	call.inFlight = lease.InFlight
 	call.peer = string(lease.Listed.ID)
 	call.count()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := c.listen(ctx, call, lease, cancel)
+	defer silence.stop()
 	answer, failure := c.Sender.Send(ctx, c.describe(call, lease))
 	if failure != nil {
 		c.endLease(lease, endingOf(failure))
 		return failure
 	}
 	defer func() { _ = answer.Body.Close() }()
-	failure = c.copyAnswer(ctx, call, answer, reply, lease.Answered)
+	failure = c.copyAnswer(ctx, call, answer, reply, func(now time.Time) {
+		silence.heard()
+		lease.Answered(now)
+	})
 	c.endLease(lease, answerEnding(answer, failure))
 	return failure
 }
--- a/io/edge/run.go
+++ b/io/edge/run.go
@@ -106,6 +106,8 @@
 	defer cancel(nil)
 	patience := c.patience(call, lease.First, cancel)
 	defer patience.Stop()
+	silence := c.listen(ctx, call, lease, cancel)
+	defer silence.stop()
 	answer, failure := c.Sender.Send(ctx, c.describe(call, lease))
 	if failure == nil && !patience.Stop() {
 		// The head came as the attempt was given up, and the rest won't come.
@@ -120,7 +122,10 @@
 	if answer.Meta.Cold > 0 {
 		lease.Cool(c.Clock.Now(), answer.Meta.Cold)
 	}
-	failure = c.pass(ctx, cancel, call, answer, sink, func() { lease.Answered(c.Clock.Now()) })
+	failure = c.pass(ctx, cancel, call, answer, sink, func() {
+		silence.heard()
+		lease.Answered(c.Clock.Now())
+	})
 	c.endLease(lease, answerEnding(answer, failure))
 	return failure
 }
--- a/io/sender/sender.go
+++ b/io/sender/sender.go
@@ -124,6 +124,17 @@
 	return answer, failure
 }
 
+// Reach reports whether an upstream takes connections at its address. It sends nothing.
+func (c *Client) Reach(ctx context.Context, id ident.Upstream, address netip.AddrPort) bool {
+	c.Dials.Add(1)
+	opened, err := dial(ctx, connKey{id, address}, c.DialTimeout)
+	if err != nil {
+		return false
+	}
+	_ = opened.Close()
+	return true
+}
+
 // failure describes how an attempt ended. A context that has ended is the reason for
 // whatever went wrong on the connection after it.
 func (c *Client) failure(ctx context.Context, a *Attempt, o result.Outcome, r result.Reason, err error) *result.Failure {
