Have the load tool ask again when an entry gives out no keys

Cause: TestRollingReplacement failed beside load with eleven calls refused as key-malformed. The entry that advised their callers was starting or stopping, and said so by leaving out the prefix of keys; the load tool sent half a key and kept that advice for good.

Change: a keyed call without a prefix isn't sent; the advice is forgotten and asked for again.

Test: TestNoKeyYet failed first (sent the key 1-0).

--- a/io/bench/bench_test.go
+++ b/io/bench/bench_test.go
@@ -175,6 +175,8 @@
 	upstream netip.AddrPort
 	asked    int
 	keys     []string
+	// stopping is how many times it is asked while it gives out no keys.
+	stopping int
 }
 
 func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -182,6 +184,10 @@
 	defer g.mu.Unlock()
 	if r.URL.Path == "/v1/entry" {
 		g.asked++
+		if g.asked <= g.stopping {
+			emul.WriteJSON(w, http.StatusOK, Advice{Entries: []Place{{Address: g.address}}})
+			return
+		}
 		emul.WriteJSON(w, http.StatusOK, Advice{Entries: []Place{{Address: g.address}}, KeyPrefix: fmt.Sprintf("owner.%d.", g.asked)})
 		return
 	}
@@ -212,6 +218,26 @@
 	w.Header().Set("Run-Outcome", "done")
 }
 
+// TestNoKeyYet asks an entry that stops, which advises callers and gives out no keys. A
+// call that needs one has to ask again; with half a key it would be refused for good.
+func TestNoKeyYet(t *testing.T) {
+	g := &gate{stopping: 2, upstream: serve(t, plain.New(plain.Settings{}).Handler())}
+	g.address = serve(t, g)
+	load := Load{
+		Entries: []netip.AddrPort{g.address}, Workspaces: []ident.Workspace{"cousins"}, Service: "bookings", Path: "/", Keyed: true,
+		Workers: 1, Count: 1, Duration: time.Minute, Timeout: time.Minute, Tries: 5, Seed: 1,
+	}
+	load.Mix[table.ServiceCall] = 1
+	var client Client
+	report, err := load.Run(t.Context(), &client)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := report.Classes["service"]; got.Whole != 1 || !slices.Equal(g.keys, []string{"owner.3.1-0"}) {
+		t.Errorf("%d whole, keys %q", got.Whole, g.keys)
+	}
+}
+
 // TestRetry tries again only what was not run, and asks again when the advice no
 // longer holds.
 func TestRetry(t *testing.T) {
--- a/io/bench/load.go
+++ b/io/bench/load.go
@@ -274,6 +274,11 @@
 		return netip.AddrPort{}, failed
 	}
 	if r.load.Keyed && q.Class == table.ServiceCall {
+		if advice.KeyPrefix == "" {
+			// An entry that starts or stops advises others and gives out no keys.
+			r.places.learn(q.Workspace, result.NotReady)
+			return netip.AddrPort{}, &result.Failure{Outcome: result.NotRun, Step: result.StepRoute, Reason: result.NotReady}
+		}
 		q.Key = advice.KeyPrefix + unique
 	}
 	return advice.Entries[0].Address, nil
