Make one piece of what this work had written twice

Found on reading the whole change again; behaviour stays as it was.

- clock.Pause takes the place of five waits that end with a context (io/entry, io/bench, io/emul/fault, io/edge, io/follow).
- io/daemon: both daemons open listeners and report their ends by one function each.
- io/follow: one place begins to ask a peer, whoever noticed the lack.
- core/pool: the excess, the same for all upstreams of a service, is worked out once a choice and not once an upstream; the upstreams that take work are listed once for guess and choice.
- core/mesh: the record without loads is made once a beat. io/sender: one function dials.
- io/daemon: reload no longer begins a log line that it doesn't send.

Left: Retry-After is read in three forms (io/plat, io/upcall, io/sender), which differ in what they take; three tests have a log of their own that is safe for concurrent use; a request is projected and then picked, which weighs upstreams twice.

--- a/core/mesh/beats.go
+++ b/core/mesh/beats.go
@@ -51,7 +51,7 @@
 	s.self.Sequence++
 	own := s.self
 	own.Loads = nil
-	sends := s.introduce(now, near, far)
+	sends := s.introduce(now, near, far, own)
 	sends = append(sends, s.beatNear(now, near, own)...)
 	sends = append(sends, s.beatFar(now, far, own)...)
 	s.announcing = false
@@ -113,7 +113,7 @@
 }
 
 // introduce tells newcomers, and now and then a few others, of all that are known.
-func (s *State) introduce(now time.Time, near, far []*held) []Send {
+func (s *State) introduce(now time.Time, near, far []*held, own Record) []Send {
 	var to []*held
 	if due(&s.introduced, now, introduceInterval) {
 		to = append(to, s.sample(near, nearIntroduced)...)
@@ -128,8 +128,6 @@
 	if len(to) == 0 {
 		return nil
 	}
-	own := s.self
-	own.Loads = nil
 	return appendSends(nil, to, append([]Record{own}, s.introductions(now)...))
 }
 
--- a/core/mesh/large_test.go
+++ b/core/mesh/large_test.go
@@ -10,15 +10,20 @@
 // regions of 28.
 const large = 84
 
-// TestLarge starts all entries of a large installation at once. They have to know each
-// other soon, never believe one silent that isn't, and send few records: at some 90
-// bytes each, 80 a second are the 7 KB/s that control may take.
-func TestLarge(t *testing.T) {
+func newLarge(t *testing.T) *world {
 	w := newWorld(t)
 	w.seeds = []netip.AddrPort{address(0), address(1), address(2)}
 	for n := range large {
 		w.start(n, 1)
 	}
+	return w
+}
+
+// TestLarge starts all entries of a large installation at once. They have to know each
+// other soon, never believe one silent that isn't, and send few records: at some 90
+// bytes each, 80 a second are the 7 KB/s that control may take.
+func TestLarge(t *testing.T) {
+	w := newLarge(t)
 	w.pass(2 * time.Second)
 	for a, s := range w.states {
 		if known := alive(s.View(w.now)); known != large-1 {
@@ -43,11 +48,7 @@
 // TestLargeAnnounce has an entry of a large installation say that it drains: all others
 // of its region have to know at once, since they name it to callers.
 func TestLargeAnnounce(t *testing.T) {
-	w := newWorld(t)
-	w.seeds = []netip.AddrPort{address(0), address(1), address(2)}
-	for n := range large {
-		w.start(n, 1)
-	}
+	w := newLarge(t)
 	w.pass(5 * time.Second)
 	s := w.states[address(5)]
 	s.Self(func(r *Record) { r.Phase++ })
--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -38,6 +38,8 @@
 	Projection
 	// uncached is the part of the prompt that has to be read.
 	uncached int
+	// excess is the part of First that is not the upstream's own.
+	excess time.Duration
 }
 
 // Project returns what a request would meet at the best upstream, and false when
@@ -77,7 +79,7 @@
 		Cold:       r.isCold(now),
 		InFlight:   r.inFlight,
 		Uncached:   best.uncached,
-		excess:     p.excess(now, a.Service, request.rank),
+		excess:     best.excess,
 		request:    request,
 		pool:       p,
 		replica:    r,
@@ -89,9 +91,10 @@
 	var best candidate
 	found := false
 	home := p.affine(a)
-	draw := p.newDraw(p.unknown(now, a.Service))
-	for _, r := range p.replicas {
-		if r.Service != a.Service || !p.usable(now, r) || slices.Contains(a.Excluded, r.ID) {
+	takers := p.takers(now, a.Service)
+	draw := p.newDraw(p.unknown(now, a.Service, takers))
+	for _, r := range takers {
+		if slices.Contains(a.Excluded, r.ID) {
 			continue
 		}
 		c := p.weigh(now, a, r, r.ID == home)
@@ -101,9 +104,24 @@
 			found = true
 		}
 	}
+	if found {
+		best.excess = p.excess(now, a.Service, mesh.Rank(a.Rank))
+		best.First += best.excess
+	}
 	return best, found
 }
 
+// takers returns the upstreams of a service that new work may go to.
+func (p *Pool) takers(now time.Time, service ident.Service) []*replica {
+	var list []*replica
+	for _, r := range p.replicas {
+		if r.Service == service && p.usable(now, r) {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
 // usable reports whether new work may go to an upstream at all.
 func (p *Pool) usable(now time.Time, r *replica) bool {
 	if r.Draining || now.Before(r.avoidUntil) || r.silent(now) {
--- a/core/pool/excess.go
+++ b/core/pool/excess.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"math"
 	"time"
 
 	"arbutustrestle/core/ident"
@@ -31,7 +30,7 @@
 }
 
 func (e *excess) now(now time.Time) time.Duration {
-	return time.Duration(float64(e.late) * math.Exp(-float64(now.Sub(e.at))/float64(excessTime)))
+	return time.Duration(float64(e.late) * fade(now.Sub(e.at), excessTime))
 }
 
 // excess returns by how much first answers come later than projected.
--- a/core/pool/spread.go
+++ b/core/pool/spread.go
@@ -35,7 +35,12 @@
 
 // now returns the requests in a millisecond.
 func (p *pace) now(now time.Time) float64 {
-	return p.perMilli * math.Exp(-float64(now.Sub(p.at))/float64(paceTime))
+	return p.perMilli * fade(now.Sub(p.at), paceTime)
+}
+
+// fade returns what is left of a moving average after some time without samples.
+func fade(since, over time.Duration) float64 {
+	return math.Exp(-float64(since) / float64(over))
 }
 
 // note takes in one request.
@@ -62,25 +67,18 @@
 // service on average, in milliseconds, and that this entry has not heard of: 100
 // requests a second from each of 10 others, heard of after half a second on average,
 // are 10 at each of 50 upstreams. What has ended since counts no more.
-func (p *Pool) unknown(now time.Time, service ident.Service) float64 {
+func (p *Pool) unknown(now time.Time, service ident.Service, takers []*replica) float64 {
 	known := p.paces[service]
 	others := float64(len(p.near) - 1)
-	if known == nil || others <= fewOthers || p.wordAge <= 0 {
+	if known == nil || others <= fewOthers || p.wordAge <= 0 || len(takers) == 0 {
 		return 0
 	}
-	upstreams := 0
 	hold := time.Duration(0)
-	for _, r := range p.replicas {
-		if r.Service == service && p.usable(now, r) {
-			upstreams++
-			hold += r.hold
-		}
-	}
-	if upstreams == 0 {
-		return 0
+	for _, r := range takers {
+		hold += r.hold
 	}
-	age := min(p.wordAge, hold/time.Duration(upstreams))
-	arrived := known.now(now) * float64(age.Milliseconds()) * others / float64(upstreams)
+	age := min(p.wordAge, hold/time.Duration(len(takers)))
+	arrived := known.now(now) * float64(age.Milliseconds()) * others / float64(len(takers))
 	return arrived * known.work
 }
 
--- a/core/pool/weigh.go
+++ b/core/pool/weigh.go
@@ -27,7 +27,7 @@
 	maxSlow = 8
 )
 
-// weigh projects what a request would meet at an upstream.
+// weigh projects what a request would meet at an upstream, without the excess of all.
 func (p *Pool) weigh(now time.Time, a Ask, r *replica, home bool) candidate {
 	running := float64(r.inFlight + r.others.inFlight)
 	uncached := a.Tokens
@@ -48,7 +48,7 @@
 		uncached: uncached,
 		Projection: Projection{
 			Wait:  millis(wait * slow),
-			First: millis(first*slow) + p.excess(now, a.Service, mesh.Rank(a.Rank)),
+			First: millis(first * slow),
 		},
 	}
 }
--- a/io/bench/load.go
+++ b/io/bench/load.go
@@ -14,6 +14,7 @@
 
 	"github.com/juju/errors"
 
+	"arbutustrestle/core/clock"
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/result"
 	"arbutustrestle/core/table"
@@ -173,22 +174,7 @@
 	if number >= int64(r.load.Count) || due.Sub(r.started) >= r.load.Duration {
 		return due, false
 	}
-	return due, pause(ctx, time.Until(due))
-}
-
-// pause waits; it returns false when the context ended first.
-func pause(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return due, clock.Pause(ctx, time.Until(due))
 }
 
 // serve sends one request, again if it was not run, and records its end.
@@ -218,7 +204,7 @@
 	if wait <= 0 {
 		wait = defaultPause
 	}
-	return pause(ctx, min(wait, maxPause))
+	return clock.Pause(ctx, min(wait, maxPause))
 }
 
 func (r *run) ended(q *Request, a Answer, f *result.Failure) {
--- a/io/daemon/gateway.go
+++ b/io/daemon/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -316,11 +315,11 @@
 		if err != nil {
 			return errors.Trace(err)
 		}
-		g.work.Go(func() { g.report(s.Serve(l)) })
+		g.work.Go(func() { report(g.log, s.Serve(l)) })
 	}
 	g.work.Go(func() { g.loop.Run(ctx) })
-	g.work.Go(func() { g.report(g.peers.Serve(ctx, peers)) })
-	g.work.Go(func() { g.report(g.caller.Serve(callers)) })
+	g.work.Go(func() { report(g.log, g.peers.Serve(ctx, peers)) })
+	g.work.Go(func() { report(g.log, g.caller.Serve(callers)) })
 	g.log.Info().
 		Str("caller-address", g.settings.Caller.String()).
 		Str("peer-address", g.settings.Peer.String()).
@@ -331,18 +330,6 @@
 	return nil
 }
 
-func listen(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
-	var c net.ListenConfig
-	l, err := c.Listen(ctx, "tcp", address.String())
-	return l, errors.Annotatef(err, "listen on %s; check that no other process uses it", address)
-}
-
-func (g *gateway) report(err error) {
-	if err != nil && !errors.Is(err, http.ErrServerClosed) {
-		g.log.Error().Err(err).Msg("a listener ended")
-	}
-}
-
 const (
 	// exitBefore is how long before the end of the grace time the process ends,
 	// whatever still runs.
--- a/io/daemon/reload.go
+++ b/io/daemon/reload.go
@@ -65,9 +65,9 @@
 	}
 	r.seeds(settings.Seeds)
 	r.inForce.Seeds = settings.Seeds
-	line := r.log.Info().Str("why", why).Int("seeds", len(settings.Seeds))
+	line := r.log.Info()
 	if waiting := r.inForce.Restart(settings); len(waiting) > 0 {
-		line = r.log.Warn().Str("why", why).Int("seeds", len(settings.Seeds)).Strs("needs-restart", waiting)
+		line = r.log.Warn().Strs("needs-restart", waiting)
 	}
-	line.Msg("settings read again")
+	line.Str("why", why).Int("seeds", len(settings.Seeds)).Msg("settings read again")
 }
--- a/io/daemon/serve.go
+++ b/io/daemon/serve.go
@@ -87,20 +87,19 @@
 func (s *servers) start(ctx context.Context) error {
 	var listeners []net.Listener
 	for _, address := range []netip.AddrPort{s.settings.Caller, s.settings.PeerListen, s.settings.Admin} {
-		var config net.ListenConfig
-		l, err := config.Listen(ctx, "tcp", address.String())
+		l, err := listen(ctx, address)
 		if err != nil {
 			closeAll(listeners)
-			return errors.Annotatef(err, "listen on %s; check that no other process uses it", address)
+			return errors.Trace(err)
 		}
 		listeners = append(listeners, l)
 	}
 	running, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	s.work.Go(func() { s.loop.Run(running) })
-	s.work.Go(func() { s.report(s.peer.Serve(running, listeners[1])) })
-	s.work.Go(func() { s.report(s.caller.Serve(limit(listeners[0], s.settings.Limits.Connections))) })
-	s.work.Go(func() { s.report(s.admin.Serve(listeners[2])) })
+	s.work.Go(func() { report(s.log, s.peer.Serve(running, listeners[1])) })
+	s.work.Go(func() { report(s.log, s.caller.Serve(limit(listeners[0], s.settings.Limits.Connections))) })
+	s.work.Go(func() { report(s.log, s.admin.Serve(listeners[2])) })
 	s.log.Info().
 		Str("caller-address", s.settings.Caller.String()).
 		Str("peer-address", s.settings.Peer.String()).
@@ -116,12 +115,6 @@
 	}
 }
 
-func (s *servers) report(err error) {
-	if err != nil && !errors.Is(err, http.ErrServerClosed) {
-		s.log.Error().Err(err).Msg("a listener ended")
-	}
-}
-
 // stop closes the listeners after a drain, when no request is left.
 func (s *servers) stop(ctx context.Context) error {
 	err := s.caller.Shutdown(ctx)
--- a/io/edge/call.go
+++ b/io/edge/call.go
@@ -104,6 +104,13 @@
 	c.last = now
 }
 
+// lease notes what a lease says of the upstream, for the log.
+func (c *Call) lease(l *pool.Lease) {
+	c.uncached = l.Uncached
+	c.ahead = l.Ahead
+	c.inFlight = l.InFlight
+}
+
 // ask returns what the choice of an upstream has to know.
 func (c *Call) ask() pool.Ask {
 	return pool.Ask{
--- a/io/edge/choose.go
+++ b/io/edge/choose.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"arbutustrestle/core/clock"
 	"arbutustrestle/core/pool"
 	"arbutustrestle/core/result"
 	"arbutustrestle/core/spill"
@@ -41,9 +42,7 @@
 	if !found {
 		return place{}, refuse(result.StepRoute, result.NoUpstream, c.comeBack(noUpstreamWait, left))
 	}
-	call.uncached = lease.Uncached
-	call.ahead = lease.Ahead
-	call.inFlight = lease.InFlight
+	call.lease(lease)
 	return place{lease: lease}, nil
 }
 
@@ -125,12 +124,5 @@
 	if c.Clock.Now().Sub(call.Arrived) >= limit {
 		return false
 	}
-	timer := time.NewTimer(awaitStep)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return clock.Pause(ctx, awaitStep)
 }
--- a/io/edge/pass.go
+++ b/io/edge/pass.go
@@ -107,12 +107,23 @@
 	if _, err := sink.Write(w.body); err != nil {
 		return gone(call, err)
 	}
+	return c.eachPart(ctx, call, rest, func(p []byte) *result.Failure {
+		if _, err := sink.Write(p); err != nil {
+			return gone(call, err)
+		}
+		return nil
+	})
+}
+
+// eachPart calls a function with each part of an answer's body as it comes, until it
+// fails or the body ends.
+func (c *Core) eachPart(ctx context.Context, call *Call, body io.Reader, do func(p []byte) *result.Failure) *result.Failure {
 	buffer := make([]byte, chunkBytes)
 	for {
-		n, err := rest.Read(buffer)
+		n, err := body.Read(buffer)
 		if n > 0 {
-			if _, err := sink.Write(buffer[:n]); err != nil {
-				return gone(call, err)
+			if failure := do(buffer[:n]); failure != nil {
+				return failure
 			}
 		}
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
@@ -134,24 +145,16 @@
 	stall := c.stall(call, cancel)
 	defer stall.Stop()
 	events := &events{whole: call.Route.Resumable}
-	buffer := make([]byte, chunkBytes)
-	for {
-		n, err := a.Body.Read(buffer)
-		if n > 0 {
-			stall.Reset(stallTime(call.Route))
-			call.heard(c.Clock.Now())
-			heard()
-			if failure := c.passEvents(call, a, events, buffer[:n], sink); failure != nil {
-				return failure
-			}
-		}
-		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
-			return c.endStream(call, a, events, sink)
-		}
-		if err != nil {
-			return c.fail(ctx, call, result.AnswerCut, err)
-		}
+	failure := c.eachPart(ctx, call, a.Body, func(p []byte) *result.Failure {
+		stall.Reset(stallTime(call.Route))
+		call.heard(c.Clock.Now())
+		heard()
+		return c.passEvents(call, a, events, p, sink)
+	})
+	if failure != nil {
+		return failure
 	}
+	return c.endStream(call, a, events, sink)
 }
 
 func (c *Core) passEvents(call *Call, a *sender.Answer, e *events, p []byte, sink Sink) *result.Failure {
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
-	"github.com/juju/errors"
-
 	"arbutustrestle/core/result"
 	"arbutustrestle/core/rules"
 	"arbutustrestle/io/link"
@@ -70,9 +67,7 @@
 		return refuse(result.StepRoute, result.NoUpstream, noUpstreamWait)
 	}
 	call.projected = lease.Projection
-	call.uncached = lease.Uncached
-	call.ahead = lease.Ahead
-	call.inFlight = lease.InFlight
+	call.lease(lease)
 	call.peer = string(lease.Listed.ID)
 	call.count()
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -101,25 +96,16 @@
 	if err := reply.Head(a); err != nil {
 		return gone(call, err)
 	}
-	buffer := make([]byte, chunkBytes)
-	for {
-		n, err := a.Body.Read(buffer)
-		if n > 0 {
-			now := c.Clock.Now()
-			if call.first.IsZero() {
-				call.first = now
-			}
-			heard(now)
-			call.bytes += n
-			if _, err := reply.Write(buffer[:n]); err != nil {
-				return gone(call, err)
-			}
-		}
-		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
-			return nil
+	return c.eachPart(ctx, call, a.Body, func(p []byte) *result.Failure {
+		now := c.Clock.Now()
+		if call.first.IsZero() {
+			call.first = now
 		}
-		if err != nil {
-			return c.fail(ctx, call, result.AnswerCut, err)
+		heard(now)
+		call.bytes += len(p)
+		if _, err := reply.Write(p); err != nil {
+			return gone(call, err)
 		}
-	}
+		return nil
+	})
 }
--- a/io/edge/stall.go
+++ b/io/edge/stall.go
@@ -19,9 +19,9 @@
 	timer *time.Timer
 }
 
-// listen watches an attempt that may not be made elsewhere. After a long silence it
-// opens a connection to the upstream; when that fails, and nothing was heard meanwhile,
-// it cancels the attempt.
+// listen watches any attempt at an upstream of the region. After a long silence it opens
+// a connection there; when that fails, and nothing was heard meanwhile, it cancels the
+// attempt. Of attempts that may be made elsewhere, patience and stall end most before.
 func (c *Core) listen(ctx context.Context, call *Call, lease *pool.Lease, cancel context.CancelCauseFunc) *silence {
 	s := &silence{wait: max(stallTime(call.Route), lease.First)}
 	s.timer = time.AfterFunc(time.Hour, func() {
--- a/io/emul/fault/conn.go
+++ b/io/emul/fault/conn.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"arbutustrestle/core/clock"
 	"arbutustrestle/io/emul"
 )
 
@@ -106,7 +107,7 @@
 	if r.Kind != Slow {
 		return true
 	}
-	return wait(ctx, r.pause())
+	return clock.Pause(ctx, r.pause())
 }
 
 // Write sends the bytes and flushes, one by one under Trickle. It returns false
@@ -123,24 +124,13 @@
 			return false
 		}
 		flusher.Flush()
-		if !wait(ctx, r.pause()) {
+		if !clock.Pause(ctx, r.pause()) {
 			return false
 		}
 	}
 	return true
 }
 
-func wait(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // hijack takes the connection from the server, or returns nil.
 func hijack(w http.ResponseWriter) net.Conn {
 	conn, _, err := http.NewResponseController(w).Hijack()
--- a/io/entry/route.go
+++ b/io/entry/route.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"arbutustrestle/core/clock"
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/load"
 	"arbutustrestle/core/node"
@@ -62,7 +63,7 @@
 			return j.known(stop)
 		}
 		f.core.Metrics.Retried(failure)
-		if !pause(ctx, again) {
+		if !clock.Pause(ctx, again) {
 			return j.known(failure)
 		}
 	}
@@ -89,21 +90,6 @@
 	}
 }
 
-// pause waits before a further attempt, and reports false when the request ended.
-func pause(ctx context.Context, wait time.Duration) bool {
-	if wait == 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // try makes one attempt or forward on the state in force now: the table may have
 // changed while the request waited. A final failure is not to be retried.
 func (f *routeFilter) try(ctx context.Context, j *progress) (failure *result.Failure, final bool) {
--- a/io/follow/peers.go
+++ b/io/follow/peers.go
@@ -11,8 +11,17 @@
 	"arbutustrestle/io/wire"
 )
 
-// ask fetches the values of a group from a peer.
-func (l *Loop) ask(ctx context.Context, from mesh.Record, g publ.Group, after uint64) {
+// ask has the values of a group fetched from a peer, unless some are being fetched.
+func (l *Loop) ask(ctx context.Context, from mesh.Record, g publ.Group) {
+	if l.health[g].asking {
+		return
+	}
+	l.health[g].asking = true
+	after := l.stores[g].Revision()
+	l.work.Go(func() { l.askNow(ctx, from, g, after) })
+}
+
+func (l *Loop) askNow(ctx context.Context, from mesh.Record, g publ.Group, after uint64) {
 	v, err := l.parts.Links.Fetch(ctx, from.Peer, &wire.Fetch{Key: g.String(), After: after})
 	var published wire.Published
 	if err == nil {
--- a/io/follow/turn.go
+++ b/io/follow/turn.go
@@ -118,10 +118,8 @@
 // askMember asks a member for a whole group after a gap in what it told.
 func (l *Loop) askMember(ctx context.Context, id ident.Instance, g publ.Group) {
 	for _, m := range l.View().Mesh.Members {
-		if m.ID == id && !l.health[g].asking {
-			l.health[g].asking = true
-			after := l.stores[g].Revision()
-			l.work.Go(func() { l.ask(ctx, m.Record, g, after) })
+		if m.ID == id {
+			l.ask(ctx, m.Record, g)
 		}
 	}
 }
--- a/io/follow/values.go
+++ b/io/follow/values.go
@@ -7,6 +7,7 @@
 
 	"github.com/juju/errors"
 
+	"arbutustrestle/core/clock"
 	"arbutustrestle/core/mesh"
 	"arbutustrestle/core/publ"
 )
@@ -54,14 +55,14 @@
 			whole = false
 			backoff = firstBackoff
 			if g == publ.Upstreams {
-				sleep(ctx, gatherTime)
+				clock.Pause(ctx, gatherTime)
 			}
 		case errors.Is(err, ErrGap):
 			whole = true
-			sleep(ctx, jitter(firstBackoff))
+			clock.Pause(ctx, jitter(firstBackoff))
 		default:
 			l.post(func(now time.Time) { l.failed(now, g, err) })
-			sleep(ctx, jitter(backoff))
+			clock.Pause(ctx, jitter(backoff))
 			backoff = min(2*backoff, maxBackoff)
 		}
 	}
@@ -83,15 +84,6 @@
 	return d/2 + rand.N(d/2)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // answered takes in what the platform has said.
 func (l *Loop) answered(ctx context.Context, now time.Time, g publ.Group, items []publ.Item, revision uint64, whole bool) {
 	h := &l.health[g]
@@ -210,12 +202,10 @@
 		h.behind = newestRevision(newest, g)
 		h.behindSince = now
 	}
-	if h.asking || !h.lost && now.Sub(h.behindSince) < behindTime {
+	if !h.lost && now.Sub(h.behindSince) < behindTime {
 		return
 	}
-	h.asking = true
-	after := l.stores[g].Revision()
-	l.work.Go(func() { l.ask(ctx, newest, g, after) })
+	l.ask(ctx, newest, g)
 }
 
 // newest returns the alive member that holds the newest state of a group.
--- a/io/sender/sender.go
+++ b/io/sender/sender.go
@@ -108,8 +108,7 @@
 	key := connKey{a.Upstream, a.Address}
 	connection := c.conns.take(key)
 	if connection == nil {
-		c.Dials.Add(1)
-		opened, err := dial(ctx, key, c.DialTimeout)
+		opened, err := c.open(ctx, key)
 		if err != nil {
 			return nil, c.failure(ctx, a, result.NotRun, result.ConnectFailed, err)
 		}
@@ -124,10 +123,14 @@
 	return answer, failure
 }
 
+func (c *Client) open(ctx context.Context, k connKey) (*conn, error) {
+	c.Dials.Add(1)
+	return dial(ctx, k, c.DialTimeout)
+}
+
 // Reach reports whether an upstream takes connections at its address. It sends nothing.
 func (c *Client) Reach(ctx context.Context, id ident.Upstream, address netip.AddrPort) bool {
-	c.Dials.Add(1)
-	opened, err := dial(ctx, connKey{id, address}, c.DialTimeout)
+	opened, err := c.open(ctx, connKey{id, address})
 	if err != nil {
 		return false
 	}
