Log each attempt at a cold upstream and the membership it was made on

The three hypotheses of docs/incidents/failback-after-restart.md differ in just these values.

Each such attempt now writes one line and counts under cold-sends. The choice itself is unchanged. Tests of core/pool and io/proxy pass.

--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -61,9 +61,7 @@
 		return nil, false
 	}
 	r := best.replica
-	if r.isCold(now) {
-		r.lastColdSend = now
-	}
+	cold := p.recordColdSend(now, r)
 	ahead, _ := p.tokensAhead(now, r)
 	request := &pendingRequest{priority: gossip.PriorityClass(req.Priority), tokens: best.uncached, sentAt: now}
 	r.inFlight++
@@ -77,7 +75,7 @@
 		Projection:     best.Projection,
 		TokensAhead:    ahead,
 		Upstream:       r.Upstream,
-		Cold:           r.isCold(now),
+		Cold:           cold,
 		InFlight:       r.inFlight,
 		UncachedTokens: best.uncached,
 		excess:         best.excess,
@@ -88,6 +86,19 @@
 	}, true
 }
 
+// recordColdSend records a request to an upstream if that is cold, or else returns nil.
+func (p *Pool) recordColdSend(now time.Time, r *replica) *ColdSend {
+	if !r.isCold(now) {
+		return nil
+	}
+	send := &ColdSend{Left: r.coldUntil.Sub(now), Instances: len(p.instances)}
+	if !r.lastColdSend.IsZero() {
+		send.SinceLast = now.Sub(r.lastColdSend)
+	}
+	r.lastColdSend = now
+	return send
+}
+
 func (p *Pool) best(now time.Time, req Request) (candidate, bool) {
 	var best candidate
 	found := false
--- a/core/pool/lease.go
+++ b/core/pool/lease.go
@@ -39,6 +39,18 @@
 	return "unknown"
 }
 
+// ColdSend holds the values that allowed a request to a cold upstream.
+type ColdSend struct {
+	// Left is how much longer the upstream counts as cold.
+	Left time.Duration
+	// SinceLast is the time since this instance last sent a request there while the
+	// upstream was cold; zero if it has sent none.
+	SinceLast time.Duration
+	// Instances is the number of instances of the region that this instance took into
+	// account, itself included.
+	Instances int
+}
+
 // Lease is a request's place at an upstream, from the choice to the end of the attempt.
 // It belongs to one goroutine.
 type Lease struct {
@@ -46,9 +58,10 @@
 	// TokensAhead is the number of prompt tokens that waited at the upstream to be read,
 	// by priority class.
 	TokensAhead gossip.ByPriority[int]
-	// Upstream, Cold, InFlight and UncachedTokens are as of the choice.
+	// Upstream, Cold, InFlight and UncachedTokens are as of the choice. Cold is nil if the
+	// upstream was warm.
 	Upstream       Upstream
-	Cold           bool
+	Cold           *ColdSend
 	InFlight       int
 	UncachedTokens int
 
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -104,6 +104,7 @@
 	call.peer = string(lease.Upstream.ID)
 	call.tried = append(call.tried, lease.Upstream.ID)
 	call.countSend()
+	p.recordColdSend(call, lease)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	firstByteTimer := p.startFirstByteTimer(call, lease.FirstByte, cancel)
@@ -132,6 +133,21 @@
 	return failure
 }
 
+// recordColdSend counts and logs an attempt at a cold upstream.
+func (p *Proxy) recordColdSend(call *Call, lease *pool.Lease) {
+	if lease.Cold == nil {
+		return
+	}
+	p.Metrics.Events.Add("cold-sends", 1)
+	p.Log.Info().
+		Str("request-id", call.ID).
+		Str("peer", string(lease.Upstream.ID)).
+		Int64("cold-left-ms", lease.Cold.Left.Milliseconds()).
+		Int64("since-last-ms", lease.Cold.SinceLast.Milliseconds()).
+		Int("region-instances", lease.Cold.Instances).
+		Msg("request sent to a cold upstream")
+}
+
 // upstreamAttempt returns the message of an attempt at a leased upstream.
 func (p *Proxy) upstreamAttempt(call *Call, lease *pool.Lease) *http1.Attempt {
 	a := p.newAttempt(call)
