Add failing tests of the warm-up rate over a whole region

A cold upstream may get 2.7 x 1.5 + 3 = 7 requests in any second.

TestWarmupRateBound had checked three views of which two are single entries, and by its own bound three senders at once.

--- /dev/null
+++ b/core/pool/warmup_test.go
@@ -0,0 +1,117 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"arbutustrestle/core/member"
+)
+
+// regionSize is the number of instances of the region under test, the size of the largest
+// region that the deployments have.
+const regionSize = 28
+
+// TestWarmupRateAfterRestart guards against a cold upstream that is flooded after all
+// instances have restarted: until they have found each other, each holds itself to be the
+// only one that may send there.
+func TestWarmupRateAfterRestart(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			r := newRegion(t, seed)
+			r.startAll(regionSize)
+			r.run(10 * time.Second)
+			clear(r.instances)
+			r.run(1200 * time.Millisecond)
+			r.startAll(regionSize)
+			r.run(8 * time.Second)
+			r.expectBound(start)
+		})
+	}
+}
+
+// TestWarmupRateInDisagreement guards against a cold upstream that is flooded because
+// several instances, which hold different views of the membership, each take themselves
+// for its only sender.
+func TestWarmupRateInDisagreement(t *testing.T) {
+	t.Parallel()
+	for name, disturb := range map[string]func(r *region){
+		"many stop in turn": func(r *region) {
+			for n := range 18 {
+				r.instances[n].phase = member.Draining
+				r.instances[n].membership.Announce()
+				r.run(150 * time.Millisecond)
+				if n >= 8 {
+					delete(r.instances, n-8)
+				}
+			}
+		},
+		"many are killed at once and start again": func(r *region) {
+			for n := range 20 {
+				delete(r.instances, n)
+			}
+			r.run(600 * time.Millisecond)
+			r.startAll(20)
+		},
+		"many join": func(r *region) {
+			for n := range 24 {
+				r.start(regionSize + n)
+			}
+		},
+		"some are not heard": func(r *region) {
+			r.transit = func(from, to int) (time.Duration, bool) { return 3 * time.Millisecond, from >= 9 }
+		},
+		"some hear nothing": func(r *region) {
+			r.transit = func(from, to int) (time.Duration, bool) { return 3 * time.Millisecond, to >= 9 }
+		},
+		"four islands": func(r *region) {
+			r.transit = func(from, to int) (time.Duration, bool) { return 3 * time.Millisecond, from%4 == to%4 }
+		},
+		"each for itself": func(r *region) {
+			r.transit = func(from, to int) (time.Duration, bool) { return 0, false }
+		},
+		"heartbeats lost": func(r *region) {
+			r.transit = func(from, to int) (time.Duration, bool) { return 3 * time.Millisecond, r.random.Float64() < 0.4 }
+		},
+		"heartbeats late": func(r *region) {
+			r.transit = func(from, to int) (time.Duration, bool) {
+				return time.Duration(r.random.Int64N(int64(3 * time.Second))), true
+			}
+		},
+		"paused in turn, resumed together": func(r *region) {
+			end := r.now.Add(12 * time.Second)
+			for n := range 12 {
+				r.instances[n].frozenUntil = end
+				r.run(time.Second)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(3) {
+				r := newRegion(t, seed)
+				r.startAll(regionSize)
+				r.run(10 * time.Second)
+				from := r.now
+				disturb(r)
+				r.run(10 * time.Second)
+				r.expectBound(from)
+			}
+		})
+	}
+}
+
+// A region that doesn't change sends to its cold upstreams at their warm-up rate, from
+// soon after its start.
+func TestWarmupRateIsUsed(t *testing.T) {
+	t.Parallel()
+	r := newRegion(t, 6)
+	r.startAll(regionSize)
+	r.run(20 * time.Second)
+	r.expectBound(start)
+	if mean := r.meanArrivals(10 * time.Second); mean < 0.8*warmupRate*warmupTime.Seconds() {
+		t.Errorf("a cold upstream got %.1f requests on average", mean)
+	}
+}
