Send to cold upstreams only while the region agrees on its instances

Cause: one entry of a region sends to each cold upstream, the first by rendezvous over the entries that it holds as alive. A process that has just started holds itself alone, so all took themselves for the sender.

Class: a duty of one instance is decided from its own view alone.

Heartbeats now carry a digest of the sender's view of its region, zero until the view has been the same for 3 s. An entry sends to cold upstreams only while all entries in its view have announced its digest within 2.2 s, they are at least two, and the majority of those that it remembers.

TestWarmupRateBound and TestRestoredZoneIsCold pass the view anew at each step, as the loop does, since an old one no longer permits such requests; their checks are unchanged.

--- /dev/null
+++ b/core/gossip/agree.go
@@ -0,0 +1,136 @@
+package gossip
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"arbutustrestle/core/clock"
+	"arbutustrestle/core/member"
+)
+
+// A duty that one instance of a region has at a time, such as to send to an upstream that
+// is cold, is assigned by rendezvous over the instances of the region. Instances with
+// different views would assign it to several. An instance therefore performs such a duty
+// only while its region agrees: while all instances in its view have announced, in their
+// heartbeats, the digest of the same view.
+//
+// An instance whose view changes announces no digest for settleTime, which is longer than
+// an announcement counts. Two instances whose regions agree at the same time therefore
+// have the same view, or views that share no instance. Of the latter, at most one holds
+// the majority of the instances that the region had before it was partitioned.
+
+const (
+	// announcementTimeout is how long an announced digest counts after its arrival. In
+	// the largest regions, each instance gets a heartbeat from each other one in 1.6 s.
+	announcementTimeout = 2200 * time.Millisecond
+	// settleTime is how long the view must stay the same before its digest is announced.
+	// The difference from announcementTimeout is how late a heartbeat may arrive.
+	settleTime = 3 * time.Second
+	// minAgreeing is the least number of instances that can agree. An instance that holds
+	// only itself may just not have found the others yet.
+	minAgreeing = 2
+	// maxSuspension is the suspension of the machine, or the step of its wall clock, after
+	// which the view counts as changed.
+	maxSuspension = time.Second
+)
+
+// regionDigest tracks the view of the region that an instance holds.
+type regionDigest struct {
+	// value identifies the instances and their incarnations; it is never zero once set.
+	value uint64
+	// changedAt is when the value last changed.
+	changedAt time.Time
+	// updatedAt is when the value was last computed.
+	updatedAt time.Time
+}
+
+// update computes the digest of the instances that the region has now.
+func (d *regionDigest) update(now time.Time, region []Record) {
+	value := digestOf(region)
+	suspended := !d.updatedAt.IsZero() && clock.Suspension(d.updatedAt, now) > maxSuspension
+	d.updatedAt = now
+	if value == d.value && !suspended {
+		return
+	}
+	d.value = value
+	d.changedAt = now
+}
+
+// announced returns the digest that heartbeats carry; zero while it has not settled.
+func (d *regionDigest) announced(now time.Time) uint64 {
+	if now.Sub(d.changedAt) < settleTime {
+		return 0
+	}
+	return d.value
+}
+
+// digestOf returns the digest of a sorted list of instances.
+func digestOf(region []Record) uint64 {
+	var text []byte
+	for _, r := range region {
+		text = append(text, r.ID...)
+		text = append(text, 0)
+		text = binary.BigEndian.AppendUint64(text, r.Incarnation)
+	}
+	return max(1, xxhash.Sum64(text))
+}
+
+// regionRecords returns the records of the alive instances of the region that accept
+// traffic or soon will, sorted by name, this one included unless it is leaving.
+func (s *State) regionRecords(now time.Time) []Record {
+	var list []Record
+	if s.self.Phase <= member.Ready {
+		list = append(list, s.self)
+	}
+	for _, p := range s.peers {
+		if p.alive(now) && p.servesRegion(s.self.Region) {
+			list = append(list, p.Record)
+		}
+	}
+	slices.SortFunc(list, func(a, b Record) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+// updateDigest computes the digest of the region and sets the one that is announced.
+func (s *State) updateDigest(now time.Time) []Record {
+	region := s.regionRecords(now)
+	s.digest.update(now, region)
+	s.self.RegionDigest = s.digest.announced(now)
+	return region
+}
+
+// regionAgrees reports whether all instances of the region have announced the digest that
+// this one holds, and are the majority of those that it remembers.
+func (s *State) regionAgrees(now time.Time) bool {
+	region := s.updateDigest(now)
+	if s.self.RegionDigest == 0 || s.self.Phase > member.Ready || len(region) < minAgreeing {
+		return false
+	}
+	for _, r := range region {
+		if r.ID != s.self.ID && !s.peers[r.ID].announced(now, s.self.RegionDigest) {
+			return false
+		}
+	}
+	return 2*len(region) > s.rememberedInstances()
+}
+
+// announced reports whether a recent heartbeat from the instance itself carried a digest.
+func (p *peerState) announced(now time.Time, digest uint64) bool {
+	return p.RegionDigest == digest && now.Sub(p.lastDirect) < announcementTimeout
+}
+
+// rememberedInstances counts the instances of the region, silent ones included, that have
+// not announced that they leave.
+func (s *State) rememberedInstances() int {
+	count := 1
+	for _, p := range s.peers {
+		if p.servesRegion(s.self.Region) {
+			count++
+		}
+	}
+	return count
+}
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -43,6 +43,9 @@
 	// WatchesPlatform is set while the instance watches the platform for its region and
 	// the platform responds.
 	WatchesPlatform bool
+	// RegionDigest identifies the view that the instance has of its region; zero while
+	// that has not settled. Records that a third instance passes on don't have it.
+	RegionDigest uint64
 	// Age is the time since the sender of a heartbeat received this state; zero in its
 	// own record. It doesn't include transit times.
 	Age time.Duration
@@ -52,6 +55,11 @@
 	ServiceLoads  []ServiceLoad
 }
 
+// servesRegion reports whether the instance is one of a region and is not leaving.
+func (r *Record) servesRegion(region ident.Region) bool {
+	return r.Region == region && r.Phase <= member.Ready
+}
+
 // peerState is the state held of another instance.
 type peerState struct {
 	Record
@@ -71,6 +79,7 @@
 	random   *rand.Rand
 	peers    map[ident.Instance]*peerState
 	lastTick time.Time
+	digest   regionDigest
 
 	// newInstances were first seen since the last tick and are sent the records of all
 	// others.
@@ -183,10 +192,11 @@
 
 func (p *peerState) update(now time.Time, r Record, direct bool) {
 	if !direct {
-		// A third instance passes on no loads. The ones that came from the instance
-		// itself stay until they are replaced.
+		// A third instance passes on neither loads nor a digest. Those that came from
+		// the instance itself stay until they are replaced.
 		r.UpstreamLoads = p.UpstreamLoads
 		r.ServiceLoads = p.ServiceLoads
+		r.RegionDigest = p.RegionDigest
 	} else {
 		p.lastDirect = now
 	}
--- a/core/gossip/heartbeat.go
+++ b/core/gossip/heartbeat.go
@@ -50,6 +50,7 @@
 // DueHeartbeats returns the heartbeats that are due now. It is called every TickInterval.
 func (s *State) DueHeartbeats(now time.Time) []Heartbeat {
 	s.compensatePause(now)
+	s.updateDigest(now)
 	regional, remote, silent := s.groupPeers(now)
 	s.self.Sequence++
 	own := s.self
@@ -228,6 +229,7 @@
 			r.Age = now.Sub(p.lastUpdate)
 			r.UpstreamLoads = nil
 			r.ServiceLoads = nil
+			r.RegionDigest = 0
 			list = append(list, r)
 		}
 	}
--- a/core/gossip/view.go
+++ b/core/gossip/view.go
@@ -25,6 +25,10 @@
 	Self Record
 	// Members holds the other instances, sorted by name.
 	Members []Member
+	// RegionAgrees is set while all instances of the region hold the same view of it, so
+	// that a duty which is assigned over RegionInstances has one holder. It is never set
+	// for an instance that is leaving.
+	RegionAgrees bool
 }
 
 // View returns the membership now, and removes instances that were silent for longer than
@@ -39,6 +43,7 @@
 		}
 		v.Members = append(v.Members, Member{Record: p.Record, Alive: p.alive(now), LastHeartbeat: p.lastDirect})
 	}
+	v.RegionAgrees = s.regionAgrees(now)
 	return v
 }
 
@@ -47,7 +52,7 @@
 func (v *View) RegionInstances() []ident.Instance {
 	list := []ident.Instance{v.Self.ID}
 	for _, m := range v.Members {
-		if m.Alive && m.Region == v.Self.Region && m.Phase <= member.Ready {
+		if m.Alive && m.servesRegion(v.Self.Region) {
 			list = append(list, m.ID)
 		}
 	}
--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -86,19 +86,6 @@
 	}, true
 }
 
-// recordColdSend records a request to an upstream if that is cold, or else returns nil.
-func (p *Pool) recordColdSend(now time.Time, r *replica) *ColdSend {
-	if !r.isCold(now) {
-		return nil
-	}
-	send := &ColdSend{Left: r.coldUntil.Sub(now), Instances: len(p.instances)}
-	if !r.lastColdSend.IsZero() {
-		send.SinceLast = now.Sub(r.lastColdSend)
-	}
-	r.lastColdSend = now
-	return send
-}
-
 func (p *Pool) best(now time.Time, req Request) (candidate, bool) {
 	var best candidate
 	found := false
@@ -145,22 +132,6 @@
 	return !r.isCold(now) || p.mayWarmUp(now, r)
 }
 
-// mayWarmUp reports whether this instance may send a request to a cold upstream now. One
-// instance of the region sends to each cold upstream, at no more than the upstream's
-// warm-up rate. The limit allows half as much again and a few requests more, so that two
-// instances that disagree on the assignment still stay within it.
-func (p *Pool) mayWarmUp(now time.Time, r *replica) bool {
-	rate := p.services[r.Service].WarmupRate
-	if rate <= 0 {
-		return true
-	}
-	sender, _ := rank.First(string(r.ID), p.instances)
-	if sender != p.settings.Self {
-		return false
-	}
-	return now.Sub(r.lastColdSend) >= time.Duration(float64(time.Second)/rate)
-}
-
 // preferred returns the upstream that all instances of the region prefer for a prompt. It
 // is chosen by rendezvous hashing over the upstreams, keyed by the longest part that
 // other requests share.
--- a/core/pool/herd_test.go
+++ b/core/pool/herd_test.go
@@ -53,7 +53,7 @@
 			u.Service, u.Slots = "app", plainSlots
 			p.SetUpstream(start, u)
 		}
-		p.SetRegionInstances(ids)
+		p.SetRegion(start, ids, true)
 		if sampling {
 			p.SetMeanLoadAge(s.meanLoadAge)
 		}
--- a/core/pool/lease.go
+++ b/core/pool/lease.go
@@ -39,18 +39,6 @@
 	return "unknown"
 }
 
-// ColdSend holds the values that allowed a request to a cold upstream.
-type ColdSend struct {
-	// Left is how much longer the upstream counts as cold.
-	Left time.Duration
-	// SinceLast is the time since this instance last sent a request there while the
-	// upstream was cold; zero if it has sent none.
-	SinceLast time.Duration
-	// Instances is the number of instances of the region that this instance took into
-	// account, itself included.
-	Instances int
-}
-
 // Lease is a request's place at an upstream, from the choice to the end of the attempt.
 // It belongs to one goroutine.
 type Lease struct {
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -34,8 +34,8 @@
 	services map[ident.Service]spec.Service
 	// evacuated holds the availability zones that are evacuated.
 	evacuated map[ident.Zone]struct{}
-	// instances holds the instances of the own region, this one included.
-	instances []ident.Instance
+	// region is the membership of the own region.
+	region regionView
 	// meanLoadAge is the mean age of the load reports of peers. sendRates holds the rate
 	// at which this instance sends requests for each service.
 	meanLoadAge time.Duration
@@ -55,7 +55,6 @@
 		settings:   s,
 		replicas:   map[ident.Upstream]*replica{},
 		evacuated:  map[ident.Zone]struct{}{},
-		instances:  []ident.Instance{s.Self},
 		promptRate: s.PromptRate,
 	}
 }
@@ -67,13 +66,6 @@
 	p.services = services
 }
 
-// SetRegionInstances replaces the list of instances of the own region.
-func (p *Pool) SetRegionInstances(instances []ident.Instance) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.instances = instances
-}
-
 // SetPeerLoads replaces the loads that the other instances of the region report.
 func (p *Pool) SetPeerLoads(loads []gossip.UpstreamLoad) {
 	p.mu.Lock()
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -121,9 +121,9 @@
 		for _, self := range view {
 			p := newPool(self, 0)
 			p.SetUpstream(start, cold)
-			p.SetRegionInstances(view)
 			for at := time.Duration(0); at < 10*time.Second; at += 10 * time.Millisecond {
 				now := start.Add(at)
+				p.SetRegion(now, view, true)
 				if lease, found := p.Pick(now, prompt("a", 0)); found {
 					sends = append(sends, now)
 					lease.End(now.Add(time.Millisecond), Answered)
@@ -157,6 +157,7 @@
 	p.RestoreZone(start, "zone-0")
 	picked := 0
 	for at := time.Duration(0); at < time.Second; at += 10 * time.Millisecond {
+		p.SetRegion(start.Add(at), []ident.Instance{"entry-1"}, true)
 		if _, found := p.Pick(start.Add(at), prompt("a", 0)); found {
 			picked++
 		}
--- a/core/pool/rate.go
+++ b/core/pool/rate.go
@@ -76,7 +76,7 @@
 // count.
 func (p *Pool) unreportedCost(now time.Time, service ident.Service, upstreams []*replica) float64 {
 	rate := p.sendRates[service]
-	peers := float64(len(p.instances) - 1)
+	peers := float64(len(p.region.instances) - 1)
 	if rate == nil || peers <= maxUnsampledPeers || p.meanLoadAge <= 0 || len(upstreams) == 0 {
 		return 0
 	}
--- a/core/pool/region_test.go
+++ b/core/pool/region_test.go
@@ -168,7 +168,8 @@
 
 // publish applies the membership to the pool.
 func (i *regionInstance) publish(now time.Time) {
-	i.pool.SetRegionInstances(i.membership.View(now).RegionInstances())
+	v := i.membership.View(now)
+	i.pool.SetRegion(now, v.RegionInstances(), v.RegionAgrees)
 }
 
 // send sends a request to whichever upstream the pool picks, if it is cold.
--- a/io/syncer/syncer.go
+++ b/io/syncer/syncer.go
@@ -245,7 +245,7 @@
 	v := l.membership.View(now)
 	l.logMemberChanges(v)
 	regionInstances := v.RegionInstances()
-	l.opts.Pool.SetRegionInstances(regionInstances)
+	l.opts.Pool.SetRegion(now, regionInstances, v.RegionAgrees)
 	l.opts.Pool.SetMeanLoadAge(gossip.MeanLoadAge(len(regionInstances)))
 	var loads []gossip.UpstreamLoad
 	alive := 1
--- a/io/wire/relay.go
+++ b/io/wire/relay.go
@@ -34,6 +34,7 @@
 		ListRevision:     r.UpstreamsRevision,
 		AgeMs:            milliseconds(r.Age),
 		Watches:          r.WatchesPlatform,
+		RegionDigest:     r.RegionDigest,
 	}
 	for _, l := range r.UpstreamLoads {
 		m.Loads = append(m.Loads, &ReplicaLoad{
@@ -91,6 +92,7 @@
 		UpstreamsRevision: m.GetListRevision(),
 		Age:               time.Duration(m.GetAgeMs()) * time.Millisecond,
 		WatchesPlatform:   m.GetWatches(),
+		RegionDigest:      m.GetRegionDigest(),
 	}
 	for _, l := range m.GetLoads() {
 		r.UpstreamLoads = append(r.UpstreamLoads, gossip.UpstreamLoad{
