Keep the time of the last request to a cold upstream across its listing

The time of the last request to a cold upstream was held with its entry in the list. An upstream whose entry is removed and comes back, as after an outage of the store, got a new entry without that time, and with it a request at once: TestWarmupRateAcrossRelisting counted 20 in a second on the code before, where the warm-up rate allows 3.

The pool now keeps these times by upstream for a minute, apart from the entries.

--- a/core/pool/replica.go
+++ b/core/pool/replica.go
@@ -54,8 +54,6 @@
 
 	// coldUntil is zero while the upstream is warm.
 	coldUntil time.Time
-	// lastColdSend is when a request was last sent while the upstream was cold.
-	lastColdSend time.Time
 
 	// backoffUntil is when a failed upstream is tried again.
 	backoffUntil time.Time
--- a/core/pool/warmup.go
+++ b/core/pool/warmup.go
@@ -33,8 +33,17 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.region = regionView{instances: instances, agrees: agree, updatedAt: now}
+	for id, last := range p.coldSends {
+		if now.Sub(last) > coldSendMemory {
+			delete(p.coldSends, id)
+		}
+	}
 }
 
+// coldSendMemory is how long the last request to a cold upstream is remembered. It exceeds
+// the interval of any warm-up rate in use.
+const coldSendMemory = time.Minute
+
 // isCurrent reports whether the view has been renewed lately, also by a clock that goes on
 // while the machine is suspended.
 func (v *regionView) isCurrent(now time.Time) bool {
@@ -56,7 +65,7 @@
 	if sender != p.settings.Self {
 		return false
 	}
-	return now.Sub(r.lastColdSend) >= time.Duration(float64(time.Second)/rate)
+	return now.Sub(p.coldSends[r.ID]) >= time.Duration(float64(time.Second)/rate)
 }
 
 // ColdSend holds the values that allowed a request to a cold upstream.
@@ -77,9 +86,9 @@
 		return nil
 	}
 	send := &ColdSend{Left: r.coldUntil.Sub(now), Instances: len(p.region.instances)}
-	if !r.lastColdSend.IsZero() {
-		send.SinceLast = now.Sub(r.lastColdSend)
+	if last := p.coldSends[r.ID]; !last.IsZero() {
+		send.SinceLast = now.Sub(last)
 	}
-	r.lastColdSend = now
+	p.coldSends[r.ID] = now
 	return send
 }
--- a/core/pool/warmup_test.go
+++ b/core/pool/warmup_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"arbutustrestle/core/ident"
 	"arbutustrestle/core/member"
 )
 
@@ -115,3 +116,26 @@
 		t.Errorf("a cold upstream got %.1f requests on average", mean)
 	}
 }
+
+// TestWarmupRateAcrossRelisting guards against a cold upstream that is flooded by one
+// instance because its entry in the list comes and goes: the time of the last request must
+// outlive the entry.
+func TestWarmupRateAcrossRelisting(t *testing.T) {
+	p := newPool("entry-1", 0)
+	cold := testUpstream(0)
+	cold.WarmupLeft = warmupTime
+	sends := 0
+	for at := time.Duration(0); at < time.Second; at += 50 * time.Millisecond {
+		now := start.Add(at)
+		p.SetRegion(now, []ident.Instance{"entry-1", "entry-2"}, true)
+		p.RemoveUpstream(cold.ID)
+		p.SetUpstream(now, cold)
+		if lease, found := p.Pick(now, prompt("a", 0)); found {
+			lease.End(now, Answered)
+			sends++
+		}
+	}
+	if sends > 3 {
+		t.Errorf("%d requests in a second", sends)
+	}
+}
