Space requests to a cold upstream where they are sent

The warm-up rate spaced the choices of a cold upstream. A request is sent later, once its connection is open, up to 0.7 s after.

- Requests that were chosen 370 ms apart reach the upstream together when their connections open together.
Up to four can wait, as an upstream that is silent for 1.2 s gets no further ones; two senders then have 8, where 7 are allowed.
- Requests that were chosen while the upstream was warm are sent after it has become cold, without any limit.

pool.Lease.AdmitSend now decides again when the connection is open: the upstream as it is then, the view of the region as it is then, and the time since the last send. A request that isn't admitted has not run, fails with upstream-cold and goes to another upstream; its connection is kept.

Before (AdmitSend without its check): TestWarmupRateWithSlowConnections 3 requests at once, TestWarmupRateOfUpstreamThatTurnsCold 20. After: 1 each.

--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -61,7 +61,9 @@
 		return nil, false
 	}
 	r := best.replica
-	cold := p.recordColdSend(now, r)
+	if r.isCold(now) {
+		p.warmup.recordChoice(now, r.ID)
+	}
 	ahead, _ := p.tokensAhead(now, r)
 	request := &pendingRequest{priority: gossip.PriorityClass(req.Priority), tokens: best.uncached, sentAt: now}
 	r.inFlight++
@@ -75,7 +77,6 @@
 		Projection:     best.Projection,
 		TokensAhead:    ahead,
 		Upstream:       r.Upstream,
-		Cold:           cold,
 		InFlight:       r.inFlight,
 		UncachedTokens: best.uncached,
 		excess:         best.excess,
@@ -129,7 +130,7 @@
 	if _, evacuated := p.evacuated[r.Zone]; evacuated {
 		return false
 	}
-	return !r.isCold(now) || p.mayWarmUp(now, r)
+	return !r.isCold(now) || p.mayChooseCold(now, r)
 }
 
 // preferred returns the upstream that all instances of the region prefer for a prompt. It
--- a/core/pool/lease.go
+++ b/core/pool/lease.go
@@ -46,10 +46,8 @@
 	// TokensAhead is the number of prompt tokens that waited at the upstream to be read,
 	// by priority class.
 	TokensAhead gossip.ByPriority[int]
-	// Upstream, Cold, InFlight and UncachedTokens are as of the choice. Cold is nil if the
-	// upstream was warm.
+	// Upstream, InFlight and UncachedTokens are as of the choice.
 	Upstream       Upstream
-	Cold           *ColdSend
 	InFlight       int
 	UncachedTokens int
 
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -36,9 +36,7 @@
 	evacuated map[ident.Zone]struct{}
 	// region is the membership of the own region.
 	region regionView
-	// coldSends holds when a request was last sent to each cold upstream. It outlives the
-	// entries of the upstreams in the list, which may come and go.
-	coldSends map[ident.Upstream]time.Time
+	warmup warmup
 	// meanLoadAge is the mean age of the load reports of peers. sendRates holds the rate
 	// at which this instance sends requests for each service.
 	meanLoadAge time.Duration
@@ -58,7 +56,6 @@
 		settings:   s,
 		replicas:   map[ident.Upstream]*replica{},
 		evacuated:  map[ident.Zone]struct{}{},
-		coldSends:  map[ident.Upstream]time.Time{},
 		promptRate: s.PromptRate,
 	}
 }
--- a/core/pool/region_test.go
+++ b/core/pool/region_test.go
@@ -23,8 +23,9 @@
 	warmupTime    = 3 * time.Second
 	// regionStep is the resolution of the virtual clock of a region.
 	regionStep = 10 * time.Millisecond
-	// upstreamInterval is the time between the starts of two upstreams.
-	upstreamInterval = 500 * time.Millisecond
+	// upstreamInterval is the time between the starts of two upstreams. It divides no whole
+	// number of seconds, so that events fall on all ages of an upstream.
+	upstreamInterval = 490 * time.Millisecond
 	// listDelay is how long an instance that starts reads the list of upstreams.
 	listDelay = 80 * time.Millisecond
 )
@@ -41,6 +42,8 @@
 	messages  []regionMessage
 	// transit returns the time that a heartbeat takes, and false if it is lost.
 	transit func(from, to int) (time.Duration, bool)
+	// dialTime returns the time to open a connection.
+	dialTime func() time.Duration
 	// requestShare is the probability that an instance has a request in one step.
 	requestShare float64
 	upstreams    []regionUpstream
@@ -55,9 +58,15 @@
 	listedAt   time.Time
 	// listed is the number of upstreams that the pool holds.
 	listed int
-	// frozenUntil is when a paused process goes on; thawing is set until its first tick
-	// after that.
+	// frozenUntil is when a paused process goes on.
 	frozenUntil time.Time
+	dialing     []regionDial
+}
+
+// regionDial is a request whose connection is being opened.
+type regionDial struct {
+	lease  *Lease
+	openAt time.Time
 }
 
 type regionMessage struct {
@@ -82,6 +91,7 @@
 		seeds:        []netip.AddrPort{regionAddress(0), regionAddress(1)},
 		instances:    map[int]*regionInstance{},
 		transit:      func(int, int) (time.Duration, bool) { return time.Duration(1+random.IntN(9)) * time.Millisecond, true },
+		dialTime:     func() time.Duration { return time.Duration(random.IntN(4)) * time.Millisecond },
 		requestShare: 0.5,
 	}
 }
@@ -134,8 +144,9 @@
 // that waited before it ticks.
 func (r *region) step(n int, i *regionInstance) {
 	if i.phase < member.Stopped && r.random.Float64() < r.requestShare {
-		r.send(i)
+		r.choose(i)
 	}
+	r.sendDialed(i)
 	if r.now.Before(i.nextTick) {
 		return
 	}
@@ -172,22 +183,42 @@
 	i.pool.SetRegion(now, v.RegionInstances(), v.RegionAgrees)
 }
 
-// send sends a request to whichever upstream the pool picks, if it is cold.
-func (r *region) send(i *regionInstance) {
+// choose has the pool pick an upstream, which the request reaches once its connection is
+// open.
+func (r *region) choose(i *regionInstance) {
 	lease, found := i.pool.Pick(r.now, Request{Service: "chat", Tokens: 500})
 	if !found {
 		return
 	}
+	i.dialing = append(i.dialing, regionDial{lease, r.now.Add(r.dialTime())})
+}
+
+// sendDialed sends the requests whose connections are open.
+func (r *region) sendDialed(i *regionInstance) {
+	left := i.dialing[:0]
+	for _, d := range i.dialing {
+		if d.openAt.After(r.now) {
+			left = append(left, d)
+			continue
+		}
+		r.send(i, d.lease)
+	}
+	i.dialing = left
+}
+
+// send sends a request if it is still admitted. Upstreams are removed when they are warm.
+func (r *region) send(i *regionInstance, lease *Lease) {
+	cold, admitted := lease.AdmitSend(r.now)
+	lease.End(r.now, Cancelled)
+	if admitted && cold == nil {
+		i.pool.RemoveUpstream(lease.Upstream.ID)
+	}
 	for n := range r.upstreams {
 		u := &r.upstreams[n]
-		if u.ID == lease.Upstream.ID && r.now.Sub(u.startedAt) < warmupTime {
+		if admitted && u.ID == lease.Upstream.ID && r.now.Sub(u.startedAt) < warmupTime {
 			u.arrivals = append(u.arrivals, r.now)
 		}
 	}
-	lease.End(r.now, Answered)
-	if lease.Cold == nil {
-		i.pool.RemoveUpstream(lease.Upstream.ID)
-	}
 }
 
 func (r *region) post(from int, hb gossip.Heartbeat) {
--- a/core/pool/warmup.go
+++ b/core/pool/warmup.go
@@ -33,17 +33,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.region = regionView{instances: instances, agrees: agree, updatedAt: now}
-	for id, last := range p.coldSends {
-		if now.Sub(last) > coldSendMemory {
-			delete(p.coldSends, id)
-		}
-	}
+	p.warmup.forget(now)
 }
 
-// coldSendMemory is how long the last request to a cold upstream is remembered. It exceeds
-// the interval of any warm-up rate in use.
-const coldSendMemory = time.Minute
-
 // isCurrent reports whether the view has been renewed lately, also by a clock that goes on
 // while the machine is suspended.
 func (v *regionView) isCurrent(now time.Time) bool {
@@ -51,21 +43,80 @@
 	return age <= maxRegionAge && age+clock.Suspension(v.updatedAt, now) <= maxRegionAge
 }
 
-// mayWarmUp reports whether this instance may send a request to a cold upstream now: it is
-// the sender of that upstream, and its last request there is long enough ago.
-func (p *Pool) mayWarmUp(now time.Time, r *replica) bool {
-	rate := p.services[r.Service].WarmupRate
-	if rate <= 0 {
+// warmup holds the last requests to cold upstreams. It outlives their entries in the list,
+// which may come and go.
+type warmup struct {
+	sends map[ident.Upstream]coldSends
+}
+
+// coldSends holds the times of the last requests to one cold upstream. Choices are spaced
+// so that a request that is waiting for its connection keeps its turn; what the upstream
+// gets is spaced by the sends.
+type coldSends struct {
+	chosenAt time.Time
+	sentAt   time.Time
+}
+
+// warmupMemory is how long the last requests to a cold upstream are remembered. It exceeds
+// the interval of any warm-up rate in use.
+const warmupMemory = time.Minute
+
+func (w *warmup) recordChoice(now time.Time, id ident.Upstream) {
+	last := w.sends[id]
+	last.chosenAt = now
+	w.set(id, last)
+}
+
+func (w *warmup) recordSend(now time.Time, id ident.Upstream) {
+	last := w.sends[id]
+	last.sentAt = now
+	w.set(id, last)
+}
+
+func (w *warmup) set(id ident.Upstream, last coldSends) {
+	if w.sends == nil {
+		w.sends = map[ident.Upstream]coldSends{}
+	}
+	w.sends[id] = last
+}
+
+// forget removes the times of upstreams that have had no request for warmupMemory.
+func (w *warmup) forget(now time.Time) {
+	for id, last := range w.sends {
+		if now.Sub(last.chosenAt) > warmupMemory {
+			delete(w.sends, id)
+		}
+	}
+}
+
+// mayChooseCold reports whether a request to a cold upstream may be chosen now.
+func (p *Pool) mayChooseCold(now time.Time, r *replica) bool {
+	interval := p.warmupInterval(r.Service)
+	if interval == 0 {
 		return true
 	}
-	if !p.region.agrees || !p.region.isCurrent(now) {
-		return false
+	last := p.warmup.sends[r.ID]
+	return p.isWarmupSender(now, r.ID) && now.Sub(last.chosenAt) >= interval && now.Sub(last.sentAt) >= interval
+}
+
+// warmupInterval returns the time between two requests to a cold upstream of a service;
+// zero if they are not limited.
+func (p *Pool) warmupInterval(s ident.Service) time.Duration {
+	rate := p.services[s].WarmupRate
+	if rate <= 0 {
+		return 0
 	}
-	sender, _ := rank.First(string(r.ID), p.region.instances)
-	if sender != p.settings.Self {
+	return time.Duration(float64(time.Second) / rate)
+}
+
+// isWarmupSender reports whether this instance is the one of its region that sends to a
+// cold upstream.
+func (p *Pool) isWarmupSender(now time.Time, id ident.Upstream) bool {
+	if !p.region.agrees || !p.region.isCurrent(now) {
 		return false
 	}
-	return now.Sub(p.coldSends[r.ID]) >= time.Duration(float64(time.Second)/rate)
+	sender, _ := rank.First(string(id), p.region.instances)
+	return sender == p.settings.Self
 }
 
 // ColdSend holds the values that allowed a request to a cold upstream.
@@ -80,15 +131,26 @@
 	Instances int
 }
 
-// recordColdSend records a request to an upstream if that is cold, or else returns nil.
-func (p *Pool) recordColdSend(now time.Time, r *replica) *ColdSend {
+// AdmitSend reports whether the request may be sent now, which is later than it was
+// chosen: a connection had to be opened, and the upstream or the region may have changed.
+// The ColdSend is nil if the upstream is warm. A request that was admitted must be sent.
+func (l *Lease) AdmitSend(now time.Time) (*ColdSend, bool) {
+	p := l.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := l.replica
 	if !r.isCold(now) {
-		return nil
+		return nil, true
+	}
+	last := p.warmup.sends[r.ID].sentAt
+	interval := p.warmupInterval(r.Service)
+	if interval > 0 && (!p.isWarmupSender(now, r.ID) || now.Sub(last) < interval) {
+		return nil, false
 	}
 	send := &ColdSend{Left: r.coldUntil.Sub(now), Instances: len(p.region.instances)}
-	if last := p.coldSends[r.ID]; !last.IsZero() {
+	if !last.IsZero() {
 		send.SinceLast = now.Sub(last)
 	}
-	p.coldSends[r.ID] = now
-	return send
+	p.warmup.recordSend(now, r.ID)
+	return send, true
 }
--- a/core/pool/warmup_test.go
+++ b/core/pool/warmup_test.go
@@ -130,12 +130,74 @@
 		p.SetRegion(now, []ident.Instance{"entry-1", "entry-2"}, true)
 		p.RemoveUpstream(cold.ID)
 		p.SetUpstream(now, cold)
-		if lease, found := p.Pick(now, prompt("a", 0)); found {
-			lease.End(now, Answered)
+		lease, found := p.Pick(now, prompt("a", 0))
+		if !found {
+			continue
+		}
+		if _, admitted := lease.AdmitSend(now); admitted {
 			sends++
 		}
+		lease.End(now, Answered)
 	}
 	if sends > 3 {
 		t.Errorf("%d requests in a second", sends)
 	}
 }
+
+// TestWarmupRateWithSlowConnections guards against requests to a cold upstream that were
+// chosen one after the other and reach it together, because their connections took long to
+// open. Two senders that do so exceed the bound.
+func TestWarmupRateWithSlowConnections(t *testing.T) {
+	p := newPool("entry-1", 0)
+	cold := testUpstream(0)
+	cold.WarmupLeft = warmupTime
+	p.SetUpstream(start, cold)
+	var leases []*Lease
+	now := start
+	for range 100 {
+		p.SetRegion(now, []ident.Instance{"entry-1", "entry-2"}, true)
+		if lease, found := p.Pick(now, prompt("a", 0)); found {
+			leases = append(leases, lease)
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+	if len(leases) < 2 {
+		t.Fatalf("%d requests chosen in a second", len(leases))
+	}
+	sends := 0
+	for _, lease := range leases {
+		if _, admitted := lease.AdmitSend(now); admitted {
+			sends++
+		}
+	}
+	if sends != 1 {
+		t.Errorf("%d requests at once", sends)
+	}
+}
+
+// TestWarmupRateOfUpstreamThatTurnsCold guards against a cold upstream that is flooded by
+// requests which were chosen while it was warm.
+func TestWarmupRateOfUpstreamThatTurnsCold(t *testing.T) {
+	p := newPool("entry-1", 1)
+	p.SetRegion(start, []ident.Instance{"entry-1", "entry-2"}, true)
+	var leases []*Lease
+	for range 20 {
+		lease, found := p.Pick(start, prompt("a", 0))
+		if !found {
+			t.Fatal("no upstream")
+		}
+		leases = append(leases, lease)
+	}
+	cold := testUpstream(0)
+	cold.WarmupLeft = warmupTime
+	p.SetUpstream(start, cold)
+	sends := 0
+	for _, lease := range leases {
+		if _, admitted := lease.AdmitSend(start); admitted {
+			sends++
+		}
+	}
+	if sends > 1 {
+		t.Errorf("%d requests at once", sends)
+	}
+}
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -68,6 +68,9 @@
 	// LastEventID is the id of the last whole event that the caller has received; empty
 	// if there is none.
 	LastEventID string
+	// Admit is called when a connection is open, right before the request is sent. If it
+	// returns false, nothing is sent and the attempt fails with UpstreamCold. Nil admits.
+	Admit func() bool
 }
 
 // Answer is the head of an answer and its unread body.
@@ -118,6 +121,10 @@
 		}
 		connection = opened
 	}
+	if a.Admit != nil && !a.Admit() {
+		c.conns.put(connection, defaultIdleTime)
+		return nil, c.failure(ctx, a, result.NotRun, result.UpstreamCold, nil)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	x := &exchange{client: c, attempt: a, conn: connection, stopCancel: stop, writeResult: make(chan error, 1)}
 	answer, failure := x.run(ctx)
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -312,6 +312,30 @@
 	}
 }
 
+// TestAdmit checks that a request which isn't admitted once its connection is open counts
+// as not run, that nothing of it is sent, and that the connection is kept.
+func TestAdmit(t *testing.T) {
+	u := startUpstream(t, func(c *net.TCPConn, _ *http.Request, id string) bool {
+		writeText(c, "HTTP/1.1 200 OK\nId: %s\nContent-Length: 0\n\n", id)
+		return true
+	})
+	client := newClient()
+	refused := attempt(u, "1")
+	refused.Admit = func() bool { return false }
+	_, failure, _ := send(t, client, refused)
+	if failure == nil || failure.Outcome != result.NotRun || failure.Reason != result.UpstreamCold {
+		t.Fatalf("failure %v", failure)
+	}
+	admitted := attempt(u, "2")
+	admitted.Admit = func() bool { return true }
+	if _, failure, err := send(t, client, admitted); failure != nil || err != nil {
+		t.Fatal(failure, err)
+	}
+	if u.seen() != "0/2" || client.DialCount.Load() != 1 {
+		t.Fatalf("arrivals %q, %d dials", u.seen(), client.DialCount.Load())
+	}
+}
+
 // TestCancel checks that cancelling a request closes the connection to the upstream at
 // once, both before and during the answer.
 func TestCancel(t *testing.T) {
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -104,7 +104,6 @@
 	call.peer = string(lease.Upstream.ID)
 	call.tried = append(call.tried, lease.Upstream.ID)
 	call.countSend()
-	p.recordColdSend(call, lease)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	firstByteTimer := p.startFirstByteTimer(call, lease.FirstByte, cancel)
@@ -133,19 +132,22 @@
 	return failure
 }
 
-// recordColdSend counts and logs an attempt at a cold upstream.
-func (p *Proxy) recordColdSend(call *Call, lease *pool.Lease) {
-	if lease.Cold == nil {
-		return
+// admitSend reports whether a request may be sent to its upstream now, and counts and
+// logs one to a cold upstream.
+func (p *Proxy) admitSend(call *Call, lease *pool.Lease) bool {
+	cold, admitted := lease.AdmitSend(p.Clock.Now())
+	if !admitted || cold == nil {
+		return admitted
 	}
 	p.Metrics.Events.Add("cold-sends", 1)
 	p.Log.Info().
 		Str("request-id", call.ID).
 		Str("peer", string(lease.Upstream.ID)).
-		Int64("cold-left-ms", lease.Cold.Left.Milliseconds()).
-		Int64("since-last-ms", lease.Cold.SinceLast.Milliseconds()).
-		Int("region-instances", lease.Cold.Instances).
+		Int64("cold-left-ms", cold.Left.Milliseconds()).
+		Int64("since-last-ms", cold.SinceLast.Milliseconds()).
+		Int("region-instances", cold.Instances).
 		Msg("request sent to a cold upstream")
+	return true
 }
 
 // upstreamAttempt returns the message of an attempt at a leased upstream.
@@ -153,6 +155,7 @@
 	a := p.newAttempt(call)
 	a.Upstream = lease.Upstream.ID
 	a.Address = lease.Upstream.Address
+	a.Admit = func() bool { return p.admitSend(call, lease) }
 	return &a
 }
 
@@ -176,7 +179,7 @@
 
 func outcomeOf(f *result.Failure) pool.Outcome {
 	switch f.Reason {
-	case result.CallerGone, result.DeadlinePassed:
+	case result.CallerGone, result.DeadlinePassed, result.UpstreamCold:
 		return pool.Cancelled
 	case result.ConnectFailed:
 		return pool.Unreachable
