Spend free retries only once the instances have found each other

The free part of the retry budget is divided by twice the instances in view, twelve at least. After a restart of all, each of 84 entries divides it by twelve until it has found the others.

An instance now spends free attempts once the number of instances in its view has not grown for 3 s. Until then it spends what its own requests earn. An installation in which the entries never find each other (no seed answers) still divides by twelve.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -37,9 +37,14 @@
 	mu sync.Mutex
 	// start is the time of the first call. Slices are counted from it, so that a change
 	// of the wall clock doesn't move them.
-	start     time.Time
+	start time.Time
+	// instances is the most instances that were in view at a time, and grownAt when that
+	// number last grew.
 	instances int
-	services  map[ident.Service]*window
+	grownAt   time.Time
+	// settled is set once the number has not grown for settleTime.
+	settled  bool
+	services map[ident.Service]*window
 }
 
 // window counts in a ring of slices.
@@ -49,13 +54,24 @@
 	extraAttempts [sliceCount]float64
 }
 
+// settleTime is how long the number of instances must stay the same after the start
+// before any free attempts are spent. Instances that start together take up to two seconds
+// to find each other.
+const settleTime = 3 * time.Second
+
 // SetInstanceCount sets the number of instances among which the free attempts are
-// divided. The number never decreases: an instance that is missing from the view may
-// still spend its share.
-func (b *Budget) SetInstanceCount(n int) {
+// divided. It must be called several times a second. The number never decreases: an
+// instance that is missing from the view may still spend its share.
+func (b *Budget) SetInstanceCount(now time.Time, n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.instances = max(b.instances, n)
+	if n > b.instances {
+		b.instances = n
+		b.grownAt = now
+	}
+	if now.Sub(b.grownAt) >= settleTime {
+		b.settled = true
+	}
 }
 
 // CountRequest counts a caller's request.
@@ -84,6 +100,9 @@
 const minInstances = 12
 
 func (b *Budget) freePerInstance() float64 {
+	if !b.settled {
+		return 0
+	}
 	return b.Limits.FreeAttempts / float64(max(minInstances, 2*b.instances))
 }
 
--- a/io/syncer/syncer.go
+++ b/io/syncer/syncer.go
@@ -260,7 +260,7 @@
 	}
 	l.opts.Pool.SetPeerLoads(loads)
 	l.opts.Spill.Update(now, v)
-	l.opts.Budget.SetInstanceCount(alive)
+	l.opts.Budget.SetInstanceCount(now, alive)
 	l.view.Store(&View{Config: l.config, Membership: v, Phase: l.phase, UpstreamsListed: l.health[mirror.UpstreamsGroup].listed})
 }
 
