Refuse a key for a second after its call ended not-run

TestAtMostOnce/refusal (KNOWN-RED): now and then a caller was told not-run of a key that had begun to run some milliseconds before. The owner refuses a try, its record is removed, and the next try of the same key runs the call while the answer to the first is on its way. Tries that had joined the first one shared its answer already; one that arrives just after it did not.

The record of such a call now stays for a second (dedup.RefusalHold), in which every further try gets the same not-run, with the rest of the second as Retry-After; the first answer carries a second as well. No handover includes it. An answer that takes longer than a second is not covered.

--- a/core/dedup/handover.go
+++ b/core/dedup/handover.go
@@ -101,6 +101,9 @@
 	chunks := []Chunk{head}
 	size := 0
 	records.each(head.Owner, func(k Key, rec *callRecord) {
+		if rec.refusal != nil {
+			return
+		}
 		if !allowed(rec.workspace) {
 			head.Complete = false
 			return
--- a/core/dedup/index.go
+++ b/core/dedup/index.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/result"
@@ -18,10 +19,25 @@
 	running bool
 	// answerForbidden means that the answer may no longer be kept here.
 	answerForbidden bool
+	// refusal is set if the call ended NotRun lately.
+	refusal *refusal
 	// answer is nil while the call is running and when the answer is not kept.
 	answer *Answer
 }
 
+// refusal is the answer to further tries of a call that ended NotRun.
+type refusal struct {
+	failure *result.Failure
+	until   time.Time
+}
+
+// at returns the failure of a try.
+func (f *refusal) at(now time.Time) *result.Failure {
+	failure := *f.failure
+	failure.RetryAfter = f.until.Sub(now)
+	return &failure
+}
+
 // size returns the space that the record occupies, without the bytes reserved for the
 // answer of a running call.
 func (rec *callRecord) size(unique string) recordSpace {
--- a/core/dedup/records.go
+++ b/core/dedup/records.go
@@ -47,6 +47,11 @@
 // stopping or has stopped. Another instance can answer the retry.
 const retryAfterDrain = time.Second
 
+// RefusalHold is how long the key of a call that ended NotRun is refused to further tries.
+// It covers the time until the callers of the earlier tries have received their answers:
+// a caller that has just been told NotRun must not find that its key has begun to run.
+const RefusalHold = time.Second
+
 // acceptedPastEpochs is the number of epochs before the current one in which a new key
 // may still begin. It covers a caller that received a key prefix at the end of its
 // epoch.
@@ -77,11 +82,19 @@
 	// exportCount counts the calls of Export.
 	exportCount uint32
 	own         index
+	// refused holds the keys of own that ended NotRun lately, oldest first.
+	refused []refusedKey
 	// imports never holds self.
 	imports map[ident.Incarnation]*importedRecords
 	space   spaceUsage
 }
 
+// refusedKey is a key that is refused until a time.
+type refusedKey struct {
+	key   Key
+	until time.Time
+}
+
 // NewRecords returns the empty records of an incarnation that starts now.
 func NewRecords(self ident.Incarnation, now time.Time, limits Limits) *Records {
 	return &Records{
@@ -138,6 +151,9 @@
 		return r.beginImported(c)
 	}
 	if rec := r.own.find(c.Key); rec != nil {
+		if rec.refusal != nil {
+			return Refuse{Failure: rec.refusal.at(now)}
+		}
 		return rec.decideRepeat(c)
 	}
 	switch {
@@ -169,8 +185,8 @@
 }
 
 // End records the outcome of a call for which Begin returned Run. A call that ended
-// NotRun leaves no record, so a repeated try may run it. End has no effect for a key
-// that isn't running here.
+// NotRun leaves no record after RefusalHold, so a later try may run it. End has no effect
+// for a key that isn't running here.
 func (r *Records) End(now time.Time, k Key, a Answer) {
 	r.Advance(now)
 	if k.Owner != r.self {
@@ -184,9 +200,13 @@
 	r.space.running--
 	r.space.reservedBytes -= r.limits.MaxAnswerBytes
 	r.space.remove(rec.workspace, recordSpace{bytes: r.limits.MaxAnswerBytes})
-	if a.Outcome == result.NotRun || k.Epoch < r.oldestEpoch {
-		r.own.remove(k)
-		r.space.remove(rec.workspace, rec.size(k.Unique))
+	if k.Epoch < r.oldestEpoch {
+		r.remove(k, rec)
+		return
+	}
+	if a.Outcome == result.NotRun {
+		rec.refusal = &refusal{failure: a.Failure(), until: now.Add(RefusalHold)}
+		r.refused = append(r.refused, refusedKey{k, rec.refusal.until})
 		return
 	}
 	if rec.answerForbidden || a.size() > r.limits.MaxAnswerBytes {
@@ -197,10 +217,28 @@
 	r.space.add(rec.workspace, recordSpace{bytes: answer.size()})
 }
 
+// remove deletes the record of a key.
+func (r *Records) remove(k Key, rec *callRecord) {
+	r.own.remove(k)
+	r.space.remove(rec.workspace, rec.size(k.Unique))
+}
+
+// removeRefused deletes the records of refused keys whose time is over.
+func (r *Records) removeRefused(now time.Time) {
+	for len(r.refused) > 0 && !now.Before(r.refused[0].until) {
+		k := r.refused[0].key
+		r.refused = r.refused[1:]
+		if rec := r.own.find(k); rec != nil && rec.refusal != nil {
+			r.remove(k, rec)
+		}
+	}
+}
+
 // Advance updates the current epoch and drops epochs whose retention has ended. Begin
 // and End call it. A control tick calls it too, so that memory is freed without
 // traffic. A time earlier than that of a previous call has no effect on the epochs.
 func (r *Records) Advance(now time.Time) {
+	r.removeRefused(now)
 	elapsed := now.Sub(r.start)
 	if elapsed < 0 {
 		return
--- a/io/entry/dedup.go
+++ b/io/entry/dedup.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/juju/errors"
 
@@ -124,9 +123,6 @@
 	}
 }
 
-// joinedRetry is the retry time for a try that joined one that was not run.
-const joinedRetry = time.Second
-
 // join waits for the earlier try to end. If that try was not run, this one is not run
 // either: otherwise a caller that received "not run" for one try could find that a joined
 // one has run. If the wait is cut short, the call may have run.
@@ -135,7 +131,7 @@
 	case <-running.ended:
 		if running.answer.Outcome == result.NotRun {
 			failure := running.answer.Failure()
-			failure.RetryAfter = joinedRetry
+			failure.RetryAfter = dedup.RefusalHold
 			return failure
 		}
 		return nil
@@ -164,12 +160,23 @@
 	c.Sink = callerSink
 	if failure != nil {
 		answer = dedup.Answer{Outcome: failure.Outcome, Step: failure.Step, Reason: failure.Reason, Peer: failure.Peer}
-		return failure
+		return retryAfterHold(failure)
 	}
 	answer = capture.answer()
 	return f.replay(c, &answer)
 }
 
+// retryAfterHold returns a failure with a retry time after which a call that has not run may
+// be tried again under its key.
+func retryAfterHold(f *result.Failure) *result.Failure {
+	if f.Outcome != result.NotRun || f.RetryAfter >= dedup.RefusalHold {
+		return f
+	}
+	held := *f
+	held.RetryAfter = dedup.RefusalHold
+	return &held
+}
+
 // replay sends a recorded response.
 func (f *dedupFilter) replay(c *Call, a *dedup.Answer) *result.Failure {
 	if failure := a.Failure(); failure != nil {
