Ignore the result of an order that was given up

The result of an order that was given up after its timeout could arrive while a newer one was being sent; it ended the newer one, and a failure had the engine wait for a further retry.

A result now counts only if it has the fencing number of the latest order; what it says of higher numbers counts always. Two orders with the same number are still not told apart.

--- a/core/order/decide.go
+++ b/core/order/decide.go
@@ -87,6 +87,7 @@
 func (o *Orderer) send(now time.Time, g *engine) Send {
 	g.sending = true
 	g.sentAt = now
+	g.sentFence = o.list.Revision
 	if !slices.Equal(g.pending, g.Wanted) {
 		o.startPending(now, g)
 	}
--- a/core/order/order.go
+++ b/core/order/order.go
@@ -117,6 +117,8 @@
 	// sending is true from Send until its Result, or until SendTimeout has passed.
 	sending bool
 	sentAt  time.Time
+	// sentFence is the fencing number of the latest Send.
+	sentFence ident.Revision
 	// pending is the Wanted of the latest Send. It is nil once the engine reports the
 	// effect, and after the order failed or LoadTimeout has passed since pendingSince.
 	pending      []string
@@ -214,15 +216,19 @@
 	return g
 }
 
-// recordResult handles the result of a Send.
+// recordResult handles the result of a Send. A result of an earlier Send, which was given
+// up, says nothing of the latest one.
 func (o *Orderer) recordResult(now time.Time, r Result) {
 	at, found := o.find(r.Upstream)
-	if !found || !o.engines[at].sending {
+	if !found {
 		return
 	}
 	g := o.engines[at]
-	g.sending = false
 	g.maxFence = max(g.maxFence, r.HighestFence)
+	if !g.sending || r.Fence != g.sentFence {
+		return
+	}
+	g.sending = false
 	if !r.Accepted {
 		o.clearPending(g)
 		g.retryAt = now.Add(o.limits.RetryDelay)
--- a/core/order/order_test.go
+++ b/core/order/order_test.go
@@ -34,10 +34,13 @@
 // TestOrderer runs operations such as "3s a engine u yes m@2 m@1 7": at 3 s,
 // instance a receives the status of engine u, which checks fencing numbers, should
 // have m@2 loaded, has m@1 loaded and has received fencing number 7. "3s a list 7
-// a,b 20s" is a list with revision 7 that was read 20 s ago.
+// a,b 20s" is a list with revision 7 that was read 20 s ago. "4s a answered u refused 9
+// 5" is the result of the order with fence 5, by default that of the last one: refused,
+// since u has received 9.
 func TestOrderer(t *testing.T) {
 	datadriven.RunTest(t, "testdata/orders", func(t *testing.T, c *datadriven.TestData) string {
 		orderers := map[string]*order.Orderer{}
+		sentFences := map[string]ident.Revision{}
 		var out []string
 		for op := range strings.SplitSeq(strings.ReplaceAll(c.Input, "\n", ";"), ";") {
 			f := append(strings.Fields(op), "", "", "")
@@ -62,8 +65,9 @@
 				_, _ = fmt.Sscan(f[7], &g.HighestFence)
 				e = g
 			case "answered":
-				a := order.Result{Upstream: ident.Upstream(f[3]), Accepted: f[4] == "accepted"}
+				a := order.Result{Upstream: ident.Upstream(f[3]), Fence: sentFences[f[1]+f[3]], Accepted: f[4] == "accepted"}
 				_, _ = fmt.Sscan(f[5], &a.HighestFence)
+				_, _ = fmt.Sscan(f[6], &a.Fence)
 				e = a
 			case "take-over":
 				wait, _ := time.ParseDuration(f[3])
@@ -75,6 +79,7 @@
 				text := strings.TrimPrefix(fmt.Sprintf("%T", a), "order.")
 				switch a := a.(type) {
 				case order.Send:
+					sentFences[f[1]+string(a.Upstream)] = a.Fence
 					text += fmt.Sprintf(" %s %d %v by %s", a.Upstream, a.Fence, a.Wanted, a.SendBy.Sub(start))
 				case order.Hold:
 					text += fmt.Sprintf(" %s %s", a.Upstream, a.Reason)
