Send no request that was chosen for another run of an upstream

A request is sent up to 0.7 s after its upstream was chosen. If the upstream restarts under its id in between, or leaves the list, the request was still sent: to the next run, which is cold, by what was held of the run before, which was warm. Any number of entries could do so at once.

AdmitSend now refuses a lease whose run is no longer the one in the list. The request has not run and goes to another upstream. The reason is now named upstream-changed, as it covers more than a cold upstream. Before: TestNoSendAfterRestart sent in both cases; after: in neither.

--- a/core/pool/warmup.go
+++ b/core/pool/warmup.go
@@ -132,13 +132,17 @@
 }
 
 // AdmitSend reports whether the request may be sent now, which is later than it was
-// chosen: a connection had to be opened, and the upstream or the region may have changed.
-// The ColdSend is nil if the upstream is warm. A request that was admitted must be sent.
+// chosen: a connection had to be opened, and the upstream may have restarted, left or
+// become cold, or the region may have changed. The ColdSend is nil if the upstream is
+// warm. A request that was admitted must be sent.
 func (l *Lease) AdmitSend(now time.Time) (*ColdSend, bool) {
 	p := l.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := l.replica
+	if p.replicas[r.ID] != r {
+		return nil, false
+	}
 	if !r.isCold(now) {
 		return nil, true
 	}
--- a/core/pool/warmup_test.go
+++ b/core/pool/warmup_test.go
@@ -175,6 +175,34 @@
 	}
 }
 
+// TestNoSendAfterRestart guards against requests that were chosen for one run of an
+// upstream and are sent to the next one, or after the upstream has left the list: the next
+// run is cold, and what was held of the run before says nothing of it.
+func TestNoSendAfterRestart(t *testing.T) {
+	for name, change := range map[string]func(p *Pool){
+		"restarted": func(p *Pool) {
+			restarted := testUpstream(0)
+			restarted.StartTime = start
+			restarted.WarmupLeft = warmupTime
+			p.SetUpstream(start, restarted)
+		},
+		"removed": func(p *Pool) { p.RemoveUpstream("engine-0") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPool("entry-1", 1)
+			p.SetRegion(start, []ident.Instance{"entry-1", "entry-2"}, true)
+			lease, found := p.Pick(start, prompt("a", 0))
+			if !found {
+				t.Fatal("no upstream")
+			}
+			change(p)
+			if _, admitted := lease.AdmitSend(start); admitted {
+				t.Error("the request is sent")
+			}
+		})
+	}
+}
+
 // TestWarmupRateOfUpstreamThatTurnsCold guards against a cold upstream that is flooded by
 // requests which were chosen while it was warm.
 func TestWarmupRateOfUpstreamThatTurnsCold(t *testing.T) {
--- a/core/result/result.go
+++ b/core/result/result.go
@@ -142,7 +142,7 @@
 	AnswerMismatch
 	RetryBudget
 	UpstreamStatus
-	UpstreamCold
+	UpstreamChanged
 
 	reasonCount
 )
@@ -157,7 +157,7 @@
 	"no-upstream", "hop-limit", "older-table", "peer-unreachable", "peer-refused",
 	"connect-failed", "upstream-refused", "upstream-failed", "upstream-leaving", "first-byte-timeout", "idle-timeout",
 	"answer-too-large", "answer-cut", "answer-mismatch", "retry-budget", "upstream-status",
-	"upstream-cold",
+	"upstream-changed",
 }
 
 // String returns the kebab-case name of the reason, as used in counters, logs
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -69,7 +69,7 @@
 	// if there is none.
 	LastEventID string
 	// Admit is called when a connection is open, right before the request is sent. If it
-	// returns false, nothing is sent and the attempt fails with UpstreamCold. Nil admits.
+	// returns false, nothing is sent and the attempt fails with UpstreamChanged. Nil admits.
 	Admit func() bool
 }
 
@@ -123,7 +123,7 @@
 	}
 	if a.Admit != nil && !a.Admit() {
 		c.conns.put(connection, defaultIdleTime)
-		return nil, c.failure(ctx, a, result.NotRun, result.UpstreamCold, nil)
+		return nil, c.failure(ctx, a, result.NotRun, result.UpstreamChanged, nil)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	x := &exchange{client: c, attempt: a, conn: connection, stopCancel: stop, writeResult: make(chan error, 1)}
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -323,7 +323,7 @@
 	refused := attempt(u, "1")
 	refused.Admit = func() bool { return false }
 	_, failure, _ := send(t, client, refused)
-	if failure == nil || failure.Outcome != result.NotRun || failure.Reason != result.UpstreamCold {
+	if failure == nil || failure.Outcome != result.NotRun || failure.Reason != result.UpstreamChanged {
 		t.Fatalf("failure %v", failure)
 	}
 	admitted := attempt(u, "2")
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -179,7 +179,7 @@
 
 func outcomeOf(f *result.Failure) pool.Outcome {
 	switch f.Reason {
-	case result.CallerGone, result.DeadlinePassed, result.UpstreamCold:
+	case result.CallerGone, result.DeadlinePassed, result.UpstreamChanged:
 		return pool.Cancelled
 	case result.ConnectFailed:
 		return pool.Unreachable
