--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -55,7 +55,7 @@
 }
 
 // settleTime is how long the number of instances must stay the same after the start
-// before any free attempts are spent. Instances that start together take up to two seconds
+// before any free attempts are spent. Instances that start together take about two seconds
 // to find each other.
 const settleTime = 3 * time.Second
 
--- a/core/gossip/agree.go
+++ b/core/gossip/agree.go
@@ -21,7 +21,8 @@
 // An instance whose view changes announces no digest for settleTime, which is longer than
 // an announcement counts. Two instances whose regions agree at the same time therefore
 // have the same view, or views that share no instance. Of the latter, at most one holds
-// the majority of the instances that the region had before it was partitioned.
+// the majority of the instances that the region had before it was partitioned, until the
+// others are forgotten (forgetTimeout).
 
 const (
 	// announcementTimeout is how long an announced digest counts after its arrival. In
