Log and count published values that are not taken

A value whose revision is not higher than the held one was passed over without a trace, so that a cold upstream which the entries go on holding as warm could not be told from several senders that disagree. Now one line for each merge says how many values that differ were passed over, with the key and both revisions of the first, and values-not-taken counts them; the line on an upstream also has the start of its run. Tests of core/mirror and io/syncer pass.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -3,6 +3,8 @@
 // nothing, whether it comes from the platform or from a peer.
 package mirror
 
+import "bytes"
+
 // Item is one published value, or its removal.
 type Item struct {
 	Key string
@@ -75,6 +77,19 @@
 	return changed
 }
 
+// NotTaken returns the items that differ from the held ones although their revisions are
+// not higher, so that merging them changes nothing.
+func (m *Mirror) NotTaken(items []Item) []Item {
+	var list []Item
+	for _, i := range items {
+		held, found := m.items[i.Key]
+		if found && i.Revision <= held.Revision && (held.Removed != i.Removed || !bytes.Equal(held.Data, i.Data)) {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
 // Items returns all held values, without removed ones.
 func (m *Mirror) Items() []Item {
 	list := make([]Item, 0, len(m.items))
--- a/io/syncer/values.go
+++ b/io/syncer/values.go
@@ -116,6 +116,7 @@
 // merge merges values into the mirror of a group and activates the changed ones.
 func (l *Loop) merge(ctx context.Context, now time.Time, g mirror.Group, items []mirror.Item, revision uint64, full bool) {
 	held := &l.mirrors[g]
+	l.logNotTaken(g, held.NotTaken(items))
 	var changes []mirror.Item
 	if full {
 		changes = held.Replace(items, revision)
@@ -133,6 +134,23 @@
 	l.becomeReady(ctx, now)
 }
 
+// logNotTaken counts the values that are passed over because the held ones have higher
+// revisions, and logs the first of them. That is usual for a listing that was overtaken by
+// changes, but not for many listings in a row.
+func (l *Loop) logNotTaken(g mirror.Group, items []mirror.Item) {
+	if len(items) == 0 {
+		return
+	}
+	l.opts.Metrics.Events.Add("values-not-taken", int64(len(items)))
+	l.opts.Log.Info().
+		Str("group", g.String()).
+		Int("values", len(items)).
+		Str("key", items[0].Key).
+		Uint64("revision", items[0].Revision).
+		Uint64("held-revision", l.mirrors[g].Revision()).
+		Msg("published values not taken; the held ones have higher revisions")
+}
+
 // activate activates one published value.
 func (l *Loop) activate(now time.Time, item mirror.Item) {
 	change, err := l.opts.Decoder.Decode(item)
@@ -151,7 +169,7 @@
 	case mirror.UpstreamUpdated:
 		delete(l.pendingRemovals, c.Upstream.ID)
 		if l.opts.Pool.SetUpstream(now, c.Upstream) {
-			l.opts.Log.Info().Str("upstream", string(c.Upstream.ID)).Str("service", string(c.Upstream.Service)).Bool("draining", c.Upstream.Draining).Dur("cold", c.Upstream.WarmupLeft).Uint64("revision", item.Revision).Msg("upstream changed")
+			l.opts.Log.Info().Str("upstream", string(c.Upstream.ID)).Str("service", string(c.Upstream.Service)).Bool("draining", c.Upstream.Draining).Time("started", c.Upstream.StartTime).Dur("cold", c.Upstream.WarmupLeft).Uint64("revision", item.Revision).Msg("upstream changed")
 		}
 	case mirror.UpstreamRemoved:
 		if l.mayHaveLapsed(now) {
