Order states of the store by its era before their revision

What callers would see: a cold upstream crashes under the requests of a whole region. Cause: core/mirror took revisions to never go back. A store that comes back from an older copy gives them out again, so the description of an upstream's next run was passed over for being at a lower revision than the run before; the entries held it as warm, and the one sender of cold upstreams didn't apply.

Change: platform/ reads the era of the store's answers, and a revision holds era and number, so that all places which compare revisions go by both. At the first listing of an era, what is in force and newer stays: by the config's version, and by what an upstream says of its run. Upstreams that are missing stay for 2.2 s, evacuated zones for 10 s. A return is logged and counted.

Before: TestColdUpstreamAfterStoreReturn failed after 15 s, 2 of 2 runs. After: it passes, with TestColdUpstreamInOlderCopy, TestReturnFromOlderCopy (mirror) and TestReturnKeepsWhatIsNewer, TestEraOfAnswers (platform). TestDecodeUpstreamFields compares the new field too.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -1,6 +1,7 @@
 // Package mirror keeps a local copy of published values by key and revision. Revisions
-// never go back: a listing or an event that is older than the held values changes
-// nothing, whether it comes from the platform or from a peer.
+// never go back, since they begin with the era of the store: a listing or an event that is
+// older than the held values changes nothing, whether it comes from the platform or from a
+// peer.
 package mirror
 
 import "bytes"
@@ -8,7 +9,8 @@
 // Item is one published value, or its removal.
 type Item struct {
 	Key string
-	// Revision is the revision of the last change; it orders the states of a key.
+	// Revision is the revision of the last change; it orders the states of a key. See
+	// NewRevision.
 	Revision uint64
 	Data     []byte
 	Removed  bool
@@ -83,7 +85,7 @@
 	var list []Item
 	for _, i := range items {
 		held, found := m.items[i.Key]
-		if found && i.Revision <= held.Revision && (held.Removed != i.Removed || !bytes.Equal(held.Data, i.Data)) {
+		if found && i.Revision <= held.Revision && held.differs(i) {
 			list = append(list, i)
 		}
 	}
@@ -101,14 +103,22 @@
 	return list
 }
 
+// put holds an item if it is newer than the held one, and reports whether that is a change.
+// A value that only has another revision after a return of the store is none.
 func (m *Mirror) put(i Item) bool {
 	if m.items == nil {
 		m.items = map[string]Item{}
 	}
-	if held, found := m.items[i.Key]; found && held.Revision >= i.Revision {
+	held, found := m.items[i.Key]
+	if found && held.Revision >= i.Revision {
 		return false
 	}
 	m.items[i.Key] = i
 	m.lastChange = max(m.lastChange, i.Revision)
-	return true
+	return !found || Era(held.Revision) == Era(i.Revision) || held.differs(i)
+}
+
+// differs reports whether two items of a key have different values.
+func (i Item) differs(other Item) bool {
+	return i.Removed != other.Removed || !bytes.Equal(i.Data, other.Data)
 }
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -103,3 +103,74 @@
 	}
 	return list
 }
+
+// TestReturnFromOlderCopy guards against states that are never taken because the store came
+// back from an older copy and gives their revisions out again, and against states of the
+// lost era that are taken after the return.
+func TestReturnFromOlderCopy(t *testing.T) {
+	at := func(era, number uint64) uint64 {
+		r, err := NewRevision(era, number)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	value := func(key, data string, revision uint64) Item {
+		return Item{Key: key, Revision: revision, Data: []byte(data)}
+	}
+	var m Mirror
+	m.Replace([]Item{value("same", "x", at(1, 50)), value("changed", "new", at(1, 95)), value("lost", "x", at(1, 98))}, at(1, 100))
+	steps := []struct {
+		name string
+		do   func() []Item
+		want []string
+	}{
+		{"the copy", func() []Item {
+			return m.Replace([]Item{value("same", "x", at(2, 50)), value("changed", "old", at(2, 80))}, at(2, 86))
+		}, []string{"changed=old", "-lost"}},
+		{"a revision that is given out again", func() []Item {
+			return m.Apply([]Item{value("changed", "other", at(2, 95))}, at(2, 95))
+		}, []string{"changed=other"}},
+		{"a late listing of the lost era", func() []Item {
+			return m.Replace([]Item{value("changed", "new", at(1, 95)), value("lost", "x", at(1, 98))}, at(1, 101))
+		}, nil},
+		{"a late change of the lost era", func() []Item {
+			return m.Apply([]Item{value("changed", "newer", at(1, 120))}, at(1, 120))
+		}, nil},
+		{"the next return", func() []Item {
+			return m.Replace([]Item{value("same", "x", at(3, 50))}, at(3, 60))
+		}, []string{"-changed"}},
+	}
+	for _, step := range steps {
+		var got []string
+		for _, i := range step.do() {
+			text := "-" + i.Key
+			if !i.Removed {
+				text = i.Key + "=" + string(i.Data)
+			}
+			got = append(got, text)
+		}
+		slices.Sort(got)
+		slices.Sort(step.want)
+		if !slices.Equal(got, step.want) {
+			t.Errorf("%s: %v, not %v", step.name, got, step.want)
+		}
+	}
+}
+
+// Revisions are ordered by era first; numbers that don't fit are refused.
+func TestRevisionOrder(t *testing.T) {
+	first, _ := NewRevision(1, maxNumber)
+	second, _ := NewRevision(2, 1)
+	if first >= second {
+		t.Error("a new era doesn't follow the one before")
+	}
+	if era, number := SplitRevision(first); era != 1 || number != maxNumber {
+		t.Errorf("era %d, number %d", era, number)
+	}
+	for _, r := range [][2]uint64{{maxEra + 1, 1}, {1, maxNumber + 1}} {
+		if _, err := NewRevision(r[0], r[1]); err == nil {
+			t.Errorf("%d in era %d", r[1], r[0])
+		}
+	}
+}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -107,6 +107,15 @@
 	return changed
 }
 
+// HoldsNewer reports whether the pool holds a description of the upstream that is newer
+// than the given one, by what the upstream itself says of its run.
+func (p *Pool) HoldsNewer(u Upstream) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.replicas[u.ID]
+	return r != nil && u.isOlderThan(&r.Upstream)
+}
+
 // isNewRun reports whether a list entry describes another run than the one held.
 func (r *replica) isNewRun(u Upstream) bool {
 	return !u.StartTime.IsZero() && !u.StartTime.Equal(r.StartTime) || u.Address != r.Address || u.Service != r.Service
--- a/core/pool/replica.go
+++ b/core/pool/replica.go
@@ -25,6 +25,20 @@
 	// WarmupLeft is how long the upstream stays cold, counted from the moment at which
 	// the description was read.
 	WarmupLeft time.Duration
+	// Sequence grows with the descriptions that a run of the upstream publishes.
+	Sequence uint64
+}
+
+// isOlderThan reports whether the upstream published its description before another one.
+// It is false where their order isn't known.
+func (u *Upstream) isOlderThan(other *Upstream) bool {
+	if u.StartTime.IsZero() || other.StartTime.IsZero() {
+		return false
+	}
+	if !u.StartTime.Equal(other.StartTime) {
+		return u.StartTime.Before(other.StartTime)
+	}
+	return u.Sequence < other.Sequence || other.Draining && !u.Draining
 }
 
 // PromptPart is a part of a prompt that requests may share.
--- a/io/syncer/peers.go
+++ b/io/syncer/peers.go
@@ -37,7 +37,7 @@
 		if !v.GetFound() {
 			return
 		}
-		l.opts.Log.Info().Str("peer", string(from.ID)).Str("group", g.String()).Uint64("revision", v.GetRevision()).Msg("values taken from a peer")
+		l.opts.Log.Info().Str("peer", string(from.ID)).Str("group", g.String()).EmbedObject(storeRevision(v.GetRevision())).Msg("values taken from a peer")
 		l.merge(ctx, now, g, itemsFromWire(published.GetItems()), v.GetRevision(), true)
 	})
 }
--- a/io/syncer/syncer.go
+++ b/io/syncer/syncer.go
@@ -28,12 +28,13 @@
 )
 
 // ErrCompacted means that a watch cannot continue from a revision, because the store no
-// longer holds the history after it.
+// longer holds the history after it, or has come back from an older copy.
 var ErrCompacted = errors.New("the history after the revision is no longer held")
 
 // Source reads published values.
 type Source interface {
-	// List returns all values of a group and the revision at which they were read.
+	// List returns all values of a group and the revision at which they were read. All
+	// revisions are those of mirror.NewRevision.
 	List(ctx context.Context, g mirror.Group) ([]mirror.Item, uint64, error)
 	// Watch returns the changes after a revision as soon as there are any, or none once
 	// the wait has passed. The error is ErrCompacted if the history is no longer held.
@@ -86,6 +87,9 @@
 	// pendingRemovals holds the upstreams that left the list while the platform was
 	// unavailable, with the time at which they are removed.
 	pendingRemovals map[ident.Upstream]time.Time
+	// pendingRestores holds the evacuated zones that are missing since the store came
+	// back from an older copy, with the time at which they are restored.
+	pendingRestores map[ident.Zone]time.Time
 	closeIdleAt     time.Time
 	election        gossip.WatcherElection
 	// runCtx is the context of Run, for work that messages of peers start.
@@ -141,6 +145,7 @@
 		done:            make(chan struct{}),
 		membership:      gossip.New(opts.Self, opts.Seeds, rand.New(rand.NewPCG(opts.Self.Incarnation, 3))),
 		pendingRemovals: map[ident.Upstream]time.Time{},
+		pendingRestores: map[ident.Zone]time.Time{},
 		sending:         map[netip.AddrPort]*sendSlot{},
 		shortDialed:     map[netip.AddrPort]bool{},
 	}
@@ -192,6 +197,7 @@
 
 func (l *Loop) tick(ctx context.Context, now time.Time) {
 	l.removeLapsed(now)
+	l.restorePending(now)
 	l.updateWatching(now)
 	l.heartbeat(ctx, now)
 	for g := range mirror.GroupCount {
--- a/io/syncer/turn.go
+++ b/io/syncer/turn.go
@@ -20,8 +20,8 @@
 	}
 	l.opts.Log.Info().
 		Bool("watches", !pause).
-		Uint64("operator-revision", l.mirrors[mirror.OperatorGroup].Revision()).
-		Uint64("list-revision", l.mirrors[mirror.UpstreamsGroup].Revision()).
+		Object("operator", storeRevision(l.mirrors[mirror.OperatorGroup].Revision())).
+		Object("list", storeRevision(l.mirrors[mirror.UpstreamsGroup].Revision())).
 		Msg("turn to watch the platform changed")
 	if pause {
 		return
--- a/io/syncer/values.go
+++ b/io/syncer/values.go
@@ -31,6 +31,9 @@
 	// relistTimeout is how long upstreams have to register in the list again after the
 	// platform has become available again.
 	relistTimeout = 2200 * time.Millisecond
+	// rewriteTimeout is how long operators have to evacuate a zone again that the older
+	// copy, from which the store came back, doesn't have. They notice later than upstreams.
+	rewriteTimeout = 10 * time.Second
 	// shortOutage is an outage too short for any entry of the list to expire.
 	shortOutage = 300 * time.Millisecond
 	// catchUpDelay is how long this instance may hold an older revision than a peer
@@ -93,7 +96,7 @@
 		if now.Sub(h.lostAt) > shortOutage {
 			h.regainedAt = now
 		}
-		l.opts.Log.Info().Str("dependency", "platform").Str("group", g.String()).Dur("away", now.Sub(h.lostAt)).Uint64("revision", revision).Msg("dependency regained")
+		l.opts.Log.Info().Str("dependency", "platform").Str("group", g.String()).Dur("away", now.Sub(h.lostAt)).EmbedObject(storeRevision(revision)).Msg("dependency regained")
 	}
 	after := l.mirrors[g].Revision()
 	l.merge(ctx, now, g, items, revision, full)
@@ -110,13 +113,14 @@
 	}
 	h.lost = true
 	h.lostAt = now
-	l.opts.Log.Warn().Err(err).Str("dependency", "platform").Str("group", g.String()).Uint64("revision", l.mirrors[g].Revision()).Msg("dependency lost")
+	l.opts.Log.Warn().Err(err).Str("dependency", "platform").Str("group", g.String()).EmbedObject(storeRevision(l.mirrors[g].Revision())).Msg("dependency lost")
 }
 
 // merge merges values into the mirror of a group and activates the changed ones.
 func (l *Loop) merge(ctx context.Context, now time.Time, g mirror.Group, items []mirror.Item, revision uint64, full bool) {
 	held := &l.mirrors[g]
 	l.logNotTaken(g, held.NotTaken(items))
+	returned := l.noticeReturn(now, g, revision)
 	var changes []mirror.Item
 	if full {
 		changes = held.Replace(items, revision)
@@ -126,7 +130,7 @@
 	}
 	l.health[g].revision.Store(held.Revision())
 	for _, item := range changes {
-		l.activate(now, item)
+		l.activate(now, item, returned)
 	}
 	if len(changes) > 0 {
 		l.publish(now)
@@ -146,68 +150,11 @@
 		Str("group", g.String()).
 		Int("values", len(items)).
 		Str("key", items[0].Key).
-		Uint64("revision", items[0].Revision).
-		Uint64("held-revision", l.mirrors[g].Revision()).
+		EmbedObject(storeRevision(items[0].Revision)).
+		Object("held", storeRevision(l.mirrors[g].Revision())).
 		Msg("published values not taken; the held ones have higher revisions")
 }
 
-// activate activates one published value.
-func (l *Loop) activate(now time.Time, item mirror.Item) {
-	change, err := l.opts.Decoder.Decode(item)
-	if err != nil {
-		l.opts.Metrics.Events.Add("value-refused", 1)
-		l.opts.Log.Error().Err(err).Str("key", item.Key).Uint64("revision", item.Revision).Msg("published value refused; other values are unaffected")
-	}
-	switch c := change.(type) {
-	case mirror.ConfigUpdated:
-		if l.config != nil && c.Config.Version < l.config.Version {
-			return
-		}
-		l.config = c.Config
-		l.opts.Pool.SetServices(c.Config.Services)
-		l.opts.Log.Info().Uint64("version", c.Config.Version).Uint64("revision", item.Revision).Int("routes", len(c.Config.Routes())).Msg("config in force")
-	case mirror.UpstreamUpdated:
-		delete(l.pendingRemovals, c.Upstream.ID)
-		if l.opts.Pool.SetUpstream(now, c.Upstream) {
-			l.opts.Log.Info().Str("upstream", string(c.Upstream.ID)).Str("service", string(c.Upstream.Service)).Bool("draining", c.Upstream.Draining).Time("started", c.Upstream.StartTime).Dur("cold", c.Upstream.WarmupLeft).Uint64("revision", item.Revision).Msg("upstream changed")
-		}
-	case mirror.UpstreamRemoved:
-		if l.mayHaveLapsed(now) {
-			l.pendingRemovals[c.ID] = now.Add(relistTimeout)
-			return
-		}
-		if l.opts.Pool.RemoveUpstream(c.ID) {
-			l.opts.Log.Info().Str("upstream", string(c.ID)).Uint64("revision", item.Revision).Msg("upstream gone")
-		}
-	case mirror.ZoneEvacuated:
-		l.opts.Pool.EvacuateZone(c.Zone)
-		l.opts.Log.Info().Str("zone", string(c.Zone)).Uint64("revision", item.Revision).Msg("zone evacuated")
-	case mirror.ZoneRestored:
-		l.opts.Pool.RestoreZone(now, c.Zone)
-		l.opts.Log.Info().Str("zone", string(c.Zone)).Uint64("revision", item.Revision).Msg("zone returned")
-	}
-}
-
-// mayHaveLapsed reports whether an upstream that left the list may only have expired,
-// because the platform is unavailable or has just become available again.
-func (l *Loop) mayHaveLapsed(now time.Time) bool {
-	h := &l.health[mirror.UpstreamsGroup]
-	return h.unavailable(now) || !h.regainedAt.IsZero() && now.Sub(h.regainedAt) < relistTimeout
-}
-
-// removeLapsed removes the pending upstreams that did not return to the list in time.
-func (l *Loop) removeLapsed(now time.Time) {
-	for id, at := range l.pendingRemovals {
-		if now.Before(at) || l.health[mirror.UpstreamsGroup].unavailable(now) {
-			continue
-		}
-		delete(l.pendingRemovals, id)
-		if l.opts.Pool.RemoveUpstream(id) {
-			l.opts.Log.Info().Str("upstream", string(id)).Msg("upstream gone; it did not return to the list")
-		}
-	}
-}
-
 // catchUp fetches a group from the peer that holds its newest revision, if the platform
 // does not deliver that revision.
 func (l *Loop) catchUp(ctx context.Context, now time.Time, g mirror.Group) {
