Remember that an upstream is cold across its listing

That an upstream turned cold is also learned from a failed connection or from the return of its zone; RemoveUpstream dropped that with the entry of the list, and a listing that comes and goes, as after an outage of the store, made the upstream warm at each entry of its region. The pool now keeps what has left the list while cold until it would be warm; the next run of an upstream starts anew.

TestColdAcrossRelisting/same run failed before (the upstream was chosen a second after its zone returned), and passes.

--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -37,6 +37,8 @@
 	// region is the membership of the own region.
 	region regionView
 	warmup warmup
+	// unlisted holds the upstreams that have left the list while they were cold.
+	unlisted map[ident.Upstream]*replica
 	// meanLoadAge is the mean age of the load reports of peers. sendRates holds the rate
 	// at which this instance sends requests for each service.
 	meanLoadAge time.Duration
@@ -98,6 +100,7 @@
 	if r == nil || r.isNewRun(u) {
 		r = newReplica(u)
 		r.markCold(now, u.WarmupLeft)
+		p.takeUnlisted(r)
 		p.replicas[u.ID] = r
 		return true
 	}
@@ -126,11 +129,36 @@
 func (p *Pool) RemoveUpstream(id ident.Upstream) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_, held := p.replicas[id]
+	r, held := p.replicas[id]
 	delete(p.replicas, id)
+	if held && !r.coldUntil.IsZero() {
+		if p.unlisted == nil {
+			p.unlisted = map[ident.Upstream]*replica{}
+		}
+		p.unlisted[id] = r
+	}
 	return held
 }
 
+// takeUnlisted makes an upstream that returns to the list in the same run cold for as long
+// as it was held to be. Its description may not say so, if that was learned otherwise.
+func (p *Pool) takeUnlisted(r *replica) {
+	before := p.unlisted[r.ID]
+	delete(p.unlisted, r.ID)
+	if before != nil && !before.isNewRun(r.Upstream) {
+		r.coldUntil = latest(r.coldUntil, before.coldUntil)
+	}
+}
+
+// forgetUnlisted removes the upstreams that would be warm by now.
+func (p *Pool) forgetUnlisted(now time.Time) {
+	for id, r := range p.unlisted {
+		if !r.isCold(now) {
+			delete(p.unlisted, id)
+		}
+	}
+}
+
 // EvacuateZone stops new requests to an availability zone.
 func (p *Pool) EvacuateZone(zone ident.Zone) {
 	p.mu.Lock()
--- a/core/pool/replica.go
+++ b/core/pool/replica.go
@@ -119,11 +119,18 @@
 
 // markCold makes the upstream count as cold for at least the given time.
 func (r *replica) markCold(now time.Time, d time.Duration) {
-	if until := now.Add(d); d > 0 && until.After(r.coldUntil) {
-		r.coldUntil = until
+	if d > 0 {
+		r.coldUntil = latest(r.coldUntil, now.Add(d))
 	}
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // recordFailure records a failure that the upstream is responsible for.
 func (r *replica) recordFailure(now time.Time) {
 	r.failures++
--- a/core/pool/warmup.go
+++ b/core/pool/warmup.go
@@ -34,6 +34,7 @@
 	defer p.mu.Unlock()
 	p.region = regionView{instances: instances, agrees: agree, updatedAt: now}
 	p.warmup.forget(now)
+	p.forgetUnlisted(now)
 }
 
 // isCurrent reports whether the view has been renewed lately, also by a clock that goes on
--- a/core/pool/warmup_test.go
+++ b/core/pool/warmup_test.go
@@ -7,6 +7,7 @@
 
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/member"
+	"arbutustrestle/core/spec"
 )
 
 // regionSize is the number of instances of the region under test, the size of the largest
@@ -144,6 +145,43 @@
 	}
 }
 
+// TestColdAcrossRelisting guards against a cold upstream that counts as warm because its
+// entry in the list comes and goes: that it turned cold is known from a failed connection or
+// from the return of its zone, and its description says nothing of it.
+func TestColdAcrossRelisting(t *testing.T) {
+	for name, c := range map[string]struct {
+		startTime time.Time
+		cold      bool
+	}{
+		"same run": {cold: true},
+		// What was held of the run before says nothing of the next one.
+		"next run": {startTime: start},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPool("entry-1", 1)
+			p.SetServices(map[ident.Service]spec.Service{
+				"chat": {Name: "chat", Warmup: warmupTime, WarmupRate: warmupRate, Engine: true},
+			})
+			p.EvacuateZone(testUpstream(0).Zone)
+			p.RestoreZone(start, testUpstream(0).Zone)
+			p.RemoveUpstream("engine-0")
+			listed := testUpstream(0)
+			listed.StartTime = c.startTime
+			p.SetUpstream(start.Add(time.Second), listed)
+			lease, found := p.Pick(start.Add(time.Second), prompt("a", 0))
+			if found == c.cold {
+				t.Errorf("chosen: %t", found)
+			}
+			if found {
+				lease.End(start.Add(time.Second), Answered)
+			}
+			if _, found := p.Pick(start.Add(warmupTime), prompt("a", 0)); !found {
+				t.Error("not chosen when it is warm")
+			}
+		})
+	}
+}
+
 // TestWarmupRateWithSlowConnections guards against requests to a cold upstream that were
 // chosen one after the other and reach it together, because their connections took long to
 // open. Two senders that do so exceed the bound.
