Log and count the limits that upstreams name

The header of the answers is read in platform/, a word that is no number is logged, and the pool holds what the upstream said last. A line says when that changes, and one for each request that is sent to an upstream with a limit has the limit, its age, the time since this instance's last such request and how many instances it took into account: what the three hypotheses differ in. The line of requests to cold upstreams is the same line now, with its fields. Where requests go is as before.

core/pool warmup.go is renamed to pace.go, as it is about to hold both rates.

--- a/core/gossip/loads.go
+++ b/core/gossip/loads.go
@@ -49,3 +49,10 @@
 	// millisecond; zero for a plain service.
 	TokensPerMilli float64
 }
+
+// RateLimit is the number of requests a second that an upstream takes from all instances
+// together, as it says in its answers. Its zero value means that it names no limit.
+type RateLimit struct {
+	Named     bool
+	PerSecond float64
+}
--- a/core/pool/warmup.go
+++ b/core/pool/pace.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"arbutustrestle/core/clock"
+	"arbutustrestle/core/gossip"
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/rank"
 )
@@ -120,12 +121,17 @@
 	return sender == p.settings.Self
 }
 
-// ColdSend holds the values that allowed a request to a cold upstream.
-type ColdSend struct {
-	// Left is how much longer the upstream counts as cold.
-	Left time.Duration
+// PacedSend holds what is known of an upstream that is cold or names a limit when a
+// request is sent to it.
+type PacedSend struct {
+	// ColdLeft is how much longer the upstream counts as cold; zero if it is warm.
+	ColdLeft time.Duration
+	// Limit is the limit that the upstream names, LimitAge the time since the last answer
+	// from which it is known.
+	Limit    gossip.RateLimit
+	LimitAge time.Duration
 	// SinceLast is the time since this instance last sent a request there while the
-	// upstream was cold; zero if it has sent none.
+	// upstream was cold or named a limit; zero if it has sent none.
 	SinceLast time.Duration
 	// Instances is the number of instances of the region that this instance took into
 	// account, itself included.
@@ -134,9 +140,9 @@
 
 // AdmitSend reports whether the request may be sent now, which is later than it was
 // chosen: a connection had to be opened, and the upstream may have restarted, left or
-// become cold, or the region may have changed. The ColdSend is nil if the upstream is
-// warm. A request that was admitted must be sent.
-func (l *Lease) AdmitSend(now time.Time) (*ColdSend, bool) {
+// become cold, or the region may have changed. The PacedSend is nil if the upstream is
+// warm and names no limit. A request that was admitted must be sent.
+func (l *Lease) AdmitSend(now time.Time) (*PacedSend, bool) {
 	p := l.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -144,18 +150,29 @@
 	if p.replicas[r.ID] != r {
 		return nil, false
 	}
-	if !r.isCold(now) {
+	if !r.isCold(now) && !r.limit.Named {
 		return nil, true
 	}
 	last := p.warmup.sends[r.ID].sentAt
 	interval := p.warmupInterval(r.Service)
-	if interval > 0 && (!p.isWarmupSender(now, r.ID) || now.Sub(last) < interval) {
+	if r.isCold(now) && interval > 0 && (!p.isWarmupSender(now, r.ID) || now.Sub(last) < interval) {
 		return nil, false
 	}
-	send := &ColdSend{Left: r.coldUntil.Sub(now), Instances: len(p.region.instances)}
+	p.warmup.recordSend(now, r.ID)
+	return p.pacedSend(now, r, last), true
+}
+
+func (p *Pool) pacedSend(now time.Time, r *replica, last time.Time) *PacedSend {
+	send := &PacedSend{
+		ColdLeft:  max(0, r.coldUntil.Sub(now)),
+		Limit:     r.limit.RateLimit,
+		Instances: len(p.region.instances),
+	}
+	if r.limit.Named {
+		send.LimitAge = now.Sub(r.limit.at)
+	}
 	if !last.IsZero() {
 		send.SinceLast = now.Sub(last)
 	}
-	p.warmup.recordSend(now, r.ID)
-	return send, true
+	return send
 }
--- a/core/pool/region_test.go
+++ b/core/pool/region_test.go
@@ -208,9 +208,9 @@
 
 // send sends a request if it is still admitted. Upstreams are removed when they are warm.
 func (r *region) send(i *regionInstance, lease *Lease) {
-	cold, admitted := lease.AdmitSend(r.now)
+	paced, admitted := lease.AdmitSend(r.now)
 	lease.End(r.now, Cancelled)
-	if admitted && cold == nil {
+	if admitted && paced == nil {
 		i.pool.RemoveUpstream(lease.Upstream.ID)
 	}
 	for n := range r.upstreams {
--- a/core/pool/replica.go
+++ b/core/pool/replica.go
@@ -68,6 +68,7 @@
 
 	// coldUntil is zero while the upstream is warm.
 	coldUntil time.Time
+	limit     limitReport
 
 	// backoffUntil is when a failed upstream is tried again.
 	backoffUntil time.Time
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -19,6 +19,7 @@
 	"github.com/juju/errors"
 
 	"arbutustrestle/core/clock"
+	"arbutustrestle/core/gossip"
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/result"
 )
@@ -46,6 +47,10 @@
 	Draining bool
 	// ColdFor is how long the upstream stays cold; zero if it isn't announced.
 	ColdFor time.Duration
+	// Limit is the limit that the upstream names. LimitError is set if what it names is
+	// no limit.
+	Limit      gossip.RateLimit
+	LimitError error
 }
 
 // Attempt is a request as it is sent to one upstream.
@@ -71,6 +76,9 @@
 	// Admit is called when a connection is open, right before the request is sent. If it
 	// returns false, nothing is sent and the attempt fails with UpstreamChanged. Nil admits.
 	Admit func() bool
+	// Received is called with the head of each answer of the upstream to this request,
+	// also if the upstream states that nothing ran. Nil does nothing.
+	Received func(m AnswerMeta)
 }
 
 // Answer is the head of an answer and its unread body.
@@ -201,6 +209,9 @@
 			continue
 		}
 		if answer.Meta.RequestID == x.attempt.RequestID {
+			if x.attempt.Received != nil && !answer.Meta.Replaced {
+				x.attempt.Received(answer.Meta)
+			}
 			return x.checkRefusal(ctx, answer)
 		}
 		// A late answer to an earlier request arrived instead.
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -133,29 +133,56 @@
 }
 
 // admitSend reports whether a request may be sent to its upstream now, and counts and
-// logs one to a cold upstream.
+// logs one to an upstream that is cold or names a limit.
 func (p *Proxy) admitSend(call *Call, lease *pool.Lease) bool {
-	cold, admitted := lease.AdmitSend(p.Clock.Now())
-	if !admitted || cold == nil {
+	send, admitted := lease.AdmitSend(p.Clock.Now())
+	if !admitted || send == nil {
 		return admitted
 	}
-	p.Metrics.Events.Add("cold-sends", 1)
-	p.Log.Info().
+	line := p.Log.Info().
 		Str("request-id", call.ID).
 		Str("peer", string(lease.Upstream.ID)).
-		Int64("cold-left-ms", cold.Left.Milliseconds()).
-		Int64("since-last-ms", cold.SinceLast.Milliseconds()).
-		Int("region-instances", cold.Instances).
-		Msg("request sent to a cold upstream")
+		Int64("since-last-ms", send.SinceLast.Milliseconds()).
+		Int("region-instances", send.Instances)
+	if send.ColdLeft > 0 {
+		p.Metrics.Events.Add("cold-sends", 1)
+		line = line.Int64("cold-left-ms", send.ColdLeft.Milliseconds())
+	}
+	if send.Limit.Named {
+		p.Metrics.Events.Add("limited-sends", 1)
+		line = line.Float64("limit-per-second", send.Limit.PerSecond).Int64("limit-age-ms", send.LimitAge.Milliseconds())
+	}
+	line.Msg("request sent to an upstream that is cold or names a limit")
 	return true
 }
 
+// recordLimit records what an answer says of the upstream's limit. What is no limit
+// changes nothing.
+func (p *Proxy) recordLimit(call *Call, lease *pool.Lease, m http1.AnswerMeta) {
+	if m.LimitError != nil {
+		p.Metrics.Events.Add("limits-not-valid", 1)
+		p.Log.Error().Err(m.LimitError).Str("request-id", call.ID).Str("peer", string(lease.Upstream.ID)).Msg("limit of an upstream not read; the one before holds")
+		return
+	}
+	if !lease.ReportLimit(p.Clock.Now(), m.Limit) {
+		return
+	}
+	p.Metrics.Events.Add("limit-changes", 1)
+	p.Log.Info().
+		Str("request-id", call.ID).
+		Str("peer", string(lease.Upstream.ID)).
+		Bool("named", m.Limit.Named).
+		Float64("limit-per-second", m.Limit.PerSecond).
+		Msg("limit of an upstream changed")
+}
+
 // upstreamAttempt returns the message of an attempt at a leased upstream.
 func (p *Proxy) upstreamAttempt(call *Call, lease *pool.Lease) *http1.Attempt {
 	a := p.newAttempt(call)
 	a.Upstream = lease.Upstream.ID
 	a.Address = lease.Upstream.Address
 	a.Admit = func() bool { return p.admitSend(call, lease) }
+	a.Received = func(m http1.AnswerMeta) { p.recordLimit(call, lease, m) }
 	return &a
 }
 
