--- a/core/pool/pace_test.go
+++ b/core/pool/pace_test.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"arbutustrestle/core/ident"
-	"arbutustrestle/core/member"
 	"arbutustrestle/core/spec"
 )
 
@@ -39,57 +38,7 @@
 // for its only sender.
 func TestWarmupRateInDisagreement(t *testing.T) {
 	t.Parallel()
-	for name, disturb := range map[string]func(r *region){
-		"many stop in turn": func(r *region) {
-			for n := range 18 {
-				r.instances[n].phase = member.Draining
-				r.instances[n].membership.Announce()
-				r.run(150 * time.Millisecond)
-				if n >= 8 {
-					delete(r.instances, n-8)
-				}
-			}
-		},
-		"many are killed at once and start again": func(r *region) {
-			for n := range 20 {
-				delete(r.instances, n)
-			}
-			r.run(600 * time.Millisecond)
-			r.startAll(20)
-		},
-		"many join": func(r *region) {
-			for n := range 24 {
-				r.start(regionSize + n)
-			}
-		},
-		"some are not heard": func(r *region) {
-			r.transit = func(from, to int) (time.Duration, bool) { return 3 * time.Millisecond, from >= 9 }
-		},
-		"some hear nothing": func(r *region) {
-			r.transit = func(from, to int) (time.Duration, bool) { return 3 * time.Millisecond, to >= 9 }
-		},
-		"four islands": func(r *region) {
-			r.transit = func(from, to int) (time.Duration, bool) { return 3 * time.Millisecond, from%4 == to%4 }
-		},
-		"each for itself": func(r *region) {
-			r.transit = func(from, to int) (time.Duration, bool) { return 0, false }
-		},
-		"heartbeats lost": func(r *region) {
-			r.transit = func(from, to int) (time.Duration, bool) { return 3 * time.Millisecond, r.random.Float64() < 0.4 }
-		},
-		"heartbeats late": func(r *region) {
-			r.transit = func(from, to int) (time.Duration, bool) {
-				return time.Duration(r.random.Int64N(int64(3 * time.Second))), true
-			}
-		},
-		"paused in turn, resumed together": func(r *region) {
-			end := r.now.Add(12 * time.Second)
-			for n := range 12 {
-				r.instances[n].frozenUntil = end
-				r.run(time.Second)
-			}
-		},
-	} {
+	for name, disturb := range disturbances {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(3) {
--- a/core/pool/region_test.go
+++ b/core/pool/region_test.go
@@ -48,6 +48,38 @@
 	requestShare float64
 	upstreams    []regionUpstream
 	runs         uint64
+	// limit returns the limit that limitedUpstream names; nil if there is no such upstream.
+	limit func(now time.Time) gossip.RateLimit
+	// limitedArrivals are the requests that limitedUpstream got.
+	limitedArrivals []limitedArrival
+	answers         []limitedAnswer
+}
+
+// limitedUpstream is warm, serves the service "app" alone, and names a limit.
+var limitedUpstream = Upstream{
+	ID:        "limited",
+	StartTime: start.Add(-time.Hour),
+	Service:   "app",
+	Address:   netip.MustParseAddrPort("10.0.3.1:80"),
+	Zone:      "zone-0",
+	Region:    "west",
+	Slots:     1000,
+}
+
+// limitedArrival is a request that reached limitedUpstream.
+type limitedArrival struct {
+	at time.Time
+	// told is set if the sender had received an answer with the limit toldBefore ago or
+	// earlier.
+	told bool
+}
+
+// limitedAnswer is an answer of limitedUpstream on its way.
+type limitedAnswer struct {
+	at    time.Time
+	to    *regionInstance
+	lease *Lease
+	limit gossip.RateLimit
 }
 
 type regionInstance struct {
@@ -61,6 +93,8 @@
 	// frozenUntil is when a paused process goes on.
 	frozenUntil time.Time
 	dialing     []regionDial
+	// toldAt is when the first answer with a limit arrived; zero if none did.
+	toldAt time.Time
 }
 
 // regionDial is a request whose connection is being opened.
@@ -69,6 +103,60 @@
 	openAt time.Time
 }
 
+// disturbances are the ways in which instances of a region come to hold different views of
+// it.
+var disturbances = map[string]func(r *region){
+	"many stop in turn": func(r *region) {
+		for n := range 18 {
+			r.instances[n].phase = member.Draining
+			r.instances[n].membership.Announce()
+			r.run(150 * time.Millisecond)
+			if n >= 8 {
+				delete(r.instances, n-8)
+			}
+		}
+	},
+	"many are killed at once and start again": func(r *region) {
+		for n := range 20 {
+			delete(r.instances, n)
+		}
+		r.run(600 * time.Millisecond)
+		r.startAll(20)
+	},
+	"many join": func(r *region) {
+		for n := range 24 {
+			r.start(regionSize + n)
+		}
+	},
+	"some are not heard": func(r *region) {
+		r.transit = func(from, to int) (time.Duration, bool) { return 3 * time.Millisecond, from >= 9 }
+	},
+	"some hear nothing": func(r *region) {
+		r.transit = func(from, to int) (time.Duration, bool) { return 3 * time.Millisecond, to >= 9 }
+	},
+	"four islands": func(r *region) {
+		r.transit = func(from, to int) (time.Duration, bool) { return 3 * time.Millisecond, from%4 == to%4 }
+	},
+	"each for itself": func(r *region) {
+		r.transit = func(from, to int) (time.Duration, bool) { return 0, false }
+	},
+	"heartbeats lost": func(r *region) {
+		r.transit = func(from, to int) (time.Duration, bool) { return 3 * time.Millisecond, r.random.Float64() < 0.4 }
+	},
+	"heartbeats late": func(r *region) {
+		r.transit = func(from, to int) (time.Duration, bool) {
+			return time.Duration(r.random.Int64N(int64(3 * time.Second))), true
+		}
+	},
+	"paused in turn, resumed together": func(r *region) {
+		end := r.now.Add(12 * time.Second)
+		for n := range 12 {
+			r.instances[n].frozenUntil = end
+			r.run(time.Second)
+		}
+	},
+}
+
 type regionMessage struct {
 	at      time.Time
 	from    int
@@ -108,6 +196,7 @@
 	p := New(Settings{Self: id, Region: "west", PromptRate: 60})
 	p.SetServices(map[ident.Service]spec.Service{
 		"chat": {Name: "chat", Warmup: warmupTime, WarmupRate: warmupRate, Engine: true},
+		"app":  {Name: "app"},
 	})
 	r.instances[n] = &regionInstance{
 		membership: gossip.New(record, r.seeds, rand.New(rand.NewPCG(r.runs, 3))),
@@ -132,6 +221,7 @@
 			r.upstreams = append(r.upstreams, regionUpstream{Upstream: u, startedAt: r.now})
 		}
 		r.deliver()
+		r.deliverAnswers()
 		for n := range 64 {
 			if i := r.instances[n]; i != nil && !r.now.Before(i.frozenUntil) {
 				r.step(n, i)
@@ -144,7 +234,10 @@
 // that waited before it ticks.
 func (r *region) step(n int, i *regionInstance) {
 	if i.phase < member.Stopped && r.random.Float64() < r.requestShare {
-		r.choose(i)
+		r.choose(i, Request{Service: "chat", Tokens: 500})
+	}
+	if r.limit != nil && i.phase < member.Stopped && r.random.Float64() < r.requestShare {
+		r.choose(i, Request{Service: "app"})
 	}
 	r.sendDialed(i)
 	if r.now.Before(i.nextTick) {
@@ -164,6 +257,9 @@
 	if r.now.Before(i.listedAt) {
 		return
 	}
+	if r.limit != nil {
+		i.pool.SetUpstream(r.now, limitedUpstream)
+	}
 	if i.phase == member.Starting {
 		i.phase = member.Ready
 		i.membership.Announce()
@@ -185,8 +281,8 @@
 
 // choose has the pool pick an upstream, which the request reaches once its connection is
 // open.
-func (r *region) choose(i *regionInstance) {
-	lease, found := i.pool.Pick(r.now, Request{Service: "chat", Tokens: 500})
+func (r *region) choose(i *regionInstance, request Request) {
+	lease, found := i.pool.Pick(r.now, request)
 	if !found {
 		return
 	}
@@ -209,6 +305,10 @@
 // send sends a request if it is still admitted. Upstreams are removed when they are warm.
 func (r *region) send(i *regionInstance, lease *Lease) {
 	paced, admitted := lease.AdmitSend(r.now)
+	if admitted && lease.Upstream.ID == limitedUpstream.ID {
+		r.sendLimited(i, lease)
+		return
+	}
 	lease.End(r.now, Cancelled)
 	if admitted && paced == nil {
 		i.pool.RemoveUpstream(lease.Upstream.ID)
@@ -221,6 +321,38 @@
 	}
 }
 
+// answerDelay is the time until limitedUpstream answers.
+const answerDelay = 20 * time.Millisecond
+
+// toldBefore is how long before a request its sender must have been told of the limit for
+// the request to count.
+const toldBefore = 500 * time.Millisecond
+
+// sendLimited lets a request reach limitedUpstream, which names its limit as of then.
+func (r *region) sendLimited(i *regionInstance, lease *Lease) {
+	told := !i.toldAt.IsZero() && r.now.Sub(i.toldAt) >= toldBefore
+	r.limitedArrivals = append(r.limitedArrivals, limitedArrival{r.now, told})
+	r.answers = append(r.answers, limitedAnswer{r.now.Add(answerDelay), i, lease, r.limit(r.now)})
+}
+
+// deliverAnswers delivers the answers of limitedUpstream that are due.
+func (r *region) deliverAnswers() {
+	left := r.answers[:0]
+	for _, a := range r.answers {
+		if a.at.After(r.now) || r.now.Before(a.to.frozenUntil) {
+			left = append(left, a)
+			continue
+		}
+		if a.limit.Named && a.to.toldAt.IsZero() {
+			a.to.toldAt = r.now
+		}
+		a.lease.ReportLimit(r.now, a.limit)
+		a.lease.ResponseReceived(r.now)
+		a.lease.End(r.now, Answered)
+	}
+	r.answers = left
+}
+
 func (r *region) post(from int, hb gossip.Heartbeat) {
 	to := int(hb.Address.Addr().As4()[3])
 	if delay, delivered := r.transit(from, to); delivered {
