Keep to the limit that an upstream names, over all instances

What callers would see: an upstream in need, which takes one request a second, gets the load of its whole region. Cause: nothing read the limit. Class: a bound on the sum over all senders, as for cold upstreams.

Change: core/pool/pace.go holds the rate of both kinds of upstream. Few senders by rendezvous divide it evenly, only while the region agrees, and AdmitSend checks each request where it leaves. What is known of limits goes with the heartbeats of the region, with its age; an answer without a limit or a new run lifts it. Load reports leave such upstreams out.

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -53,6 +53,8 @@
 	// third instance passes on have neither.
 	UpstreamLoads []UpstreamLoad
 	ServiceLoads  []ServiceLoad
+	// UpstreamLimits is sent with UpstreamLoads.
+	UpstreamLimits []UpstreamLimit
 }
 
 // servesRegion reports whether the instance is one of a region and is not leaving.
@@ -195,6 +197,7 @@
 		// A third instance passes on neither loads nor a digest. Those that came from
 		// the instance itself stay until they are replaced.
 		r.UpstreamLoads = p.UpstreamLoads
+		r.UpstreamLimits = p.UpstreamLimits
 		r.ServiceLoads = p.ServiceLoads
 		r.RegionDigest = p.RegionDigest
 	} else {
--- a/core/gossip/heartbeat.go
+++ b/core/gossip/heartbeat.go
@@ -55,6 +55,7 @@
 	s.self.Sequence++
 	own := s.self
 	own.UpstreamLoads = nil
+	own.UpstreamLimits = nil
 	heartbeats := s.membershipHeartbeats(now, regional, remote, own)
 	heartbeats = append(heartbeats, s.regionHeartbeats(now, regional, own)...)
 	heartbeats = append(heartbeats, s.remoteHeartbeats(now, remote, own)...)
@@ -228,6 +229,7 @@
 			r := p.Record
 			r.Age = now.Sub(p.lastUpdate)
 			r.UpstreamLoads = nil
+			r.UpstreamLimits = nil
 			r.ServiceLoads = nil
 			r.RegionDigest = 0
 			list = append(list, r)
--- a/core/gossip/loads.go
+++ b/core/gossip/loads.go
@@ -56,3 +56,13 @@
 	Named     bool
 	PerSecond float64
 }
+
+// UpstreamLimit is what an instance knows of the limit of an upstream.
+type UpstreamLimit struct {
+	Upstream ident.Upstream
+	// StartTime is the start of the run of the upstream that said so.
+	StartTime time.Time
+	RateLimit
+	// Age is the time since the answer from which it is known.
+	Age time.Duration
+}
--- a/core/gossip/view.go
+++ b/core/gossip/view.go
@@ -60,6 +60,22 @@
 	return list
 }
 
+// RegionLimits returns what the other instances of the own region know of the limits of
+// upstreams, with ages as of now.
+func (v *View) RegionLimits(now time.Time) []UpstreamLimit {
+	var list []UpstreamLimit
+	for _, m := range v.Members {
+		if m.Region != v.Self.Region {
+			continue
+		}
+		for _, l := range m.UpstreamLimits {
+			l.Age += now.Sub(m.LastHeartbeat)
+			list = append(list, l)
+		}
+	}
+	return list
+}
+
 // ReadyAddresses returns the caller addresses of the instances in a region that accept
 // traffic, with the instances of the given availability zone first.
 func (v *View) ReadyAddresses(region ident.Region, zone ident.Zone) []netip.AddrPort {
--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -61,8 +61,8 @@
 		return nil, false
 	}
 	r := best.replica
-	if r.isCold(now) {
-		p.warmup.recordChoice(now, r.ID)
+	if _, paced := p.pace(now, r); paced {
+		p.sendTimes.recordChoice(now, r.ID)
 	}
 	ahead, _ := p.tokensAhead(now, r)
 	request := &pendingRequest{priority: gossip.PriorityClass(req.Priority), tokens: best.uncached, sentAt: now}
@@ -130,7 +130,7 @@
 	if _, evacuated := p.evacuated[r.Zone]; evacuated {
 		return false
 	}
-	return !r.isCold(now) || p.mayChooseCold(now, r)
+	return p.mayChoose(now, r)
 }
 
 // preferred returns the upstream that all instances of the region prefer for a prompt. It
--- a/core/pool/limit_test.go
+++ b/core/pool/limit_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"arbutustrestle/core/gossip"
+	"arbutustrestle/core/ident"
 )
 
 const (
@@ -112,3 +113,108 @@
 	}
 	return total
 }
+
+// A region that doesn't change uses what the limit allows, with one sender or several, and
+// few requests go to the upstream before all instances know of the limit.
+func TestLimitIsUsed(t *testing.T) {
+	t.Parallel()
+	for _, size := range []int{2, 3, regionSize} {
+		for seed, perSecond := range []float64{1, 1.6, 12} {
+			r := newRegion(t, uint64(seed))
+			r.limit = constantLimit(perSecond)
+			r.startAll(size)
+			r.run(20 * time.Second)
+			if got, want := r.limitedSince(r.now.Add(-10*time.Second)), 10*perSecond; float64(got) < 0.8*want {
+				t.Errorf("%d instances, limit %.1f: %d requests in 10 s", size, perSecond, got)
+			}
+		}
+	}
+}
+
+// An answer that names no limit lifts it for all instances, whichever got the answer.
+func TestLimitLifted(t *testing.T) {
+	t.Parallel()
+	r := newRegion(t, 7)
+	lifted := start.Add(15 * time.Second)
+	r.limit = func(now time.Time) gossip.RateLimit {
+		if now.Before(lifted) {
+			return gossip.RateLimit{Named: true, PerSecond: 1}
+		}
+		return gossip.RateLimit{}
+	}
+	r.startAll(regionSize)
+	r.run(18 * time.Second)
+	before := r.limitedSince(start)
+	r.run(time.Second)
+	if got := r.limitedSince(start) - before; got < 500 {
+		t.Errorf("%d requests in the fourth second after the limit was lifted", got)
+	}
+	for n, i := range r.instances {
+		if i.pool.replicas[limitedUpstream.ID].limit.Named {
+			t.Errorf("instance %d goes on by the limit", n)
+		}
+	}
+}
+
+// TestLimitOfNextRun guards against a limit that outlives the run of the upstream that
+// named it, and against one that is lost because the upstream's entry in the list comes and
+// goes.
+func TestLimitOfNextRun(t *testing.T) {
+	p := newPool("entry-1", 1)
+	p.SetRegion(start, []ident.Instance{"entry-1", "entry-2"}, false)
+	lease, found := p.Pick(start, prompt("a", 0))
+	if !found {
+		t.Fatal("no upstream")
+	}
+	lease.ReportLimit(start, gossip.RateLimit{Named: true, PerSecond: 1})
+	lease.End(start, Answered)
+	p.RemoveUpstream("engine-0")
+	p.SetUpstream(start, testUpstream(0))
+	if _, found := p.Pick(start, prompt("a", 0)); found {
+		t.Error("the limit is lost")
+	}
+	next := testUpstream(0)
+	next.StartTime = start
+	p.SetUpstream(start, next)
+	p.SetPeerLimits(start, []gossip.UpstreamLimit{{
+		Upstream: "engine-0", StartTime: testUpstream(0).StartTime, RateLimit: gossip.RateLimit{Named: true, PerSecond: 1},
+	}})
+	if _, found := p.Pick(start, prompt("a", 0)); !found {
+		t.Error("the limit outlives the run")
+	}
+}
+
+// TestLimitOfWaitingRequests guards against requests that were chosen before the upstream
+// named its limit, and leave for it together when their connections open.
+func TestLimitOfWaitingRequests(t *testing.T) {
+	p := newPool("entry-1", 1)
+	p.SetRegion(start, []ident.Instance{"entry-1"}, true)
+	var leases []*Lease
+	for range 20 {
+		lease, found := p.Pick(start, prompt("a", 0))
+		if !found {
+			t.Fatal("no upstream")
+		}
+		leases = append(leases, lease)
+	}
+	leases[0].ReportLimit(start, gossip.RateLimit{Named: true, PerSecond: 1})
+	sends := 0
+	for _, lease := range leases {
+		if _, admitted := lease.AdmitSend(start); admitted {
+			sends++
+		}
+	}
+	if sends != 1 {
+		t.Errorf("%d requests at once", sends)
+	}
+}
+
+func (r *region) limitedSince(from time.Time) int {
+	count := 0
+	for _, a := range r.limitedArrivals {
+		if !a.at.Before(from) {
+			count++
+		}
+	}
+	return count
+}
--- a/core/pool/pace.go
+++ b/core/pool/pace.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"arbutustrestle/core/clock"
@@ -9,13 +10,16 @@
 	"arbutustrestle/core/rank"
 )
 
-// An upstream that is cold fails if the instances of its region together send it many more
-// requests than its warm-up rate. Each cold upstream therefore has one sender in the
-// region, chosen by rendezvous over the instances. While the instances don't agree on who
-// they are, nobody sends to cold upstreams; these become warm in a few seconds all the
-// same.
+// Some upstreams bear only so many requests a second from all instances of their region
+// together: one that is cold bears its warm-up rate, one that is in need names a limit. No
+// counter is shared. Such an upstream has few senders in the region, chosen by rendezvous
+// over the instances, which divide the rate evenly. While the instances don't agree on who
+// they are, nobody sends there.
+//
+// With k senders, an upstream with rate r gets at most r x t + k requests in a time t, and
+// k more for each time that the senders change.
 
-// maxRegionAge is the age at which a view of the region no longer permits requests to cold
+// maxRegionAge is the age at which a view of the region no longer permits requests to paced
 // upstreams. The view is renewed every gossip.TickInterval.
 const maxRegionAge = 500 * time.Millisecond
 
@@ -34,7 +38,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.region = regionView{instances: instances, agrees: agree, updatedAt: now}
-	p.warmup.forget(now)
+	p.sendTimes.forget(now)
 	p.forgetUnlisted(now)
 }
 
@@ -45,80 +49,101 @@
 	return age <= maxRegionAge && age+clock.Suspension(v.updatedAt, now) <= maxRegionAge
 }
 
-// warmup holds the last requests to cold upstreams. It outlives their entries in the list,
-// which may come and go.
-type warmup struct {
-	sends map[ident.Upstream]coldSends
+// pace is the rate of requests that an upstream bears, and how many instances share it.
+type pace struct {
+	perSecond float64
+	// senders is at least 1.
+	senders int
 }
 
-// coldSends holds the times of the last requests to one cold upstream. Choices are spaced
+const (
+	// minLimitRate is the rate of requests to an upstream whose limit is lower, or zero:
+	// only an answer can lift the limit. The rule allows five requests in 4 s beyond the
+	// limit.
+	minLimitRate = 0.25
+	// limitPerSender is how much of an upstream's limit, in requests a second, justifies
+	// one sender. With more senders, more of the region's requests can go there; but each
+	// one adds a request to a burst.
+	limitPerSender = 2
+)
+
+// pace returns the bound on requests to an upstream, and false if there is none.
+func (p *Pool) pace(now time.Time, r *replica) (pace, bool) {
+	warmup := p.services[r.Service].WarmupRate
+	paced := pace{perSecond: warmup, senders: 1}
+	cold := r.isCold(now) && warmup > 0
+	if r.limit.Named {
+		limit := max(r.limit.PerSecond, minLimitRate)
+		if !cold || limit < warmup {
+			paced = pace{perSecond: limit, senders: max(1, int(limit/limitPerSender))}
+		}
+	}
+	return paced, cold || r.limit.Named
+}
+
+// interval returns the time between two requests of one sender.
+func (c pace) interval(instances int) time.Duration {
+	senders := min(c.senders, max(1, instances))
+	return time.Duration(float64(senders) / c.perSecond * float64(time.Second))
+}
+
+// sendTimes holds the times of the last requests to paced upstreams. They outlive the
+// upstreams' entries in the list, which may come and go.
+type sendTimes map[ident.Upstream]lastSend
+
+// lastSend holds the times of the last request to one paced upstream. Choices are spaced
 // so that a request that is waiting for its connection keeps its turn; what the upstream
 // gets is spaced by the sends.
-type coldSends struct {
+type lastSend struct {
 	chosenAt time.Time
 	sentAt   time.Time
 }
 
-// warmupMemory is how long the last requests to a cold upstream are remembered. It exceeds
-// the interval of any warm-up rate in use.
-const warmupMemory = time.Minute
+// paceMemory is how long the last requests to a paced upstream are remembered, and the
+// limit of one that has left the list. It exceeds the interval of any rate in use.
+const paceMemory = time.Minute
 
-func (w *warmup) recordChoice(now time.Time, id ident.Upstream) {
-	last := w.sends[id]
+func (s sendTimes) recordChoice(now time.Time, id ident.Upstream) {
+	last := s[id]
 	last.chosenAt = now
-	w.set(id, last)
+	s[id] = last
 }
 
-func (w *warmup) recordSend(now time.Time, id ident.Upstream) {
-	last := w.sends[id]
+func (s sendTimes) recordSend(now time.Time, id ident.Upstream) {
+	last := s[id]
 	last.sentAt = now
-	w.set(id, last)
-}
-
-func (w *warmup) set(id ident.Upstream, last coldSends) {
-	if w.sends == nil {
-		w.sends = map[ident.Upstream]coldSends{}
-	}
-	w.sends[id] = last
+	s[id] = last
 }
 
-// forget removes the times of upstreams that have had no request for warmupMemory.
-func (w *warmup) forget(now time.Time) {
-	for id, last := range w.sends {
-		if now.Sub(last.chosenAt) > warmupMemory {
-			delete(w.sends, id)
+// forget removes the times of upstreams that have had no request for paceMemory.
+func (s sendTimes) forget(now time.Time) {
+	for id, last := range s {
+		if now.Sub(last.chosenAt) > paceMemory {
+			delete(s, id)
 		}
 	}
 }
 
-// mayChooseCold reports whether a request to a cold upstream may be chosen now.
-func (p *Pool) mayChooseCold(now time.Time, r *replica) bool {
-	interval := p.warmupInterval(r.Service)
-	if interval == 0 {
+// mayChoose reports whether a request may be chosen now for an upstream, as far as its pace
+// is concerned.
+func (p *Pool) mayChoose(now time.Time, r *replica) bool {
+	paced, found := p.pace(now, r)
+	if !found {
 		return true
 	}
-	last := p.warmup.sends[r.ID]
-	return p.isWarmupSender(now, r.ID) && now.Sub(last.chosenAt) >= interval && now.Sub(last.sentAt) >= interval
-}
-
-// warmupInterval returns the time between two requests to a cold upstream of a service;
-// zero if they are not limited.
-func (p *Pool) warmupInterval(s ident.Service) time.Duration {
-	rate := p.services[s].WarmupRate
-	if rate <= 0 {
-		return 0
-	}
-	return time.Duration(float64(time.Second) / rate)
+	interval := paced.interval(len(p.region.instances))
+	last := p.sendTimes[r.ID]
+	return p.isSender(now, r.ID, paced) && now.Sub(last.chosenAt) >= interval && now.Sub(last.sentAt) >= interval
 }
 
-// isWarmupSender reports whether this instance is the one of its region that sends to a
-// cold upstream.
-func (p *Pool) isWarmupSender(now time.Time, id ident.Upstream) bool {
+// isSender reports whether this instance is one of its region that send to a paced
+// upstream.
+func (p *Pool) isSender(now time.Time, id ident.Upstream, paced pace) bool {
 	if !p.region.agrees || !p.region.isCurrent(now) {
 		return false
 	}
-	sender, _ := rank.First(string(id), p.region.instances)
-	return sender == p.settings.Self
+	senders := rank.Top(string(id), p.region.instances, paced.senders)
+	return slices.Contains(senders, p.settings.Self)
 }
 
 // PacedSend holds what is known of an upstream that is cold or names a limit when a
@@ -150,15 +175,15 @@
 	if p.replicas[r.ID] != r {
 		return nil, false
 	}
-	if !r.isCold(now) && !r.limit.Named {
+	paced, found := p.pace(now, r)
+	if !found {
 		return nil, true
 	}
-	last := p.warmup.sends[r.ID].sentAt
-	interval := p.warmupInterval(r.Service)
-	if r.isCold(now) && interval > 0 && (!p.isWarmupSender(now, r.ID) || now.Sub(last) < interval) {
+	last := p.sendTimes[r.ID].sentAt
+	if !p.isSender(now, r.ID, paced) || now.Sub(last) < paced.interval(len(p.region.instances)) {
 		return nil, false
 	}
-	p.warmup.recordSend(now, r.ID)
+	p.sendTimes.recordSend(now, r.ID)
 	return p.pacedSend(now, r, last), true
 }
 
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -35,9 +35,10 @@
 	// evacuated holds the availability zones that are evacuated.
 	evacuated map[ident.Zone]struct{}
 	// region is the membership of the own region.
-	region regionView
-	warmup warmup
-	// unlisted holds the upstreams that have left the list while they were cold.
+	region    regionView
+	sendTimes sendTimes
+	// unlisted holds the upstreams that have left the list while they were cold or named a
+	// limit.
 	unlisted map[ident.Upstream]*replica
 	// meanLoadAge is the mean age of the load reports of peers. sendRates holds the rate
 	// at which this instance sends requests for each service.
@@ -58,6 +59,7 @@
 		settings:   s,
 		replicas:   map[ident.Upstream]*replica{},
 		evacuated:  map[ident.Zone]struct{}{},
+		sendTimes:  sendTimes{},
 		promptRate: s.PromptRate,
 	}
 }
@@ -131,7 +133,7 @@
 	defer p.mu.Unlock()
 	r, held := p.replicas[id]
 	delete(p.replicas, id)
-	if held && !r.coldUntil.IsZero() {
+	if held && (!r.coldUntil.IsZero() || r.limit.Named) {
 		if p.unlisted == nil {
 			p.unlisted = map[ident.Upstream]*replica{}
 		}
@@ -141,19 +143,23 @@
 }
 
 // takeUnlisted makes an upstream that returns to the list in the same run cold for as long
-// as it was held to be. Its description may not say so, if that was learned otherwise.
+// as it was held to be, with the limit that it named. Its description may not say so, if
+// that was learned otherwise.
 func (p *Pool) takeUnlisted(r *replica) {
 	before := p.unlisted[r.ID]
 	delete(p.unlisted, r.ID)
 	if before != nil && !before.isNewRun(r.Upstream) {
 		r.coldUntil = latest(r.coldUntil, before.coldUntil)
+		r.limit = before.limit
 	}
 }
 
-// forgetUnlisted removes the upstreams that would be warm by now.
+// forgetUnlisted removes the upstreams that would be warm by now, with what they said of
+// their limit long ago.
 func (p *Pool) forgetUnlisted(now time.Time) {
 	for id, r := range p.unlisted {
-		if !r.isCold(now) {
+		limited := r.limit.Named && now.Sub(r.limit.at) <= paceMemory
+		if !r.isCold(now) && !limited {
 			delete(p.unlisted, id)
 		}
 	}
@@ -201,7 +207,7 @@
 	defer p.mu.Unlock()
 	byName := map[ident.Service]*gossip.ServiceLoad{}
 	for _, r := range p.replicas {
-		if !p.usable(now, r) || r.isCold(now) {
+		if _, paced := p.pace(now, r); paced || r.isCold(now) || !p.usable(now, r) {
 			continue
 		}
 		s := byName[r.Service]
--- a/core/pool/region_test.go
+++ b/core/pool/region_test.go
@@ -245,7 +245,10 @@
 	}
 	i.nextTick = r.now.Add(gossip.TickInterval)
 	i.readList(r)
-	i.membership.UpdateSelf(func(own *gossip.Record) { own.Phase = i.phase })
+	i.membership.UpdateSelf(func(own *gossip.Record) {
+		own.Phase = i.phase
+		own.UpstreamLimits = i.pool.UpstreamLimits(r.now)
+	})
 	for _, hb := range i.membership.DueHeartbeats(r.now) {
 		r.post(n, hb)
 	}
@@ -277,6 +280,7 @@
 func (i *regionInstance) publish(now time.Time) {
 	v := i.membership.View(now)
 	i.pool.SetRegion(now, v.RegionInstances(), v.RegionAgrees)
+	i.pool.SetPeerLimits(now, v.RegionLimits(now))
 }
 
 // choose has the pool pick an upstream, which the request reaches once its connection is
--- /dev/null
+++ b/io/proxy/limit_test.go
@@ -0,0 +1,55 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+)
+
+// TestLimitFromAnswers guards against an upstream that goes on getting requests at any rate
+// after it has named a limit in an answer, or in one that states that nothing ran: an
+// instance alone, whose region doesn't agree, then sends there no more.
+func TestLimitFromAnswers(t *testing.T) {
+	t.Parallel()
+	for name, head := range map[string]string{
+		"answer":  "200 OK\r\nSigned: 1\r\nLimit: 1",
+		"refusal": "503 Busy\r\nNot-Run: 1\r\nLimit: 1",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			inst := newTestInstance(t, answer(head, "limited"), answer("200 OK\r\nSigned: 1", "free")).ready(t)
+			for range 40 {
+				if _, _, err := inst.send(t, "/safe/x", "", nil); err != nil {
+					t.Fatal(err)
+				}
+				if inst.upstreams[0].seen() != "" {
+					break
+				}
+			}
+			if inst.upstreams[0].seen() == "" {
+				t.Fatal("the first upstream got no request")
+			}
+			for range 20 {
+				if _, body, err := inst.send(t, "/safe/x", "", nil); err != nil || body != "free" {
+					t.Errorf("%q, error %v", body, err)
+				}
+			}
+			if got := inst.upstreams[0].seen(); got != "q" {
+				t.Errorf("the upstream with the limit got %q", got)
+			}
+		})
+	}
+}
+
+// What is no limit neither sets nor lifts one.
+func TestInvalidLimit(t *testing.T) {
+	t.Parallel()
+	inst := newTestInstance(t, answer("200 OK\r\nSigned: 1\r\nLimit: few", "a"), answer("200 OK\r\nSigned: 1\r\nLimit: few", "b")).ready(t)
+	for range 10 {
+		if response, _, err := inst.send(t, "/safe/x", "", nil); err != nil || response.StatusCode != 200 {
+			t.Fatalf("response %v, error %v", response, err)
+		}
+	}
+	if limits := inst.proxy.Pool.UpstreamLimits(time.Now()); len(limits) != 0 {
+		t.Errorf("limits %v", limits)
+	}
+}
--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -59,12 +60,17 @@
 }
 
 func (testUpstreamCodec) ParseResponse(status int, h http.Header) http1.AnswerMeta {
-	return http1.AnswerMeta{
+	m := http1.AnswerMeta{
 		RequestID: h.Get("Id"),
 		NotRun:    h.Get("Not-Run") != "",
 		Replaced:  status == http.StatusMisdirectedRequest,
 		Signed:    h.Get("Signed") != "",
 	}
+	if text := h.Get("Limit"); text != "" {
+		m.Limit.Named = true
+		m.Limit.PerSecond, m.LimitError = strconv.ParseFloat(text, 64)
+	}
+	return m
 }
 
 // testSource publishes a fixed list of items for each group.
--- a/io/syncer/syncer.go
+++ b/io/syncer/syncer.go
@@ -238,6 +238,7 @@
 		r.UpstreamsRevision = l.mirrors[mirror.UpstreamsGroup].LastChange()
 		r.WatchesPlatform = l.watchesPlatform()
 		r.UpstreamLoads = l.opts.Pool.UpstreamLoads(now)
+		r.UpstreamLimits = l.opts.Pool.UpstreamLimits(now)
 		r.ServiceLoads = l.opts.Pool.ServiceLoads(now)
 	})
 	for _, hb := range l.membership.DueHeartbeats(now) {
@@ -253,6 +254,7 @@
 	regionInstances := v.RegionInstances()
 	l.opts.Pool.SetRegion(now, regionInstances, v.RegionAgrees)
 	l.opts.Pool.SetMeanLoadAge(gossip.MeanLoadAge(len(regionInstances)))
+	l.opts.Pool.SetPeerLimits(now, v.RegionLimits(now))
 	var loads []gossip.UpstreamLoad
 	alive := 1
 	for _, m := range v.Members {
--- a/io/wire/relay.go
+++ b/io/wire/relay.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -45,6 +46,9 @@
 			ReadingTokens: uint32(max(0, l.Prefill.Tokens)),
 		})
 	}
+	for _, l := range r.UpstreamLimits {
+		m.Limits = append(m.Limits, limitToWire(l))
+	}
 	for _, s := range r.ServiceLoads {
 		m.Services = append(m.Services, &ServiceLoad{
 			Service:     string(s.Service),
@@ -102,6 +106,9 @@
 			Prefill:      gossip.Prefill{Priority: int(l.GetReadingRank()), Tokens: int(l.GetReadingTokens())},
 		})
 	}
+	for _, l := range m.GetLimits() {
+		r.UpstreamLimits = append(r.UpstreamLimits, limitFromWire(l))
+	}
 	for _, s := range m.GetServices() {
 		r.ServiceLoads = append(r.ServiceLoads, gossip.ServiceLoad{
 			Service:        ident.Service(s.GetService()),
@@ -113,6 +120,35 @@
 	return r, nil
 }
 
+func limitToWire(l gossip.UpstreamLimit) *UpstreamLimit {
+	m := &UpstreamLimit{
+		Upstream:  string(l.Upstream),
+		Named:     l.Named,
+		PerSecond: l.PerSecond,
+		AgeMs:     milliseconds(l.Age),
+	}
+	if !l.StartTime.IsZero() {
+		m.StartMs = l.StartTime.UnixMilli()
+	}
+	return m
+}
+
+// limitFromWire decodes a limit. A rate that no upstream can name counts as zero.
+func limitFromWire(m *UpstreamLimit) gossip.UpstreamLimit {
+	l := gossip.UpstreamLimit{
+		Upstream:  ident.Upstream(m.GetUpstream()),
+		RateLimit: gossip.RateLimit{Named: m.GetNamed()},
+		Age:       time.Duration(m.GetAgeMs()) * time.Millisecond,
+	}
+	if rate := m.GetPerSecond(); rate > 0 && !math.IsInf(rate, 0) {
+		l.PerSecond = rate
+	}
+	if m.GetStartMs() != 0 {
+		l.StartTime = time.UnixMilli(m.GetStartMs())
+	}
+	return l
+}
+
 func tokensToWire(tokens gossip.ByPriority[int]) []uint32 {
 	list := make([]uint32, len(tokens))
 	for priority, n := range tokens {
