--- a/io/syncer/syncer_test.go
+++ b/io/syncer/syncer_test.go
@@ -58,6 +58,37 @@
 	return items, s.revision, s.changed
 }
 
+// returnTo makes the store come back from the copy of a revision, in its next era.
+func (s *store) returnTo(t *testing.T, number uint64) {
+	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	era := mirror.Era(s.revision) + 1
+	for g := range s.items {
+		var copied []mirror.Item
+		for _, i := range s.items[g] {
+			_, changedAt := mirror.SplitRevision(i.Revision)
+			if changedAt <= number {
+				i.Revision = newRevision(t, era, changedAt)
+				copied = append(copied, i)
+			}
+		}
+		s.items[g] = copied
+	}
+	s.revision = newRevision(t, era, number)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func newRevision(t *testing.T, era, number uint64) uint64 {
+	t.Helper()
+	r, err := mirror.NewRevision(era, number)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
 func (s *store) resetCalls() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -104,6 +135,9 @@
 	defer timer.Stop()
 	for {
 		items, revision, changed := r.store.after(g, after)
+		if mirror.Era(revision) != mirror.Era(after) {
+			return nil, 0, ErrCompacted
+		}
 		if len(items) > 0 {
 			return items, revision, nil
 		}
@@ -122,7 +156,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.decoded[i.Key] = i.Revision
-	if i.Key == "config" {
+	if i.Key == "config" && !i.Removed {
 		return mirror.ConfigUpdated{Config: &spec.Config{Version: i.Revision}}, nil
 	}
 	return mirror.Ignored{}, nil
