Lift an upstream's limit only by an answer that it made itself

An answer without the header lifted the limit, also a refusal (nothing ran) and one without the upstream's signature; a full upstream that refuses by another path, or bytes of another one, would have let the whole region send at once. TestLimitLiftedBy failed for both before.

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -157,13 +157,17 @@
 }
 
 // recordLimit records what an answer says of the upstream's limit. What is no limit
-// changes nothing.
+// changes nothing. An answer that nothing ran for, or that the upstream did not make
+// itself, doesn't lift a limit.
 func (p *Proxy) recordLimit(call *Call, lease *pool.Lease, m http1.AnswerMeta) {
 	if m.LimitError != nil {
 		p.Metrics.Events.Add("limits-not-valid", 1)
 		p.Log.Error().Err(m.LimitError).Str("request-id", call.ID).Str("peer", string(lease.Upstream.ID)).Msg("limit of an upstream not read; the one before holds")
 		return
 	}
+	if !m.Limit.Named && (m.NotRun || !m.Signed) {
+		return
+	}
 	if !lease.ReportLimit(p.Clock.Now(), m.Limit) {
 		return
 	}
--- a/io/proxy/limit_test.go
+++ b/io/proxy/limit_test.go
@@ -3,6 +3,15 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"arbutustrestle/core/clock"
+	"arbutustrestle/core/gossip"
+	"arbutustrestle/core/pool"
+	"arbutustrestle/io/http1"
+	"arbutustrestle/io/metric"
 )
 
 // TestLimitFromAnswers guards against an upstream that goes on getting requests at any rate
@@ -53,3 +62,31 @@
 		t.Errorf("limits %v", limits)
 	}
 }
+
+// TestLimitLiftedBy guards against a limit that ends by an answer which doesn't say what
+// the upstream takes: a refusal, or one that the upstream didn't make itself.
+func TestLimitLiftedBy(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		meta   http1.AnswerMeta
+		lifted bool
+	}{
+		"answer of the upstream": {http1.AnswerMeta{Signed: true}, true},
+		"refusal":                {http1.AnswerMeta{NotRun: true, Signed: true}, false},
+		"answer of another":      {http1.AnswerMeta{}, false},
+		"no number":              {http1.AnswerMeta{Signed: true, LimitError: errors.NotValidf("few")}, false},
+	} {
+		p := &Proxy{Clock: clock.System{}, Log: zerolog.Nop(), Metrics: metric.NewSet(), Pool: pool.New(pool.Settings{Region: "near"})}
+		p.Pool.SetUpstream(time.Now(), pool.Upstream{ID: "u", Service: "app", Region: "near"})
+		lease, found := p.Pool.Pick(time.Now(), pool.Request{Service: "app"})
+		if !found {
+			t.Fatal("no upstream")
+		}
+		call := &Call{}
+		p.recordLimit(call, lease, http1.AnswerMeta{Limit: gossip.RateLimit{Named: true, PerSecond: 1}})
+		p.recordLimit(call, lease, c.meta)
+		if limits := p.Pool.UpstreamLimits(time.Now()); len(limits) != 1 || limits[0].Named == c.lifted {
+			t.Errorf("%s: %v", name, limits)
+		}
+	}
+}
