--- a/core/pool/limit_test.go
+++ b/core/pool/limit_test.go
@@ -190,22 +190,9 @@
 func TestLimitOfWaitingRequests(t *testing.T) {
 	p := newPool("entry-1", 1)
 	p.SetRegion(start, []ident.Instance{"entry-1"}, true)
-	var leases []*Lease
-	for range 20 {
-		lease, found := p.Pick(start, prompt("a", 0))
-		if !found {
-			t.Fatal("no upstream")
-		}
-		leases = append(leases, lease)
-	}
+	leases := pickMany(t, p, 20)
 	leases[0].ReportLimit(start, gossip.RateLimit{Named: true, PerSecond: 1})
-	sends := 0
-	for _, lease := range leases {
-		if _, admitted := lease.AdmitSend(start); admitted {
-			sends++
-		}
-	}
-	if sends != 1 {
+	if sends := countAdmitted(start, leases); sends != 1 {
 		t.Errorf("%d requests at once", sends)
 	}
 }
--- a/core/pool/pace_test.go
+++ b/core/pool/pace_test.go
@@ -151,13 +151,7 @@
 	if len(leases) < 2 {
 		t.Fatalf("%d requests chosen in a second", len(leases))
 	}
-	sends := 0
-	for _, lease := range leases {
-		if _, admitted := lease.AdmitSend(now); admitted {
-			sends++
-		}
-	}
-	if sends != 1 {
+	if sends := countAdmitted(now, leases); sends != 1 {
 		t.Errorf("%d requests at once", sends)
 	}
 }
@@ -195,24 +189,36 @@
 func TestWarmupRateOfUpstreamThatTurnsCold(t *testing.T) {
 	p := newPool("entry-1", 1)
 	p.SetRegion(start, []ident.Instance{"entry-1", "entry-2"}, true)
+	leases := pickMany(t, p, 20)
+	cold := testUpstream(0)
+	cold.WarmupLeft = warmupTime
+	p.SetUpstream(start, cold)
+	if sends := countAdmitted(start, leases); sends > 1 {
+		t.Errorf("%d requests at once", sends)
+	}
+}
+
+// pickMany chooses an upstream for a number of requests that wait for their connections.
+func pickMany(t *testing.T, p *Pool, count int) []*Lease {
+	t.Helper()
 	var leases []*Lease
-	for range 20 {
+	for range count {
 		lease, found := p.Pick(start, prompt("a", 0))
 		if !found {
 			t.Fatal("no upstream")
 		}
 		leases = append(leases, lease)
 	}
-	cold := testUpstream(0)
-	cold.WarmupLeft = warmupTime
-	p.SetUpstream(start, cold)
-	sends := 0
+	return leases
+}
+
+// countAdmitted returns how many requests may be sent if all connections open at once.
+func countAdmitted(now time.Time, leases []*Lease) int {
+	count := 0
 	for _, lease := range leases {
-		if _, admitted := lease.AdmitSend(start); admitted {
-			sends++
+		if _, admitted := lease.AdmitSend(now); admitted {
+			count++
 		}
 	}
-	if sends > 1 {
-		t.Errorf("%d requests at once", sends)
-	}
+	return count
 }
