Send no request that was chosen before a drain or an evacuation

A request waits for its connection after an upstream was chosen, for up to a dial timeout and as long as the process is paused. The check where it leaves asked whether the upstream had restarted, left or turned cold, but not whether it drains or its zone is evacuated. It does now; the request is chosen again.

TestNoSendWhereNoneMayGo failed before, for both.

--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -124,15 +124,19 @@
 
 // usable reports whether an upstream accepts new requests from this instance.
 func (p *Pool) usable(now time.Time, r *replica) bool {
-	if r.Draining || now.Before(r.backoffUntil) || r.stalled(now) {
-		return false
-	}
-	if _, evacuated := p.evacuated[r.Zone]; evacuated {
+	if p.isClosed(r) || now.Before(r.backoffUntil) || r.stalled(now) {
 		return false
 	}
 	return p.mayChoose(now, r)
 }
 
+// isClosed reports whether no request may go to an upstream any more, since it drains or
+// its zone is evacuated.
+func (p *Pool) isClosed(r *replica) bool {
+	_, evacuated := p.evacuated[r.Zone]
+	return r.Draining || evacuated
+}
+
 // preferred returns the upstream that all instances of the region prefer for a prompt. It
 // is chosen by rendezvous hashing over the upstreams, keyed by the longest part that
 // other requests share.
--- a/core/pool/pace.go
+++ b/core/pool/pace.go
@@ -164,15 +164,16 @@
 }
 
 // AdmitSend reports whether the request may be sent now, which is later than it was
-// chosen: a connection had to be opened, and the upstream may have restarted, left or
-// become cold, or the region may have changed. The PacedSend is nil if the upstream is
-// warm and names no limit. A request that was admitted must be sent.
+// chosen: a connection had to be opened, and the upstream may have restarted, left, begun
+// to drain, become cold or named a limit, its zone may have been evacuated, or the region
+// may have changed. The PacedSend is nil if the upstream is warm and names no limit. A
+// request that was admitted must be sent.
 func (l *Lease) AdmitSend(now time.Time) (*PacedSend, bool) {
 	p := l.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := l.replica
-	if p.replicas[r.ID] != r {
+	if p.replicas[r.ID] != r || p.isClosed(r) {
 		return nil, false
 	}
 	paced, found := p.pace(now, r)
--- a/core/pool/pace_test.go
+++ b/core/pool/pace_test.go
@@ -184,6 +184,32 @@
 	}
 }
 
+// TestNoSendWhereNoneMayGo guards against requests that were chosen before their upstream
+// began to drain, or before its zone was evacuated, and are sent when their connection is
+// open.
+func TestNoSendWhereNoneMayGo(t *testing.T) {
+	for name, change := range map[string]func(p *Pool){
+		"draining": func(p *Pool) {
+			draining := testUpstream(0)
+			draining.Draining = true
+			p.SetUpstream(start, draining)
+		},
+		"evacuated": func(p *Pool) { p.EvacuateZone(testUpstream(0).Zone) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPool("entry-1", 1)
+			leases := pickMany(t, p, 2)
+			if countAdmitted(start, leases[:1]) != 1 {
+				t.Error("a request isn't sent before")
+			}
+			change(p)
+			if countAdmitted(start, leases[1:]) != 0 {
+				t.Error("a request is sent after")
+			}
+		})
+	}
+}
+
 // TestWarmupRateOfUpstreamThatTurnsCold guards against a cold upstream that is flooded by
 // requests which were chosen while it was warm.
 func TestWarmupRateOfUpstreamThatTurnsCold(t *testing.T) {
