--- a/io/proxy/limit_test.go
+++ b/io/proxy/limit_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -54,7 +55,7 @@
 	t.Parallel()
 	inst := newTestInstance(t, answer("200 OK\r\nSigned: 1\r\nLimit: few", "a"), answer("200 OK\r\nSigned: 1\r\nLimit: few", "b")).ready(t)
 	for range 10 {
-		if response, _, err := inst.send(t, "/safe/x", "", nil); err != nil || response.StatusCode != 200 {
+		if response, _, err := inst.send(t, "/safe/x", "", nil); err != nil || response.StatusCode != http.StatusOK {
 			t.Fatalf("response %v, error %v", response, err)
 		}
 	}
