--- a/core/pool/herd_test.go
+++ b/core/pool/herd_test.go
@@ -17,6 +17,7 @@
 // plain upstream rejects a request when its slots are taken.
 type simulation struct {
 	random      *rand.Rand
+	ids         []ident.Instance
 	pools       []*Pool
 	now         time.Time
 	meanLoadAge time.Duration
@@ -41,11 +42,10 @@
 	const engines, plain = 56, 4
 	s := &simulation{random: rand.New(rand.NewPCG(1, 2)), now: start, busyUntil: map[ident.Upstream]time.Time{}, slotEnds: map[ident.Upstream][]time.Time{}}
 	s.meanLoadAge = meanLoadAge
-	var ids []ident.Instance
 	for n := range instances {
-		ids = append(ids, ident.Instance(fmt.Sprintf("entry-%d", n)))
+		s.ids = append(s.ids, ident.Instance(fmt.Sprintf("entry-%d", n)))
 	}
-	for _, id := range ids {
+	for _, id := range s.ids {
 		p := newPool(id, engines)
 		p.SetServices(map[ident.Service]spec.Service{"chat": {Name: "chat", Engine: true}, "app": {Name: "app"}})
 		for n := range plain {
@@ -53,7 +53,7 @@
 			u.Service, u.Slots = "app", plainSlots
 			p.SetUpstream(start, u)
 		}
-		p.SetRegion(start, ids, true)
+		p.SetRegion(start, s.ids, true)
 		if sampling {
 			p.SetMeanLoadAge(s.meanLoadAge)
 		}
@@ -76,7 +76,8 @@
 	}
 	for end := s.now.Add(span); s.now.Before(end); s.now = s.now.Add(simulationStep) {
 		s.runDueEvents()
-		for i := range s.pools {
+		for i, p := range s.pools {
+			p.SetRegion(s.now, s.ids, true)
 			if !s.now.Before(nextReport[i]) {
 				nextReport[i] = nextReport[i].Add(2 * s.meanLoadAge)
 				s.reportPeerLoads(i)
