--- a/core/pool/limit.go
+++ b/core/pool/limit.go
@@ -32,12 +32,10 @@
 	return changed
 }
 
-const (
-	// minNewsAge is how much later than the held report one from a peer must be that says
-	// the same. Reports that instances exchange seem to be younger by the time for which
-	// they were on the way, and would keep each other young.
-	minNewsAge = time.Second
-)
+// minNewsAge is how much later than the held report one from a peer must be that says the
+// same. Each report seems younger by the time for which it was on the way, so that two
+// instances that exchange one would keep it young.
+const minNewsAge = time.Second
 
 // SetPeerLimits merges what peers know of the limits of upstreams. Of a run of an upstream,
 // the latest answer counts, whichever instance got it.
--- a/core/pool/pace.go
+++ b/core/pool/pace.go
@@ -116,8 +116,8 @@
 	}
 }
 
-// mayChoose reports whether a request may be chosen now for an upstream, as far as its pace
-// is concerned.
+// mayChoose reports whether the pace of an upstream allows a request to be chosen for it
+// now.
 func (p *Pool) mayChoose(now time.Time, r *replica) bool {
 	paced, found := p.pace(now, r)
 	if !found {
@@ -156,10 +156,10 @@
 }
 
 // AdmitSend reports whether the request may be sent now, which is later than it was
-// chosen: a connection had to be opened, and the upstream may have restarted, left, begun
-// to drain, become cold or named a limit, its zone may have been evacuated, the process may
-// have been paused, or the region may have changed. The PacedSend is nil if the upstream is warm and names no limit. A
-// request that was admitted must be sent.
+// chosen: a connection had to be opened. Meanwhile the upstream may have restarted, left,
+// begun to drain, become cold or named a limit; its zone may have been evacuated; the
+// process may have been paused; the region may have changed. The PacedSend is nil if the
+// upstream is warm and names no limit. A request that was admitted must be sent.
 func (l *Lease) AdmitSend(now time.Time) (*PacedSend, bool) {
 	p := l.pool
 	p.mu.Lock()
