Size the gates again when the list of upstreams changes

Cause: the gates were sized when a table came into force, and then once a second. On west-1 the table came into force at 26.877 s, 37 ms before the list of upstreams, so that each gate got the least part, one slot, until the next round. With one slot in use and no request ended yet, the projected wait is an hour, and each further request is refused at once. On west-2 the list came first, and nothing was refused there. The class of fault: a value computed from two inputs is renewed when one of them changes. Elsewhere: retry budget, records and callbacks on a new table read the table only. Change: a view says which revision of the list it holds, and the loop sizes the gates when either revision changes. The metric gates shows the slots of each gate, without which a refusal as class-full could not be told from a full pool.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -214,6 +214,13 @@
 	return g.total, waiting
 }
 
+// Slots returns this instance's part of the pool's slots; zero until SetSlots is called.
+func (g *Gate) Slots() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.slots
+}
+
 // InFlight returns the number of admitted requests of a class.
 func (g *Gate) InFlight(class table.Class) int {
 	g.mu.Lock()
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -285,6 +285,7 @@
 		return
 	}
 	old := n.upstreams.byID
+	n.upstreams.revision = a.Value.Revision
 	n.upstreams.activate(now, rows)
 	n.removeEngines(now, old)
 }
@@ -331,14 +332,15 @@
 	n.viewStale = false
 	alive := len(n.members.AliveInstances())
 	v := &View{
-		Self:      n.view.Self,
-		Zone:      n.options.Self.Zone,
-		Region:    n.options.Self.Region,
-		Phase:     n.phase,
-		Resuming:  !n.resumeBy.IsZero(),
-		Table:     n.table,
-		Members:   n.members,
-		upstreams: n.upstreams.configured(n.table, alive),
+		Self:         n.view.Self,
+		Zone:         n.options.Self.Zone,
+		Region:       n.options.Self.Region,
+		Phase:        n.phase,
+		Resuming:     !n.resumeBy.IsZero(),
+		Table:        n.table,
+		Members:      n.members,
+		upstreams:    n.upstreams.configured(n.table, alive),
+		ListRevision: n.upstreams.revision,
 	}
 	builder := routeBuilder{view: v, limiters: &n.limiters, remotes: n.remotes}
 	builder.build()
--- a/core/node/upstreams.go
+++ b/core/node/upstreams.go
@@ -17,6 +17,8 @@
 // upstreamSet is the state of the listed upstreams of the own region.
 type upstreamSet struct {
 	byID map[ident.Upstream]*Upstream
+	// revision is that of the active list.
+	revision ident.Revision
 	// reports holds the latest report of each upstream that this instance polls for
 	// its region.
 	reports map[ident.Upstream]load.Report
--- a/core/node/view.go
+++ b/core/node/view.go
@@ -38,6 +38,8 @@
 	Resuming bool
 	// Table is nil until a table is active.
 	Table *table.Table
+	// ListRevision is that of the active list of upstreams; zero if none is active.
+	ListRevision ident.Revision
 	// Members is never nil.
 	Members *member.View
 
--- a/io/entry/admit.go
+++ b/io/entry/admit.go
@@ -164,11 +164,13 @@
 	delete(g.peerDemands, peer)
 }
 
-// GateLoad holds the numbers of admitted and waiting requests at one gate.
+// GateLoad holds the numbers of admitted and waiting requests at one gate, and of the
+// slots that it may use.
 type GateLoad struct {
-	Group    string `json:"group"`
-	Admitted int    `json:"admitted"`
-	Waiting  int    `json:"waiting"`
+	Group    string  `json:"group"`
+	Slots    float64 `json:"slots"`
+	Admitted int     `json:"admitted"`
+	Waiting  int     `json:"waiting"`
 }
 
 // Loads returns the load of each gate, sorted by group.
@@ -177,8 +179,9 @@
 	defer g.mu.Unlock()
 	loads := make([]GateLoad, 0, len(g.gates))
 	for _, name := range slices.Sorted(maps.Keys(g.gates)) {
-		admitted, waiting := g.gates[name].admit.Load()
-		loads = append(loads, GateLoad{Group: name, Admitted: admitted, Waiting: waiting})
+		gate := &g.gates[name].admit
+		admitted, waiting := gate.Load()
+		loads = append(loads, GateLoad{Group: name, Slots: gate.Slots(), Admitted: admitted, Waiting: waiting})
 	}
 	return loads
 }
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -76,8 +76,10 @@
 	demands   []node.Demand
 	// alivePeers are the instances that were alive in the latest view.
 	alivePeers []ident.Instance
-	// tableRevision is the revision of the table in the latest view.
+	// tableRevision and listRevision are the revisions of the table and of the list of
+	// upstreams in the latest view that has a table.
 	tableRevision ident.Revision
+	listRevision  ident.Revision
 
 	sendMu sync.Mutex
 	// sendingTo holds the addresses to which a notice is being written, so that a peer
@@ -229,8 +231,9 @@
 	}
 }
 
-// publish makes a view available to requests. If its table is new, it also updates the
-// gates, the retry budget and the records, and calls onTableChange.
+// publish makes a view available to requests. If its table or its list of upstreams is
+// new, it also updates the gates; if its table is new, also the retry budget and the
+// records, and it calls onTableChange.
 func (l *Loop) publish(v *node.View) {
 	l.view.Store(v)
 	l.updatePeers(v)
@@ -238,11 +241,15 @@
 		return
 	}
 	revision := v.Table.Version().Revision
-	if revision == l.tableRevision {
-		return
+	newTable := revision != l.tableRevision
+	if newTable || v.ListRevision != l.listRevision {
+		l.deps.Gates.Resize(v)
 	}
 	l.tableRevision = revision
-	l.deps.Gates.Resize(v)
+	l.listRevision = v.ListRevision
+	if !newTable {
+		return
+	}
 	policy := v.Table.Policy()
 	l.deps.RetryBudget.Configure(float64(policy.RetryBudgetPercent), policy.MaxAttempts)
 	l.deps.Records.SetRetention(policy.RecordRetention)
