Leave an upstream that has left unused when an older copy lists it

What callers would see: after the store comes back from an older copy, requests go to an upstream that has left in between, whose address may be another service's by then, until its description expires there (three heartbeats, 3.6 s at 1.2 s). Cause: at a return the held descriptions win over the copy's, but of an upstream that had left nothing was held. No run of the users is known to show it. Change: the pool remembers upstreams that have left for a minute, with what they last said. One that the first listing of an era describes no newer is set aside for 5 s and dropped if its description expires meanwhile. Elsewhere: evacuated zones and missing upstreams already wait; a config goes by its version.

--- a/core/pool/limit_test.go
+++ b/core/pool/limit_test.go
@@ -169,7 +169,7 @@
 	}
 	lease.ReportLimit(start, gossip.RateLimit{Named: true, PerSecond: 1})
 	lease.End(start, Answered)
-	p.RemoveUpstream("engine-0")
+	p.RemoveUpstream(start, "engine-0")
 	p.SetUpstream(start, testUpstream(0))
 	if _, found := p.Pick(start, prompt("a", 0)); found {
 		t.Error("the limit is lost")
--- a/core/pool/pace.go
+++ b/core/pool/pace.go
@@ -91,8 +91,8 @@
 	sentAt   time.Time
 }
 
-// paceMemory is how long the last requests to a paced upstream are remembered, and the
-// limit of one that has left the list. It exceeds the interval of any rate in use.
+// paceMemory is how long the last requests to a paced upstream are remembered. It exceeds
+// the interval of any rate in use.
 const paceMemory = time.Minute
 
 func (s sendTimes) recordChoice(now time.Time, id ident.Upstream) {
--- a/core/pool/pace_test.go
+++ b/core/pool/pace_test.go
@@ -78,7 +78,7 @@
 	for at := time.Duration(0); at < time.Second; at += 50 * time.Millisecond {
 		now := start.Add(at)
 		p.SetRegion(now, []ident.Instance{"entry-1", "entry-2"}, true)
-		p.RemoveUpstream(cold.ID)
+		p.RemoveUpstream(now, cold.ID)
 		p.SetUpstream(now, cold)
 		lease, found := p.Pick(now, prompt("a", 0))
 		if !found {
@@ -113,7 +113,7 @@
 			})
 			p.EvacuateZone(testUpstream(0).Zone)
 			p.RestoreZone(start, testUpstream(0).Zone)
-			p.RemoveUpstream("engine-0")
+			p.RemoveUpstream(start, "engine-0")
 			listed := testUpstream(0)
 			listed.StartTime = c.startTime
 			p.SetUpstream(start.Add(time.Second), listed)
@@ -167,7 +167,7 @@
 			restarted.WarmupLeft = warmupTime
 			p.SetUpstream(start, restarted)
 		},
-		"removed": func(p *Pool) { p.RemoveUpstream("engine-0") },
+		"removed": func(p *Pool) { p.RemoveUpstream(start, "engine-0") },
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := newPool("entry-1", 1)
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -40,9 +40,9 @@
 	// heldUntil is when requests may be sent again after a pause of the process; zero if
 	// they may.
 	heldUntil time.Time
-	// unlisted holds the upstreams that have left the list while they were cold or named a
-	// limit.
-	unlisted map[ident.Upstream]*replica
+	// unlisted holds the upstreams that have left the list, for unlistedMemory or for as
+	// long as they would be cold.
+	unlisted map[ident.Upstream]unlisted
 	// meanLoadAge is the mean age of the load reports of peers. sendRates holds the rate
 	// at which this instance sends requests for each service.
 	meanLoadAge time.Duration
@@ -63,6 +63,7 @@
 		replicas:   map[ident.Upstream]*replica{},
 		evacuated:  map[ident.Zone]struct{}{},
 		sendTimes:  sendTimes{},
+		unlisted:   map[ident.Upstream]unlisted{},
 		promptRate: s.PromptRate,
 	}
 }
@@ -124,23 +125,39 @@
 	return r != nil && u.isOlderThan(&r.Upstream)
 }
 
+// HasLeft reports whether the upstream has left the list with this description or a newer
+// one.
+func (p *Pool) HasLeft(u Upstream) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before, found := p.unlisted[u.ID]
+	return found && !before.replica.isOlderThan(&u)
+}
+
 // isNewRun reports whether a list entry describes another run than the one held.
 func (r *replica) isNewRun(u Upstream) bool {
 	return !u.StartTime.IsZero() && !u.StartTime.Equal(r.StartTime) || u.Address != r.Address || u.Service != r.Service
 }
 
+// unlisted is an upstream that has left the list.
+type unlisted struct {
+	replica *replica
+	leftAt  time.Time
+}
+
+// unlistedMemory is how long an upstream that has left the list is remembered. It exceeds
+// the age of a copy from which the store comes back.
+const unlistedMemory = time.Minute
+
 // RemoveUpstream removes an upstream that has left the list. It reports whether the
 // upstream was held.
-func (p *Pool) RemoveUpstream(id ident.Upstream) bool {
+func (p *Pool) RemoveUpstream(now time.Time, id ident.Upstream) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r, held := p.replicas[id]
-	delete(p.replicas, id)
-	if held && (!r.coldUntil.IsZero() || r.limit.Named) {
-		if p.unlisted == nil {
-			p.unlisted = map[ident.Upstream]*replica{}
-		}
-		p.unlisted[id] = r
+	if held {
+		delete(p.replicas, id)
+		p.unlisted[id] = unlisted{replica: r, leftAt: now}
 	}
 	return held
 }
@@ -149,20 +166,17 @@
 // as it was held to be, with the limit that it named. Its description may not say so, if
 // that was learned otherwise.
 func (p *Pool) takeUnlisted(r *replica) {
-	before := p.unlisted[r.ID]
+	before, found := p.unlisted[r.ID]
 	delete(p.unlisted, r.ID)
-	if before != nil && !before.isNewRun(r.Upstream) {
-		r.coldUntil = latest(r.coldUntil, before.coldUntil)
-		r.limit = before.limit
+	if found && !before.replica.isNewRun(r.Upstream) {
+		r.coldUntil = latest(r.coldUntil, before.replica.coldUntil)
+		r.limit = before.replica.limit
 	}
 }
 
-// forgetUnlisted removes the upstreams that would be warm by now, with what they said of
-// their limit long ago.
 func (p *Pool) forgetUnlisted(now time.Time) {
-	for id, r := range p.unlisted {
-		limited := r.limit.Named && now.Sub(r.limit.at) <= paceMemory
-		if !r.isCold(now) && !limited {
+	for id, u := range p.unlisted {
+		if now.Sub(u.leftAt) > unlistedMemory && !u.replica.isCold(now) {
 			delete(p.unlisted, id)
 		}
 	}
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -60,7 +60,7 @@
 			p.SetUpstream(start, u)
 		}},
 		{"evacuated", func(p *Pool) { p.EvacuateZone("zone-0") }},
-		{"left", func(p *Pool) { p.RemoveUpstream("engine-0") }},
+		{"left", func(p *Pool) { p.RemoveUpstream(start, "engine-0") }},
 		{"replaced", func(p *Pool) {
 			u := testUpstream(0)
 			u.Service = "other"
--- a/core/pool/region_test.go
+++ b/core/pool/region_test.go
@@ -315,7 +315,7 @@
 	}
 	lease.End(r.now, Cancelled)
 	if admitted && paced == nil {
-		i.pool.RemoveUpstream(lease.Upstream.ID)
+		i.pool.RemoveUpstream(r.now, lease.Upstream.ID)
 	}
 	for n := range r.upstreams {
 		u := &r.upstreams[n]
--- a/io/syncer/activate.go
+++ b/io/syncer/activate.go
@@ -53,19 +53,24 @@
 		l.opts.Log.Info().Uint64("version", c.Config.Version).EmbedObject(storeRevision(item.Revision)).Int("routes", len(c.Config.Routes())).Msg("config in force")
 	case mirror.UpstreamUpdated:
 		delete(l.pendingRemovals, c.Upstream.ID)
+		delete(l.pendingRelistings, c.Upstream.ID)
 		if returned && l.opts.Pool.HoldsNewer(c.Upstream) {
 			l.opts.Log.Info().Str("upstream", string(c.Upstream.ID)).Time("started", c.Upstream.StartTime).Uint64("sequence", c.Upstream.Sequence).EmbedObject(storeRevision(item.Revision)).Msg("description of an upstream not taken; it is older than the held one")
 			return
 		}
-		if l.opts.Pool.SetUpstream(now, c.Upstream) {
-			l.opts.Log.Info().Str("upstream", string(c.Upstream.ID)).Str("service", string(c.Upstream.Service)).Bool("draining", c.Upstream.Draining).Time("started", c.Upstream.StartTime).Dur("cold", c.Upstream.WarmupLeft).EmbedObject(storeRevision(item.Revision)).Msg("upstream changed")
+		if returned && l.opts.Pool.HasLeft(c.Upstream) {
+			l.pendingRelistings[c.Upstream.ID] = relisting{change: c, revision: item.Revision, at: now.Add(leaseTimeout)}
+			l.opts.Log.Info().Str("upstream", string(c.Upstream.ID)).Time("started", c.Upstream.StartTime).Uint64("sequence", c.Upstream.Sequence).EmbedObject(storeRevision(item.Revision)).Msg("upstream has left and is not used, unless its description does not expire")
+			return
 		}
+		l.setUpstream(now, c, item.Revision)
 	case mirror.UpstreamRemoved:
+		delete(l.pendingRelistings, c.ID)
 		if l.mayHaveLapsed(now) {
 			l.pendingRemovals[c.ID] = now.Add(relistTimeout)
 			return
 		}
-		if l.opts.Pool.RemoveUpstream(c.ID) {
+		if l.opts.Pool.RemoveUpstream(now, c.ID) {
 			l.opts.Log.Info().Str("upstream", string(c.ID)).EmbedObject(storeRevision(item.Revision)).Msg("upstream gone")
 		}
 	case mirror.ZoneEvacuated:
@@ -81,38 +86,14 @@
 	}
 }
 
+func (l *Loop) setUpstream(now time.Time, c mirror.UpstreamUpdated, revision uint64) {
+	if l.opts.Pool.SetUpstream(now, c.Upstream) {
+		l.opts.Log.Info().Str("upstream", string(c.Upstream.ID)).Str("service", string(c.Upstream.Service)).Bool("draining", c.Upstream.Draining).Time("started", c.Upstream.StartTime).Dur("cold", c.Upstream.WarmupLeft).EmbedObject(storeRevision(revision)).Msg("upstream changed")
+	}
+}
+
 func (l *Loop) restoreZone(now time.Time, zone ident.Zone, revision uint64) {
 	delete(l.pendingRestores, zone)
 	l.opts.Pool.RestoreZone(now, zone)
 	l.opts.Log.Info().Str("zone", string(zone)).EmbedObject(storeRevision(revision)).Msg("zone returned")
 }
-
-// restorePending restores the zones that operators have not evacuated again in time after
-// a return of the store.
-func (l *Loop) restorePending(now time.Time) {
-	for zone, at := range l.pendingRestores {
-		if !now.Before(at) {
-			l.restoreZone(now, zone, l.mirrors[mirror.OperatorGroup].Revision())
-		}
-	}
-}
-
-// mayHaveLapsed reports whether an upstream that left the list may only have expired,
-// because the platform is unavailable or has just become available again.
-func (l *Loop) mayHaveLapsed(now time.Time) bool {
-	h := &l.health[mirror.UpstreamsGroup]
-	return h.unavailable(now) || !h.regainedAt.IsZero() && now.Sub(h.regainedAt) < relistTimeout
-}
-
-// removeLapsed removes the pending upstreams that did not return to the list in time.
-func (l *Loop) removeLapsed(now time.Time) {
-	for id, at := range l.pendingRemovals {
-		if now.Before(at) || l.health[mirror.UpstreamsGroup].unavailable(now) {
-			continue
-		}
-		delete(l.pendingRemovals, id)
-		if l.opts.Pool.RemoveUpstream(id) {
-			l.opts.Log.Info().Str("upstream", string(id)).Msg("upstream gone; it did not return to the list")
-		}
-	}
-}
--- a/io/syncer/syncer.go
+++ b/io/syncer/syncer.go
@@ -90,8 +90,10 @@
 	// pendingRestores holds the evacuated zones that are missing since the store came
 	// back from an older copy, with the time at which they are restored.
 	pendingRestores map[ident.Zone]time.Time
-	closeIdleAt     time.Time
-	election        gossip.WatcherElection
+	// pendingRelistings holds the upstreams that had left, and that the older copy lists.
+	pendingRelistings map[ident.Upstream]relisting
+	closeIdleAt       time.Time
+	election          gossip.WatcherElection
 	// lastTick is the time of the last tick, and refreshing the number of groups that are
 	// being read again after a pause.
 	lastTick   time.Time
@@ -144,14 +146,15 @@
 // New returns a loop that is not running yet.
 func New(opts Options) *Loop {
 	l := &Loop{
-		opts:            opts,
-		events:          make(chan func(time.Time), queueLength),
-		done:            make(chan struct{}),
-		membership:      gossip.New(opts.Self, opts.Seeds, rand.New(rand.NewPCG(opts.Self.Incarnation, 3))),
-		pendingRemovals: map[ident.Upstream]time.Time{},
-		pendingRestores: map[ident.Zone]time.Time{},
-		sending:         map[netip.AddrPort]*sendSlot{},
-		shortDialed:     map[netip.AddrPort]bool{},
+		opts:              opts,
+		events:            make(chan func(time.Time), queueLength),
+		done:              make(chan struct{}),
+		membership:        gossip.New(opts.Self, opts.Seeds, rand.New(rand.NewPCG(opts.Self.Incarnation, 3))),
+		pendingRemovals:   map[ident.Upstream]time.Time{},
+		pendingRestores:   map[ident.Zone]time.Time{},
+		pendingRelistings: map[ident.Upstream]relisting{},
+		sending:           map[netip.AddrPort]*sendSlot{},
+		shortDialed:       map[netip.AddrPort]bool{},
 	}
 	for g := range l.health {
 		l.health[g].resume = make(chan struct{}, 1)
@@ -201,8 +204,7 @@
 
 func (l *Loop) tick(ctx context.Context, now time.Time) {
 	l.refreshAfterPause(ctx, now)
-	l.removeLapsed(now)
-	l.restorePending(now)
+	l.activatePending(now)
 	l.updateWatching(now)
 	l.heartbeat(ctx, now)
 	for g := range mirror.GroupCount {
--- a/io/syncer/values.go
+++ b/io/syncer/values.go
@@ -28,12 +28,6 @@
 	// batchDelay lets changes of the list accumulate before the next watch, because
 	// each call is paid for.
 	batchDelay = 300 * time.Millisecond
-	// relistTimeout is how long upstreams have to register in the list again after the
-	// platform has become available again.
-	relistTimeout = 2200 * time.Millisecond
-	// rewriteTimeout is how long operators have to evacuate a zone again that the older
-	// copy, from which the store came back, doesn't have. They notice later than upstreams.
-	rewriteTimeout = 10 * time.Second
 	// shortOutage is an outage too short for any entry of the list to expire.
 	shortOutage = 300 * time.Millisecond
 	// catchUpDelay is how long this instance may hold an older revision than a peer
