Give writers the whole time again after a second return of the store

What callers would see: after two returns of the store in quick succession, an upstream that is missing in the copy is dropped, and an evacuated zone is used again, before the two seconds of upstreams and the ten of operators have passed since the second one. Cause: the time at which a pending removal or restoration becomes active was set at the first return, in which the value went missing; the second one changes nothing in the mirror. What was written between the two returns may be lost with the second. Evidence: TestTwoReturns. Before: the upstream was dropped 0.7 s after the second return, the zone used 3 s after it. After: both stay for 1.9 and 9 s after it. Change: each return starts the pending times anew, also that of an upstream which the copy lists although it has left.

--- a/io/syncer/activate.go
+++ b/io/syncer/activate.go
@@ -29,6 +29,7 @@
 	}
 	// Upstreams that are missing in the copy have as long to register as after an outage.
 	l.health[g].regainedAt = now
+	l.postponePending(now, g)
 	l.opts.Metrics.Events.Add("store-returns", 1)
 	l.opts.Log.Warn().Str("group", g.String()).EmbedObject(storeRevision(revision)).Object("held", storeRevision(held)).Msg("the store has come back from an older copy")
 	return true
--- a/io/syncer/pending.go
+++ b/io/syncer/pending.go
@@ -38,6 +38,24 @@
 	l.relistPending(now)
 }
 
+// postponePending gives writers the whole time again after a return of the store: it may
+// have lost what they wrote since the return before.
+func (l *Loop) postponePending(now time.Time, g mirror.Group) {
+	if g == mirror.OperatorGroup {
+		for zone := range l.pendingRestores {
+			l.pendingRestores[zone] = now.Add(rewriteTimeout)
+		}
+		return
+	}
+	for id := range l.pendingRemovals {
+		l.pendingRemovals[id] = now.Add(relistTimeout)
+	}
+	for id, r := range l.pendingRelistings {
+		r.at = now.Add(leaseTimeout)
+		l.pendingRelistings[id] = r
+	}
+}
+
 // relistPending takes the upstreams back whose descriptions have not expired in time.
 func (l *Loop) relistPending(now time.Time) {
 	for id, r := range l.pendingRelistings {
