--- a/io/daemon/gateway.go
+++ b/io/daemon/gateway.go
@@ -39,7 +39,7 @@
 type Adapter interface {
 	CallerCodec() proxy.CallerCodec
 	UpstreamCodec() http1.Codec
-	Source(address netip.AddrPort) syncer.Source
+	Source(address netip.AddrPort, log zerolog.Logger) syncer.Source
 	Decoder(zones map[ident.Zone]ident.Region) mirror.Decoder
 	// ReadyHandler serves the readiness of this instance.
 	ReadyHandler(d *proxy.Directory) http.Handler
@@ -140,7 +140,7 @@
 			CallerAddress: p.Settings.CallerAddress,
 		},
 		Seeds:     p.Settings.Seeds,
-		Source:    p.Adapter.Source(p.Settings.PlatformAddress),
+		Source:    p.Adapter.Source(p.Settings.PlatformAddress, p.Log),
 		Decoder:   p.Adapter.Decoder(p.Settings.Zones),
 		Clock:     p.Clock,
 		Log:       p.Log,
--- a/io/syncer/values.go
+++ b/io/syncer/values.go
@@ -56,6 +56,7 @@
 			}
 		case errors.Is(err, ErrCompacted):
 			full = true
+			l.post(func(time.Time) { l.logListing(g, err) })
 			clock.Sleep(ctx, jitter(minBackoff))
 		default:
 			l.post(func(now time.Time) { l.readFailed(now, g, err) })
@@ -99,6 +100,12 @@
 	}
 }
 
+// logListing logs why a group is read as a whole again.
+func (l *Loop) logListing(g mirror.Group, err error) {
+	l.opts.Metrics.Events.Add("watches-ended", 1)
+	l.opts.Log.Info().Err(err).Str("group", g.String()).EmbedObject(storeRevision(l.mirrors[g].Revision())).Msg("the watch cannot continue; the group is read again")
+}
+
 func (l *Loop) readFailed(now time.Time, g mirror.Group, err error) {
 	l.opts.Metrics.Events.Add("platform-read-failures", 1)
 	h := &l.health[g]
