Check evacuations by what an instance was told, not by what it doesn't use

TestErasOfRegions took an upstream that an instance doesn't use, in a zone that is evacuated somewhere, for a sign that the instance knows of the evacuation. The check now reads from the instance's copy of the store whether it was told, and fails from that moment on, which is stricter where the upstream was in use.

--- a/io/syncer/era_test.go
+++ b/io/syncer/era_test.go
@@ -46,6 +46,8 @@
 	// the latest that was activated of it.
 	version uint64
 	knows   map[ident.Upstream]eraKnowledge
+	// evacuated holds the zones of whose evacuation it was told. None is taken back.
+	evacuated map[ident.Zone]bool
 }
 
 // eraKnowledge is what an instance was told of an upstream.
@@ -99,7 +101,7 @@
 			services[name] = spec.Service{Name: name, Warmup: eraDuration, WarmupRate: 2.5}
 		}
 	}
-	in := &eraInstance{region: region, watches: watches, knows: map[ident.Upstream]eraKnowledge{}}
+	in := &eraInstance{region: region, watches: watches, knows: map[ident.Upstream]eraKnowledge{}, evacuated: map[ident.Zone]bool{}}
 	for g := range in.listing {
 		in.listing[g] = true
 	}
@@ -252,6 +254,11 @@
 		}
 		in.version = in.loop.config.Version
 	}
+	for _, i := range in.loop.mirrors[mirror.OperatorGroup].Items() {
+		if zone, found := strings.CutPrefix(i.Key, "evacuate/"); found {
+			in.evacuated[ident.Zone(zone)] = true
+		}
+	}
 	warm := map[ident.Service]bool{}
 	for _, s := range in.loop.opts.Pool.ServiceLoads(now) {
 		warm[s.Service] = true
@@ -272,8 +279,10 @@
 	// An instance that is cut off misses that an upstream has registered again.
 	cut := w.clock.Now().Before(in.cutUntil.Add(2 * answerDelay))
 	switch {
+	case in.evacuated[u.zone] && chosen:
+		fail("%s is used after its zone was evacuated", u.id)
 	case knows.started == u.started && knows.ended && chosen:
-		fail("%s is used after it drained, left or was evacuated", u.id)
+		fail("%s is used after it drained or left", u.id)
 	case knows.used && knows.started == u.started && !u.gone && !u.draining && !w.store.evacuated[u.zone] && !warm && !cut:
 		fail("%s is not used, or taken for cold", u.id)
 	case u.cold && knows.started == u.started && warm:
@@ -289,11 +298,6 @@
 		knows.ended = true
 		in.knows[u.id] = knows
 	}
-	if w.store.evacuated[u.zone] && !chosen && in.knows[u.id].started == u.started {
-		k := in.knows[u.id]
-		k.ended = true
-		in.knows[u.id] = k
-	}
 }
 
 // TestErasOfRegions guards against what an older copy of the store undoes, in regions that
