Check that an upstream has left by the revision that an instance holds

TestErasOfRegions took an upstream that has left, and that an instance doesn't use, for a sign that the instance was told so. The check now asks whether the instance holds the state in which the upstream was first unlisted.

--- a/io/syncer/era_test.go
+++ b/io/syncer/era_test.go
@@ -140,9 +140,9 @@
 		case "1":
 			drainsAt := w.between(2*time.Second, 10*time.Second)
 			w.at(drainsAt, func() { u.draining = true; u.sequence++; s.write(u.key()) })
-			w.at(drainsAt+w.between(time.Second, 3*time.Second), func() { u.gone = true; s.write(u.key()) })
+			w.at(drainsAt+w.between(time.Second, 3*time.Second), func() { s.leave(u) })
 		case "2":
-			w.at(w.between(2*time.Second, 10*time.Second), func() { u.gone = true; s.write(u.key()) })
+			w.at(w.between(2*time.Second, 10*time.Second), func() { s.leave(u) })
 		case "3":
 			w.at(w.between(2*time.Second, 10*time.Second), func() { u.started = 2; u.sequence = 1; u.cold = true; s.write(u.key()) })
 		}
@@ -288,16 +288,22 @@
 	case u.cold && knows.started == u.started && warm:
 		fail("%s is cold and taken for warm", u.id)
 	}
-	held := in.loop.mirrors[mirror.UpstreamsGroup].Items()
-	i := slices.IndexFunc(held, func(i mirror.Item) bool { return i.Key == u.key() })
-	truth := u.describe()
+	in.knows[u.id] = w.learned(in, u, knows, warm, chosen)
+}
+
+// learned returns what an instance knows of an upstream by now: nothing new, its present
+// description, or that it has left. One that is only missing may be in use for a while.
+func (w *eraWorld) learned(in *eraInstance, u *eraUpstream, knows eraKnowledge, warm, chosen bool) eraKnowledge {
+	held := &in.loop.mirrors[mirror.UpstreamsGroup]
+	items := held.Items()
+	i := slices.IndexFunc(items, func(i mirror.Item) bool { return i.Key == u.key() })
 	switch {
-	case i >= 0 && bytes.Equal(held[i].Data, truth) && !u.gone:
-		in.knows[u.id] = eraKnowledge{started: u.started, used: warm, ended: u.draining || knows.ended}
-	case u.gone && knows.started == u.started && !chosen:
-		knows.ended = true
-		in.knows[u.id] = knows
+	case u.gone && i < 0 && !chosen && held.Revision() >= u.goneAt:
+		knows.ended = knows.ended || knows.started == u.started
+	case !u.gone && i >= 0 && bytes.Equal(items[i].Data, u.describe()):
+		knows = eraKnowledge{started: u.started, used: warm, ended: u.draining || knows.ended && knows.started == u.started}
 	}
+	return knows
 }
 
 // TestErasOfRegions guards against what an older copy of the store undoes, in regions that
--- a/io/syncer/erastore_test.go
+++ b/io/syncer/erastore_test.go
@@ -38,6 +38,8 @@
 	cold     bool
 	draining bool
 	gone     bool
+	// goneAt is the revision of the first removal of its description since it has left.
+	goneAt uint64
 }
 
 func (u *eraUpstream) key() string { return "upstream/" + string(u.id) }
@@ -103,6 +105,13 @@
 	s.copies = append(s.copies, eraCopy{at: s.now, number: s.number, items: maps.Clone(s.items)})
 }
 
+// leave removes the description of an upstream that stops.
+func (s *eraStore) leave(u *eraUpstream) {
+	u.gone = true
+	s.write(u.key())
+	u.goneAt, _ = mirror.NewRevision(s.era, s.number)
+}
+
 func (s *eraStore) writeDue() {
 	for _, key := range slices.Sorted(maps.Keys(s.due)) {
 		if !s.now.Before(s.due[key]) {
