--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -174,6 +174,7 @@
 	}
 }
 
+// forgetUnlisted removes the upstreams that have left long ago and would be warm by now.
 func (p *Pool) forgetUnlisted(now time.Time) {
 	for id, u := range p.unlisted {
 		if now.Sub(u.leftAt) > unlistedMemory && !u.replica.isCold(now) {
--- a/io/syncer/era_test.go
+++ b/io/syncer/era_test.go
@@ -32,6 +32,8 @@
 	answerDelay = 300 * time.Millisecond
 )
 
+var eraStart = time.Unix(1_800_000_000, 0)
+
 // eraInstance is one instance whose loop is driven by the test.
 type eraInstance struct {
 	loop   *Loop
@@ -74,7 +76,7 @@
 
 func newEraWorld(t *testing.T, seed uint64) *eraWorld {
 	random := rand.New(rand.NewPCG(seed, 1))
-	manual := clock.NewManual(time.Unix(1_800_000_000, 0))
+	manual := clock.NewManual(eraStart)
 	w := &eraWorld{t: t, seed: seed, random: random, clock: manual, scheduled: map[time.Time][]func(){}}
 	w.store = &eraStore{random: random, now: manual.Now(), items: map[string]mirror.Item{}, config: 1, evacuated: map[ident.Zone]bool{}, due: map[string]time.Time{}}
 	w.store.write("config")
@@ -117,8 +119,8 @@
 
 // at schedules a function.
 func (w *eraWorld) at(d time.Duration, f func()) {
-	time := w.clock.Now().Add(max(eraStep, d.Round(eraStep)))
-	w.scheduled[time] = append(w.scheduled[time], f)
+	due := w.clock.Now().Add(max(eraStep, d.Round(eraStep)))
+	w.scheduled[due] = append(w.scheduled[due], f)
 }
 
 // between returns a random duration.
@@ -246,7 +248,7 @@
 	now := w.clock.Now()
 	fail := func(format string, a ...any) {
 		w.t.Helper()
-		w.t.Fatalf("seed %d, %s, after %s: %s", w.seed, in.loop.opts.Self.ID, now.Sub(time.Unix(1_800_000_000, 0)), fmt.Sprintf(format, a...))
+		w.t.Fatalf("seed %d, %s, after %s: %s", w.seed, in.loop.opts.Self.ID, now.Sub(eraStart), fmt.Sprintf(format, a...))
 	}
 	if in.loop.config != nil {
 		if version := in.loop.config.Version; version < in.version {
