Log what is kept for now after a return of the store, and part activate by change

Cause: that a zone stays evacuated, or a missing upstream in use, for some seconds was told by no line; on call, one sees `zone returned` ten seconds after the return without a reason. The test of returns failed on the two messages and passes with them. Change: a line each, with the time. activate had grown to 50 lines with all changes in one switch; each has a method now. The removal of an upstream that was set aside, since it had left, no longer sets it down as missing, which it never was.

--- a/io/syncer/activate.go
+++ b/io/syncer/activate.go
@@ -45,48 +45,72 @@
 	}
 	switch c := change.(type) {
 	case mirror.ConfigUpdated:
-		if l.config != nil && c.Config.Version < l.config.Version {
-			l.opts.Log.Info().Uint64("version", c.Config.Version).Uint64("version-in-force", l.config.Version).EmbedObject(storeRevision(item.Revision)).Msg("config not taken; it is older than the one in force")
-			return
-		}
-		l.config = c.Config
-		l.opts.Pool.SetServices(c.Config.Services)
-		l.opts.Log.Info().Uint64("version", c.Config.Version).EmbedObject(storeRevision(item.Revision)).Int("routes", len(c.Config.Routes())).Msg("config in force")
+		l.activateConfig(c, item.Revision)
 	case mirror.UpstreamUpdated:
-		delete(l.pendingRemovals, c.Upstream.ID)
-		delete(l.pendingRelistings, c.Upstream.ID)
-		if returned && l.opts.Pool.HoldsNewer(c.Upstream) {
-			l.opts.Log.Info().Str("upstream", string(c.Upstream.ID)).Time("started", c.Upstream.StartTime).Uint64("sequence", c.Upstream.Sequence).EmbedObject(storeRevision(item.Revision)).Msg("description of an upstream not taken; it is older than the held one")
-			return
-		}
-		if returned && l.opts.Pool.HasLeft(c.Upstream) {
-			l.pendingRelistings[c.Upstream.ID] = relisting{change: c, revision: item.Revision, at: now.Add(leaseTimeout)}
-			l.opts.Log.Info().Str("upstream", string(c.Upstream.ID)).Time("started", c.Upstream.StartTime).Uint64("sequence", c.Upstream.Sequence).EmbedObject(storeRevision(item.Revision)).Msg("upstream has left and is not used, unless its description does not expire")
-			return
-		}
-		l.setUpstream(now, c, item.Revision)
+		l.activateUpstream(now, c, item.Revision, returned)
 	case mirror.UpstreamRemoved:
-		delete(l.pendingRelistings, c.ID)
-		if l.mayHaveLapsed(now) {
-			l.pendingRemovals[c.ID] = now.Add(relistTimeout)
-			return
-		}
-		if l.opts.Pool.RemoveUpstream(now, c.ID) {
-			l.opts.Log.Info().Str("upstream", string(c.ID)).EmbedObject(storeRevision(item.Revision)).Msg("upstream gone")
-		}
+		l.activateRemoval(now, c.ID, item.Revision)
 	case mirror.ZoneEvacuated:
 		delete(l.pendingRestores, c.Zone)
 		l.opts.Pool.EvacuateZone(c.Zone)
 		l.opts.Log.Info().Str("zone", string(c.Zone)).EmbedObject(storeRevision(item.Revision)).Msg("zone evacuated")
 	case mirror.ZoneRestored:
-		if returned {
-			l.pendingRestores[c.Zone] = now.Add(rewriteTimeout)
-			return
-		}
-		l.restoreZone(now, c.Zone, item.Revision)
+		l.activateRestore(now, c.Zone, item.Revision, returned)
 	}
 }
 
+func (l *Loop) activateConfig(c mirror.ConfigUpdated, revision uint64) {
+	if l.config != nil && c.Config.Version < l.config.Version {
+		l.opts.Log.Info().Uint64("version", c.Config.Version).Uint64("version-in-force", l.config.Version).EmbedObject(storeRevision(revision)).Msg("config not taken; it is older than the one in force")
+		return
+	}
+	l.config = c.Config
+	l.opts.Pool.SetServices(c.Config.Services)
+	l.opts.Log.Info().Uint64("version", c.Config.Version).EmbedObject(storeRevision(revision)).Int("routes", len(c.Config.Routes())).Msg("config in force")
+}
+
+func (l *Loop) activateUpstream(now time.Time, c mirror.UpstreamUpdated, revision uint64, returned bool) {
+	id := c.Upstream.ID
+	delete(l.pendingRemovals, id)
+	delete(l.pendingRelistings, id)
+	if returned && l.opts.Pool.HoldsNewer(c.Upstream) {
+		l.opts.Log.Info().Str("upstream", string(id)).Time("started", c.Upstream.StartTime).Uint64("sequence", c.Upstream.Sequence).EmbedObject(storeRevision(revision)).Msg("description of an upstream not taken; it is older than the held one")
+		return
+	}
+	if returned && l.opts.Pool.HasLeft(c.Upstream) {
+		l.pendingRelistings[id] = relisting{change: c, revision: revision, at: now.Add(leaseTimeout)}
+		l.opts.Log.Info().Str("upstream", string(id)).Time("started", c.Upstream.StartTime).Uint64("sequence", c.Upstream.Sequence).EmbedObject(storeRevision(revision)).Msg("upstream has left and is not used, unless its description does not expire")
+		return
+	}
+	l.setUpstream(now, c, revision)
+}
+
+func (l *Loop) activateRemoval(now time.Time, id ident.Upstream, revision uint64) {
+	if _, pending := l.pendingRelistings[id]; pending {
+		delete(l.pendingRelistings, id)
+		return
+	}
+	if l.mayHaveLapsed(now) {
+		l.pendingRemovals[id] = now.Add(relistTimeout)
+		l.opts.Log.Info().Str("upstream", string(id)).EmbedObject(storeRevision(revision)).Dur("for", relistTimeout).Msg("upstream is missing and stays in use for now; it may have expired")
+		return
+	}
+	if l.opts.Pool.RemoveUpstream(now, id) {
+		l.opts.Log.Info().Str("upstream", string(id)).EmbedObject(storeRevision(revision)).Msg("upstream gone")
+	}
+}
+
+// activateRestore makes a zone usable that is not evacuated any more, or whose evacuation
+// the older copy lacks, from which the store came back.
+func (l *Loop) activateRestore(now time.Time, zone ident.Zone, revision uint64, returned bool) {
+	if returned {
+		l.pendingRestores[zone] = now.Add(rewriteTimeout)
+		l.opts.Log.Info().Str("zone", string(zone)).EmbedObject(storeRevision(revision)).Dur("for", rewriteTimeout).Msg("zone stays evacuated for now; the copy may lack its evacuation")
+		return
+	}
+	l.restoreZone(now, zone, revision)
+}
+
 func (l *Loop) setUpstream(now time.Time, c mirror.UpstreamUpdated, revision uint64) {
 	if l.opts.Pool.SetUpstream(now, c.Upstream) {
 		l.opts.Log.Info().Str("upstream", string(c.Upstream.ID)).Str("service", string(c.Upstream.Service)).Bool("draining", c.Upstream.Draining).Time("started", c.Upstream.StartTime).Dur("cold", c.Upstream.WarmupLeft).EmbedObject(storeRevision(revision)).Msg("upstream changed")
