Merge a listing as one that is read before the first was merged

What callers would see: a store that comes back within moments of an entry's start makes that entry take an evacuated zone back at once, without the ten seconds for operators. Cause: the reader lists again while the held revision is zero, which it still is until the first listing is merged by the loop's goroutine; that second listing passed for a list of changes. What it lacks stayed, the return counted as noticed, and the next listing of the same era removed it without a wait. Change: whether a group is listed is decided once, before the read. Test: TestSecondListingRemoves. Before: the zone is held and nothing is pending. After: it is pending; the tests of watching, returns and eras of io/syncer pass (-race).

--- a/io/syncer/values.go
+++ b/io/syncer/values.go
@@ -44,10 +44,11 @@
 		if !full {
 			l.waitWhilePaused(ctx, h)
 		}
-		items, revision, err := l.read(ctx, g, full)
+		// The first listing may still wait to be merged.
+		listing := full || h.revision.Load() == 0
+		items, revision, err := l.read(ctx, g, listing)
 		switch {
 		case err == nil:
-			listing := full
 			l.post(func(now time.Time) { l.readSucceeded(ctx, now, g, items, revision, listing) })
 			full = false
 			backoff = minBackoff
@@ -68,13 +69,12 @@
 
 func (l *Loop) read(ctx context.Context, g mirror.Group, full bool) ([]mirror.Item, uint64, error) {
 	l.opts.Metrics.Events.Add("platform-reads", 1)
-	after := l.health[g].revision.Load()
-	if full || after == 0 {
+	if full {
 		ctx, cancel := context.WithTimeout(ctx, listTimeout)
 		defer cancel()
 		return l.opts.Source.List(ctx, g)
 	}
-	return l.opts.Source.Watch(ctx, g, after, watchWait)
+	return l.opts.Source.Watch(ctx, g, l.health[g].revision.Load(), watchWait)
 }
 
 // jitter returns a random duration between half of d and d.
