--- a/io/syncer/activate.go
+++ b/io/syncer/activate.go
@@ -79,7 +79,7 @@
 	}
 	if returned && l.opts.Pool.HasLeft(c.Upstream) {
 		l.pendingRelistings[id] = relisting{change: c, revision: revision, at: now.Add(leaseTimeout)}
-		l.opts.Log.Info().Str("upstream", string(id)).Time("started", c.Upstream.StartTime).Uint64("sequence", c.Upstream.Sequence).EmbedObject(storeRevision(revision)).Msg("upstream has left and is not used, unless its description does not expire")
+		l.opts.Log.Info().Str("upstream", string(id)).Time("started", c.Upstream.StartTime).Uint64("sequence", c.Upstream.Sequence).EmbedObject(storeRevision(revision)).Msg("upstream has left and is not used for now; the copy still lists it")
 		return
 	}
 	l.setUpstream(now, c, revision)
--- a/io/syncer/erastore_test.go
+++ b/io/syncer/erastore_test.go
@@ -22,7 +22,9 @@
 	// copyAge is the greatest age of a copy from which the store comes back.
 	copyAge = 5 * time.Second
 	// registerWithin, rewriteWithin and expireAfter are the times in which, after a return,
-	// live upstreams and operators write again, and descriptions of others expire.
+	// live upstreams and operators write again, and descriptions of others expire. The first
+	// leaves two answers' delay until relistTimeout; docs/design/platform.md has what later
+	// registrations cost.
 	registerWithin = 1600 * time.Millisecond
 	rewriteWithin  = 9 * time.Second
 	expireAfter    = 3600 * time.Millisecond
