Log and count how each answer was framed and whether a stream ended inside an event

Cause of the change: the line of a request didn't tell the three hypotheses of docs/incidents/stream-cut-looks-whole.md apart. It now has framing (length, chunks, close) and inside-event; bytes counts the rest after the last whole event too.

--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -19,6 +19,7 @@
 	"github.com/juju/errors"
 
 	"arbutustrestle/core/clock"
+	"arbutustrestle/core/event"
 	"arbutustrestle/core/gossip"
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/result"
@@ -73,6 +74,8 @@
 	// LastEventID is the id of the last whole event that the caller has received; empty
 	// if there is none.
 	LastEventID string
+	// EventStream is set if a successful answer is a stream of events.
+	EventStream bool
 	// Admit is called when a connection is open, right before the request is sent. If it
 	// returns false, nothing is sent and the attempt fails with UpstreamChanged. Nil admits.
 	Admit func() bool
@@ -88,9 +91,19 @@
 	Meta   AnswerMeta
 	// Length is the length of the body; negative if it is unknown.
 	Length int64
+	// Framing is how the upstream marks the end of the body.
+	Framing Framing
 	// Body returns io.EOF at the end of a whole body and another error if the body was
 	// cut off. It must be closed.
 	Body io.ReadCloser
+
+	// events scans what was read of a stream of events; nil for other answers.
+	events *event.Scanner
+}
+
+// InsideEvent reports whether what was read of a stream of events ends inside an event.
+func (a *Answer) InsideEvent() bool {
+	return a.events != nil && a.events.Inside()
 }
 
 // Client makes attempts. Its fields are set before the first use.
@@ -291,16 +304,24 @@
 		return nil, errors.Trace(err)
 	}
 	answer := &Answer{
-		Status: response.StatusCode,
-		Header: response.Header,
-		Meta:   x.client.Codec.ParseResponse(response.StatusCode, response.Header),
-		Length: response.ContentLength,
+		Status:  response.StatusCode,
+		Header:  response.Header,
+		Meta:    x.client.Codec.ParseResponse(response.StatusCode, response.Header),
+		Length:  response.ContentLength,
+		Framing: framingOf(response),
 	}
 	answer.Meta.Draining = answer.Meta.Draining || response.Close
-	answer.Body = &body{ReadCloser: response.Body, exchange: x, idleTime: idleTime(response)}
+	if x.attempt.EventStream && isSuccess(answer.Status) {
+		answer.events = &event.Scanner{}
+	}
+	answer.Body = &body{ReadCloser: response.Body, exchange: x, events: answer.events, idleTime: idleTime(response)}
 	return answer, nil
 }
 
+func isSuccess(status int) bool {
+	return status >= 200 && status < 300
+}
+
 // idleTime returns how long the connection may be idle before it is reused; zero if it
 // must be closed.
 func idleTime(r *http.Response) time.Duration {
@@ -326,6 +347,8 @@
 type body struct {
 	io.ReadCloser
 	exchange *exchange
+	// events is nil if the body is no stream of events.
+	events   *event.Scanner
 	idleTime time.Duration
 	whole    bool
 	closed   bool
@@ -334,6 +357,9 @@
 // Read marks the body as whole at its proper end.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if b.events != nil {
+		b.events.Add(p[:n])
+	}
 	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
 		b.whole = true
 		return n, io.EOF
--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -32,6 +32,7 @@
 // arrives.
 func (p *Proxy) passAnswer(ctx context.Context, cancel context.CancelCauseFunc, call *Call, a *http1.Answer, sink Sink, onPart func()) *result.Failure {
 	defer func() { _ = a.Body.Close() }()
+	defer p.recordFraming(call, a)
 	success := a.Status >= 200 && a.Status < 300
 	if success && !a.Meta.Signed {
 		return p.answerFailure(ctx, call, result.AnswerMismatch, errors.New("successful answer without a signature"))
@@ -47,6 +48,15 @@
 	return p.passBody(ctx, call, a, sink, onPart)
 }
 
+// recordFraming records and counts how an answer ended.
+func (p *Proxy) recordFraming(call *Call, a *http1.Answer) {
+	call.recordFraming(a)
+	p.Metrics.Events.Add("answers-framed-by-"+a.Framing.String(), 1)
+	if a.InsideEvent() {
+		p.Metrics.Events.Add("streams-ended-inside-event", 1)
+	}
+}
+
 func (p *Proxy) answerFailure(ctx context.Context, call *Call, reason result.Reason, err error) *result.Failure {
 	var inner *result.Failure
 	if errors.As(err, &inner) {
@@ -199,7 +209,9 @@
 	if len(e.partial) == 0 {
 		return nil
 	}
-	if _, err := sink.Write(e.partial); err != nil {
+	n, err := sink.Write(e.partial)
+	call.bodyBytes += n
+	if err != nil {
 		return callerGone(call, err)
 	}
 	return nil
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -12,6 +12,7 @@
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/pool"
 	"arbutustrestle/core/result"
+	"arbutustrestle/core/spec"
 	"arbutustrestle/core/spill"
 	"arbutustrestle/io/http1"
 	"arbutustrestle/io/link"
@@ -201,6 +202,7 @@
 		Remaining:   call.Deadline.Sub(p.Clock.Now()),
 		Priority:    call.Route.Priority,
 		LastEventID: call.LastEventID,
+		EventStream: call.Route.Kind == spec.Stream,
 	}
 }
 
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -13,6 +13,7 @@
 	"arbutustrestle/core/pool"
 	"arbutustrestle/core/result"
 	"arbutustrestle/core/spec"
+	"arbutustrestle/io/http1"
 )
 
 // CallerCodec parses and writes the headers that are exchanged with callers.
@@ -88,6 +89,10 @@
 	// time between two parts.
 	lastPartAt   time.Time
 	longestPause time.Duration
+	// framing is how the sender of the last answer marked its end, and insideEvent
+	// whether that answer, a stream, ended inside an event.
+	framing     http1.Framing
+	insideEvent bool
 	// bodyBytes is the number of body bytes that were passed on.
 	bodyBytes int
 	// projection is the estimate that the request was sent or refused on, and
@@ -115,6 +120,12 @@
 	c.lastPartAt = now
 }
 
+// recordFraming copies the values of an answer, at its end, that are logged.
+func (c *Call) recordFraming(a *http1.Answer) {
+	c.framing = a.Framing
+	c.insideEvent = a.InsideEvent()
+}
+
 // recordLease copies the values of a lease that are logged.
 func (c *Call) recordLease(l *pool.Lease) {
 	c.uncachedTokens = l.UncachedTokens
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -93,6 +93,7 @@
 func (p *Proxy) copyAnswer(ctx context.Context, call *Call, a *http1.Answer, reply *relay.Reply, onPart func(time.Time)) *result.Failure {
 	call.headSent = true
 	call.status = a.Status
+	defer p.recordFraming(call, a)
 	RemoveHopByHopHeaders(a.Header)
 	if err := reply.WriteHead(a); err != nil {
 		return callerGone(call, err)
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -14,6 +14,7 @@
 
 	"arbutustrestle/core/member"
 	"arbutustrestle/core/result"
+	"arbutustrestle/io/http1"
 	"arbutustrestle/io/syncer"
 )
 
@@ -263,6 +264,9 @@
 	if !call.firstByteAt.IsZero() {
 		line = line.Int("status", call.status).Int64("first-ms", call.firstByteAt.Sub(call.Arrived).Milliseconds()).Int("bytes", call.bodyBytes).Int64("longest-pause-ms", call.longestPause.Milliseconds())
 	}
+	if call.framing != http1.FramingUnknown {
+		line = line.Str("framing", call.framing.String()).Bool("inside-event", call.insideEvent)
+	}
 	if f == nil {
 		line.Str("outcome", result.Done.String()).Msg("request answered")
 		return
