Take a stream that ends inside an event for cut off, and pass no answer on as whole without proof

Cause: the reader of an answer knew two ends only, io.EOF and an error. An answer with neither a length nor chunks ends with its connection, so an upstream that broke off and closed in order read as whole; the sender then framed it anew for the caller, with a last chunk or a length that it had no proof for.

Fix: the framing of an answer is a type (io/http1 framing.go, with what each proves). A stream that ends inside an event, or with its connection before its first, is cut off: resumed where that is allowed, otherwise the caller's connection ends without its end mark. An answer that ends with its connection reaches the caller in the same way, through a relay too (Head.framing), and is reset if it was cut off, since an orderly close would claim that it is whole; the same for callers of HTTP/1.0. Events may end their lines with CR or CRLF also where a stream is resumed.

--- a/io/http1/framing.go
+++ b/io/http1/framing.go
@@ -1,8 +1,25 @@
 package http1
 
-import "net/http"
+import (
+	"io"
+	"net/http"
 
-// Framing is how the sender of an answer marks the end of its body.
+	"github.com/juju/errors"
+
+	"arbutustrestle/core/event"
+)
+
+// Framing is how the sender of an answer marks the end of its body. What it proves:
+//
+//	framing  whole if                             cut off if
+//	length   that many bytes have arrived         the connection ends before
+//	chunks   the last chunk has arrived           the connection ends before
+//	close    never proved                         the connection is reset
+//
+// A stream of events that ends inside an event is cut off whatever its framing, and so is
+// one that ends with its connection before its first event.
+//
+// Instances exchange the numbers, so they must not change.
 type Framing uint8
 
 const (
@@ -41,3 +58,20 @@
 		return FramedByClose
 	}
 }
+
+var (
+	errInsideEvent = errors.Annotate(io.ErrUnexpectedEOF, "stream ended inside an event")
+	errNoEvent     = errors.Annotate(io.ErrUnexpectedEOF, "connection ended before the first event")
+)
+
+// checkEventEnd returns an error if a stream of events that has reached the end of its
+// body was cut off.
+func checkEventEnd(f Framing, s *event.Scanner) error {
+	if s.Inside() {
+		return errInsideEvent
+	}
+	if f == FramedByClose && s.Count() == 0 {
+		return errNoEvent
+	}
+	return nil
+}
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -93,8 +93,8 @@
 	Length int64
 	// Framing is how the upstream marks the end of the body.
 	Framing Framing
-	// Body returns io.EOF at the end of a whole body and another error if the body was
-	// cut off. It must be closed.
+	// Body returns another error than io.EOF if the body is known to be cut off; what
+	// io.EOF proves depends on Framing. It must be closed.
 	Body io.ReadCloser
 
 	// events scans what was read of a stream of events; nil for other answers.
@@ -314,7 +314,13 @@
 	if x.attempt.EventStream && isSuccess(answer.Status) {
 		answer.events = &event.Scanner{}
 	}
-	answer.Body = &body{ReadCloser: response.Body, exchange: x, events: answer.events, idleTime: idleTime(response)}
+	answer.Body = &body{
+		ReadCloser: response.Body,
+		exchange:   x,
+		framing:    answer.Framing,
+		events:     answer.events,
+		idleTime:   idleTime(response),
+	}
 	return answer, nil
 }
 
@@ -347,6 +353,7 @@
 type body struct {
 	io.ReadCloser
 	exchange *exchange
+	framing  Framing
 	// events is nil if the body is no stream of events.
 	events   *event.Scanner
 	idleTime time.Duration
@@ -360,11 +367,16 @@
 	if b.events != nil {
 		b.events.Add(p[:n])
 	}
-	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
-		b.whole = true
-		return n, io.EOF
+	if !errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return n, err
+	}
+	if b.events != nil {
+		if err := checkEventEnd(b.framing, b.events); err != nil {
+			return n, err
+		}
 	}
-	return n, err
+	b.whole = true
+	return n, io.EOF
 }
 
 // Close ends the exchange.
--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -10,6 +10,7 @@
 
 	"github.com/juju/errors"
 
+	"arbutustrestle/core/event"
 	"arbutustrestle/core/result"
 	"arbutustrestle/core/spec"
 	"arbutustrestle/io/http1"
@@ -76,7 +77,7 @@
 	if err != nil {
 		return p.answerFailure(ctx, call, result.AnswerCut, err)
 	}
-	answer := &wholeAnswer{status: a.Status, header: a.Header, body: data}
+	answer := &wholeAnswer{status: a.Status, header: a.Header, framing: a.Framing, body: data}
 	if len(data) == maxHeldBytes {
 		return p.passLong(ctx, call, answer, a.Body, sink)
 	}
@@ -93,7 +94,7 @@
 
 func (p *Proxy) passWhole(call *Call, sink Sink, w *wholeAnswer) *result.Failure {
 	p.markHeadSent(call, w.status)
-	if err := sink.WriteHead(w.status, w.header, int64(len(w.body))); err != nil {
+	if err := sink.WriteHead(w.head()); err != nil {
 		return callerGone(call, err)
 	}
 	n, err := sink.Write(w.body)
@@ -113,7 +114,9 @@
 
 func (p *Proxy) passLong(ctx context.Context, call *Call, w *wholeAnswer, rest io.Reader, sink Sink) *result.Failure {
 	p.markHeadSent(call, w.status)
-	if err := sink.WriteHead(w.status, w.header, -1); err != nil {
+	head := w.head()
+	head.Length = -1
+	if err := sink.WriteHead(head); err != nil {
 		return callerGone(call, err)
 	}
 	if _, err := sink.Write(w.body); err != nil {
@@ -194,14 +197,14 @@
 		return nil
 	}
 	p.markHeadSent(call, a.Status)
-	if err := sink.WriteHead(a.Status, a.Header, -1); err != nil {
+	if err := sink.WriteHead(AnswerHead{Status: a.Status, Header: a.Header, Framing: a.Framing, Length: -1}); err != nil {
 		return callerGone(call, err)
 	}
 	return nil
 }
 
-// finishStream passes on the bytes after the last whole event; when the stream ends
-// properly, they are part of the answer.
+// finishStream passes on the bytes after the last whole event of a stream that wasn't cut
+// off.
 func (p *Proxy) finishStream(call *Call, a *http1.Answer, e *eventSplitter, sink Sink) *result.Failure {
 	if failure := p.writeHead(call, a, sink); failure != nil {
 		return failure
@@ -232,10 +235,11 @@
 	return max(stallFactor*r.EventGapObjective, minStallTimeout)
 }
 
-// eventSplitter splits a stream at the blank lines between its events.
+// eventSplitter splits a stream between its events.
 type eventSplitter struct {
 	// wholeOnly makes add hold back an incomplete event.
 	wholeOnly bool
+	events    event.Scanner
 	partial   []byte
 	// lastID is the id of the last whole event.
 	lastID string
@@ -246,20 +250,22 @@
 	if !e.wholeOnly {
 		return p
 	}
+	held := len(e.partial)
 	e.partial = append(e.partial, p...)
-	end := bytes.LastIndex(e.partial, []byte("\n\n"))
-	if end < 0 {
+	end := e.events.Add(p)
+	if end == 0 {
 		return nil
 	}
-	ready := bytes.Clone(e.partial[:end+2])
-	e.partial = e.partial[end+2:]
+	ready := bytes.Clone(e.partial[:held+end])
+	e.partial = e.partial[held+end:]
 	e.lastID = lastEventID(ready, e.lastID)
 	return ready
 }
 
 // lastEventID returns the id of the last event in block that has one, or else previous.
 func lastEventID(block []byte, previous string) string {
-	for line := range strings.Lines(string(block)) {
+	isLineEnd := func(r rune) bool { return r == '\r' || r == '\n' }
+	for line := range strings.FieldsFuncSeq(string(block), isLineEnd) {
 		if value, found := strings.CutPrefix(line, "id:"); found {
 			previous = strings.TrimSpace(value)
 		}
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -107,9 +107,15 @@
 
 // wholeAnswer is an answer that was read to its end.
 type wholeAnswer struct {
-	status int
-	header http.Header
-	body   []byte
+	status  int
+	header  http.Header
+	framing http1.Framing
+	body    []byte
+}
+
+// head returns the head that the answer is passed on with.
+func (w *wholeAnswer) head() AnswerHead {
+	return AnswerHead{Status: w.status, Header: w.header, Framing: w.framing, Length: int64(len(w.body))}
 }
 
 // recordPart records the arrival of a part of the answer.
@@ -190,10 +196,21 @@
 	return &failure
 }
 
+// AnswerHead is the head of an answer that is passed on to a caller.
+type AnswerHead struct {
+	Status int
+	Header http.Header
+	// Framing is how the upstream marks the end of the answer. One that ends with its
+	// connection is passed on in the same way, since its end proves nothing.
+	Framing http1.Framing
+	// Length is the length of the body; negative if it is unknown.
+	Length int64
+}
+
 // Sink receives an answer.
 type Sink interface {
-	// WriteHead receives the head; the length is negative if it is unknown.
-	WriteHead(status int, h http.Header, length int64) error
+	// WriteHead receives the head.
+	WriteHead(h AnswerHead) error
 	// Write receives a part of the body, which is passed on immediately.
 	Write(p []byte) (int, error)
 }
--- a/io/proxy/framing_test.go
+++ b/io/proxy/framing_test.go
@@ -1,11 +1,25 @@
 package proxy
 
 import (
+	"bufio"
+	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"arbutustrestle/core/ident"
+	"arbutustrestle/core/result"
+	"arbutustrestle/core/spec"
+	"arbutustrestle/io/http1"
+	"arbutustrestle/io/link"
+	"arbutustrestle/io/relay"
+	"arbutustrestle/io/wire"
 )
 
 // untilClose returns a reply that sends a signed answer with neither a length nor chunks,
@@ -96,3 +110,75 @@
 func waitUntilRead() {
 	time.Sleep(50 * time.Millisecond)
 }
+
+// TestCutForOldCaller guards against a stream that was cut between two events looking
+// whole to a caller whose HTTP has no chunks: the connection must not close in order.
+func TestCutForOldCaller(t *testing.T) {
+	cut := chunked(true, "id: 1\ndata: a\n\n")
+	inst := newTestInstance(t, cut, cut).ready(t)
+	c, err := net.Dial("tcp", inst.server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = io.WriteString(c, "GET /stream/ HTTP/1.0\r\nHost: h\r\nId: q\r\n\r\n")
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		// The reset may arrive before the head was read.
+		return
+	}
+	if body, err := io.ReadAll(response.Body); err == nil {
+		t.Errorf("%q without an error", body)
+	}
+}
+
+// relayHandler passes relayed requests to a proxy.
+type relayHandler struct {
+	link.Handler
+	proxy *Proxy
+}
+
+func (relayHandler) Notify(link.Identity, *wire.Notice) {}
+
+func (h relayHandler) Relay(ctx context.Context, s *link.Stream, m *wire.Relay) {
+	h.proxy.Relay(ctx, s, m)
+}
+
+func testIdentity(id ident.Instance) link.Identity {
+	return link.Identity{Incarnation: ident.Incarnation{Instance: id, Start: 1}, Zone: "z", Region: "r"}
+}
+
+// TestRelayedStreamEndedInsideEvent guards against an instance that serves a request for
+// another region marking a stream that broke off as whole.
+func TestRelayedStreamEndedInsideEvent(t *testing.T) {
+	do := untilClose(false, "id: 1\ndata: a\n\nid: 2\nda")
+	inst := newTestInstance(t, do, do).ready(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	server := &link.Server{Handler: relayHandler{proxy: inst.proxy}, Log: zerolog.Nop(), Self: testIdentity("near")}
+	go func() { _ = server.Serve(ctx, listener) }()
+	links := &link.Pool{Self: testIdentity("far")}
+	defer links.Close()
+	address := listener.Addr().(*net.TCPAddr).AddrPort()
+	if err := links.Notify(ctx, address, &wire.Notice{}); err != nil {
+		t.Fatal(err)
+	}
+	answer, failure := relay.Send(ctx, links, address, &relay.Request{
+		Attempt: http1.Attempt{RequestID: "1", Method: http.MethodPost, Target: "/stream/", Host: "h", Remaining: 5 * time.Second},
+		Service: "app",
+		Kind:    spec.Stream,
+	})
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	body, err := io.ReadAll(answer.Body)
+	var cut *result.Failure
+	if !errors.As(err, &cut) || cut.Reason != result.AnswerCut || answer.Framing != http1.FramedByClose {
+		t.Errorf("%q, framed by %s, error %v", body, answer.Framing, err)
+	}
+}
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -67,7 +68,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	call := &Call{Arrived: p.Clock.Now()}
-	sink := &httpSink{writer: w, control: http.NewResponseController(w)}
+	sink := &httpSink{writer: w, control: http.NewResponseController(w), chunksAllowed: r.ProtoAtLeast(1, 1)}
 	failure := p.identify(codec, view, call, r)
 	if failure == nil {
 		failure = p.runUntilDeadline(r.Context(), call, sink)
@@ -77,12 +78,23 @@
 		return
 	}
 	if call.headSent || failure.Reason == result.CallerGone {
-		// Abort the connection, so that the incomplete answer doesn't look whole.
-		panic(http.ErrAbortHandler)
+		p.abortAnswer(call, sink)
 	}
 	p.writeError(codec, w, call, failure)
 }
 
+// abortAnswer ends the connection and the handler, so that an incomplete answer doesn't
+// look whole. Where the end of the connection is the end of the answer, it resets the
+// connection; elsewhere an orderly close lets the caller read what was sent.
+func (p *Proxy) abortAnswer(call *Call, sink *httpSink) {
+	if sink.endsWithConn {
+		if err := sink.reset(); err != nil {
+			p.Log.Error().Err(err).Str("request-id", call.ID).Msg("connection of a caller not reset; its incomplete answer may look whole")
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // runUntilDeadline serves a request within its deadline.
 func (p *Proxy) runUntilDeadline(ctx context.Context, call *Call, sink Sink) *result.Failure {
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
@@ -164,29 +176,62 @@
 type httpSink struct {
 	writer  http.ResponseWriter
 	control *http.ResponseController
+	// chunksAllowed is set if the caller's version of HTTP has chunks.
+	chunksAllowed bool
+	// endsWithConn is set if the end of the answer is the end of its connection.
+	endsWithConn bool
 }
 
 // WriteHead writes the head.
-func (s *httpSink) WriteHead(status int, h http.Header, length int64) error {
+func (s *httpSink) WriteHead(head AnswerHead) error {
 	header := s.writer.Header()
 	connection := header.Get("Connection")
-	RemoveHopByHopHeaders(h)
-	for name, values := range h {
+	RemoveHopByHopHeaders(head.Header)
+	for name, values := range head.Header {
 		header[name] = values
 	}
 	if connection != "" {
 		header.Set("Connection", connection)
 	}
-	if length >= 0 {
-		header.Set("Content-Length", strconv.FormatInt(length, 10))
-	}
-	if _, dated := h["Date"]; !dated {
+	s.setFraming(header, head)
+	if _, dated := head.Header["Date"]; !dated {
 		header["Date"] = nil
 	}
-	s.writer.WriteHeader(status)
+	s.writer.WriteHeader(head.Status)
 	return nil
 }
 
+// setFraming sets the header from which the caller learns where the answer ends.
+func (s *httpSink) setFraming(header http.Header, head AnswerHead) {
+	switch {
+	case head.Framing == http1.FramedByClose:
+		s.endsWithConn = true
+		omitFraming(header)
+	case head.Length >= 0:
+		header.Set("Content-Length", strconv.FormatInt(head.Length, 10))
+	default:
+		s.endsWithConn = !s.chunksAllowed
+	}
+}
+
+// omitFraming makes net/http send neither a length nor chunks and close the connection
+// after the answer.
+func omitFraming(header http.Header) {
+	header.Set("Transfer-Encoding", "identity")
+}
+
+// reset resets the connection.
+func (s *httpSink) reset() error {
+	conn, _, err := s.control.Hijack()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	return errors.Trace(conn.Close())
+}
+
 // Write writes a part of the body and flushes it.
 func (s *httpSink) Write(p []byte) (int, error) {
 	n, err := s.writer.Write(p)
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -100,11 +100,12 @@
 		return nil, newFailure(result.Unknown, result.AnswerMismatch, a.address, errUnexpectedFrame)
 	}
 	return &http1.Answer{
-		Status: int(head.GetStatus()),
-		Header: wire.HeadersFromWire(head.GetHeaders()),
-		Meta:   http1.AnswerMeta{RequestID: a.id, Signed: head.GetSigned()},
-		Length: -1,
-		Body:   a,
+		Status:  int(head.GetStatus()),
+		Header:  wire.HeadersFromWire(head.GetHeaders()),
+		Meta:    http1.AnswerMeta{RequestID: a.id, Signed: head.GetSigned()},
+		Length:  -1,
+		Framing: http1.Framing(min(head.GetFraming(), uint32(http1.FramedByClose))),
+		Body:    a,
 	}, nil
 }
 
@@ -236,7 +237,12 @@
 
 // WriteHead sends the head of the answer.
 func (r *Reply) WriteHead(a *http1.Answer) error {
-	head := &wire.Head{Status: uint32(a.Status), Headers: wire.HeadersToWire(a.Header), Signed: a.Meta.Signed}
+	head := &wire.Head{
+		Status:  uint32(a.Status),
+		Headers: wire.HeadersToWire(a.Header),
+		Signed:  a.Meta.Signed,
+		Framing: uint32(a.Framing),
+	}
 	return r.send(&wire.Frame{Kind: &wire.Frame_Head{Head: head}})
 }
 
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -123,6 +123,29 @@
 	}
 }
 
+// TestFramingSurvives guards against an answer whose end is not proved being passed on by
+// the other region as if it were.
+func TestFramingSurvives(t *testing.T) {
+	for _, framing := range []http1.Framing{http1.FramingUnknown, http1.FramedByLength, http1.FramedByChunks, http1.FramedByClose} {
+		links, address := startPeer(t, func(_ *link.Stream, r *Reply) {
+			a := testAnswer()
+			a.Framing = framing
+			_ = r.WriteHead(a)
+			_ = r.End(nil)
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		answer, failure := Send(ctx, links, address, &Request{Attempt: http1.Attempt{RequestID: "1", Remaining: time.Second}})
+		if failure != nil {
+			t.Fatal(failure)
+		}
+		if answer.Framing != framing {
+			t.Errorf("%s arrives as %s", framing, answer.Framing)
+		}
+		_ = answer.Body.Close()
+		cancel()
+	}
+}
+
 // TestNoHead checks the failure of a request whose stream ends before the head.
 func TestNoHead(t *testing.T) {
 	cases := []struct {
