Log requests that are lost with their upstream before their answer began

Cause of the change: the logs had neither the prompt parts nor whether an upstream ended or only its connection.

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -119,17 +119,21 @@
 	}
 	if failure != nil {
 		p.endLease(lease, outcomeOf(failure))
+		p.recordLoss(ctx, call, lease, failure, false)
 		call.uncountSend(failure)
 		return failure
 	}
 	if answer.Meta.ColdFor > 0 {
 		lease.MarkCold(p.Clock.Now(), answer.Meta.ColdFor)
 	}
+	begun := false
 	failure = p.passAnswer(ctx, cancel, call, answer, sink, func() {
+		begun = true
 		watch.partReceived()
 		lease.ResponseReceived(p.Clock.Now())
 	})
 	p.endLease(lease, answerOutcome(answer, failure))
+	p.recordLoss(ctx, call, lease, failure, begun)
 	return failure
 }
 
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -150,13 +150,13 @@
 	}
 }
 
-// prefixKey identifies the longest prefix of the prompt that other requests may share:
-// all parts but the last, which is specific to the request.
+// prefixKey identifies the longest prefix of the prompt that other requests may share.
 func (c *Call) prefixKey() string {
-	if len(c.Parts) < 2 {
+	shared := c.sharedParts()
+	if len(shared) == 0 {
 		return ""
 	}
-	return c.Parts[len(c.Parts)-2].ID
+	return shared[len(shared)-1].ID
 }
 
 // countSend counts a send before its outcome is known.
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -77,14 +77,18 @@
 	answer, failure := p.UpstreamClient.Send(ctx, p.upstreamAttempt(call, lease))
 	if failure != nil {
 		p.endLease(lease, outcomeOf(failure))
+		p.recordLoss(ctx, call, lease, failure, false)
 		return failure
 	}
 	defer func() { _ = answer.Body.Close() }()
+	begun := false
 	failure = p.copyAnswer(ctx, call, answer, reply, func(now time.Time) {
+		begun = true
 		watch.partReceived()
 		lease.ResponseReceived(now)
 	})
 	p.endLease(lease, answerOutcome(answer, failure))
+	p.recordLoss(ctx, call, lease, failure, begun)
 	return failure
 }
 
