--- /dev/null
+++ b/io/proxy/poison_test.go
@@ -0,0 +1,112 @@
+package proxy
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// crasher makes both upstreams of an instance end for a moment when a request holds a
+// part.
+type crasher struct {
+	part string
+
+	mu      sync.Mutex
+	crashes int
+	// arrivals counts the requests with the part.
+	arrivals int
+}
+
+func (cr *crasher) serve(t *testing.T, u *upstream) {
+	u.serve(t, func(c net.Conn, r *http.Request) {
+		if !strings.Contains(r.Header.Get("Parts"), cr.part) {
+			okStream(c, r)
+			return
+		}
+		cr.end(t, u)
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
+}
+
+var okStream = chunked(false, "id: 1\ndata: a\n\n")
+
+// end closes the upstream's listener and opens it again soon after.
+func (cr *crasher) end(t *testing.T, u *upstream) {
+	cr.mu.Lock()
+	defer cr.mu.Unlock()
+	cr.arrivals++
+	address := u.listener.Addr().String()
+	if err := u.listener.Close(); err != nil {
+		// Another request has just ended it.
+		return
+	}
+	cr.crashes++
+	time.AfterFunc(100*time.Millisecond, func() {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			t.Errorf("upstream not started again: %v", err)
+			return
+		}
+		t.Cleanup(func() { _ = l.Close() })
+		cr.mu.Lock()
+		u.listener = l
+		cr.mu.Unlock()
+		cr.serve(t, u)
+	})
+}
+
+func (cr *crasher) counts() (arrivals, crashes int) {
+	cr.mu.Lock()
+	defer cr.mu.Unlock()
+	return cr.arrivals, cr.crashes
+}
+
+// TestPartThatEndsUpstreams guards against requests with one part of a prompt ending the
+// upstreams one after the other: after some endings they are refused with a time to come
+// back, while requests that share their other parts are served.
+func TestPartThatEndsUpstreams(t *testing.T) {
+	for _, path := range []string{"/stream/", "/resume/"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			inst := newTestInstance(t, okStream, okStream).ready(t)
+			cr := &crasher{part: "deadly"}
+			for _, u := range inst.upstreams {
+				_ = u.listener.Close()
+				l, err := net.Listen("tcp", u.listener.Addr().String())
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(func() { _ = l.Close() })
+				u.listener = l
+				go cr.serve(t, u)
+			}
+			send := func(i int, parts string) *http.Response {
+				response, _, err := inst.send(t, path, "", http.Header{"Id": {fmt.Sprint(i)}, "Parts": {parts}})
+				if err != nil {
+					return nil
+				}
+				return response
+			}
+			send(0, "first,own-0")
+			for i := range 12 {
+				send(100+i, fmt.Sprintf("first,deadly,own-%d", i))
+				time.Sleep(700 * time.Millisecond)
+			}
+			arrivals, crashes := cr.counts()
+			if crashes > 4 {
+				t.Errorf("%d upstreams ended, %d requests arrived", crashes, arrivals)
+			}
+			response := send(200, "first,deadly,own-200")
+			if response == nil || response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
+				t.Errorf("request with the part: %v", response)
+			}
+			if response := send(201, "first,own-201"); response == nil || response.StatusCode != http.StatusOK {
+				t.Errorf("request that shares its first part: %v", response)
+			}
+		})
+	}
+}
--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -37,6 +37,9 @@
 
 func (testCallerCodec) ParseRequest(r *http.Request) (Request, error) {
 	q := Request{ID: r.Header.Get("Id"), Header: r.Header.Clone(), LastEventID: r.Header.Get("Last")}
+	for _, id := range strings.FieldsFunc(r.Header.Get("Parts"), func(r rune) bool { return r == ',' }) {
+		q.Parts = append(q.Parts, pool.PromptPart{ID: id, Tokens: 10})
+	}
 	if text := r.Header.Get("Wait"); text != "" {
 		wait, err := time.ParseDuration(text)
 		if err != nil {
@@ -56,7 +59,7 @@
 type testUpstreamCodec struct{}
 
 func (testUpstreamCodec) RequestHeader(a *http1.Attempt) http.Header {
-	return http.Header{"Id": {a.RequestID}, "Last": {a.LastEventID}}
+	return http.Header{"Id": {a.RequestID}, "Last": {a.LastEventID}, "Parts": a.Header["Parts"]}
 }
 
 func (testUpstreamCodec) ParseResponse(status int, h http.Header) http1.AnswerMeta {
@@ -292,7 +295,9 @@
 	if r.Header == nil {
 		r.Header = http.Header{}
 	}
-	r.Header.Set("Id", "q")
+	if r.Header.Get("Id") == "" {
+		r.Header.Set("Id", "q")
+	}
 	response, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return nil, "", err
