Make attempts at upstreams in one place, for callers and for other regions

attemptLocal and relayOnce did the same around their answers. useLease does it once now. One difference was a gap: what an answer to a relayed request said of its upstream being cold was dropped; it is recorded now.

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -102,32 +102,40 @@
 }
 
 func (p *Proxy) attemptLocal(ctx context.Context, call *Call, lease *pool.Lease, sink Sink) *result.Failure {
-	call.peer = string(lease.Upstream.ID)
 	call.tried = append(call.tried, lease.Upstream.ID)
-	call.countSend()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	firstByteTimer := p.startFirstByteTimer(call, lease.FirstByte, cancel)
 	defer firstByteTimer.Stop()
+	return p.useLease(ctx, cancel, call, lease, func(answer *http1.Answer, onPart func()) *result.Failure {
+		if !firstByteTimer.Stop() {
+			// The head arrived just as the attempt was cancelled, so the body won't arrive.
+			return p.answerFailure(ctx, call, result.FirstByteTimeout, nil)
+		}
+		return p.passAnswer(ctx, cancel, call, answer, sink, onPart)
+	})
+}
+
+// useLease sends the request to its leased upstream and ends the lease. pass passes the
+// answer on and calls onPart whenever a part of it arrives.
+func (p *Proxy) useLease(ctx context.Context, cancel context.CancelCauseFunc, call *Call, lease *pool.Lease, pass func(a *http1.Answer, onPart func()) *result.Failure) *result.Failure {
+	call.peer = string(lease.Upstream.ID)
+	call.countSend()
 	watch := p.watchUpstream(ctx, call, lease, cancel)
 	defer watch.stop()
 	answer, failure := p.UpstreamClient.Send(ctx, p.upstreamAttempt(call, lease))
-	if failure == nil && !firstByteTimer.Stop() {
-		// The head arrived just as the attempt was cancelled, so the body won't arrive.
-		failure = p.answerFailure(ctx, call, result.FirstByteTimeout, nil)
-		_ = answer.Body.Close()
-	}
 	if failure != nil {
 		p.endLease(lease, outcomeOf(failure))
 		p.recordLoss(ctx, call, lease, failure, false)
 		call.uncountSend(failure)
 		return failure
 	}
+	defer func() { _ = answer.Body.Close() }()
 	if answer.Meta.ColdFor > 0 {
 		lease.MarkCold(p.Clock.Now(), answer.Meta.ColdFor)
 	}
 	begun := false
-	failure = p.passAnswer(ctx, cancel, call, answer, sink, func() {
+	failure = pass(answer, func() {
 		begun = true
 		watch.partReceived()
 		lease.ResponseReceived(p.Clock.Now())
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"arbutustrestle/core/result"
 	"arbutustrestle/core/spec"
@@ -68,33 +67,16 @@
 	}
 	call.projection = lease.Projection
 	call.recordLease(lease)
-	call.peer = string(lease.Upstream.ID)
-	call.countSend()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := p.watchUpstream(ctx, call, lease, cancel)
-	defer watch.stop()
-	answer, failure := p.UpstreamClient.Send(ctx, p.upstreamAttempt(call, lease))
-	if failure != nil {
-		p.endLease(lease, outcomeOf(failure))
-		p.recordLoss(ctx, call, lease, failure, false)
-		return failure
-	}
-	defer func() { _ = answer.Body.Close() }()
-	begun := false
-	failure = p.copyAnswer(ctx, call, answer, reply, func(now time.Time) {
-		begun = true
-		watch.partReceived()
-		lease.ResponseReceived(now)
+	return p.useLease(ctx, cancel, call, lease, func(answer *http1.Answer, onPart func()) *result.Failure {
+		return p.copyAnswer(ctx, call, answer, reply, onPart)
 	})
-	p.endLease(lease, answerOutcome(answer, failure))
-	p.recordLoss(ctx, call, lease, failure, begun)
-	return failure
 }
 
 // copyAnswer writes an answer to the reply as it arrives. onPart is called for each
 // part.
-func (p *Proxy) copyAnswer(ctx context.Context, call *Call, a *http1.Answer, reply *relay.Reply, onPart func(time.Time)) *result.Failure {
+func (p *Proxy) copyAnswer(ctx context.Context, call *Call, a *http1.Answer, reply *relay.Reply, onPart func()) *result.Failure {
 	call.headSent = true
 	call.status = a.Status
 	defer p.recordFraming(call, a)
@@ -103,11 +85,10 @@
 		return callerGone(call, err)
 	}
 	return p.eachPart(ctx, call, a.Body, func(part []byte) *result.Failure {
-		now := p.Clock.Now()
 		if call.firstByteAt.IsZero() {
-			call.firstByteAt = now
+			call.firstByteAt = p.Clock.Now()
 		}
-		onPart(now)
+		onPart()
 		call.bodyBytes += len(part)
 		if _, err := reply.Write(part); err != nil {
 			return callerGone(call, err)
