Refuse requests with a prompt part that ends upstreams, by evidence that instances share

Cause: entries distrusted upstreams that ended, never the request that was there.

Fix: core/poison holds the requests that were lost with their upstreams before their answers began, and exchanges them in heartbeats with all regions. A part is convicted after three losses in different moments without an answer on it having begun anywhere since, eight if answers had begun on it before; one begun answer acquits it. Requests with it are refused before anything is sent (503, with the time until the next trial), at the choice, at the peer and where they leave; one instance of all tries one after a minute, later each time. A part that only came with another one is tried soon without it. A lost request isn't tried again if another one was lost with the same unknown part.

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -55,6 +55,9 @@
 	ServiceLoads  []ServiceLoad
 	// UpstreamLimits is sent with UpstreamLoads.
 	UpstreamLimits []UpstreamLimit
+	// PromptEvidence is sent everywhere, but not in records that a third instance passes
+	// on.
+	PromptEvidence PromptEvidence
 }
 
 // servesRegion reports whether the instance is one of a region and is not leaving.
@@ -200,6 +203,7 @@
 		r.UpstreamLimits = p.UpstreamLimits
 		r.ServiceLoads = p.ServiceLoads
 		r.RegionDigest = p.RegionDigest
+		r.PromptEvidence = p.PromptEvidence
 	} else {
 		p.lastDirect = now
 	}
--- a/core/gossip/heartbeat.go
+++ b/core/gossip/heartbeat.go
@@ -232,6 +232,7 @@
 			r.UpstreamLimits = nil
 			r.ServiceLoads = nil
 			r.RegionDigest = 0
+			r.PromptEvidence = PromptEvidence{}
 			list = append(list, r)
 		}
 	}
--- /dev/null
+++ b/core/poison/poison_test.go
@@ -0,0 +1,466 @@
+package poison
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"arbutustrestle/core/gossip"
+	"arbutustrestle/core/ident"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func keys(parts ...string) []gossip.PartKey {
+	var list []gossip.PartKey
+	for _, part := range parts {
+		list = append(list, KeyOf(part))
+	}
+	return list
+}
+
+// lose records a loss of one request at each of the given times, in seconds.
+func lose(d *Detector, parts []gossip.PartKey, seconds ...float64) {
+	for _, s := range seconds {
+		d.RequestLost(at(s), uint64(s*1000)+1, parts)
+	}
+}
+
+func refused(d *Detector, seconds float64, parts ...string) bool {
+	_, found := d.Check(at(seconds), keys(parts...))
+	return found
+}
+
+// TestConvictions checks what convicts a part, and what doesn't.
+func TestConvictions(t *testing.T) {
+	cases := []struct {
+		name string
+		do   func(d *Detector)
+		want bool
+	}{
+		{"two losses", func(d *Detector) { lose(d, keys("p"), 1, 2) }, false},
+		{"three losses", func(d *Detector) { lose(d, keys("p"), 1, 2, 3) }, true},
+		{"three losses at once", func(d *Detector) { lose(d, keys("p"), 1, 1.05, 1.1) }, false},
+		{"one request lost three times", func(d *Detector) {
+			for i := range 3 {
+				d.RequestLost(at(float64(i)), 7, keys("p"))
+			}
+		}, false},
+		{"an answer in between", func(d *Detector) {
+			lose(d, keys("p"), 1, 2)
+			d.AnswerBegun(at(2.5), keys("p"))
+			lose(d, keys("p"), 3)
+		}, false},
+		{"an answer afterwards", func(d *Detector) {
+			lose(d, keys("p"), 1, 2, 3)
+			d.AnswerBegun(at(4), keys("p"))
+		}, false},
+		{"an answer long before, seven losses", func(d *Detector) {
+			d.AnswerBegun(at(0), keys("p"))
+			lose(d, keys("p"), 1, 2, 3, 4, 5, 6, 7)
+		}, false},
+		{"an answer long before, eight losses", func(d *Detector) {
+			d.AnswerBegun(at(0), keys("p"))
+			lose(d, keys("p"), 1, 2, 3, 4, 5, 6, 7, 8)
+		}, true},
+		{"a part that others share", func(d *Detector) {
+			lose(d, keys("q", "p"), 1)
+			lose(d, keys("q"), 2, 3)
+		}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := &Detector{Self: "a"}
+			c.do(d)
+			if got := refused(d, 9, "first", "p"); got != c.want {
+				t.Errorf("refused: %v", got)
+			}
+		})
+	}
+}
+
+// TestMergedEvidence checks that losses at different instances add up, that an answer at
+// any of them counts at all, and that one request isn't counted twice.
+func TestMergedEvidence(t *testing.T) {
+	a, b := &Detector{Self: "a"}, &Detector{Self: "b"}
+	exchange := func(seconds float64) {
+		a.Merge(at(seconds), b.Evidence(at(seconds)))
+		b.Merge(at(seconds), a.Evidence(at(seconds)))
+	}
+	lose(a, keys("p"), 1)
+	lose(b, keys("p"), 2)
+	for range 3 {
+		exchange(2.5)
+	}
+	if refused(a, 3, "p") || refused(b, 3, "p") {
+		t.Fatal("refused after two losses")
+	}
+	lose(b, keys("p"), 3)
+	exchange(3.5)
+	if !refused(a, 4, "p") || !refused(b, 4, "p") {
+		t.Fatal("not refused after three losses")
+	}
+	a.AnswerBegun(at(5), keys("p"))
+	exchange(5.5)
+	exchange(6)
+	if refused(a, 7, "p") || refused(b, 7, "p") {
+		t.Fatal("refused after an answer")
+	}
+}
+
+// TestTrials checks that one instance lets a request with a convicted part through after a
+// while, later each time that it is lost, and none of the others does.
+func TestTrials(t *testing.T) {
+	instances := []ident.Instance{"a", "b", "c", "d"}
+	trials := 0
+	for _, id := range instances {
+		d := &Detector{Self: id}
+		d.SetInstances(instances)
+		lose(d, keys("p"), 1, 2, 3)
+		for s := 4.0; s < 400; s += 0.5 {
+			if _, found := d.AdmitSend(at(s), keys("p")); found {
+				continue
+			}
+			trials++
+			if want := 63.0; trials == 1 && s < want || trials == 2 && s < 183 {
+				t.Errorf("trial %d at %v s", trials, s)
+			}
+			lose(d, keys("p"), s+0.1)
+		}
+	}
+	if trials != 2 {
+		t.Errorf("%d trials in 400 s", trials)
+	}
+}
+
+// TestCompanion checks that a part which only ever came with the one that ends upstreams
+// is acquitted by an answer, and meanwhile costs a trial now and then.
+func TestCompanion(t *testing.T) {
+	d := &Detector{Self: "a"}
+	lose(d, keys("victim", "deadly"), 1, 2, 3)
+	if !refused(d, 4, "victim", "deadly") {
+		t.Fatal("the request that ends upstreams is sent")
+	}
+	if _, found := d.AdmitSend(at(4), keys("victim")); found {
+		t.Fatal("no trial of the companion")
+	}
+	if _, found := d.AdmitSend(at(5), keys("victim")); !found {
+		t.Fatal("a second trial at once")
+	}
+	d.AnswerBegun(at(6), keys("victim"))
+	if refused(d, 7, "victim") || !refused(d, 7, "deadly") {
+		t.Fatal("the companion isn't acquitted, or the cause is")
+	}
+}
+
+// TestSuspects checks which lost requests aren't tried again.
+func TestSuspects(t *testing.T) {
+	d := &Detector{Self: "a"}
+	d.AnswerBegun(at(0), keys("common"))
+	d.RequestLost(at(1), 1, keys("common", "p"))
+	if d.Suspects(1, keys("common", "p")) {
+		t.Error("a request is suspected by its own loss")
+	}
+	if !d.Suspects(2, keys("common", "p")) {
+		t.Error("a part without an answer isn't suspected")
+	}
+	if d.Suspects(2, keys("common", "q")) {
+		t.Error("a part with answers is suspected")
+	}
+}
+
+// TestBoundedMemory checks that evidence about ever new parts stays bounded, and that it
+// doesn't displace the evidence of a conviction.
+func TestBoundedMemory(t *testing.T) {
+	d := &Detector{Self: "a"}
+	lose(d, keys("p"), 1, 2, 3)
+	for i := range 5000 {
+		now := at(4 + float64(i)/100)
+		part := fmt.Sprintf("part-%d", i)
+		d.RequestLost(now, uint64(100_000+i), keys(part))
+		d.AnswerBegun(now, keys(part+"-begun"))
+	}
+	if !refused(d, 55, "p") {
+		t.Error("the conviction is lost")
+	}
+	if e := d.Evidence(at(55)); len(e.Lost) > maxLost+maxLossesPerPart || len(e.Begun) > 4*maxLost {
+		t.Errorf("%d lost requests, %d begun parts", len(e.Lost), len(e.Begun))
+	}
+	if held := len(d.history.recent) + len(d.history.older); held > 2*maxHistory {
+		t.Errorf("%d parts in the history", held)
+	}
+}
+
+// TestEvidenceEnds checks that evidence which instances exchange all the while ends.
+func TestEvidenceEnds(t *testing.T) {
+	detectors := []*Detector{{Self: "a"}, {Self: "b"}, {Self: "c"}}
+	lose(detectors[0], keys("p"), 1, 2, 3)
+	const delay = 0.2
+	for s := 4.0; s < 1000; s++ {
+		for _, from := range detectors {
+			evidence := from.Evidence(at(s))
+			for _, to := range detectors {
+				to.Merge(at(s+delay), evidence)
+			}
+		}
+	}
+	for _, d := range detectors {
+		d.Merge(at(1001), gossip.PromptEvidence{Begun: []gossip.BegunPart{{Part: KeyOf("other")}}})
+		d.RequestLost(at(1001), 99, keys("q"))
+		if e := d.Evidence(at(1001)); len(e.Lost) != 1 {
+			t.Errorf("%s holds %d lost requests", d.Self, len(e.Lost))
+		}
+	}
+}
+
+// fleet is a number of instances, with a virtual clock, that send requests to upstreams
+// and exchange their evidence with delays.
+type fleet struct {
+	random    *rand.Rand
+	detectors []*Detector
+	upstreams []upstreamState
+	now       float64
+	events    []event
+	// tainted makes some requests hold the part that ends upstreams, from second 4 on.
+	tainted bool
+	// outages makes upstreams end for other reasons.
+	outages bool
+
+	crashes      []float64
+	lateSends    int
+	refusedSound int
+	sound        int
+	nextID       uint64
+}
+
+type upstreamState struct {
+	downUntil float64
+	waiting   []waitingRequest
+}
+
+type waitingRequest struct {
+	id       uint64
+	instance int
+	parts    []gossip.PartKey
+	deadly   bool
+	beginsAt float64
+}
+
+type event struct {
+	at float64
+	do func()
+}
+
+const (
+	deadlyPart = "deadly"
+	step       = 0.02
+)
+
+func newFleet(seed uint64, instances, upstreams int) *fleet {
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), upstreams: make([]upstreamState, upstreams)}
+	var names []ident.Instance
+	for i := range instances {
+		names = append(names, ident.Instance(fmt.Sprintf("entry-%d", i)))
+	}
+	for _, name := range names {
+		d := &Detector{Self: name}
+		d.SetInstances(names)
+		f.detectors = append(f.detectors, d)
+	}
+	return f
+}
+
+func (f *fleet) run(seconds float64) {
+	for f.now < seconds {
+		f.now += step
+		f.arrivals()
+		f.progress()
+		if f.outages {
+			f.outage()
+		}
+		f.gossip()
+		for len(f.events) > 0 && f.events[0].at <= f.now {
+			f.events[0].do()
+			f.events = f.events[1:]
+		}
+	}
+}
+
+// arrivals sends the requests of one step: all share the first part, some sessions share a
+// second one, and each has an own one, which isn't evidence and so is left out.
+func (f *fleet) arrivals() {
+	perSecond := 2 * float64(len(f.detectors))
+	for range f.poisson(perSecond * step) {
+		session := fmt.Sprintf("session-%d", f.random.IntN(60))
+		deadly := f.tainted && f.now > 4 && f.random.Float64() < 0.08
+		parts := keys("first", session)
+		if deadly {
+			parts = append(parts, KeyOf(deadlyPart))
+		}
+		f.send(parts, deadly)
+	}
+}
+
+func (f *fleet) poisson(mean float64) int {
+	n := 0
+	for p := f.random.ExpFloat64(); p < mean; p += f.random.ExpFloat64() {
+		n++
+	}
+	return n
+}
+
+func (f *fleet) send(parts []gossip.PartKey, deadly bool) {
+	instance := f.random.IntN(len(f.detectors))
+	_, refused := f.detectors[instance].AdmitSend(at(f.now), parts)
+	if !deadly {
+		f.sound++
+	}
+	if refused {
+		if !deadly {
+			f.refusedSound++
+		}
+		return
+	}
+	if deadly && len(f.crashes) >= 5 && f.now > f.crashes[4]+5 {
+		f.lateSends++
+	}
+	u := &f.upstreams[f.random.IntN(len(f.upstreams))]
+	if f.now < u.downUntil {
+		return
+	}
+	f.nextID++
+	wait := 0.05 + f.random.ExpFloat64()*0.3
+	u.waiting = append(u.waiting, waitingRequest{id: f.nextID, instance: instance, parts: parts, deadly: deadly, beginsAt: f.now + wait})
+}
+
+func (f *fleet) progress() {
+	for i := range f.upstreams {
+		u := &f.upstreams[i]
+		kept := u.waiting[:0:0]
+		ended := false
+		for _, r := range u.waiting {
+			switch {
+			case f.now < r.beginsAt:
+				kept = append(kept, r)
+			case r.deadly:
+				kept = append(kept, r)
+				ended = true
+			default:
+				f.detectors[r.instance].AnswerBegun(at(f.now), r.parts)
+			}
+		}
+		u.waiting = kept
+		if ended {
+			f.crashes = append(f.crashes, f.now)
+			f.end(u)
+		}
+	}
+}
+
+// end ends an upstream for some seconds. The requests that wait there are lost.
+func (f *fleet) end(u *upstreamState) {
+	for _, r := range u.waiting {
+		f.detectors[r.instance].RequestLost(at(f.now), r.id, r.parts)
+	}
+	u.waiting = nil
+	u.downUntil = f.now + 1 + 3*f.random.Float64()
+}
+
+// outage ends single upstreams, and now and then a third of them at once.
+func (f *fleet) outage() {
+	if f.random.Float64() < step/1.5 {
+		f.end(&f.upstreams[f.random.IntN(len(f.upstreams))])
+	}
+	if f.random.Float64() < step/8 {
+		first := f.random.IntN(3)
+		for i := first; i < len(f.upstreams); i += 3 {
+			f.end(&f.upstreams[i])
+		}
+	}
+}
+
+// gossip sends the evidence of each instance to a few others, which get it some time
+// later.
+func (f *fleet) gossip() {
+	for _, from := range f.detectors {
+		if f.random.Float64() > step/0.4 {
+			continue
+		}
+		evidence := from.Evidence(at(f.now))
+		for range min(12, len(f.detectors)) {
+			to := f.detectors[f.random.IntN(len(f.detectors))]
+			delay := 0.01 + f.random.ExpFloat64()*0.1
+			f.after(delay, func() { to.Merge(at(f.now), evidence) })
+		}
+	}
+}
+
+func (f *fleet) after(delay float64, do func()) {
+	e := event{at: f.now + delay, do: do}
+	i := len(f.events)
+	for i > 0 && f.events[i-1].at > e.at {
+		i--
+	}
+	f.events = append(f.events[:i], append([]event{e}, f.events[i:]...)...)
+}
+
+// TestFleetStopsPartThatEndsUpstreams guards against a part of a prompt that ends one upstream after
+// the other: of the requests that hold it, hardly any may be sent some seconds after the
+// fifth upstream has ended, by all instances together, also while upstreams end for other
+// reasons; and no sound request may be refused for it.
+func TestFleetStopsPartThatEndsUpstreams(t *testing.T) {
+	for seed := range uint64(12) {
+		for _, outages := range []bool{false, true} {
+			f := newFleet(seed, []int{9, 30}[seed%2], []int{12, 60}[seed%2])
+			f.tainted, f.outages = true, outages
+			f.run(40)
+			if len(f.crashes) < 3 {
+				t.Errorf("seed %d, outages %v: the part ended %d upstreams only", seed, outages, len(f.crashes))
+			}
+			if f.lateSends > 3 {
+				t.Errorf("seed %d, outages %v: %d requests sent, %d upstreams ended", seed, outages, f.lateSends, len(f.crashes))
+			}
+			if f.refusedSound*200 > f.sound {
+				t.Errorf("seed %d, outages %v: %d of %d sound requests refused", seed, outages, f.refusedSound, f.sound)
+			}
+		}
+	}
+}
+
+// TestNoPartConvictedByOutages guards against upstreams that end for other reasons making
+// their requests suspects that are refused.
+func TestNoPartConvictedByOutages(t *testing.T) {
+	for seed := range uint64(12) {
+		f := newFleet(seed, []int{9, 30}[seed%2], []int{12, 60}[seed%2])
+		f.outages = true
+		f.run(60)
+		if f.refusedSound > 0 {
+			t.Errorf("seed %d: %d of %d sound requests refused", seed, f.refusedSound, f.sound)
+		}
+	}
+}
+
+func BenchmarkCheck(b *testing.B) {
+	d := &Detector{Self: "a"}
+	lose(d, keys("p"), 1, 2, 3)
+	parts := keys("first", "second", "third")
+	b.ReportAllocs()
+	for b.Loop() {
+		d.Check(at(4), parts)
+	}
+}
+
+func BenchmarkAnswerBegun(b *testing.B) {
+	d := &Detector{Self: "a"}
+	lose(d, keys("p"), 1, 2, 3)
+	parts := keys("first", "second", "third")
+	b.ReportAllocs()
+	for b.Loop() {
+		d.AnswerBegun(at(4), parts)
+	}
+}
--- a/core/result/result.go
+++ b/core/result/result.go
@@ -120,6 +120,7 @@
 	ClassFull
 	WorkspaceLimit
 	Overloaded
+	PoisonedPrompt
 	Draining
 	NotReady
 
@@ -153,7 +154,7 @@
 	"place-forbidden", "no-place-allowed",
 	"deadline-passed", "caller-gone",
 	"key-required", "key-malformed", "key-expired", "key-reused", "owner-gone", "owner-unreachable", "records-full", "answer-not-kept",
-	"class-full", "workspace-limit", "overloaded", "draining", "not-ready",
+	"class-full", "workspace-limit", "overloaded", "poisoned-prompt", "draining", "not-ready",
 	"no-upstream", "hop-limit", "older-table", "peer-unreachable", "peer-refused",
 	"connect-failed", "upstream-refused", "upstream-failed", "upstream-leaving", "first-byte-timeout", "idle-timeout",
 	"answer-too-large", "answer-cut", "answer-mismatch", "retry-budget", "upstream-status",
--- a/io/daemon/gateway.go
+++ b/io/daemon/gateway.go
@@ -22,6 +22,7 @@
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/member"
 	"arbutustrestle/core/mirror"
+	"arbutustrestle/core/poison"
 	"arbutustrestle/core/pool"
 	"arbutustrestle/core/spill"
 	"arbutustrestle/io/config"
@@ -64,6 +65,7 @@
 		newGateway,
 		metric.NewSet,
 		func() *spill.Table { return &spill.Table{} },
+		func(s config.Gateway) *poison.Detector { return &poison.Detector{Self: s.ID} },
 		func() *proxy.Latencies { return &proxy.Latencies{} },
 	),
 )
@@ -126,6 +128,7 @@
 	Pool           *pool.Pool
 	Spill          *spill.Table
 	Budget         *budget.Budget
+	Poison         *poison.Detector
 	UpstreamClient *http1.Client
 }
 
@@ -149,6 +152,7 @@
 		Pool:      p.Pool,
 		Spill:     p.Spill,
 		Budget:    p.Budget,
+		Poison:    p.Poison,
 		CloseIdle: p.UpstreamClient.CloseExpiredConns,
 	})
 }
@@ -164,6 +168,7 @@
 	Pool           *pool.Pool
 	Spill          *spill.Table
 	Budget         *budget.Budget
+	Poison         *poison.Detector
 	UpstreamClient *http1.Client
 	Links          *link.Pool
 	Latencies      *proxy.Latencies
@@ -180,6 +185,7 @@
 		Pool:           p.Pool,
 		Spill:          p.Spill,
 		Budget:         p.Budget,
+		Poison:         p.Poison,
 		UpstreamClient: p.UpstreamClient,
 		Links:          p.Links,
 		Latencies:      p.Latencies,
@@ -235,6 +241,7 @@
 func newGateway(p gatewayParams) *gateway {
 	p.Latencies.Register(p.Metrics)
 	p.Metrics.Func("upstream-dials", func() any { return p.UpstreamClient.DialCount.Load() })
+	p.Metrics.Func("convicted-prompt-parts", func() any { return p.Proxy.Poison.ConvictedParts() })
 	p.Metrics.Func("log-lines-dropped", func() any { return p.LogWriter.DroppedLines() })
 	p.Metrics.Func("log-bytes", func() any { return p.LogWriter.WrittenBytes() })
 	handler := &syncer.Handler{Loop: p.Loop, RelayFunc: p.Proxy.Relay}
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -10,6 +10,7 @@
 	"arbutustrestle/core/budget"
 	"arbutustrestle/core/clock"
 	"arbutustrestle/core/ident"
+	"arbutustrestle/core/poison"
 	"arbutustrestle/core/pool"
 	"arbutustrestle/core/result"
 	"arbutustrestle/core/spec"
@@ -33,6 +34,7 @@
 	Pool           *pool.Pool
 	Spill          *spill.Table
 	Budget         *budget.Budget
+	Poison         *poison.Detector
 	UpstreamClient *http1.Client
 	Links          *link.Pool
 	Latencies      *Latencies
@@ -136,7 +138,10 @@
 	}
 	begun := false
 	failure = pass(answer, func() {
-		begun = true
+		if !begun {
+			begun = true
+			p.recordBegun(call, answer)
+		}
 		watch.partReceived()
 		lease.ResponseReceived(p.Clock.Now())
 	})
@@ -148,6 +153,9 @@
 // admitSend reports whether a request may be sent to its upstream now, and counts and
 // logs one to an upstream that is cold or names a limit.
 func (p *Proxy) admitSend(call *Call, lease *pool.Lease) bool {
+	if _, refused := p.Poison.AdmitSend(p.Clock.Now(), call.sharedKeys()); refused {
+		return false
+	}
 	send, admitted := lease.AdmitSend(p.Clock.Now())
 	if !admitted || send == nil {
 		return admitted
@@ -282,7 +290,13 @@
 		call.uncountSend(failure)
 		return failure
 	}
-	return p.passAnswer(ctx, cancel, call, answer, sink, func() {})
+	begun := false
+	return p.passAnswer(ctx, cancel, call, answer, sink, func() {
+		if !begun {
+			begun = true
+			p.recordBegun(call, answer)
+		}
+	})
 }
 
 // pickInstance picks a random instance of the region among those with an open link.
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -81,6 +81,8 @@
 	// status code in it.
 	headSent bool
 	status   int
+	// partKeys is set by sharedKeys.
+	partKeys []gossip.PartKey
 	// peer is the upstream, or the instance in another region, of the last attempt.
 	peer string
 	// firstByteAt is when the first byte of the answer was passed on.
--- a/io/proxy/choose.go
+++ b/io/proxy/choose.go
@@ -20,6 +20,9 @@
 	if left <= 0 {
 		return destination{}, refuse(result.StepDeadline, result.DeadlinePassed, 0)
 	}
+	if refusal := p.refusePoisoned(call); refusal != nil {
+		return destination{}, refusal
+	}
 	request := call.poolRequest()
 	local, localFound := p.Pool.Project(now, request)
 	localFound = localFound && call.Route.Allows(p.Region)
--- a/io/proxy/lost.go
+++ b/io/proxy/lost.go
@@ -4,8 +4,14 @@
 	"context"
 	"time"
 
+	"github.com/juju/errors"
+
+	"arbutustrestle/core/gossip"
+	"arbutustrestle/core/poison"
 	"arbutustrestle/core/pool"
 	"arbutustrestle/core/result"
+	"arbutustrestle/io/http1"
+	"arbutustrestle/io/syncer"
 )
 
 const (
@@ -24,6 +30,8 @@
 	if f == nil || begun || outcomeOf(f) != pool.Broken || !p.hasEnded(ctx, lease, f) {
 		return
 	}
+	changes := p.Poison.RequestLost(p.Clock.Now(), poison.RequestKey(call.ID), call.sharedKeys())
+	syncer.RecordConvictions(p.Log, p.Metrics, changes)
 	p.Metrics.Events.Add("requests-lost-before-answer", 1)
 	p.Log.Warn().
 		Str("request-id", call.ID).
@@ -45,6 +53,49 @@
 	return !p.UpstreamClient.CanConnect(ctx, lease.Upstream.ID, lease.Upstream.Address)
 }
 
+// recordBegun records that an answer has begun, which shows that the parts of its prompt
+// don't end upstreams.
+func (p *Proxy) recordBegun(call *Call, a *http1.Answer) {
+	if a.Status < 200 || a.Status >= 300 {
+		return
+	}
+	changes := p.Poison.AnswerBegun(p.Clock.Now(), call.sharedKeys())
+	syncer.RecordConvictions(p.Log, p.Metrics, changes)
+}
+
+// refusePoisoned refuses a request with a prompt part that ends upstreams.
+func (p *Proxy) refusePoisoned(call *Call) *result.Failure {
+	finding, refused := p.Poison.Check(p.Clock.Now(), call.sharedKeys())
+	if !refused {
+		return nil
+	}
+	failure := refuse(result.StepAdmit, result.PoisonedPrompt, finding.RetryAfter)
+	failure.Cause = errors.Errorf("prompt part %q ended upstreams: %d requests with it were lost, the last one %s ago",
+		call.partID(finding.Part), finding.Losses, finding.Age.Round(time.Millisecond))
+	return failure
+}
+
+// partID returns the id of a shared part with the given key, as it is logged.
+func (c *Call) partID(key gossip.PartKey) string {
+	for _, part := range c.sharedParts() {
+		if poison.KeyOf(part.ID) == key {
+			return part.ID[:min(len(part.ID), maxLoggedPartBytes)]
+		}
+	}
+	return ""
+}
+
+// sharedKeys returns the keys of the shared parts.
+func (c *Call) sharedKeys() []gossip.PartKey {
+	if shared := c.sharedParts(); c.partKeys == nil && len(shared) > 0 {
+		c.partKeys = make([]gossip.PartKey, 0, len(shared))
+		for _, part := range shared {
+			c.partKeys = append(c.partKeys, poison.KeyOf(part.ID))
+		}
+	}
+	return c.partKeys
+}
+
 // sharedParts returns the parts of the prompt that other requests may share: all but the
 // last, which is specific to the request.
 func (c *Call) sharedParts() []pool.PromptPart {
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -61,6 +61,9 @@
 	if !p.admits(call.Deadline) {
 		return refuse(result.StepAdmit, result.Draining, 0)
 	}
+	if refusal := p.refusePoisoned(call); refusal != nil {
+		return refusal
+	}
 	lease, found := p.Pool.Pick(now, call.poolRequest())
 	if !found {
 		return refuse(result.StepRoute, result.NoUpstream, noUpstreamRetryAfter)
--- a/io/proxy/retry.go
+++ b/io/proxy/retry.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"arbutustrestle/core/poison"
 	"arbutustrestle/core/result"
 )
 
@@ -13,6 +14,9 @@
 	if ctx.Err() != nil || f.Outcome == result.Unknown && !call.Route.Repeatable() {
 		return false
 	}
+	if f.Reason == result.PoisonedPrompt || f.Outcome == result.Unknown && p.Poison.Suspects(poison.RequestKey(call.ID), call.sharedKeys()) {
+		return false
+	}
 	if call.headSent && (call.LastEventID == "" || !call.Route.Resumable) {
 		return false
 	}
--- a/io/syncer/syncer.go
+++ b/io/syncer/syncer.go
@@ -20,6 +20,7 @@
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/member"
 	"arbutustrestle/core/mirror"
+	"arbutustrestle/core/poison"
 	"arbutustrestle/core/pool"
 	"arbutustrestle/core/spec"
 	"arbutustrestle/core/spill"
@@ -65,6 +66,7 @@
 	Pool    *pool.Pool
 	Spill   *spill.Table
 	Budget  *budget.Budget
+	Poison  *poison.Detector
 	// CloseIdle closes idle connections. It is called every few seconds.
 	CloseIdle func()
 }
@@ -250,6 +252,7 @@
 		r.UpstreamLoads = l.opts.Pool.UpstreamLoads(now)
 		r.UpstreamLimits = l.opts.Pool.UpstreamLimits(now)
 		r.ServiceLoads = l.opts.Pool.ServiceLoads(now)
+		r.PromptEvidence = l.opts.Poison.Evidence(now)
 	})
 	for _, hb := range l.membership.DueHeartbeats(now) {
 		l.send(ctx, hb)
@@ -266,19 +269,21 @@
 	l.opts.Pool.SetMeanLoadAge(gossip.MeanLoadAge(len(regionInstances)))
 	l.opts.Pool.SetPeerLimits(now, v.RegionLimits(now))
 	var loads []gossip.UpstreamLoad
-	alive := 1
+	alive := []ident.Instance{l.opts.Self.ID}
 	for _, m := range v.Members {
 		if !m.Alive {
 			continue
 		}
-		alive++
+		alive = append(alive, m.ID)
 		if m.Region == l.opts.Self.Region {
 			loads = append(loads, m.UpstreamLoads...)
 		}
 	}
 	l.opts.Pool.SetPeerLoads(loads)
 	l.opts.Spill.Update(now, v)
-	l.opts.Budget.SetInstanceCount(now, alive)
+	l.opts.Budget.SetInstanceCount(now, len(alive))
+	l.opts.Poison.SetInstances(alive)
+	RecordConvictions(l.opts.Log, l.opts.Metrics, l.opts.Poison.Merge(now, v.PromptEvidence(now)))
 	l.view.Store(&View{Config: l.config, Membership: v, Phase: l.phase, UpstreamsListed: l.health[mirror.UpstreamsGroup].listed})
 }
 
--- a/io/syncer/syncer_test.go
+++ b/io/syncer/syncer_test.go
@@ -20,6 +20,7 @@
 	"arbutustrestle/core/gossip"
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/mirror"
+	"arbutustrestle/core/poison"
 	"arbutustrestle/core/pool"
 	"arbutustrestle/core/spec"
 	"arbutustrestle/core/spill"
@@ -205,7 +206,7 @@
 	e.loop = New(Options{
 		Self: self, Seeds: seeds, Source: e.reader, Decoder: e.reader, Clock: clock.System{}, Log: zerolog.Nop(), Metrics: metric.NewSet(), Links: links,
 		Pool:  pool.New(pool.Settings{Self: self.ID, Region: self.Region, PromptRate: 60}),
-		Spill: &spill.Table{}, Budget: &budget.Budget{Limits: budget.Limits{Window: time.Second}},
+		Spill: &spill.Table{}, Budget: &budget.Budget{Limits: budget.Limits{Window: time.Second}}, Poison: &poison.Detector{},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var work sync.WaitGroup
--- a/io/wire/relay.go
+++ b/io/wire/relay.go
@@ -49,6 +49,7 @@
 	for _, l := range r.UpstreamLimits {
 		m.Limits = append(m.Limits, limitToWire(l))
 	}
+	evidenceToWire(m, &r.PromptEvidence)
 	for _, s := range r.ServiceLoads {
 		m.Services = append(m.Services, &ServiceLoad{
 			Service:     string(s.Service),
@@ -109,6 +110,7 @@
 	for _, l := range m.GetLimits() {
 		r.UpstreamLimits = append(r.UpstreamLimits, limitFromWire(l))
 	}
+	r.PromptEvidence = evidenceFromWire(m)
 	for _, s := range m.GetServices() {
 		r.ServiceLoads = append(r.ServiceLoads, gossip.ServiceLoad{
 			Service:        ident.Service(s.GetService()),
@@ -120,6 +122,34 @@
 	return r, nil
 }
 
+func evidenceToWire(m *BeatRecord, e *gossip.PromptEvidence) {
+	for _, l := range e.Lost {
+		lost := &LostRequest{Id: l.ID, AgeMs: milliseconds(l.Age)}
+		for _, part := range l.Parts {
+			lost.Parts = append(lost.Parts, uint64(part))
+		}
+		m.Lost = append(m.Lost, lost)
+	}
+	for _, b := range e.Begun {
+		m.Begun = append(m.Begun, &BegunPart{Part: uint64(b.Part), AgeMs: milliseconds(b.Age)})
+	}
+}
+
+func evidenceFromWire(m *BeatRecord) gossip.PromptEvidence {
+	var e gossip.PromptEvidence
+	for _, lost := range m.GetLost() {
+		l := gossip.LostRequest{ID: lost.GetId(), Age: time.Duration(lost.GetAgeMs()) * time.Millisecond}
+		for _, part := range lost.GetParts() {
+			l.Parts = append(l.Parts, gossip.PartKey(part))
+		}
+		e.Lost = append(e.Lost, l)
+	}
+	for _, b := range m.GetBegun() {
+		e.Begun = append(e.Begun, gossip.BegunPart{Part: gossip.PartKey(b.GetPart()), Age: time.Duration(b.GetAgeMs()) * time.Millisecond})
+	}
+	return e
+}
+
 func limitToWire(l gossip.UpstreamLimit) *UpstreamLimit {
 	m := &UpstreamLimit{
 		Upstream:  string(l.Upstream),
