--- a/core/poison/memory.go
+++ b/core/poison/memory.go
@@ -58,13 +58,13 @@
 	}
 }
 
-func (d *Detector) dropTrials() {
-	if d.trials == nil {
-		d.trials = map[gossip.PartKey]time.Time{}
+func (d *Detector) dropProbes() {
+	if d.probes == nil {
+		d.probes = map[gossip.PartKey]time.Time{}
 	}
-	for part := range d.trials {
+	for part := range d.probes {
 		if _, found := d.convicted[part]; !found {
-			delete(d.trials, part)
+			delete(d.probes, part)
 		}
 	}
 }
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -44,13 +44,13 @@
 	// begunMemory is how long a begun answer is reported after the last evidence against
 	// its part was dropped, so that peers drop theirs.
 	begunMemory = 20 * time.Second
-	// firstTrial is the time after the last loss at which a request with a convicted part
+	// firstProbe is the time after the last loss at which a request with a convicted part
 	// may be sent again, to learn whether the part still ends upstreams. It doubles with
-	// each further loss, up to maxTrialDoublings times.
-	firstTrial        = time.Minute
-	maxTrialDoublings = 6
-	// coincidentTrial is the time between two trials of a part that may be innocent.
-	coincidentTrial = 10 * time.Second
+	// each further loss, up to maxProbeDoublings times.
+	firstProbe        = time.Minute
+	maxProbeDoublings = 6
+	// companionProbe is the time between two probes of a part that may be innocent.
+	companionProbe = 10 * time.Second
 	// minRetryAfter is the least time after which a refused caller is told to come back.
 	minRetryAfter = time.Second
 )
@@ -79,8 +79,8 @@
 	begun     map[gossip.PartKey]begunAnswer
 	history   history
 	convicted map[gossip.PartKey]conviction
-	// trials holds when this instance last sent a request with a convicted part.
-	trials map[gossip.PartKey]time.Time
+	// probes holds when this instance last sent a request with a convicted part.
+	probes map[gossip.PartKey]time.Time
 }
 
 // lostRequest is a request that ended with its upstream before its answer began.
@@ -125,7 +125,7 @@
 	Losses int
 }
 
-// SetInstances replaces the list of instances, of which one makes the trials of a part.
+// SetInstances replaces the list of instances, of which one sends the probes of a part.
 func (d *Detector) SetInstances(instances []ident.Instance) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -217,7 +217,7 @@
 }
 
 // AdmitSend is Check at the moment at which the request leaves. A request that was admitted
-// must be sent: it may be the trial of a convicted part.
+// must be sent: it may be the probe of a convicted part.
 func (d *Detector) AdmitSend(now time.Time, parts []gossip.PartKey) (Finding, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -227,7 +227,7 @@
 	}
 	for _, part := range parts {
 		if _, found := d.convicted[part]; found {
-			d.trials[part] = now
+			d.probes[part] = now
 		}
 	}
 	return Finding{}, false
@@ -261,23 +261,23 @@
 		if !found {
 			continue
 		}
-		wait := d.trialWait(now, part, c, parts)
-		if wait > 0 || !d.makesTrials(part) {
+		wait := d.probeWait(now, part, c, parts)
+		if wait > 0 || !d.sendsProbes(part) {
 			return Finding{Part: part, Losses: c.losses, Age: now.Sub(c.lastAt), RetryAfter: max(wait, minRetryAfter)}, true
 		}
 	}
 	return Finding{}, false
 }
 
-// trialWait returns the time until a request with a convicted part may be sent by the
-// instance that makes the trials. A request without a companion of the part is tried soon:
+// probeWait returns the time until a request with a convicted part may be sent by the
+// instance that sends the probes. A request without a companion of the part is tried soon:
 // the companion alone may be the cause.
-func (d *Detector) trialWait(now time.Time, part gossip.PartKey, c conviction, parts []gossip.PartKey) time.Duration {
-	interval := firstTrial << min(c.losses-c.required, maxTrialDoublings)
-	last := latest(c.lastAt, d.trials[part])
+func (d *Detector) probeWait(now time.Time, part gossip.PartKey, c conviction, parts []gossip.PartKey) time.Duration {
+	interval := firstProbe << min(c.losses-c.required, maxProbeDoublings)
+	last := latest(c.lastAt, d.probes[part])
 	if c.explainedWithout(parts) {
-		interval = coincidentTrial
-		last = d.trials[part]
+		interval = companionProbe
+		last = d.probes[part]
 	}
 	return interval - now.Sub(last)
 }
@@ -288,8 +288,8 @@
 	return slices.ContainsFunc(c.companions, func(companion gossip.PartKey) bool { return !slices.Contains(parts, companion) })
 }
 
-// makesTrials reports whether this instance makes the trials of a part.
-func (d *Detector) makesTrials(part gossip.PartKey) bool {
+// sendsProbes reports whether this instance sends the probes of a part.
+func (d *Detector) sendsProbes(part gossip.PartKey) bool {
 	owner, found := rank.First(strconv.FormatUint(uint64(part), 16), d.instances)
 	return !found || owner == d.Self
 }
@@ -348,7 +348,7 @@
 		c.companions = d.companions(part, c, losses[part])
 		d.convicted[part] = c
 	}
-	d.dropTrials()
+	d.dropProbes()
 	return changes(before, d.convicted)
 }
 
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -113,11 +113,11 @@
 	}
 }
 
-// TestTrials checks that one instance lets a request with a convicted part through after a
+// TestProbes checks that one instance lets a request with a convicted part through after a
 // while, later each time that it is lost, and none of the others does.
-func TestTrials(t *testing.T) {
+func TestProbes(t *testing.T) {
 	instances := []ident.Instance{"a", "b", "c", "d"}
-	trials := 0
+	probes := 0
 	for _, id := range instances {
 		d := &Detector{Self: id}
 		d.SetInstances(instances)
@@ -126,20 +126,20 @@
 			if _, found := d.AdmitSend(at(s), keys("p")); found {
 				continue
 			}
-			trials++
-			if want := 63.0; trials == 1 && s < want || trials == 2 && s < 183 {
-				t.Errorf("trial %d at %v s", trials, s)
+			probes++
+			if want := 63.0; probes == 1 && s < want || probes == 2 && s < 183 {
+				t.Errorf("probe %d at %v s", probes, s)
 			}
 			lose(d, keys("p"), s+0.1)
 		}
 	}
-	if trials != 2 {
-		t.Errorf("%d trials in 400 s", trials)
+	if probes != 2 {
+		t.Errorf("%d probes in 400 s", probes)
 	}
 }
 
 // TestCompanion checks that a part which only ever came with the one that ends upstreams
-// is acquitted by an answer, and meanwhile costs a trial now and then.
+// is acquitted by an answer, and meanwhile costs a probe now and then.
 func TestCompanion(t *testing.T) {
 	d := &Detector{Self: "a"}
 	lose(d, keys("victim", "deadly"), 1, 2, 3)
@@ -147,10 +147,10 @@
 		t.Fatal("the request that ends upstreams is sent")
 	}
 	if _, found := d.AdmitSend(at(4), keys("victim")); found {
-		t.Fatal("no trial of the companion")
+		t.Fatal("no probe of the companion")
 	}
 	if _, found := d.AdmitSend(at(5), keys("victim")); !found {
-		t.Fatal("a second trial at once")
+		t.Fatal("a second probe at once")
 	}
 	d.AnswerBegun(at(6), keys("victim"))
 	if refused(d, 7, "victim") || !refused(d, 7, "deadly") {
