Keep to what upstreams say in their answers: that they leave, and that they want no requests

Cause: nothing read Server-Leaving; the Retry-After of a refusal was passed on to the caller and told the pool nothing.

Change: core/pool said.go holds what an upstream says of itself (cold, limit, leaving, pause), asked where one is chosen and where the request leaves. Leaving lasts for the run of the upstream, whatever the list says, and is told to the region in heartbeats; a pause holds for this instance, at most an hour. If all upstreams of a region have asked for a pause, the caller is refused at once with the time until the first one ends. Retry-After may be a date, counted from the answer's own. Cold reports in refusals count now too.

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -53,8 +53,9 @@
 	// third instance passes on have neither.
 	UpstreamLoads []UpstreamLoad
 	ServiceLoads  []ServiceLoad
-	// UpstreamLimits is sent with UpstreamLoads.
-	UpstreamLimits []UpstreamLimit
+	// UpstreamLimits and LeavingUpstreams are sent with UpstreamLoads.
+	UpstreamLimits   []UpstreamLimit
+	LeavingUpstreams []UpstreamRun
 	// PromptEvidence is sent everywhere, but not in records that a third instance passes
 	// on.
 	PromptEvidence PromptEvidence
@@ -201,6 +202,7 @@
 		// the instance itself stay until they are replaced.
 		r.UpstreamLoads = p.UpstreamLoads
 		r.UpstreamLimits = p.UpstreamLimits
+		r.LeavingUpstreams = p.LeavingUpstreams
 		r.ServiceLoads = p.ServiceLoads
 		r.RegionDigest = p.RegionDigest
 		r.PromptEvidence = p.PromptEvidence
--- a/core/gossip/heartbeat.go
+++ b/core/gossip/heartbeat.go
@@ -56,6 +56,7 @@
 	own := s.self
 	own.UpstreamLoads = nil
 	own.UpstreamLimits = nil
+	own.LeavingUpstreams = nil
 	heartbeats := s.membershipHeartbeats(now, regional, remote, own)
 	heartbeats = append(heartbeats, s.regionHeartbeats(now, regional, own)...)
 	heartbeats = append(heartbeats, s.remoteHeartbeats(now, remote, own)...)
@@ -230,6 +231,7 @@
 			r.Age = now.Sub(p.lastUpdate)
 			r.UpstreamLoads = nil
 			r.UpstreamLimits = nil
+			r.LeavingUpstreams = nil
 			r.ServiceLoads = nil
 			r.RegionDigest = 0
 			r.PromptEvidence = PromptEvidence{}
--- a/core/gossip/loads.go
+++ b/core/gossip/loads.go
@@ -57,6 +57,13 @@
 	PerSecond float64
 }
 
+// UpstreamRun is one run of an upstream.
+type UpstreamRun struct {
+	Upstream ident.Upstream
+	// StartTime is zero if the upstream doesn't publish it.
+	StartTime time.Time
+}
+
 // UpstreamLimit is what an instance knows of the limit of an upstream.
 type UpstreamLimit struct {
 	Upstream ident.Upstream
--- a/core/gossip/view.go
+++ b/core/gossip/view.go
@@ -76,6 +76,18 @@
 	return list
 }
 
+// LeavingUpstreams returns the upstreams that said to other instances of the own region that
+// they leave.
+func (v *View) LeavingUpstreams() []UpstreamRun {
+	var list []UpstreamRun
+	for _, m := range v.Members {
+		if m.Region == v.Self.Region {
+			list = append(list, m.LeavingUpstreams...)
+		}
+	}
+	return list
+}
+
 // ReadyAddresses returns the caller addresses of the instances in a region that accept
 // traffic, with the instances of the given availability zone first.
 func (v *View) ReadyAddresses(region ident.Region, zone ident.Zone) []netip.AddrPort {
--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -127,17 +127,17 @@
 
 // usable reports whether an upstream accepts new requests from this instance.
 func (p *Pool) usable(now time.Time, r *replica) bool {
-	if p.isClosed(r) || now.Before(r.backoffUntil) || r.stalled(now) {
+	if p.isClosed(r) || r.refuses(now) || now.Before(r.backoffUntil) || r.stalled(now) {
 		return false
 	}
 	return p.mayChoose(now, r)
 }
 
-// isClosed reports whether no request may go to an upstream any more, since it drains or
-// its zone is evacuated.
+// isClosed reports whether no request may go to an upstream any more, since it drains, said
+// that it leaves, or its zone is evacuated.
 func (p *Pool) isClosed(r *replica) bool {
 	_, evacuated := p.evacuated[r.Zone]
-	return r.Draining || evacuated
+	return r.Draining || r.leaving || evacuated
 }
 
 // preferred returns the upstream that all instances of the region prefer for a prompt. It
@@ -150,7 +150,7 @@
 	key := req.Parts[len(req.Parts)-2].ID
 	var best ident.Upstream
 	for id, r := range p.replicas {
-		if r.Service != req.Service || r.Draining {
+		if r.Service != req.Service || r.Draining || r.leaving {
 			continue
 		}
 		if best == "" || rank.Before(key, id, best) {
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -162,15 +162,13 @@
 	return held
 }
 
-// takeUnlisted makes an upstream that returns to the list in the same run cold for as long
-// as it was held to be, with the limit that it named. Its description may not say so, if
-// that was learned otherwise.
+// takeUnlisted makes what an upstream said of itself hold on when it returns to the list in
+// the same run.
 func (p *Pool) takeUnlisted(r *replica) {
 	before, found := p.unlisted[r.ID]
 	delete(p.unlisted, r.ID)
 	if found && !before.replica.isNewRun(r.Upstream) {
-		r.coldUntil = latest(r.coldUntil, before.replica.coldUntil)
-		r.limit = before.replica.limit
+		r.takeOver(before.replica.said)
 	}
 }
 
--- a/core/pool/replica.go
+++ b/core/pool/replica.go
@@ -66,9 +66,7 @@
 	waiting  []*pendingRequest
 	peers    peerLoad
 
-	// coldUntil is zero while the upstream is warm.
-	coldUntil time.Time
-	limit     limitReport
+	said
 
 	// backoffUntil is when a failed upstream is tried again.
 	backoffUntil time.Time
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -133,9 +133,6 @@
 		return failure
 	}
 	defer func() { _ = answer.Body.Close() }()
-	if answer.Meta.ColdFor > 0 {
-		lease.MarkCold(p.Clock.Now(), answer.Meta.ColdFor)
-	}
 	begun := false
 	failure = pass(answer, func() {
 		if !begun {
@@ -177,37 +174,13 @@
 	return true
 }
 
-// recordLimit records what an answer says of the upstream's limit. What is no limit
-// changes nothing. An answer that nothing ran for, or that the upstream did not make
-// itself, doesn't lift a limit.
-func (p *Proxy) recordLimit(call *Call, lease *pool.Lease, m http1.AnswerMeta) {
-	if m.LimitError != nil {
-		p.Metrics.Events.Add("limits-not-valid", 1)
-		p.Log.Error().Err(m.LimitError).Str("request-id", call.ID).Str("peer", string(lease.Upstream.ID)).Msg("limit of an upstream not read; the one before holds")
-		return
-	}
-	if !m.Limit.Named && (m.NotRun || !m.Signed) {
-		return
-	}
-	if !lease.ReportLimit(p.Clock.Now(), m.Limit) {
-		return
-	}
-	p.Metrics.Events.Add("limit-changes", 1)
-	p.Log.Info().
-		Str("request-id", call.ID).
-		Str("peer", string(lease.Upstream.ID)).
-		Bool("named", m.Limit.Named).
-		Float64("limit-per-second", m.Limit.PerSecond).
-		Msg("limit of an upstream changed")
-}
-
 // upstreamAttempt returns the message of an attempt at a leased upstream.
 func (p *Proxy) upstreamAttempt(call *Call, lease *pool.Lease) *http1.Attempt {
 	a := p.newAttempt(call)
 	a.Upstream = lease.Upstream.ID
 	a.Address = lease.Upstream.Address
 	a.Admit = func() bool { return p.admitSend(call, lease) }
-	a.Received = func(m http1.AnswerMeta) { p.recordLimit(call, lease, m) }
+	a.Received = func(m http1.AnswerMeta) { p.recordSaid(call, lease, m) }
 	return &a
 }
 
--- a/io/proxy/choose.go
+++ b/io/proxy/choose.go
@@ -28,7 +28,7 @@
 	localFound = localFound && call.Route.Allows(p.Region)
 	remote, remoteFound := p.chooseRemote(now, call, local, localFound)
 	if !localFound && !remoteFound {
-		return destination{}, refuse(result.StepRoute, result.NoUpstream, p.retryAfter(noUpstreamRetryAfter, left))
+		return destination{}, p.refuseNoUpstream(now, call)
 	}
 	call.projection = local
 	if remoteFound {
@@ -43,12 +43,19 @@
 	}
 	lease, found := p.Pool.Pick(now, request)
 	if !found {
-		return destination{}, refuse(result.StepRoute, result.NoUpstream, p.retryAfter(noUpstreamRetryAfter, left))
+		return destination{}, p.refuseNoUpstream(now, call)
 	}
 	call.recordLease(lease)
 	return destination{lease: lease}, nil
 }
 
+// refuseNoUpstream refuses a request that no upstream takes now. If all of the region have
+// asked for a pause, the caller may come back when the first one ends.
+func (p *Proxy) refuseNoUpstream(now time.Time, call *Call) *result.Failure {
+	wait := max(noUpstreamRetryAfter, p.Pool.PauseLeft(now, call.poolRequest()))
+	return refuse(result.StepRoute, result.NoUpstream, p.retryAfter(wait, call.Deadline.Sub(now)))
+}
+
 // chooseRemote returns another region that would serve the request sooner, if there is
 // one.
 func (p *Proxy) chooseRemote(now time.Time, call *Call, local pool.Projection, localFound bool) (spill.Choice, bool) {
@@ -128,7 +135,8 @@
 // returns false once the request has waited long enough.
 func (p *Proxy) awaitUpstream(ctx context.Context, call *Call) bool {
 	limit := time.Duration(upstreamPollFraction * float64(latencyObjective(call)))
-	if p.Clock.Now().Sub(call.Arrived) >= limit {
+	now := p.Clock.Now()
+	if now.Sub(call.Arrived) >= limit || p.Pool.PauseLeft(now, call.poolRequest()) > limit {
 		return false
 	}
 	return clock.Sleep(ctx, upstreamPollInterval)
--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -69,6 +69,7 @@
 		NotRun:    h.Get("Not-Run") != "",
 		Replaced:  status == http.StatusMisdirectedRequest,
 		Signed:    h.Get("Signed") != "",
+		Leaving:   h.Get("Leaving") != "",
 	}
 	if text := h.Get("Limit"); text != "" {
 		m.Limit.Named = true
--- a/io/syncer/syncer.go
+++ b/io/syncer/syncer.go
@@ -251,6 +251,7 @@
 		r.WatchesPlatform = l.watchesPlatform()
 		r.UpstreamLoads = l.opts.Pool.UpstreamLoads(now)
 		r.UpstreamLimits = l.opts.Pool.UpstreamLimits(now)
+		r.LeavingUpstreams = l.opts.Pool.LeavingUpstreams()
 		r.ServiceLoads = l.opts.Pool.ServiceLoads(now)
 		r.PromptEvidence = l.opts.Poison.Evidence(now)
 	})
@@ -268,6 +269,10 @@
 	l.opts.Pool.SetRegion(now, regionInstances, v.RegionAgrees)
 	l.opts.Pool.SetMeanLoadAge(gossip.MeanLoadAge(len(regionInstances)))
 	l.opts.Pool.SetPeerLimits(now, v.RegionLimits(now))
+	for _, run := range l.opts.Pool.SetPeerLeaving(v.LeavingUpstreams()) {
+		l.opts.Metrics.Events.Add("upstreams-leaving-by-peers", 1)
+		l.opts.Log.Info().Str("upstream", string(run.Upstream)).Msg("upstream leaves, as a peer was told")
+	}
 	var loads []gossip.UpstreamLoad
 	alive := []ident.Instance{l.opts.Self.ID}
 	for _, m := range v.Members {
--- a/io/wire/relay.go
+++ b/io/wire/relay.go
@@ -49,6 +49,9 @@
 	for _, l := range r.UpstreamLimits {
 		m.Limits = append(m.Limits, limitToWire(l))
 	}
+	for _, run := range r.LeavingUpstreams {
+		m.Leaving = append(m.Leaving, &UpstreamRun{Upstream: string(run.Upstream), StartMs: startToWire(run.StartTime)})
+	}
 	evidenceToWire(m, &r.PromptEvidence)
 	for _, s := range r.ServiceLoads {
 		m.Services = append(m.Services, &ServiceLoad{
@@ -110,6 +113,9 @@
 	for _, l := range m.GetLimits() {
 		r.UpstreamLimits = append(r.UpstreamLimits, limitFromWire(l))
 	}
+	for _, run := range m.GetLeaving() {
+		r.LeavingUpstreams = append(r.LeavingUpstreams, gossip.UpstreamRun{Upstream: ident.Upstream(run.GetUpstream()), StartTime: startFromWire(run.GetStartMs())})
+	}
 	r.PromptEvidence = evidenceFromWire(m)
 	for _, s := range m.GetServices() {
 		r.ServiceLoads = append(r.ServiceLoads, gossip.ServiceLoad{
@@ -151,31 +157,41 @@
 }
 
 func limitToWire(l gossip.UpstreamLimit) *UpstreamLimit {
-	m := &UpstreamLimit{
+	return &UpstreamLimit{
 		Upstream:  string(l.Upstream),
+		StartMs:   startToWire(l.StartTime),
 		Named:     l.Named,
 		PerSecond: l.PerSecond,
 		AgeMs:     milliseconds(l.Age),
 	}
-	if !l.StartTime.IsZero() {
-		m.StartMs = l.StartTime.UnixMilli()
+}
+
+// startToWire encodes the start of a run of an upstream; 0 if it isn't known.
+func startToWire(start time.Time) int64 {
+	if start.IsZero() {
+		return 0
 	}
-	return m
+	return start.UnixMilli()
+}
+
+func startFromWire(milliseconds int64) time.Time {
+	if milliseconds == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(milliseconds)
 }
 
 // limitFromWire decodes a limit. A rate that no upstream can name counts as zero.
 func limitFromWire(m *UpstreamLimit) gossip.UpstreamLimit {
 	l := gossip.UpstreamLimit{
 		Upstream:  ident.Upstream(m.GetUpstream()),
+		StartTime: startFromWire(m.GetStartMs()),
 		RateLimit: gossip.RateLimit{Named: m.GetNamed()},
 		Age:       time.Duration(m.GetAgeMs()) * time.Millisecond,
 	}
 	if rate := m.GetPerSecond(); rate > 0 && !math.IsInf(rate, 0) {
 		l.PerSecond = rate
 	}
-	if m.GetStartMs() != 0 {
-		l.StartTime = time.UnixMilli(m.GetStartMs())
-	}
 	return l
 }
 
