Bound the bytes that are read of an answer, and fuzz its reader

Cause: a status line, a header, interim and late answers without end were read until the request's deadline, into memory without a bound; the log line of the failure quoted all of it; an event of a resumable stream that never ends was held whole.

Error texts are cut at 256 bytes. make fuzz runs FuzzReadAnswer and FuzzScanner for 100,000 inputs each, as part of make test.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	go build -o bin/ ./cmd/...
 
 # Everything that CI checks.
-test: lint vet unit
+test: lint vet unit fuzz
 
 # The tests and subtests that KNOWN-RED.txt names are printed and passed over, and no others.
 RED := $(shell sed -n 's/^\(Test[A-Za-z0-9_/]*\).*/^\1$$/p' KNOWN-RED.txt | sed 's,/,$$/^,g' | paste -sd'|')
@@ -27,6 +27,14 @@
 	@cat KNOWN-RED.txt
 	go test -race -timeout $(TEST_TIMEOUT) $(if $(RED),-skip '$(RED)') ./...
 
+# Tries new inputs on the readers of what upstreams send. An input that fails is written to
+# testdata/fuzz, to be committed with its fix. More: make fuzz FUZZ_RUNS=10000000x
+FUZZ_RUNS := 100000x
+
+fuzz:
+	go test ./io/http1 -run '^$$' -fuzz '^FuzzReadAnswer$$' -fuzztime $(FUZZ_RUNS)
+	go test ./core/event -run '^$$' -fuzz '^FuzzScanner$$' -fuzztime $(FUZZ_RUNS)
+
 vet:
 	go vet ./...
 
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -31,8 +31,10 @@
 // conn is a connection to an upstream. It carries one request at a time.
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
-	key    connKey
+	// bounded is what reader reads from.
+	bounded *boundedConn
+	reader  *bufio.Reader
+	key     connKey
 	// reused is false for the first request on the connection.
 	reused bool
 	// idleUntil is the time after which the connection must not be reused.
@@ -144,5 +146,6 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "dial %s", k.upstream)
 	}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes), key: k}, nil
+	bounded := &boundedConn{Conn: c}
+	return &conn{Conn: c, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferBytes), key: k}, nil
 }
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -219,14 +219,24 @@
 	} else {
 		go x.write()
 	}
+	return x.readAnswer(ctx)
+}
+
+// readAnswer reads the head of the answer to the request. Interim answers, and late ones to
+// other requests, are skipped.
+func (x *exchange) readAnswer(ctx context.Context) (*Answer, *result.Failure) {
+	left := int64(maxHeadBytes)
 	for {
+		x.conn.bounded.left = left
 		answer, err := x.readHead()
 		if err != nil {
 			return nil, x.readFailure(ctx, err)
 		}
+		left = x.conn.bounded.left
 		if answer.Status < http.StatusOK {
 			continue
 		}
+		x.conn.bounded.unbounded()
 		if answer.Meta.RequestID == x.attempt.RequestID {
 			if x.attempt.Received != nil && !answer.Meta.Replaced {
 				x.attempt.Received(answer.Meta)
@@ -238,6 +248,9 @@
 		if answer.Meta.RequestID == "" || answer.Length < 0 {
 			return nil, x.client.failure(ctx, x.attempt, result.Unknown, result.AnswerMismatch, errors.New("answer without the id of the request"))
 		}
+		if answer.Length > maxLateBytes {
+			return nil, x.readFailure(ctx, ErrTooLarge)
+		}
 		if _, err := io.Copy(io.Discard, answer.Body); err != nil {
 			return nil, x.readFailure(ctx, err)
 		}
@@ -245,12 +258,19 @@
 }
 
 func (x *exchange) readFailure(ctx context.Context, err error) *result.Failure {
-	reason := result.AnswerCut
+	return x.client.failure(ctx, x.attempt, result.Unknown, readReason(err), shortError{err})
+}
+
+func readReason(err error) result.Reason {
 	var op *net.OpError
-	if !errors.As(err, &op) && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
-		reason = result.AnswerMismatch
+	switch {
+	case errors.Is(err, ErrTooLarge):
+		return result.AnswerTooLarge
+	case errors.As(err, &op), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return result.AnswerCut
+	default:
+		return result.AnswerMismatch
 	}
-	return x.client.failure(ctx, x.attempt, result.Unknown, reason, err)
 }
 
 // checkRefusal converts an answer that states that nothing ran to a failure.
@@ -356,13 +376,19 @@
 	// events is nil if the body is no stream of events.
 	events   *event.Scanner
 	idleTime time.Duration
-	whole    bool
-	closed   bool
+	// read is the number of bytes that were read.
+	read   int64
+	whole  bool
+	closed bool
 }
 
 // Read marks the body as whole at its proper end.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	b.read += int64(n)
+	if b.read > maxBodyBytes {
+		return n, ErrTooLarge
+	}
 	if b.events != nil {
 		b.events.Add(p[:n])
 	}
--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -25,6 +25,8 @@
 	// stallFactor is the time without data, in multiples of the route's event gap
 	// objective, after which a resumable stream is resumed at another upstream.
 	stallFactor = 5
+	// maxEventBytes bounds one event of a resumable stream, which is held until it is whole.
+	maxEventBytes = 128 << 10
 	// minStallTimeout is the lower bound of that time.
 	minStallTimeout = 1500 * time.Millisecond
 )
@@ -63,6 +65,9 @@
 	if errors.As(err, &inner) {
 		return inner
 	}
+	if errors.Is(err, http1.ErrTooLarge) {
+		reason = result.AnswerTooLarge
+	}
 	if ctx.Err() != nil {
 		reason = http1.CancelReason(ctx)
 	}
@@ -164,7 +169,7 @@
 		stallTimer.Reset(stallTimeout(call.Route))
 		call.recordPart(p.Clock.Now())
 		onPart()
-		return p.passEvents(call, a, splitter, part, sink)
+		return p.passEvents(ctx, call, a, splitter, part, sink)
 	})
 	if failure != nil {
 		return failure
@@ -172,8 +177,11 @@
 	return p.finishStream(call, a, splitter, sink)
 }
 
-func (p *Proxy) passEvents(call *Call, a *http1.Answer, e *eventSplitter, part []byte, sink Sink) *result.Failure {
+func (p *Proxy) passEvents(ctx context.Context, call *Call, a *http1.Answer, e *eventSplitter, part []byte, sink Sink) *result.Failure {
 	ready := e.add(part)
+	if len(e.partial) > maxEventBytes {
+		return p.answerFailure(ctx, call, result.AnswerTooLarge, http1.ErrTooLarge)
+	}
 	if len(ready) == 0 {
 		return nil
 	}
