--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -19,7 +19,7 @@
 const (
 	// maxHeldBytes bounds the answers that are read whole before they are passed on, so
 	// that a truncated answer can be told from a whole one.
-	maxHeldBytes = 256 << 10
+	maxHeldBytes = 128 << 10
 	// readBufferBytes is the size of the buffer that a stream is read into.
 	readBufferBytes = 8 << 10
 	// stallFactor is the time without data, in multiples of the route's event gap
--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -137,7 +137,7 @@
 	}
 }
 
-func (u *upstream) serve(t *testing.T, do reply) {
+func (u *upstream) serve(t testing.TB, do reply) {
 	for {
 		c, err := u.listener.Accept()
 		if err != nil {
@@ -215,7 +215,7 @@
 	return b
 }
 
-func newTestInstance(t *testing.T, first, second reply) *testInstance {
+func newTestInstance(t testing.TB, first, second reply) *testInstance {
 	t.Helper()
 	inst := &testInstance{source: &testSource{}}
 	changes := testDecoder{"config": mirror.ConfigUpdated{Config: spec.New(1, routes(), []spec.Service{{Name: "app"}}, spec.Limits{BodyBytes: 100})}}
@@ -272,7 +272,7 @@
 }
 
 // ready waits until the instance accepts traffic.
-func (inst *testInstance) ready(t *testing.T) *testInstance {
+func (inst *testInstance) ready(t testing.TB) *testInstance {
 	t.Helper()
 	for range 500 {
 		if (&Directory{Loop: inst.proxy.Loop}).Ready() {
@@ -286,7 +286,7 @@
 
 // send sends a request and returns the response and its body. The error is set if the
 // body was cut off.
-func (inst *testInstance) send(t *testing.T, path, body string, header http.Header) (*http.Response, string, error) {
+func (inst *testInstance) send(t testing.TB, path, body string, header http.Header) (*http.Response, string, error) {
 	t.Helper()
 	r, err := http.NewRequest(http.MethodPost, inst.server.URL+path, strings.NewReader(body))
 	if err != nil {
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -69,7 +70,7 @@
 	}
 	call := &Call{Arrived: p.Clock.Now()}
 	sink := &httpSink{writer: w, control: http.NewResponseController(w), chunksAllowed: r.ProtoAtLeast(1, 1)}
-	failure := p.identify(codec, view, call, r)
+	failure := p.identify(codec, view, call, r, sink.control)
 	if failure == nil {
 		failure = p.runUntilDeadline(r.Context(), call, sink)
 	}
@@ -104,7 +105,7 @@
 }
 
 // identify reads the request and matches its route.
-func (p *Proxy) identify(codec CallerCodec, view *syncer.View, call *Call, r *http.Request) *result.Failure {
+func (p *Proxy) identify(codec CallerCodec, view *syncer.View, call *Call, r *http.Request, control *http.ResponseController) *result.Failure {
 	request, err := codec.ParseRequest(r)
 	call.Request = request
 	call.Host = r.Host
@@ -130,7 +131,16 @@
 	if !route.Resumable {
 		call.LastEventID = ""
 	}
-	return readBody(call, r, view.Config.Limits.BodyBytes)
+	if err := control.SetReadDeadline(call.Deadline); err != nil {
+		p.Log.Error().Err(err).Str("request-id", call.ID).Msg("time to read a body not bounded")
+	}
+	if failure := readBody(call, r, view.Config.Limits.BodyBytes); failure != nil {
+		return failure
+	}
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		return badRequest(result.CallerGone, err)
+	}
+	return nil
 }
 
 // requestTimeout returns the shorter of the timeouts that are set.
@@ -159,6 +169,9 @@
 		return badRequest(result.BodyTooLarge, errors.Errorf("body of %d bytes exceeds the limit of %d", r.ContentLength, limit))
 	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return badRequest(result.BodyTooSlow, err)
+	}
 	if err != nil {
 		return badRequest(result.CallerGone, err)
 	}
@@ -271,6 +284,8 @@
 		return http.StatusNotFound
 	case result.BodyTooLarge:
 		return http.StatusRequestEntityTooLarge
+	case result.BodyTooSlow:
+		return http.StatusRequestTimeout
 	}
 	switch {
 	case f.Outcome == result.NotRun:
