--- a/io/proof/reside_test.go
+++ b/io/proof/reside_test.go
@@ -206,6 +206,9 @@
 	})
 	w.publish(table.PoolsSheet, "planners", "slots", "2")
 	w.publish(table.SharesSheet, "west-eu", "max-percent", "0")
+	// The request must still wait when the change is active, which may take seconds.
+	w.addRow(table.PolicySheet, "session-max-wait-ms", "60000")
+	w.must(w.PublishTable(w.ctx, "a longer wait"))
 	w.settle()
 	west, north := w.entry("west-1"), w.entry("north-1")
 	advice, err := w.client.FetchAdvice(w.ctx, west.Caller, moved)
--- a/io/proof/world_test.go
+++ b/io/proof/world_test.go
@@ -234,6 +234,18 @@
 	return found
 }
 
+// addRow adds a row to a sheet, without publishing it.
+func (w *world) addRow(sheet table.SheetName, cells ...string) {
+	w.t.Helper()
+	for i, s := range w.Sheets {
+		if s.Name == sheet {
+			w.Sheets[i].Rows = append(s.Rows, table.Record{Cells: cells})
+			return
+		}
+	}
+	w.t.Fatalf("no sheet %s", sheet)
+}
+
 // publish changes one cell and publishes the table.
 func (w *world) publish(sheet table.SheetName, first, column, value string) {
 	w.t.Helper()
