Bound the evidence on prompt parts in a heartbeat, and merge each heartbeat's once

Cause: each instance reported every part on which an answer had begun and a request was lost, thousands of them, in each heartbeat for 20 s, and merged the evidence of all peers ten times a second.

Change: 64 begun parts besides those of the losses are reported, for 5 s; 32 losses that convict nobody; what a peer's heartbeat says is merged once, by a map of ids. Of the requests that are lost at once, one checks for all whether their upstream has ended.

--- a/core/gossip/prompt.go
+++ b/core/gossip/prompt.go
@@ -29,19 +29,17 @@
 	Age time.Duration
 }
 
-// PromptEvidence returns what the other instances know, with ages as of now.
-func (v *View) PromptEvidence(now time.Time) PromptEvidence {
-	var all PromptEvidence
-	for _, m := range v.Members {
-		elapsed := now.Sub(m.LastHeartbeat)
-		for _, l := range m.PromptEvidence.Lost {
-			l.Age += elapsed
-			all.Lost = append(all.Lost, l)
-		}
-		for _, b := range m.PromptEvidence.Begun {
-			b.Age += elapsed
-			all.Begun = append(all.Begun, b)
-		}
+// EvidenceAt returns what the instance knows, with ages as of now.
+func (m *Member) EvidenceAt(now time.Time) PromptEvidence {
+	elapsed := now.Sub(m.LastHeartbeat)
+	var e PromptEvidence
+	for _, l := range m.PromptEvidence.Lost {
+		l.Age += elapsed
+		e.Lost = append(e.Lost, l)
 	}
-	return all
+	for _, b := range m.PromptEvidence.Begun {
+		b.Age += elapsed
+		e.Begun = append(e.Begun, b)
+	}
+	return e
 }
--- a/core/poison/memory.go
+++ b/core/poison/memory.go
@@ -14,6 +14,10 @@
 		return now.Sub(l.at) > evidenceMemory || !slices.ContainsFunc(l.parts, func(part gossip.PartKey) bool { return d.counts(&l, part) })
 	})
 	d.dropSurplus()
+	clear(d.held)
+	for _, l := range d.lost {
+		d.held[l.id] = struct{}{}
+	}
 	d.dropBegun(now)
 }
 
@@ -56,6 +60,22 @@
 			delete(d.begun, part)
 		}
 	}
+	for len(d.begun) > maxBegun+len(suspected) {
+		d.dropOldestBegun(suspected)
+	}
+}
+
+// dropOldestBegun drops the answer that would be reported for the shortest time, of those on
+// parts that aren't suspected.
+func (d *Detector) dropOldestBegun(suspected map[gossip.PartKey]struct{}) {
+	var oldest gossip.PartKey
+	var until time.Time
+	for part, b := range d.begun {
+		if _, found := suspected[part]; !found && (until.IsZero() || b.reportUntil.Before(until)) {
+			oldest, until = part, b.reportUntil
+		}
+	}
+	delete(d.begun, oldest)
 }
 
 func (d *Detector) dropProbes() {
--- /dev/null
+++ b/core/poison/merge_bench_test.go
@@ -0,0 +1,35 @@
+package poison
+
+import (
+	"testing"
+
+	"arbutustrestle/core/gossip"
+)
+
+// BenchmarkMerge measures one merge of the evidence of 83 peers after a storm of losses.
+func BenchmarkMerge(b *testing.B) {
+	peers := &Detector{Self: "a"}
+	for i := range 60 {
+		peers.RequestLost(at(float64(i)/10), uint64(i), []gossip.PartKey{1, gossip.PartKey(100 + i)})
+	}
+	one := peers.Evidence(at(10))
+	var all gossip.PromptEvidence
+	for range 83 {
+		all.Lost = append(all.Lost, one.Lost...)
+		all.Begun = append(all.Begun, one.Begun...)
+	}
+	for name, acquitted := range map[string]bool{"held": false, "acquitted": true} {
+		b.Run(name, func(b *testing.B) {
+			d := &Detector{Self: "b"}
+			if acquitted {
+				for _, l := range one.Lost {
+					d.AnswerBegun(at(9.9), l.Parts)
+				}
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				d.Merge(at(10), all)
+			}
+		})
+	}
+}
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -37,13 +37,15 @@
 	// the time under way.
 	evidenceMemory = 10 * time.Minute
 	// maxLost bounds the lost requests that are held, and so the size of heartbeats.
-	maxLost = 48
+	maxLost = 32
+	// maxBegun bounds the parts with begun answers that are reported.
+	maxBegun = 64
 	// maxLossesPerPart bounds the lost requests that are kept for one convicted part. It
 	// exceeds requiredLossesBegun.
 	maxLossesPerPart = 12
-	// begunMemory is how long a begun answer is reported after the last evidence against
-	// its part was dropped, so that peers drop theirs.
-	begunMemory = 20 * time.Second
+	// begunMemory is how long a begun answer is reported, so that peers drop their evidence
+	// against its part. One that goes on reporting a loss with the part is told again.
+	begunMemory = 5 * time.Second
 	// firstProbe is the time after the last loss at which a request with a convicted part
 	// may be sent again, to learn whether the part still ends upstreams. It doubles with
 	// each further loss, up to maxProbeDoublings times.
@@ -73,6 +75,8 @@
 
 	mu        sync.RWMutex
 	instances []ident.Instance
+	// held holds the ids of the requests in lost.
+	held map[uint64]struct{}
 	// lost holds the requests for which some of their parts are suspected, oldest first.
 	lost []lostRequest
 	// begun holds the last answer on each part that is or was suspected.
@@ -295,13 +299,18 @@
 }
 
 func (d *Detector) holds(id uint64) bool {
-	return slices.ContainsFunc(d.lost, func(l lostRequest) bool { return l.id == id })
+	_, found := d.held[id]
+	return found
 }
 
 func (d *Detector) addLost(l lostRequest) {
 	if len(l.parts) == 0 {
 		return
 	}
+	if d.held == nil {
+		d.held = map[uint64]struct{}{}
+	}
+	d.held[l.id] = struct{}{}
 	i := len(d.lost)
 	for i > 0 && d.lost[i-1].at.After(l.at) {
 		i--
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -6,6 +6,7 @@
 	"net/netip"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/singleflight"
 
 	"arbutustrestle/core/budget"
 	"arbutustrestle/core/clock"
@@ -40,6 +41,8 @@
 	Latencies      *Latencies
 
 	activity activity
+	// endChecks are the checks under way whether an upstream has ended.
+	endChecks singleflight.Group
 }
 
 // destination is where the next attempt goes: an upstream in this region, or another
--- a/io/proxy/lost.go
+++ b/io/proxy/lost.go
@@ -48,9 +48,13 @@
 	if f.Reason == result.UpstreamFailed {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endCheckTimeout)
-	defer cancel()
-	return !p.UpstreamClient.CanConnect(ctx, lease.Upstream.ID, lease.Upstream.Address)
+	// All requests that were there fail at once; one of them checks for all.
+	ended, _, _ := p.endChecks.Do(string(lease.Upstream.ID), func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endCheckTimeout)
+		defer cancel()
+		return !p.UpstreamClient.CanConnect(ctx, lease.Upstream.ID, lease.Upstream.Address), nil
+	})
+	return ended == true
 }
 
 // recordBegun records that an answer has begun, which shows that the parts of its prompt
--- a/io/syncer/convictions.go
+++ b/io/syncer/convictions.go
@@ -2,13 +2,30 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/rs/zerolog"
 
+	"arbutustrestle/core/gossip"
+	"arbutustrestle/core/ident"
 	"arbutustrestle/core/poison"
 	"arbutustrestle/io/metric"
 )
 
+// mergeEvidence merges the evidence on prompt parts of the members from which a heartbeat has
+// arrived since.
+func (l *Loop) mergeEvidence(now time.Time, v *gossip.View) {
+	merged := make(map[ident.Instance]time.Time, len(v.Members))
+	for i := range v.Members {
+		m := &v.Members[i]
+		merged[m.ID] = m.LastHeartbeat
+		if m.LastHeartbeat.After(l.evidenceAt[m.ID]) {
+			RecordConvictions(l.opts.Log, l.opts.Metrics, l.opts.Poison.Merge(now, m.EvidenceAt(now)))
+		}
+	}
+	l.evidenceAt = merged
+}
+
 // RecordConvictions counts and logs the prompt parts that have been convicted or acquitted.
 // The log has their keys; the requests that are lost or refused are logged with the ids.
 func RecordConvictions(log zerolog.Logger, metrics *metric.Set, changes []poison.Change) {
--- a/io/syncer/syncer.go
+++ b/io/syncer/syncer.go
@@ -96,6 +96,9 @@
 	pendingRelistings map[ident.Upstream]relisting
 	closeIdleAt       time.Time
 	election          gossip.WatcherElection
+	// evidenceAt holds when the last heartbeat of each member arrived whose evidence on prompt
+	// parts was merged.
+	evidenceAt map[ident.Instance]time.Time
 	// lastTick is the time of the last tick, and refreshing the number of groups that are
 	// being read again after a pause.
 	lastTick   time.Time
@@ -160,6 +163,7 @@
 		pendingRelistings: map[ident.Upstream]relisting{},
 		sending:           map[netip.AddrPort]*sendSlot{},
 		shortDialed:       map[netip.AddrPort]bool{},
+		evidenceAt:        map[ident.Instance]time.Time{},
 	}
 	for g := range l.health {
 		l.health[g].resume = make(chan struct{}, 1)
@@ -288,7 +292,7 @@
 	l.opts.Spill.Update(now, v)
 	l.opts.Budget.SetInstanceCount(now, len(alive))
 	l.opts.Poison.SetInstances(alive)
-	RecordConvictions(l.opts.Log, l.opts.Metrics, l.opts.Poison.Merge(now, v.PromptEvidence(now)))
+	l.mergeEvidence(now, v)
 	l.view.Store(&View{Config: l.config, Membership: v, Phase: l.phase, UpstreamsListed: l.health[mirror.UpstreamsGroup].listed})
 }
 
