--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -10,7 +10,6 @@
 
 import (
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -18,7 +17,6 @@
 
 	"arbutustrestle/core/gossip"
 	"arbutustrestle/core/ident"
-	"arbutustrestle/core/rank"
 )
 
 const (
@@ -100,35 +98,6 @@
 	reportUntil time.Time
 }
 
-// conviction is the evidence against a convicted part.
-type conviction struct {
-	losses   int
-	required int
-	lastAt   time.Time
-	// companions are other parts with as many losses that all of these requests hold, so
-	// that each of them explains the losses as well.
-	companions []gossip.PartKey
-}
-
-// Finding is the reason why a request is refused.
-type Finding struct {
-	Part gossip.PartKey
-	// Losses is the number of requests with the part that were lost, and Age the time
-	// since the last one.
-	Losses int
-	Age    time.Duration
-	// RetryAfter is the time until a request with the part may be sent again.
-	RetryAfter time.Duration
-}
-
-// Change is a conviction that has begun or ended.
-type Change struct {
-	Part      gossip.PartKey
-	Convicted bool
-	// Losses is the number of lost requests at a conviction.
-	Losses int
-}
-
 // SetInstances replaces the list of instances, of which one sends the probes of a part.
 func (d *Detector) SetInstances(instances []ident.Instance) {
 	d.mu.Lock()
@@ -206,98 +175,6 @@
 	return evidence
 }
 
-// ConvictedParts returns the number of convicted parts.
-func (d *Detector) ConvictedParts() int {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	return len(d.convicted)
-}
-
-// Check reports why a request with the parts may not be sent; false if it may.
-func (d *Detector) Check(now time.Time, parts []gossip.PartKey) (Finding, bool) {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	return d.check(now, parts)
-}
-
-// AdmitSend is Check at the moment at which the request leaves. A request that was admitted
-// must be sent: it may be the probe of a convicted part.
-func (d *Detector) AdmitSend(now time.Time, parts []gossip.PartKey) (Finding, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	finding, refused := d.check(now, parts)
-	if refused {
-		return finding, true
-	}
-	for _, part := range parts {
-		if _, found := d.convicted[part]; found {
-			d.probes[part] = now
-		}
-	}
-	return Finding{}, false
-}
-
-// Suspects reports whether another request was lost with a part of this one on which no
-// answer is known to have begun. Such a request shouldn't be tried again once it was lost
-// itself.
-func (d *Detector) Suspects(id uint64, parts []gossip.PartKey) bool {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	for _, l := range d.lost {
-		if l.id == id {
-			continue
-		}
-		for _, part := range l.parts {
-			if d.begun[part].at.IsZero() && slices.Contains(parts, part) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-func (d *Detector) check(now time.Time, parts []gossip.PartKey) (Finding, bool) {
-	if len(d.convicted) == 0 {
-		return Finding{}, false
-	}
-	for _, part := range parts {
-		c, found := d.convicted[part]
-		if !found {
-			continue
-		}
-		wait := d.probeWait(now, part, c, parts)
-		if wait > 0 || !d.sendsProbes(part) {
-			return Finding{Part: part, Losses: c.losses, Age: now.Sub(c.lastAt), RetryAfter: max(wait, minRetryAfter)}, true
-		}
-	}
-	return Finding{}, false
-}
-
-// probeWait returns the time until a request with a convicted part may be sent by the
-// instance that sends the probes. A request without a companion of the part is tried soon:
-// the companion alone may be the cause.
-func (d *Detector) probeWait(now time.Time, part gossip.PartKey, c conviction, parts []gossip.PartKey) time.Duration {
-	interval := firstProbe << min(c.losses-c.required, maxProbeDoublings)
-	last := latest(c.lastAt, d.probes[part])
-	if c.explainedWithout(parts) {
-		interval = companionProbe
-		last = d.probes[part]
-	}
-	return interval - now.Sub(last)
-}
-
-// explainedWithout reports whether a companion, which the request doesn't hold, explains
-// the losses.
-func (c *conviction) explainedWithout(parts []gossip.PartKey) bool {
-	return slices.ContainsFunc(c.companions, func(companion gossip.PartKey) bool { return !slices.Contains(parts, companion) })
-}
-
-// sendsProbes reports whether this instance sends the probes of a part.
-func (d *Detector) sendsProbes(part gossip.PartKey) bool {
-	owner, found := rank.First(strconv.FormatUint(uint64(part), 16), d.instances)
-	return !found || owner == d.Self
-}
-
 func (d *Detector) holds(id uint64) bool {
 	_, found := d.held[id]
 	return found
@@ -340,104 +217,3 @@
 	}
 	d.begun[part] = begunAnswer{at: at, reportUntil: now.Add(begunMemory)}
 }
-
-// update drops what no longer counts and convicts and acquits parts. It returns the
-// convictions that have changed.
-func (d *Detector) update(now time.Time) []Change {
-	d.dropEvidence(now)
-	losses := d.lossesByPart()
-	before := d.convicted
-	d.convicted = map[gossip.PartKey]conviction{}
-	for part, list := range losses {
-		if c, found := d.convict(part, list); found {
-			d.convicted[part] = c
-		}
-	}
-	for part, c := range d.convicted {
-		c.companions = d.companions(part, c, losses[part])
-		d.convicted[part] = c
-	}
-	d.dropProbes()
-	return changes(before, d.convicted)
-}
-
-// convict returns the conviction of a part by the requests that were lost with it.
-func (d *Detector) convict(part gossip.PartKey, list []*lostRequest) (conviction, bool) {
-	c := conviction{losses: moments(list), required: requiredLosses, lastAt: list[len(list)-1].at}
-	if !d.begun[part].at.IsZero() {
-		c.required = requiredLossesBegun
-	}
-	return c, c.losses >= c.required
-}
-
-// moments returns the number of moments in which requests were lost.
-func moments(list []*lostRequest) int {
-	count := 0
-	var last time.Time
-	for _, l := range list {
-		if count == 0 || l.at.Sub(last) > sameMoment {
-			count++
-			last = l.at
-		}
-	}
-	return count
-}
-
-// companions returns the convicted parts that all lost requests of a part hold.
-func (d *Detector) companions(part gossip.PartKey, c conviction, list []*lostRequest) []gossip.PartKey {
-	var companions []gossip.PartKey
-	for _, other := range list[0].parts {
-		held, found := d.convicted[other]
-		if other == part || !found || held.losses < c.losses {
-			continue
-		}
-		inAll := !slices.ContainsFunc(list, func(l *lostRequest) bool { return !slices.Contains(l.parts, other) })
-		if inAll {
-			companions = append(companions, other)
-		}
-	}
-	return companions
-}
-
-// lossesByPart returns the lost requests that count against each part, oldest first.
-func (d *Detector) lossesByPart() map[gossip.PartKey][]*lostRequest {
-	losses := map[gossip.PartKey][]*lostRequest{}
-	for i := range d.lost {
-		l := &d.lost[i]
-		for _, part := range l.parts {
-			if d.counts(l, part) {
-				losses[part] = append(losses[part], l)
-			}
-		}
-	}
-	return losses
-}
-
-// counts reports whether a lost request counts against a part: no answer on the part has
-// begun since.
-func (d *Detector) counts(l *lostRequest, part gossip.PartKey) bool {
-	return l.at.After(d.begun[part].at)
-}
-
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-// changes compares two sets of convictions.
-func changes(before, after map[gossip.PartKey]conviction) []Change {
-	var list []Change
-	for part, c := range after {
-		if _, found := before[part]; !found {
-			list = append(list, Change{Part: part, Convicted: true, Losses: c.losses})
-		}
-	}
-	for part := range before {
-		if _, found := after[part]; !found {
-			list = append(list, Change{Part: part})
-		}
-	}
-	return list
-}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -168,7 +168,7 @@
 	before, found := p.unlisted[r.ID]
 	delete(p.unlisted, r.ID)
 	if found && !before.replica.isNewRun(r.Upstream) {
-		r.takeOver(before.replica.said)
+		r.takeOver(before.replica.selfReport)
 	}
 }
 
--- a/core/pool/replica.go
+++ b/core/pool/replica.go
@@ -66,7 +66,7 @@
 	waiting  []*pendingRequest
 	peers    peerLoad
 
-	said
+	selfReport
 
 	// backoffUntil is when a failed upstream is tried again.
 	backoffUntil time.Time
--- a/core/pool/said.go
+++ b/core/pool/selfreport.go
@@ -6,10 +6,10 @@
 	"arbutustrestle/core/gossip"
 )
 
-// said is what an upstream says of itself, in its answers or in the list. It belongs to one
+// selfReport is what an upstream says of itself, in its answers or in the list. It belongs to one
 // run of the upstream and ends with it. What it allows is asked in two places: when an
 // upstream is chosen (usable) and where the request leaves (AdmitSend).
-type said struct {
+type selfReport struct {
 	// coldUntil is zero while the upstream is warm.
 	coldUntil time.Time
 	// limit is shared with the instances of the region.
@@ -27,7 +27,7 @@
 const maxPause = time.Hour
 
 // refuses reports whether the upstream wants no request from this instance for a while.
-func (s *said) refuses(now time.Time) bool {
+func (s *selfReport) refuses(now time.Time) bool {
 	return now.Before(s.pausedUntil)
 }
 
@@ -106,7 +106,7 @@
 
 // takeOver takes over what the same run said before it left the list, which its description
 // there may not say.
-func (s *said) takeOver(before said) {
+func (s *selfReport) takeOver(before selfReport) {
 	s.coldUntil = latest(s.coldUntil, before.coldUntil)
 	s.limit = before.limit
 	s.leaving = before.leaving
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -183,7 +183,7 @@
 	a.Upstream = lease.Upstream.ID
 	a.Address = lease.Upstream.Address
 	a.Admit = func() bool { return p.admitSend(call, lease) }
-	a.Received = func(m http1.AnswerMeta) { p.recordSaid(call, lease, m) }
+	a.Received = func(m http1.AnswerMeta) { p.recordSelfReport(call, lease, m) }
 	return &a
 }
 
--- a/io/proxy/said.go
+++ b/io/proxy/selfreport.go
@@ -7,9 +7,9 @@
 	"arbutustrestle/io/http1"
 )
 
-// recordSaid records what an answer says of its upstream. What can't be read changes
+// recordSelfReport records what an answer says of its upstream. What can't be read changes
 // nothing.
-func (p *Proxy) recordSaid(call *Call, lease *pool.Lease, m http1.AnswerMeta) {
+func (p *Proxy) recordSelfReport(call *Call, lease *pool.Lease, m http1.AnswerMeta) {
 	if m.ColdFor > 0 {
 		lease.MarkCold(p.Clock.Now(), m.ColdFor)
 	}
