Bound the prompt parts of one request that are evidence

Found by reading the diff: a caller chooses how many parts its prompt names, up to the size of a head, and each heartbeat of each instance carried the keys of all of them for a request that was lost with its upstream: 10,000 parts were 10,000 keys. Now 32 at most (TestManyParts).

--- a/io/proxy/lost.go
+++ b/io/proxy/lost.go
@@ -22,6 +22,9 @@
 	// choose them.
 	maxLoggedParts     = 16
 	maxLoggedPartBytes = 64
+	// maxEvidenceParts bounds the prompt parts of a request that are evidence, which
+	// heartbeats carry. Further ones are ignored.
+	maxEvidenceParts = 32
 )
 
 // recordLoss checks after a failed attempt whether the request was lost: its upstream ended
@@ -89,11 +92,13 @@
 	return ""
 }
 
-// sharedKeys returns the keys of the shared parts.
+// sharedKeys returns the keys of the shared parts, maxEvidenceParts at most.
 func (c *Call) sharedKeys() []gossip.PartKey {
-	if shared := c.sharedParts(); c.partKeys == nil && len(shared) > 0 {
-		c.partKeys = make([]gossip.PartKey, 0, len(shared))
-		for _, part := range shared {
+	shared := c.sharedParts()
+	count := min(len(shared), maxEvidenceParts)
+	if c.partKeys == nil && count > 0 {
+		c.partKeys = make([]gossip.PartKey, 0, count)
+		for _, part := range shared[:count] {
 			c.partKeys = append(c.partKeys, poison.KeyOf(part.ID))
 		}
 	}
--- a/io/proxy/poison_test.go
+++ b/io/proxy/poison_test.go
@@ -8,6 +8,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"arbutustrestle/core/pool"
 )
 
 // crasher makes both upstreams of an instance end for a moment when a request holds a
@@ -110,3 +112,18 @@
 		})
 	}
 }
+
+// TestManyParts guards against a caller whose prompt has very many parts filling the
+// heartbeats of all instances.
+func TestManyParts(t *testing.T) {
+	call := &Call{}
+	for i := range 10_000 {
+		call.Parts = append(call.Parts, pool.PromptPart{ID: fmt.Sprint(i)})
+	}
+	if keys := call.sharedKeys(); len(keys) != maxEvidenceParts {
+		t.Errorf("%d parts are evidence", len(keys))
+	}
+	if keys := (&Call{}).sharedKeys(); len(keys) != 0 {
+		t.Errorf("%d parts of no prompt", len(keys))
+	}
+}
