Log a fingerprint of each request, and of those that are lost with their upstream

Change: a hash of method, host, path, query, Authorization and body in the line of a lost request and in the last line of each request. No logic changes.

--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -83,6 +83,8 @@
 	status   int
 	// partKeys is set by sharedKeys.
 	partKeys []gossip.PartKey
+	// fingerprintHash is set by fingerprint.
+	fingerprintHash uint64
 	// peer is the upstream, or the instance in another region, of the last attempt.
 	peer string
 	// firstByteAt is when the first byte of the answer was passed on.
--- /dev/null
+++ b/io/proxy/fingerprint.go
@@ -0,0 +1,33 @@
+package proxy
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// fingerprint returns a hash of what a request asks for and on whose behalf: the same for
+// all tries of it, by whichever connection, caller's address and instance they come.
+func (c *Call) fingerprint() uint64 {
+	if c.fingerprintHash == 0 {
+		c.fingerprintHash = c.hashContent()
+	}
+	return c.fingerprintHash
+}
+
+// hashContent hashes the fields of the fingerprint. A zero byte, which none of those before
+// the body contains, ends each of them.
+func (c *Call) hashContent() uint64 {
+	h := xxhash.New()
+	for _, field := range []string{c.Method, c.Host, c.Target, c.Header.Get("Authorization")} {
+		_, _ = h.WriteString(field)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(c.Body)
+	return h.Sum64()
+}
+
+// loggedFingerprint returns the fingerprint as it is logged.
+func (c *Call) loggedFingerprint() string {
+	return strconv.FormatUint(c.fingerprint(), 16)
+}
--- a/io/proxy/lost.go
+++ b/io/proxy/lost.go
@@ -41,6 +41,7 @@
 		Str("peer", string(lease.Upstream.ID)).
 		Int64("waited-ms", p.Clock.Now().Sub(call.Arrived).Milliseconds()).
 		Int("in-flight-there", lease.InFlight).
+		Str("fingerprint", call.loggedFingerprint()).
 		Strs("shared-parts", call.loggedParts()).
 		Msg("request lost: its upstream ended before its answer began")
 }
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -309,6 +309,7 @@
 	line = line.Str("request-id", call.ID).Int64("took-ms", elapsed.Milliseconds()).Str("peer", call.peer)
 	if call.Route != nil {
 		line = line.Str("route", call.Route.Name).
+			Str("fingerprint", call.loggedFingerprint()).
 			Str("service", string(call.Service)).
 			Uint64("config-version", call.ConfigVersion).
 			Int("sends", call.sends).
