Add a failing test of one request that ends upstream after upstream

Callers of the same service saw 502 and 503 no-upstream meanwhile. TestPartThatEndsUpstreams shares its upstreams now and checks what it did.

--- a/io/proxy/poison_test.go
+++ b/io/proxy/poison_test.go
@@ -12,20 +12,36 @@
 	"arbutustrestle/core/pool"
 )
 
-// crasher makes both upstreams of an instance end for a moment when a request holds a
-// part.
+// crasher makes both upstreams of an instance end for a moment when a deadly request
+// arrives.
 type crasher struct {
-	part string
+	deadly func(r *http.Request) bool
 
 	mu      sync.Mutex
 	crashes int
-	// arrivals counts the requests with the part.
+	// arrivals counts the deadly requests.
 	arrivals int
 }
 
+// newCrasher returns a crasher of the upstreams of an instance.
+func newCrasher(t *testing.T, inst *testInstance, deadly func(r *http.Request) bool) *crasher {
+	cr := &crasher{deadly: deadly}
+	for _, u := range inst.upstreams {
+		_ = u.listener.Close()
+		l, err := net.Listen("tcp", u.listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = l.Close() })
+		u.listener = l
+		go cr.serve(t, u)
+	}
+	return cr
+}
+
 func (cr *crasher) serve(t *testing.T, u *upstream) {
 	u.serve(t, func(c net.Conn, r *http.Request) {
-		if !strings.Contains(r.Header.Get("Parts"), cr.part) {
+		if !cr.deadly(r) {
 			okStream(c, r)
 			return
 		}
@@ -75,17 +91,9 @@
 		t.Run(path, func(t *testing.T) {
 			t.Parallel()
 			inst := newTestInstance(t, okStream, okStream).ready(t)
-			cr := &crasher{part: "deadly"}
-			for _, u := range inst.upstreams {
-				_ = u.listener.Close()
-				l, err := net.Listen("tcp", u.listener.Addr().String())
-				if err != nil {
-					t.Fatal(err)
-				}
-				t.Cleanup(func() { _ = l.Close() })
-				u.listener = l
-				go cr.serve(t, u)
-			}
+			cr := newCrasher(t, inst, func(r *http.Request) bool {
+				return strings.Contains(r.Header.Get("Parts"), "deadly")
+			})
 			send := func(i int, parts string) *http.Response {
 				response, _, err := inst.send(t, path, "", http.Header{"Id": {fmt.Sprint(i)}, "Parts": {parts}})
 				if err != nil {
@@ -113,6 +121,51 @@
 	}
 }
 
+// TestRequestThatEndsUpstreams guards against one request, sent again and again with new
+// ids, ending the upstreams one after the other: after some endings it is refused with a
+// time to come back, while requests that differ from it in their path or body are served.
+func TestRequestThatEndsUpstreams(t *testing.T) {
+	for _, path := range []string{"/safe/", "/once/", "/stream/", "/resume/"} {
+		t.Run(path[1:len(path)-1], func(t *testing.T) {
+			t.Parallel()
+			inst := newTestInstance(t, okStream, okStream).ready(t)
+			deadly := path + "deadly"
+			cr := newCrasher(t, inst, func(r *http.Request) bool { return r.URL.Path == deadly && r.ContentLength == 4 })
+			header := func(i int) http.Header {
+				return http.Header{"Id": {fmt.Sprint(i)}, "Parts": {"first,session"}}
+			}
+			status := func(i int, path, body string) int {
+				response, _, err := inst.send(t, path, body, header(i))
+				if err != nil {
+					return 0
+				}
+				return response.StatusCode
+			}
+			if got := status(0, path+"sound", "body"); got != http.StatusOK {
+				t.Fatalf("sound request before: %d", got)
+			}
+			for i := range 12 {
+				status(100+i, deadly, "body")
+				time.Sleep(700 * time.Millisecond)
+			}
+			arrivals, crashes := cr.counts()
+			if crashes > 4 {
+				t.Errorf("%d upstreams ended, the request arrived %d times", crashes, arrivals)
+			}
+			response, _, err := inst.send(t, deadly, "body", header(200))
+			if err != nil || response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
+				t.Errorf("the request afterwards: %v, %v", response, err)
+			}
+			if got := status(201, path+"sound", "body"); got != http.StatusOK {
+				t.Errorf("another path afterwards: %d", got)
+			}
+			if got := status(202, deadly, "other"); got != http.StatusOK {
+				t.Errorf("another body afterwards: %d", got)
+			}
+		})
+	}
+}
+
 // TestManyParts guards against a caller whose prompt has very many parts filling the
 // heartbeats of all instances.
 func TestManyParts(t *testing.T) {
