Call what requests that end upstreams have in common a trait

The evidence knows keys only; that they are prompt parts is known to io/proxy alone. So that it can hold the fingerprint of a whole request as well: gossip.PartKey -> TraitKey, PromptEvidence -> LossEvidence, BegunPart -> BegunTrait, and in core/poison part -> trait throughout. Field numbers on the wire stay. Metrics and log lines: convicted-prompt-parts -> convicted-traits, prompt-parts-convicted and -acquitted -> traits-convicted and -acquitted, part-key -> trait-key. No change of behaviour.

--- a/core/gossip/prompt_test.go
+++ b/core/gossip/evidence_test.go
@@ -7,16 +7,16 @@
 	"time"
 )
 
-// TestPromptEvidence checks that evidence reaches instances of all regions, that it grows
+// TestLossEvidence checks that evidence reaches instances of all regions, that it grows
 // older while its sender is silent, and that it isn't passed on by a third instance, which
 // would make it seem younger.
-func TestPromptEvidence(t *testing.T) {
+func TestLossEvidence(t *testing.T) {
 	now := time.Unix(1000, 0)
 	far := Record{ID: "far", Incarnation: 1, Region: "r-2", PeerAddress: netip.MustParseAddrPort("10.0.0.2:1")}
 	s := New(Record{ID: "near", Incarnation: 1, Region: "r-1", PeerAddress: netip.MustParseAddrPort("10.0.0.1:1")}, nil, rand.New(rand.NewPCG(1, 2)))
-	s.UpdateSelf(func(r *Record) { r.PromptEvidence = PromptEvidence{Lost: []LostRequest{{ID: 5}}} })
+	s.UpdateSelf(func(r *Record) { r.LossEvidence = LossEvidence{Lost: []LostRequest{{ID: 5}}} })
 	far.Sequence = 1
-	far.PromptEvidence = PromptEvidence{Lost: []LostRequest{{ID: 6, Age: time.Second}}}
+	far.LossEvidence = LossEvidence{Lost: []LostRequest{{ID: 6, Age: time.Second}}}
 	s.Receive(now, []Record{far})
 	later := now.Add(2 * time.Second)
 	if got := s.View(later).Members[0].EvidenceAt(later); len(got.Lost) != 1 || got.Lost[0].Age != 3*time.Second {
@@ -24,11 +24,11 @@
 	}
 	sent := 0
 	for _, hb := range s.DueHeartbeats(now) {
-		if lost := hb.Records[0].PromptEvidence.Lost; hb.To == "far" && len(lost) == 1 && lost[0].ID == 5 {
+		if lost := hb.Records[0].LossEvidence.Lost; hb.To == "far" && len(lost) == 1 && lost[0].ID == 5 {
 			sent++
 		}
 		for _, r := range hb.Records[1:] {
-			if len(r.PromptEvidence.Lost) > 0 {
+			if len(r.LossEvidence.Lost) > 0 {
 				t.Errorf("evidence of %s passed on", r.ID)
 			}
 		}
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -56,9 +56,9 @@
 	// UpstreamLimits and LeavingUpstreams are sent with UpstreamLoads.
 	UpstreamLimits   []UpstreamLimit
 	LeavingUpstreams []UpstreamRun
-	// PromptEvidence is sent everywhere, but not in records that a third instance passes
+	// LossEvidence is sent everywhere, but not in records that a third instance passes
 	// on.
-	PromptEvidence PromptEvidence
+	LossEvidence LossEvidence
 }
 
 // servesRegion reports whether the instance is one of a region and is not leaving.
@@ -205,7 +205,7 @@
 		r.LeavingUpstreams = p.LeavingUpstreams
 		r.ServiceLoads = p.ServiceLoads
 		r.RegionDigest = p.RegionDigest
-		r.PromptEvidence = p.PromptEvidence
+		r.LossEvidence = p.LossEvidence
 	} else {
 		p.lastDirect = now
 	}
--- a/core/gossip/heartbeat.go
+++ b/core/gossip/heartbeat.go
@@ -234,7 +234,7 @@
 			r.LeavingUpstreams = nil
 			r.ServiceLoads = nil
 			r.RegionDigest = 0
-			r.PromptEvidence = PromptEvidence{}
+			r.LossEvidence = LossEvidence{}
 			list = append(list, r)
 		}
 	}
--- a/core/poison/bench_test.go
+++ b/core/poison/bench_test.go
@@ -10,10 +10,10 @@
 func BenchmarkMerge(b *testing.B) {
 	peers := &Detector{Self: "a"}
 	for i := range 60 {
-		peers.RequestLost(at(float64(i)/10), uint64(i), []gossip.PartKey{1, gossip.PartKey(100 + i)})
+		peers.RequestLost(at(float64(i)/10), uint64(i), []gossip.TraitKey{1, gossip.TraitKey(100 + i)})
 	}
 	one := peers.Evidence(at(10))
-	var all gossip.PromptEvidence
+	var all gossip.LossEvidence
 	for range 83 {
 		all.Lost = append(all.Lost, one.Lost...)
 		all.Begun = append(all.Begun, one.Begun...)
@@ -23,7 +23,7 @@
 			d := &Detector{Self: "b"}
 			if acquitted {
 				for _, l := range one.Lost {
-					d.AnswerBegun(at(9.9), l.Parts)
+					d.AnswerBegun(at(9.9), l.Traits)
 				}
 			}
 			b.ReportAllocs()
--- a/core/poison/convict.go
+++ b/core/poison/convict.go
@@ -7,48 +7,48 @@
 	"arbutustrestle/core/gossip"
 )
 
-// conviction is the evidence against a convicted part.
+// conviction is the evidence against a convicted trait.
 type conviction struct {
 	losses   int
 	required int
 	lastAt   time.Time
-	// companions are other parts with as many losses that all of these requests hold, so
+	// companions are other traits with as many losses that all of these requests hold, so
 	// that each of them explains the losses as well.
-	companions []gossip.PartKey
+	companions []gossip.TraitKey
 }
 
 // Change is a conviction that has begun or ended.
 type Change struct {
-	Part      gossip.PartKey
+	Trait     gossip.TraitKey
 	Convicted bool
 	// Losses is the number of lost requests at a conviction.
 	Losses int
 }
 
-// update drops what no longer counts and convicts and acquits parts. It returns the
+// update drops what no longer counts and convicts and acquits traits. It returns the
 // convictions that have changed.
 func (d *Detector) update(now time.Time) []Change {
 	d.dropEvidence(now)
-	losses := d.lossesByPart()
+	losses := d.lossesByTrait()
 	before := d.convicted
-	d.convicted = map[gossip.PartKey]conviction{}
-	for part, list := range losses {
-		if c, found := d.convict(part, list); found {
-			d.convicted[part] = c
+	d.convicted = map[gossip.TraitKey]conviction{}
+	for trait, list := range losses {
+		if c, found := d.convict(trait, list); found {
+			d.convicted[trait] = c
 		}
 	}
-	for part, c := range d.convicted {
-		c.companions = d.companions(part, c, losses[part])
-		d.convicted[part] = c
+	for trait, c := range d.convicted {
+		c.companions = d.companions(trait, c, losses[trait])
+		d.convicted[trait] = c
 	}
 	d.dropProbes()
 	return changes(before, d.convicted)
 }
 
-// convict returns the conviction of a part by the requests that were lost with it.
-func (d *Detector) convict(part gossip.PartKey, list []*lostRequest) (conviction, bool) {
+// convict returns the conviction of a trait by the requests that were lost with it.
+func (d *Detector) convict(trait gossip.TraitKey, list []*lostRequest) (conviction, bool) {
 	c := conviction{losses: moments(list), required: requiredLosses, lastAt: list[len(list)-1].at}
-	if !d.begun[part].at.IsZero() {
+	if !d.begun[trait].at.IsZero() {
 		c.required = requiredLossesBegun
 	}
 	return c, c.losses >= c.required
@@ -67,15 +67,15 @@
 	return count
 }
 
-// companions returns the convicted parts that all lost requests of a part hold.
-func (d *Detector) companions(part gossip.PartKey, c conviction, list []*lostRequest) []gossip.PartKey {
-	var companions []gossip.PartKey
-	for _, other := range list[0].parts {
+// companions returns the convicted traits that all lost requests of a trait hold.
+func (d *Detector) companions(trait gossip.TraitKey, c conviction, list []*lostRequest) []gossip.TraitKey {
+	var companions []gossip.TraitKey
+	for _, other := range list[0].traits {
 		held, found := d.convicted[other]
-		if other == part || !found || held.losses < c.losses {
+		if other == trait || !found || held.losses < c.losses {
 			continue
 		}
-		inAll := !slices.ContainsFunc(list, func(l *lostRequest) bool { return !slices.Contains(l.parts, other) })
+		inAll := !slices.ContainsFunc(list, func(l *lostRequest) bool { return !slices.Contains(l.traits, other) })
 		if inAll {
 			companions = append(companions, other)
 		}
@@ -83,24 +83,24 @@
 	return companions
 }
 
-// lossesByPart returns the lost requests that count against each part, oldest first.
-func (d *Detector) lossesByPart() map[gossip.PartKey][]*lostRequest {
-	losses := map[gossip.PartKey][]*lostRequest{}
+// lossesByTrait returns the lost requests that count against each trait, oldest first.
+func (d *Detector) lossesByTrait() map[gossip.TraitKey][]*lostRequest {
+	losses := map[gossip.TraitKey][]*lostRequest{}
 	for i := range d.lost {
 		l := &d.lost[i]
-		for _, part := range l.parts {
-			if d.counts(l, part) {
-				losses[part] = append(losses[part], l)
+		for _, trait := range l.traits {
+			if d.counts(l, trait) {
+				losses[trait] = append(losses[trait], l)
 			}
 		}
 	}
 	return losses
 }
 
-// counts reports whether a lost request counts against a part: no answer on the part has
+// counts reports whether a lost request counts against a trait: no answer on the trait has
 // begun since.
-func (d *Detector) counts(l *lostRequest, part gossip.PartKey) bool {
-	return l.at.After(d.begun[part].at)
+func (d *Detector) counts(l *lostRequest, trait gossip.TraitKey) bool {
+	return l.at.After(d.begun[trait].at)
 }
 
 func latest(a, b time.Time) time.Time {
@@ -111,16 +111,16 @@
 }
 
 // changes compares two sets of convictions.
-func changes(before, after map[gossip.PartKey]conviction) []Change {
+func changes(before, after map[gossip.TraitKey]conviction) []Change {
 	var list []Change
-	for part, c := range after {
-		if _, found := before[part]; !found {
-			list = append(list, Change{Part: part, Convicted: true, Losses: c.losses})
+	for trait, c := range after {
+		if _, found := before[trait]; !found {
+			list = append(list, Change{Trait: trait, Convicted: true, Losses: c.losses})
 		}
 	}
-	for part := range before {
-		if _, found := after[part]; !found {
-			list = append(list, Change{Part: part})
+	for trait := range before {
+		if _, found := after[trait]; !found {
+			list = append(list, Change{Trait: trait})
 		}
 	}
 	return list
--- a/core/poison/memory.go
+++ b/core/poison/memory.go
@@ -7,11 +7,11 @@
 	"arbutustrestle/core/gossip"
 )
 
-// dropEvidence drops the lost requests that count against no part, that are old, or that
+// dropEvidence drops the lost requests that count against no trait, that are old, or that
 // are more than can be held.
 func (d *Detector) dropEvidence(now time.Time) {
 	d.lost = slices.DeleteFunc(d.lost, func(l lostRequest) bool {
-		return now.Sub(l.at) > evidenceMemory || !slices.ContainsFunc(l.parts, func(part gossip.PartKey) bool { return d.counts(&l, part) })
+		return now.Sub(l.at) > evidenceMemory || !slices.ContainsFunc(l.traits, func(trait gossip.TraitKey) bool { return d.counts(&l, trait) })
 	})
 	d.dropSurplus()
 	clear(d.held)
@@ -21,18 +21,18 @@
 	d.dropBegun(now)
 }
 
-// dropSurplus drops the oldest lost requests beyond maxLossesPerPart for each convicted
-// part, and beyond maxLost for all others together.
+// dropSurplus drops the oldest lost requests beyond maxLossesPerTrait for each convicted
+// trait, and beyond maxLost for all others together.
 func (d *Detector) dropSurplus() {
-	newer := map[gossip.PartKey]int{}
+	newer := map[gossip.TraitKey]int{}
 	others := 0
 	var kept []lostRequest
 	for _, l := range slices.Backward(d.lost) {
 		convicts := false
-		for _, part := range l.parts {
-			if _, found := d.convicted[part]; found && d.counts(&l, part) {
-				convicts = convicts || newer[part] < maxLossesPerPart
-				newer[part]++
+		for _, trait := range l.traits {
+			if _, found := d.convicted[trait]; found && d.counts(&l, trait) {
+				convicts = convicts || newer[trait] < maxLossesPerTrait
+				newer[trait]++
 			}
 		}
 		if !convicts {
@@ -46,18 +46,18 @@
 	d.lost = kept
 }
 
-// dropBegun drops the begun answers of parts that aren't suspected any more, once peers
+// dropBegun drops the begun answers of traits that aren't suspected any more, once peers
 // have had time to learn of them.
 func (d *Detector) dropBegun(now time.Time) {
-	suspected := map[gossip.PartKey]struct{}{}
+	suspected := map[gossip.TraitKey]struct{}{}
 	for _, l := range d.lost {
-		for _, part := range l.parts {
-			suspected[part] = struct{}{}
+		for _, trait := range l.traits {
+			suspected[trait] = struct{}{}
 		}
 	}
-	for part, b := range d.begun {
-		if _, found := suspected[part]; !found && now.After(b.reportUntil) {
-			delete(d.begun, part)
+	for trait, b := range d.begun {
+		if _, found := suspected[trait]; !found && now.After(b.reportUntil) {
+			delete(d.begun, trait)
 		}
 	}
 	for len(d.begun) > maxBegun+len(suspected) {
@@ -66,13 +66,13 @@
 }
 
 // dropOldestBegun drops the answer that would be reported for the shortest time, of those on
-// parts that aren't suspected.
-func (d *Detector) dropOldestBegun(suspected map[gossip.PartKey]struct{}) {
-	var oldest gossip.PartKey
+// traits that aren't suspected.
+func (d *Detector) dropOldestBegun(suspected map[gossip.TraitKey]struct{}) {
+	var oldest gossip.TraitKey
 	var until time.Time
-	for part, b := range d.begun {
-		if _, found := suspected[part]; !found && (until.IsZero() || b.reportUntil.Before(until)) {
-			oldest, until = part, b.reportUntil
+	for trait, b := range d.begun {
+		if _, found := suspected[trait]; !found && (until.IsZero() || b.reportUntil.Before(until)) {
+			oldest, until = trait, b.reportUntil
 		}
 	}
 	delete(d.begun, oldest)
@@ -80,20 +80,20 @@
 
 func (d *Detector) dropProbes() {
 	if d.probes == nil {
-		d.probes = map[gossip.PartKey]time.Time{}
+		d.probes = map[gossip.TraitKey]time.Time{}
 	}
-	for part := range d.probes {
-		if _, found := d.convicted[part]; !found {
-			delete(d.probes, part)
+	for trait := range d.probes {
+		if _, found := d.convicted[trait]; !found {
+			delete(d.probes, trait)
 		}
 	}
 }
 
-// history holds when answers on parts last began, for at least historyMemory unless there
-// are very many parts. Its zero value is empty.
+// history holds when answers on traits last began, for at least historyMemory unless there
+// are very many traits. Its zero value is empty.
 type history struct {
-	recent  map[gossip.PartKey]time.Time
-	older   map[gossip.PartKey]time.Time
+	recent  map[gossip.TraitKey]time.Time
+	older   map[gossip.TraitKey]time.Time
 	changed time.Time
 }
 
@@ -103,19 +103,19 @@
 	maxHistory = 8192
 )
 
-func (h *history) add(now time.Time, part gossip.PartKey) {
+func (h *history) add(now time.Time, trait gossip.TraitKey) {
 	if h.recent == nil || len(h.recent) >= maxHistory || now.Sub(h.changed) > historyMemory {
 		h.older = h.recent
-		h.recent = map[gossip.PartKey]time.Time{}
+		h.recent = map[gossip.TraitKey]time.Time{}
 		h.changed = now
 	}
-	h.recent[part] = now
+	h.recent[trait] = now
 }
 
-// last returns when an answer on the part last began; zero if none is known.
-func (h *history) last(part gossip.PartKey) time.Time {
-	if at, found := h.recent[part]; found {
+// last returns when an answer on the trait last began; zero if none is known.
+func (h *history) last(trait gossip.TraitKey) time.Time {
+	if at, found := h.recent[trait]; found {
 		return at
 	}
-	return h.older[part]
+	return h.older[trait]
 }
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -1,9 +1,10 @@
-// Package poison detects prompt parts that end upstreams: requests that hold such a part
-// crash each upstream that begins to answer them (a query of death). It holds the evidence
-// of one instance and of its peers, and decides which requests may not be sent.
+// Package poison detects requests that end upstreams: they crash each upstream that begins
+// to answer them (queries of death). What such requests have in common is a trait: a part
+// of their prompt. The package holds the evidence of one instance and of its peers, and
+// decides which requests may not be sent.
 //
 // An upstream that ends takes all requests down with it. Only those whose answer had not
-// begun can be the cause, and a part on which any answer begins is sound. So a part is
+// begun can be the cause, and a trait with which any answer begins is sound. So a trait is
 // convicted once enough requests that hold it were lost in a row, in different moments,
 // without an answer on it having begun anywhere since the first of them.
 package poison
@@ -20,11 +21,11 @@
 )
 
 const (
-	// requiredLosses is the number of losses in a row that convict a part on which no
+	// requiredLosses is the number of losses in a row that convict a trait on which no
 	// answer is known to have begun. Two may be a coincidence: a request that is unlucky
 	// and the next one of its session.
 	requiredLosses = 3
-	// requiredLossesBegun is that number for a part on which answers have begun before.
+	// requiredLossesBegun is that number for a trait on which answers have begun before.
 	requiredLossesBegun = 8
 	// sameMoment is the time within which several losses count as one: upstreams that share
 	// a zone or a switch end together. Losses that peers report seem later by the time under
@@ -36,28 +37,28 @@
 	evidenceMemory = 10 * time.Minute
 	// maxLost bounds the lost requests that are held, and so the size of heartbeats.
 	maxLost = 32
-	// maxBegun bounds the parts with begun answers that are reported.
+	// maxBegun bounds the traits with begun answers that are reported.
 	maxBegun = 64
-	// maxLossesPerPart bounds the lost requests that are kept for one convicted part. It
+	// maxLossesPerTrait bounds the lost requests that are kept for one convicted trait. It
 	// exceeds requiredLossesBegun.
-	maxLossesPerPart = 12
+	maxLossesPerTrait = 12
 	// begunMemory is how long a begun answer is reported, so that peers drop their evidence
-	// against its part. One that goes on reporting a loss with the part is told again.
+	// against its trait. One that goes on reporting a loss with the trait is told again.
 	begunMemory = 5 * time.Second
-	// firstProbe is the time after the last loss at which a request with a convicted part
-	// may be sent again, to learn whether the part still ends upstreams. It doubles with
+	// firstProbe is the time after the last loss at which a request with a convicted trait
+	// may be sent again, to learn whether the trait still ends upstreams. It doubles with
 	// each further loss, up to maxProbeDoublings times.
 	firstProbe        = time.Minute
 	maxProbeDoublings = 6
-	// companionProbe is the time between two probes of a part that may be innocent.
+	// companionProbe is the time between two probes of a trait that may be innocent.
 	companionProbe = 10 * time.Second
 	// minRetryAfter is the least time after which a refused caller is told to come back.
 	minRetryAfter = time.Second
 )
 
-// KeyOf returns the key of a prompt part.
-func KeyOf(id string) gossip.PartKey {
-	return gossip.PartKey(xxhash.Sum64String(id))
+// PartKey returns the key of the trait of holding a prompt part.
+func PartKey(id string) gossip.TraitKey {
+	return gossip.TraitKey(xxhash.Sum64String(id))
 }
 
 // RequestKey returns the key of a request, the same at all instances.
@@ -75,30 +76,30 @@
 	instances []ident.Instance
 	// held holds the ids of the requests in lost.
 	held map[uint64]struct{}
-	// lost holds the requests for which some of their parts are suspected, oldest first.
+	// lost holds the requests for which some of their traits are suspected, oldest first.
 	lost []lostRequest
-	// begun holds the last answer on each part that is or was suspected.
-	begun     map[gossip.PartKey]begunAnswer
+	// begun holds the last answer on each trait that is or was suspected.
+	begun     map[gossip.TraitKey]begunAnswer
 	history   history
-	convicted map[gossip.PartKey]conviction
-	// probes holds when this instance last sent a request with a convicted part.
-	probes map[gossip.PartKey]time.Time
+	convicted map[gossip.TraitKey]conviction
+	// probes holds when this instance last sent a request with a convicted trait.
+	probes map[gossip.TraitKey]time.Time
 }
 
 // lostRequest is a request that ended with its upstream before its answer began.
 type lostRequest struct {
-	id    uint64
-	parts []gossip.PartKey
-	at    time.Time
+	id     uint64
+	traits []gossip.TraitKey
+	at     time.Time
 }
 
-// begunAnswer is when the last answer on a part began, and until when that is reported.
+// begunAnswer is when the last answer on a trait began, and until when that is reported.
 type begunAnswer struct {
 	at          time.Time
 	reportUntil time.Time
 }
 
-// SetInstances replaces the list of instances, of which one sends the probes of a part.
+// SetInstances replaces the list of instances, of which one sends the probes of a trait.
 func (d *Detector) SetInstances(instances []ident.Instance) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -106,25 +107,25 @@
 }
 
 // RequestLost records a request that ended with its upstream before its answer began. id
-// is its RequestKey; parts are those that other requests may share.
-func (d *Detector) RequestLost(now time.Time, id uint64, parts []gossip.PartKey) []Change {
+// is its RequestKey; traits are those that other requests may have as well.
+func (d *Detector) RequestLost(now time.Time, id uint64, traits []gossip.TraitKey) []Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.holds(id) {
 		return nil
 	}
-	d.addLost(lostRequest{id: id, parts: parts, at: now})
+	d.addLost(lostRequest{id: id, traits: traits, at: now})
 	return d.update(now)
 }
 
-// AnswerBegun records that an answer to a request with the parts has begun.
-func (d *Detector) AnswerBegun(now time.Time, parts []gossip.PartKey) []Change {
+// AnswerBegun records that an answer to a request with the traits has begun.
+func (d *Detector) AnswerBegun(now time.Time, traits []gossip.TraitKey) []Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	changed := false
-	for _, part := range parts {
-		d.history.add(now, part)
-		if d.recordBegun(now, part, now) {
+	for _, trait := range traits {
+		d.history.add(now, trait)
+		if d.recordBegun(now, trait, now) {
 			changed = true
 		}
 	}
@@ -135,7 +136,7 @@
 }
 
 // Merge takes over what peers know. Ages are as of now.
-func (d *Detector) Merge(now time.Time, evidence gossip.PromptEvidence) []Change {
+func (d *Detector) Merge(now time.Time, evidence gossip.LossEvidence) []Change {
 	if len(evidence.Lost) == 0 && len(evidence.Begun) == 0 {
 		return nil
 	}
@@ -144,12 +145,12 @@
 	changed := false
 	for _, l := range evidence.Lost {
 		if l.Age < evidenceMemory/2 && !d.holds(l.ID) {
-			d.addLost(lostRequest{id: l.ID, parts: l.Parts, at: now.Add(-l.Age)})
+			d.addLost(lostRequest{id: l.ID, traits: l.Traits, at: now.Add(-l.Age)})
 			changed = true
 		}
 	}
 	for _, b := range evidence.Begun {
-		if d.recordBegun(now, b.Part, now.Add(-b.Age)) {
+		if d.recordBegun(now, b.Trait, now.Add(-b.Age)) {
 			changed = true
 		}
 	}
@@ -160,16 +161,16 @@
 }
 
 // Evidence returns what this instance knows, from its own requests and from peers.
-func (d *Detector) Evidence(now time.Time) gossip.PromptEvidence {
+func (d *Detector) Evidence(now time.Time) gossip.LossEvidence {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	var evidence gossip.PromptEvidence
+	var evidence gossip.LossEvidence
 	for _, l := range d.lost {
-		evidence.Lost = append(evidence.Lost, gossip.LostRequest{ID: l.id, Parts: l.parts, Age: now.Sub(l.at)})
+		evidence.Lost = append(evidence.Lost, gossip.LostRequest{ID: l.id, Traits: l.traits, Age: now.Sub(l.at)})
 	}
-	for part, b := range d.begun {
+	for trait, b := range d.begun {
 		if !b.at.IsZero() {
-			evidence.Begun = append(evidence.Begun, gossip.BegunPart{Part: part, Age: now.Sub(b.at)})
+			evidence.Begun = append(evidence.Begun, gossip.BegunTrait{Trait: trait, Age: now.Sub(b.at)})
 		}
 	}
 	return evidence
@@ -181,7 +182,7 @@
 }
 
 func (d *Detector) addLost(l lostRequest) {
-	if len(l.parts) == 0 {
+	if len(l.traits) == 0 {
 		return
 	}
 	if d.held == nil {
@@ -193,27 +194,27 @@
 		i--
 	}
 	d.lost = slices.Insert(d.lost, i, l)
-	for _, part := range l.parts {
-		if _, found := d.begun[part]; !found {
-			d.setBegun(l.at, part, d.history.last(part))
+	for _, trait := range l.traits {
+		if _, found := d.begun[trait]; !found {
+			d.setBegun(l.at, trait, d.history.last(trait))
 		}
 	}
 }
 
-// recordBegun records an answer on a part if the part is or was suspected. It reports
-// whether the answer may acquit the part of a loss.
-func (d *Detector) recordBegun(now time.Time, part gossip.PartKey, at time.Time) bool {
-	held, found := d.begun[part]
+// recordBegun records an answer on a trait if the trait is or was suspected. It reports
+// whether the answer may acquit the trait of a loss.
+func (d *Detector) recordBegun(now time.Time, trait gossip.TraitKey, at time.Time) bool {
+	held, found := d.begun[trait]
 	if !found || !at.After(held.at) {
 		return false
 	}
-	d.setBegun(now, part, at)
+	d.setBegun(now, trait, at)
 	return len(d.lost) > 0 && held.at.Before(d.lost[len(d.lost)-1].at)
 }
 
-func (d *Detector) setBegun(now time.Time, part gossip.PartKey, at time.Time) {
+func (d *Detector) setBegun(now time.Time, trait gossip.TraitKey, at time.Time) {
 	if d.begun == nil {
-		d.begun = map[gossip.PartKey]begunAnswer{}
+		d.begun = map[gossip.TraitKey]begunAnswer{}
 	}
-	d.begun[part] = begunAnswer{at: at, reportUntil: now.Add(begunMemory)}
+	d.begun[trait] = begunAnswer{at: at, reportUntil: now.Add(begunMemory)}
 }
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -16,27 +16,27 @@
 	return start.Add(time.Duration(seconds * float64(time.Second)))
 }
 
-func keys(parts ...string) []gossip.PartKey {
-	var list []gossip.PartKey
-	for _, part := range parts {
-		list = append(list, KeyOf(part))
+func keys(traits ...string) []gossip.TraitKey {
+	var list []gossip.TraitKey
+	for _, trait := range traits {
+		list = append(list, PartKey(trait))
 	}
 	return list
 }
 
 // lose records a loss of one request at each of the given times, in seconds.
-func lose(d *Detector, parts []gossip.PartKey, seconds ...float64) {
+func lose(d *Detector, traits []gossip.TraitKey, seconds ...float64) {
 	for _, s := range seconds {
-		d.RequestLost(at(s), uint64(s*1000)+1, parts)
+		d.RequestLost(at(s), uint64(s*1000)+1, traits)
 	}
 }
 
-func refused(d *Detector, seconds float64, parts ...string) bool {
-	_, found := d.Check(at(seconds), keys(parts...))
+func refused(d *Detector, seconds float64, traits ...string) bool {
+	_, found := d.Check(at(seconds), keys(traits...))
 	return found
 }
 
-// TestConvictions checks what convicts a part, and what doesn't.
+// TestConvictions checks what convicts a trait, and what doesn't.
 func TestConvictions(t *testing.T) {
 	cases := []struct {
 		name string
@@ -68,7 +68,7 @@
 			d.AnswerBegun(at(0), keys("p"))
 			lose(d, keys("p"), 1, 2, 3, 4, 5, 6, 7, 8)
 		}, true},
-		{"a part that others share", func(d *Detector) {
+		{"a trait that others share", func(d *Detector) {
 			lose(d, keys("q", "p"), 1)
 			lose(d, keys("q"), 2, 3)
 		}, false},
@@ -113,7 +113,7 @@
 	}
 }
 
-// TestProbes checks that one instance lets a request with a convicted part through after a
+// TestProbes checks that one instance lets a request with a convicted trait through after a
 // while, later each time that it is lost, and none of the others does.
 func TestProbes(t *testing.T) {
 	instances := []ident.Instance{"a", "b", "c", "d"}
@@ -138,7 +138,7 @@
 	}
 }
 
-// TestCompanion checks that a part which only ever came with the one that ends upstreams
+// TestCompanion checks that a trait which only ever came with the one that ends upstreams
 // is acquitted by an answer, and meanwhile costs a probe now and then.
 func TestCompanion(t *testing.T) {
 	d := &Detector{Self: "a"}
@@ -167,36 +167,36 @@
 		t.Error("a request is suspected by its own loss")
 	}
 	if !d.Suspects(2, keys("common", "p")) {
-		t.Error("a part without an answer isn't suspected")
+		t.Error("a trait without an answer isn't suspected")
 	}
 	if d.Suspects(2, keys("common", "q")) {
-		t.Error("a part with answers is suspected")
+		t.Error("a trait with answers is suspected")
 	}
 }
 
-// TestBoundedMemory checks that evidence about ever new parts stays bounded, and that it
+// TestBoundedMemory checks that evidence about ever new traits stays bounded, and that it
 // doesn't displace the evidence of a conviction.
 func TestBoundedMemory(t *testing.T) {
 	d := &Detector{Self: "a"}
 	lose(d, keys("p"), 1, 2, 3)
 	for i := range 5000 {
 		now := at(4 + float64(i)/100)
-		part := fmt.Sprintf("part-%d", i)
-		d.RequestLost(now, uint64(100_000+i), keys(part))
-		d.AnswerBegun(now, keys(part+"-begun"))
-		// A request whose part is answered before and after it was lost.
-		d.AnswerBegun(now, keys(part+"-sound"))
-		d.RequestLost(now, uint64(200_000+i), keys(part+"-sound"))
-		d.AnswerBegun(now.Add(time.Millisecond), keys(part+"-sound"))
+		trait := fmt.Sprintf("trait-%d", i)
+		d.RequestLost(now, uint64(100_000+i), keys(trait))
+		d.AnswerBegun(now, keys(trait+"-begun"))
+		// A request whose trait is answered before and after it was lost.
+		d.AnswerBegun(now, keys(trait+"-sound"))
+		d.RequestLost(now, uint64(200_000+i), keys(trait+"-sound"))
+		d.AnswerBegun(now.Add(time.Millisecond), keys(trait+"-sound"))
 	}
 	if !refused(d, 55, "p") {
 		t.Error("the conviction is lost")
 	}
-	if e := d.Evidence(at(55)); len(e.Lost) > maxLost+maxLossesPerPart || len(e.Begun) > 2*maxBegun {
-		t.Errorf("%d lost requests, %d begun parts", len(e.Lost), len(e.Begun))
+	if e := d.Evidence(at(55)); len(e.Lost) > maxLost+maxLossesPerTrait || len(e.Begun) > 2*maxBegun {
+		t.Errorf("%d lost requests, %d begun traits", len(e.Lost), len(e.Begun))
 	}
 	if held := len(d.history.recent) + len(d.history.older); held > 2*maxHistory {
-		t.Errorf("%d parts in the history", held)
+		t.Errorf("%d traits in the history", held)
 	}
 }
 
@@ -214,7 +214,7 @@
 		}
 	}
 	for _, d := range detectors {
-		d.Merge(at(1001), gossip.PromptEvidence{Begun: []gossip.BegunPart{{Part: KeyOf("other")}}})
+		d.Merge(at(1001), gossip.LossEvidence{Begun: []gossip.BegunTrait{{Trait: PartKey("other")}}})
 		d.RequestLost(at(1001), 99, keys("q"))
 		if e := d.Evidence(at(1001)); len(e.Lost) != 1 {
 			t.Errorf("%s holds %d lost requests", d.Self, len(e.Lost))
@@ -230,7 +230,7 @@
 	upstreams []upstreamState
 	now       float64
 	events    []event
-	// tainted makes some requests hold the part that ends upstreams, from second 4 on.
+	// tainted makes some requests hold the trait that ends upstreams, from second 4 on.
 	tainted bool
 	// outages makes upstreams end for other reasons.
 	outages bool
@@ -250,7 +250,7 @@
 type waitingRequest struct {
 	id       uint64
 	instance int
-	parts    []gossip.PartKey
+	traits   []gossip.TraitKey
 	deadly   bool
 	beginsAt float64
 }
@@ -261,8 +261,8 @@
 }
 
 const (
-	deadlyPart = "deadly"
-	step       = 0.02
+	deadlyTrait = "deadly"
+	step        = 0.02
 )
 
 func newFleet(seed uint64, instances, upstreams int) *fleet {
@@ -295,18 +295,18 @@
 	}
 }
 
-// arrivals sends the requests of one step: all share the first part, some sessions share a
+// arrivals sends the requests of one step: all share the first trait, some sessions share a
 // second one, and each has an own one, which isn't evidence and so is left out.
 func (f *fleet) arrivals() {
 	perSecond := 2 * float64(len(f.detectors))
 	for range f.poisson(perSecond * step) {
 		session := fmt.Sprintf("session-%d", f.random.IntN(60))
 		deadly := f.tainted && f.now > 4 && f.random.Float64() < 0.08
-		parts := keys("first", session)
+		traits := keys("first", session)
 		if deadly {
-			parts = append(parts, KeyOf(deadlyPart))
+			traits = append(traits, PartKey(deadlyTrait))
 		}
-		f.send(parts, deadly)
+		f.send(traits, deadly)
 	}
 }
 
@@ -318,9 +318,9 @@
 	return n
 }
 
-func (f *fleet) send(parts []gossip.PartKey, deadly bool) {
+func (f *fleet) send(traits []gossip.TraitKey, deadly bool) {
 	instance := f.random.IntN(len(f.detectors))
-	_, refused := f.detectors[instance].AdmitSend(at(f.now), parts)
+	_, refused := f.detectors[instance].AdmitSend(at(f.now), traits)
 	if !deadly {
 		f.sound++
 	}
@@ -339,7 +339,7 @@
 	}
 	f.nextID++
 	wait := 0.05 + f.random.ExpFloat64()*0.3
-	u.waiting = append(u.waiting, waitingRequest{id: f.nextID, instance: instance, parts: parts, deadly: deadly, beginsAt: f.now + wait})
+	u.waiting = append(u.waiting, waitingRequest{id: f.nextID, instance: instance, traits: traits, deadly: deadly, beginsAt: f.now + wait})
 }
 
 func (f *fleet) progress() {
@@ -355,7 +355,7 @@
 				kept = append(kept, r)
 				ended = true
 			default:
-				f.detectors[r.instance].AnswerBegun(at(f.now), r.parts)
+				f.detectors[r.instance].AnswerBegun(at(f.now), r.traits)
 			}
 		}
 		u.waiting = kept
@@ -369,7 +369,7 @@
 // end ends an upstream for some seconds. The requests that wait there are lost.
 func (f *fleet) end(u *upstreamState) {
 	for _, r := range u.waiting {
-		f.detectors[r.instance].RequestLost(at(f.now), r.id, r.parts)
+		f.detectors[r.instance].RequestLost(at(f.now), r.id, r.traits)
 	}
 	u.waiting = nil
 	u.downUntil = f.now + 1 + 3*f.random.Float64()
@@ -413,18 +413,18 @@
 	f.events = append(f.events[:i], append([]event{e}, f.events[i:]...)...)
 }
 
-// TestFleetStopsPartThatEndsUpstreams guards against a part of a prompt that ends one upstream after
+// TestFleetStopsTraitThatEndsUpstreams guards against a trait of a prompt that ends one upstream after
 // the other: of the requests that hold it, hardly any may be sent some seconds after the
 // fifth upstream has ended, by all instances together, also while upstreams end for other
 // reasons; and no sound request may be refused for it.
-func TestFleetStopsPartThatEndsUpstreams(t *testing.T) {
+func TestFleetStopsTraitThatEndsUpstreams(t *testing.T) {
 	for seed := range uint64(12) {
 		for _, outages := range []bool{false, true} {
 			f := newFleet(seed, []int{9, 30}[seed%2], []int{12, 60}[seed%2])
 			f.tainted, f.outages = true, outages
 			f.run(40)
 			if len(f.crashes) < 3 {
-				t.Errorf("seed %d, outages %v: the part ended %d upstreams only", seed, outages, len(f.crashes))
+				t.Errorf("seed %d, outages %v: the trait ended %d upstreams only", seed, outages, len(f.crashes))
 			}
 			if f.lateSends > 3 {
 				t.Errorf("seed %d, outages %v: %d requests sent, %d upstreams ended", seed, outages, f.lateSends, len(f.crashes))
@@ -436,9 +436,9 @@
 	}
 }
 
-// TestNoPartConvictedByOutages guards against upstreams that end for other reasons making
+// TestNoTraitConvictedByOutages guards against upstreams that end for other reasons making
 // their requests suspects that are refused.
-func TestNoPartConvictedByOutages(t *testing.T) {
+func TestNoTraitConvictedByOutages(t *testing.T) {
 	for seed := range uint64(12) {
 		f := newFleet(seed, []int{9, 30}[seed%2], []int{12, 60}[seed%2])
 		f.outages = true
@@ -452,19 +452,19 @@
 func BenchmarkCheck(b *testing.B) {
 	d := &Detector{Self: "a"}
 	lose(d, keys("p"), 1, 2, 3)
-	parts := keys("first", "second", "third")
+	traits := keys("first", "second", "third")
 	b.ReportAllocs()
 	for b.Loop() {
-		d.Check(at(4), parts)
+		d.Check(at(4), traits)
 	}
 }
 
 func BenchmarkAnswerBegun(b *testing.B) {
 	d := &Detector{Self: "a"}
 	lose(d, keys("p"), 1, 2, 3)
-	parts := keys("first", "second", "third")
+	traits := keys("first", "second", "third")
 	b.ReportAllocs()
 	for b.Loop() {
-		d.AnswerBegun(at(4), parts)
+		d.AnswerBegun(at(4), traits)
 	}
 }
--- a/io/daemon/gateway.go
+++ b/io/daemon/gateway.go
@@ -241,7 +241,7 @@
 func newGateway(p gatewayParams) *gateway {
 	p.Latencies.Register(p.Metrics)
 	p.Metrics.Func("upstream-dials", func() any { return p.UpstreamClient.DialCount.Load() })
-	p.Metrics.Func("convicted-prompt-parts", func() any { return p.Proxy.Poison.ConvictedParts() })
+	p.Metrics.Func("convicted-traits", func() any { return p.Proxy.Poison.ConvictedTraits() })
 	p.Metrics.Func("log-lines-dropped", func() any { return p.LogWriter.DroppedLines() })
 	p.Metrics.Func("log-bytes", func() any { return p.LogWriter.WrittenBytes() })
 	handler := &syncer.Handler{Loop: p.Loop, RelayFunc: p.Proxy.Relay}
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -153,7 +153,7 @@
 // admitSend reports whether a request may be sent to its upstream now, and counts and
 // logs one to an upstream that is cold or names a limit.
 func (p *Proxy) admitSend(call *Call, lease *pool.Lease) bool {
-	if _, refused := p.Poison.AdmitSend(p.Clock.Now(), call.sharedKeys()); refused {
+	if _, refused := p.Poison.AdmitSend(p.Clock.Now(), call.traits()); refused {
 		return false
 	}
 	send, admitted := lease.AdmitSend(p.Clock.Now())
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -81,8 +81,8 @@
 	// status code in it.
 	headSent bool
 	status   int
-	// partKeys is set by sharedKeys.
-	partKeys []gossip.PartKey
+	// traitKeys is set by traits.
+	traitKeys []gossip.TraitKey
 	// fingerprintHash is set by fingerprint.
 	fingerprintHash uint64
 	// peer is the upstream, or the instance in another region, of the last attempt.
--- a/io/proxy/lost.go
+++ b/io/proxy/lost.go
@@ -22,9 +22,9 @@
 	// choose them.
 	maxLoggedParts     = 16
 	maxLoggedPartBytes = 64
-	// maxEvidenceParts bounds the prompt parts of a request that are evidence, which
-	// heartbeats carry. Further ones are ignored.
-	maxEvidenceParts = 32
+	// maxTraits bounds the traits of a request, which heartbeats carry. Further prompt
+	// parts are ignored.
+	maxTraits = 32
 )
 
 // recordLoss checks after a failed attempt whether the request was lost: its upstream ended
@@ -33,7 +33,7 @@
 	if f == nil || begun || outcomeOf(f) != pool.Broken || !p.hasEnded(ctx, lease, f) {
 		return
 	}
-	changes := p.Poison.RequestLost(p.Clock.Now(), poison.RequestKey(call.ID), call.sharedKeys())
+	changes := p.Poison.RequestLost(p.Clock.Now(), poison.RequestKey(call.ID), call.traits())
 	syncer.RecordConvictions(p.Log, p.Metrics, changes)
 	p.Metrics.Events.Add("requests-lost-before-answer", 1)
 	p.Log.Warn().
@@ -67,43 +67,44 @@
 	if a.Status < 200 || a.Status >= 300 {
 		return
 	}
-	changes := p.Poison.AnswerBegun(p.Clock.Now(), call.sharedKeys())
+	changes := p.Poison.AnswerBegun(p.Clock.Now(), call.traits())
 	syncer.RecordConvictions(p.Log, p.Metrics, changes)
 }
 
 // refusePoisoned refuses a request with a prompt part that ends upstreams.
 func (p *Proxy) refusePoisoned(call *Call) *result.Failure {
-	finding, refused := p.Poison.Check(p.Clock.Now(), call.sharedKeys())
+	finding, refused := p.Poison.Check(p.Clock.Now(), call.traits())
 	if !refused {
 		return nil
 	}
 	failure := refuse(result.StepAdmit, result.PoisonedPrompt, finding.RetryAfter)
 	failure.Cause = errors.Errorf("prompt part %q ended upstreams: %d requests with it were lost, the last one %s ago",
-		call.partID(finding.Part), finding.Losses, finding.Age.Round(time.Millisecond))
+		call.partID(finding.Trait), finding.Losses, finding.Age.Round(time.Millisecond))
 	return failure
 }
 
 // partID returns the id of a shared part with the given key, as it is logged.
-func (c *Call) partID(key gossip.PartKey) string {
+func (c *Call) partID(key gossip.TraitKey) string {
 	for _, part := range c.sharedParts() {
-		if poison.KeyOf(part.ID) == key {
+		if poison.PartKey(part.ID) == key {
 			return part.ID[:min(len(part.ID), maxLoggedPartBytes)]
 		}
 	}
 	return ""
 }
 
-// sharedKeys returns the keys of the shared parts, maxEvidenceParts at most.
-func (c *Call) sharedKeys() []gossip.PartKey {
+// traits returns the keys of what other requests may have in common with the call: the
+// shared parts of its prompt, maxTraits at most.
+func (c *Call) traits() []gossip.TraitKey {
 	shared := c.sharedParts()
-	count := min(len(shared), maxEvidenceParts)
-	if c.partKeys == nil && count > 0 {
-		c.partKeys = make([]gossip.PartKey, 0, count)
+	count := min(len(shared), maxTraits)
+	if c.traitKeys == nil && count > 0 {
+		c.traitKeys = make([]gossip.TraitKey, 0, count)
 		for _, part := range shared[:count] {
-			c.partKeys = append(c.partKeys, poison.KeyOf(part.ID))
+			c.traitKeys = append(c.traitKeys, poison.PartKey(part.ID))
 		}
 	}
-	return c.partKeys
+	return c.traitKeys
 }
 
 // sharedParts returns the parts of the prompt that other requests may share: all but the
--- a/io/proxy/retry.go
+++ b/io/proxy/retry.go
@@ -14,7 +14,7 @@
 	if ctx.Err() != nil || f.Outcome == result.Unknown && !call.Route.Repeatable() {
 		return false
 	}
-	if f.Reason == result.PoisonedPrompt || f.Outcome == result.Unknown && p.Poison.Suspects(poison.RequestKey(call.ID), call.sharedKeys()) {
+	if f.Reason == result.PoisonedPrompt || f.Outcome == result.Unknown && p.Poison.Suspects(poison.RequestKey(call.ID), call.traits()) {
 		return false
 	}
 	if call.headSent && (call.LastEventID == "" || !call.Route.Resumable) {
--- a/io/syncer/convictions.go
+++ b/io/syncer/convictions.go
@@ -12,7 +12,7 @@
 	"arbutustrestle/io/metric"
 )
 
-// mergeEvidence merges the evidence on prompt parts of the members from which a heartbeat has
+// mergeEvidence merges the evidence on lost requests of the members from which a heartbeat has
 // arrived since.
 func (l *Loop) mergeEvidence(now time.Time, v *gossip.View) {
 	merged := make(map[ident.Instance]time.Time, len(v.Members))
@@ -26,17 +26,17 @@
 	l.evidenceAt = merged
 }
 
-// RecordConvictions counts and logs the prompt parts that have been convicted or acquitted.
+// RecordConvictions counts and logs the traits that have been convicted or acquitted.
 // The log has their keys; the requests that are lost or refused are logged with the ids.
 func RecordConvictions(log zerolog.Logger, metrics *metric.Set, changes []poison.Change) {
 	for _, c := range changes {
-		line := log.Warn().Str("part-key", strconv.FormatUint(uint64(c.Part), 16))
+		line := log.Warn().Str("trait-key", strconv.FormatUint(uint64(c.Trait), 16))
 		if c.Convicted {
-			metrics.Events.Add("prompt-parts-convicted", 1)
-			line.Int("requests-lost", c.Losses).Msg("requests with a prompt part refused: it ends upstreams")
+			metrics.Events.Add("traits-convicted", 1)
+			line.Int("requests-lost", c.Losses).Msg("requests with a trait refused: they end upstreams")
 			continue
 		}
-		metrics.Events.Add("prompt-parts-acquitted", 1)
-		line.Msg("requests with a prompt part served again")
+		metrics.Events.Add("traits-acquitted", 1)
+		line.Msg("requests with a trait served again")
 	}
 }
--- a/io/syncer/syncer.go
+++ b/io/syncer/syncer.go
@@ -257,7 +257,7 @@
 		r.UpstreamLimits = l.opts.Pool.UpstreamLimits(now)
 		r.LeavingUpstreams = l.opts.Pool.LeavingUpstreams()
 		r.ServiceLoads = l.opts.Pool.ServiceLoads(now)
-		r.PromptEvidence = l.opts.Poison.Evidence(now)
+		r.LossEvidence = l.opts.Poison.Evidence(now)
 	})
 	for _, hb := range l.membership.DueHeartbeats(now) {
 		l.send(ctx, hb)
--- a/io/wire/relay.go
+++ b/io/wire/relay.go
@@ -52,7 +52,7 @@
 	for _, run := range r.LeavingUpstreams {
 		m.Leaving = append(m.Leaving, &UpstreamRun{Upstream: string(run.Upstream), StartMs: startToWire(run.StartTime)})
 	}
-	evidenceToWire(m, &r.PromptEvidence)
+	evidenceToWire(m, &r.LossEvidence)
 	for _, s := range r.ServiceLoads {
 		m.Services = append(m.Services, &ServiceLoad{
 			Service:     string(s.Service),
@@ -116,7 +116,7 @@
 	for _, run := range m.GetLeaving() {
 		r.LeavingUpstreams = append(r.LeavingUpstreams, gossip.UpstreamRun{Upstream: ident.Upstream(run.GetUpstream()), StartTime: startFromWire(run.GetStartMs())})
 	}
-	r.PromptEvidence = evidenceFromWire(m)
+	r.LossEvidence = evidenceFromWire(m)
 	for _, s := range m.GetServices() {
 		r.ServiceLoads = append(r.ServiceLoads, gossip.ServiceLoad{
 			Service:        ident.Service(s.GetService()),
@@ -128,30 +128,30 @@
 	return r, nil
 }
 
-func evidenceToWire(m *BeatRecord, e *gossip.PromptEvidence) {
+func evidenceToWire(m *BeatRecord, e *gossip.LossEvidence) {
 	for _, l := range e.Lost {
 		lost := &LostRequest{Id: l.ID, AgeMs: milliseconds(l.Age)}
-		for _, part := range l.Parts {
-			lost.Parts = append(lost.Parts, uint64(part))
+		for _, trait := range l.Traits {
+			lost.Traits = append(lost.Traits, uint64(trait))
 		}
 		m.Lost = append(m.Lost, lost)
 	}
 	for _, b := range e.Begun {
-		m.Begun = append(m.Begun, &BegunPart{Part: uint64(b.Part), AgeMs: milliseconds(b.Age)})
+		m.Begun = append(m.Begun, &BegunTrait{Trait: uint64(b.Trait), AgeMs: milliseconds(b.Age)})
 	}
 }
 
-func evidenceFromWire(m *BeatRecord) gossip.PromptEvidence {
-	var e gossip.PromptEvidence
+func evidenceFromWire(m *BeatRecord) gossip.LossEvidence {
+	var e gossip.LossEvidence
 	for _, lost := range m.GetLost() {
 		l := gossip.LostRequest{ID: lost.GetId(), Age: time.Duration(lost.GetAgeMs()) * time.Millisecond}
-		for _, part := range lost.GetParts() {
-			l.Parts = append(l.Parts, gossip.PartKey(part))
+		for _, trait := range lost.GetTraits() {
+			l.Traits = append(l.Traits, gossip.TraitKey(trait))
 		}
 		e.Lost = append(e.Lost, l)
 	}
 	for _, b := range m.GetBegun() {
-		e.Begun = append(e.Begun, gossip.BegunPart{Part: gossip.PartKey(b.GetPart()), Age: time.Duration(b.GetAgeMs()) * time.Millisecond})
+		e.Begun = append(e.Begun, gossip.BegunTrait{Trait: gossip.TraitKey(b.GetTrait()), Age: time.Duration(b.GetAgeMs()) * time.Millisecond})
 	}
 	return e
 }
