Refuse a request that comes again and ends upstream after upstream, by its fingerprint

Cause: the evidence of lost requests was keyed by prompt parts. A request without parts had no key, one with parts shares them with sound requests, whose answers acquit them.

Change: the evidence holds traits, that is the fingerprint of the request beside the parts of its prompt; a part whose losses are all of one convicted request isn't convicted; a request lost with two upstreams counts twice and isn't sent to a third. Losses that come alone are bounded (128) and reported (own ones, 64 at once, 5 s) apart from those of a trait that was lost before: with one bound of 32, requests lost beside the deadly one displace it. So TestBoundedMemory's bound on a heartbeat is 84 losses for 5 s and 20 afterwards, where it was 44 for ten minutes.

Why it works: such a request never has an answer, so three losses in different moments convict it, at any instances, and all know within two heartbeats.

--- a/core/gossip/evidence.go
+++ b/core/gossip/evidence.go
@@ -1,12 +1,43 @@
 package gossip
 
-import "time"
+import (
+	"iter"
+	"slices"
+	"time"
+)
 
 // TraitKey is the hash of a trait: something that several requests may have in common, and
 // for which upstreams may end. It is the id of a prompt part or the fingerprint of a whole
 // request. Both are up to callers, so that they may be long.
 type TraitKey uint64
 
+// Traits are the traits of one request.
+type Traits struct {
+	// Fingerprint is the same for all tries of one request; zero if it isn't known.
+	Fingerprint TraitKey
+	// Parts are the parts of its prompt that other requests may hold as well.
+	Parts []TraitKey
+}
+
+// All returns all traits.
+func (t Traits) All() iter.Seq[TraitKey] {
+	return func(yield func(TraitKey) bool) {
+		if t.Fingerprint != 0 && !yield(t.Fingerprint) {
+			return
+		}
+		for _, part := range t.Parts {
+			if !yield(part) {
+				return
+			}
+		}
+	}
+}
+
+// Has reports whether a trait is among them.
+func (t Traits) Has(trait TraitKey) bool {
+	return trait == t.Fingerprint || slices.Contains(t.Parts, trait)
+}
+
 // LossEvidence is what an instance knows of traits of requests that may end upstreams.
 type LossEvidence struct {
 	Lost  []LostRequest
@@ -15,10 +46,9 @@
 
 // LostRequest is a request that ended with its upstream before its answer began.
 type LostRequest struct {
-	// ID identifies the request. All instances use the same for one request.
-	ID uint64
-	// Traits are those that other requests may have as well.
-	Traits []TraitKey
+	// ID identifies the request and its upstream. All instances use the same.
+	ID     uint64
+	Traits Traits
 	// Age is the time since the request was lost.
 	Age time.Duration
 }
--- a/core/poison/bench_test.go
+++ b/core/poison/bench_test.go
@@ -10,7 +10,7 @@
 func BenchmarkMerge(b *testing.B) {
 	peers := &Detector{Self: "a"}
 	for i := range 60 {
-		peers.RequestLost(at(float64(i)/10), uint64(i), []gossip.TraitKey{1, gossip.TraitKey(100 + i)})
+		peers.RequestLost(at(float64(i)/10), uint64(i), gossip.Traits{Fingerprint: gossip.TraitKey(1000 + i), Parts: []gossip.TraitKey{1, gossip.TraitKey(100 + i)}})
 	}
 	one := peers.Evidence(at(10))
 	var all gossip.LossEvidence
--- a/core/poison/check.go
+++ b/core/poison/check.go
@@ -28,7 +28,7 @@
 }
 
 // Check reports why a request with the traits may not be sent; false if it may.
-func (d *Detector) Check(now time.Time, traits []gossip.TraitKey) (Finding, bool) {
+func (d *Detector) Check(now time.Time, traits gossip.Traits) (Finding, bool) {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	return d.check(now, traits)
@@ -36,14 +36,14 @@
 
 // AdmitSend is Check at the moment at which the request leaves. A request that was admitted
 // must be sent: it may be the probe of a convicted trait.
-func (d *Detector) AdmitSend(now time.Time, traits []gossip.TraitKey) (Finding, bool) {
+func (d *Detector) AdmitSend(now time.Time, traits gossip.Traits) (Finding, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	finding, refused := d.check(now, traits)
 	if refused {
 		return finding, true
 	}
-	for _, trait := range traits {
+	for trait := range traits.All() {
 		if _, found := d.convicted[trait]; found {
 			d.probes[trait] = now
 		}
@@ -52,17 +52,17 @@
 }
 
 // Suspects reports whether another request was lost with a trait of this one on which no
-// answer is known to have begun. Such a request shouldn't be tried again once it was lost
-// itself.
-func (d *Detector) Suspects(id uint64, traits []gossip.TraitKey) bool {
+// answer is known to have begun. id is the LossID of this one's last loss. Such a request
+// shouldn't be tried again once it was lost itself.
+func (d *Detector) Suspects(id uint64, traits gossip.Traits) bool {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	for _, l := range d.lost {
 		if l.id == id {
 			continue
 		}
-		for _, trait := range l.traits {
-			if d.begun[trait].at.IsZero() && slices.Contains(traits, trait) {
+		for trait := range l.traits.All() {
+			if d.begun[trait].at.IsZero() && traits.Has(trait) {
 				return true
 			}
 		}
@@ -70,11 +70,11 @@
 	return false
 }
 
-func (d *Detector) check(now time.Time, traits []gossip.TraitKey) (Finding, bool) {
+func (d *Detector) check(now time.Time, traits gossip.Traits) (Finding, bool) {
 	if len(d.convicted) == 0 {
 		return Finding{}, false
 	}
-	for _, trait := range traits {
+	for trait := range traits.All() {
 		c, found := d.convicted[trait]
 		if !found {
 			continue
@@ -90,7 +90,7 @@
 // probeWait returns the time until a request with a convicted trait may be sent by the
 // instance that sends the probes. A request without a companion of the trait is tried soon:
 // the companion alone may be the cause.
-func (d *Detector) probeWait(now time.Time, trait gossip.TraitKey, c conviction, traits []gossip.TraitKey) time.Duration {
+func (d *Detector) probeWait(now time.Time, trait gossip.TraitKey, c conviction, traits gossip.Traits) time.Duration {
 	interval := firstProbe << min(c.losses-c.required, maxProbeDoublings)
 	last := latest(c.lastAt, d.probes[trait])
 	if c.explainedWithout(traits) {
@@ -102,8 +102,8 @@
 
 // explainedWithout reports whether a companion, which the request doesn't hold, explains
 // the losses.
-func (c *conviction) explainedWithout(traits []gossip.TraitKey) bool {
-	return slices.ContainsFunc(c.companions, func(companion gossip.TraitKey) bool { return !slices.Contains(traits, companion) })
+func (c *conviction) explainedWithout(traits gossip.Traits) bool {
+	return slices.ContainsFunc(c.companions, func(companion gossip.TraitKey) bool { return !traits.Has(companion) })
 }
 
 // sendsProbes reports whether this instance sends the probes of a trait.
--- a/core/poison/convict.go
+++ b/core/poison/convict.go
@@ -28,7 +28,7 @@
 // update drops what no longer counts and convicts and acquits traits. It returns the
 // convictions that have changed.
 func (d *Detector) update(now time.Time) []Change {
-	d.dropEvidence(now)
+	d.dropOld(now)
 	losses := d.lossesByTrait()
 	before := d.convicted
 	d.convicted = map[gossip.TraitKey]conviction{}
@@ -37,10 +37,17 @@
 			d.convicted[trait] = c
 		}
 	}
+	for trait := range d.convicted {
+		if d.explainedByRequest(trait, losses[trait]) {
+			delete(d.convicted, trait)
+		}
+	}
 	for trait, c := range d.convicted {
 		c.companions = d.companions(trait, c, losses[trait])
 		d.convicted[trait] = c
 	}
+	d.dropSurplus(losses)
+	d.dropBegun(now)
 	d.dropProbes()
 	return changes(before, d.convicted)
 }
@@ -54,6 +61,16 @@
 	return c, c.losses >= c.required
 }
 
+// explainedByRequest reports whether all losses with a prompt part are of one request that is
+// convicted itself. They are no evidence against its parts, which others may hold as well.
+func (d *Detector) explainedByRequest(trait gossip.TraitKey, list []*lostRequest) bool {
+	fingerprint := list[0].traits.Fingerprint
+	if _, found := d.convicted[fingerprint]; !found || fingerprint == trait {
+		return false
+	}
+	return !slices.ContainsFunc(list, func(l *lostRequest) bool { return l.traits.Fingerprint != fingerprint })
+}
+
 // moments returns the number of moments in which requests were lost.
 func moments(list []*lostRequest) int {
 	count := 0
@@ -70,12 +87,12 @@
 // companions returns the convicted traits that all lost requests of a trait hold.
 func (d *Detector) companions(trait gossip.TraitKey, c conviction, list []*lostRequest) []gossip.TraitKey {
 	var companions []gossip.TraitKey
-	for _, other := range list[0].traits {
+	for other := range list[0].traits.All() {
 		held, found := d.convicted[other]
 		if other == trait || !found || held.losses < c.losses {
 			continue
 		}
-		inAll := !slices.ContainsFunc(list, func(l *lostRequest) bool { return !slices.Contains(l.traits, other) })
+		inAll := !slices.ContainsFunc(list, func(l *lostRequest) bool { return !l.traits.Has(other) })
 		if inAll {
 			companions = append(companions, other)
 		}
@@ -88,7 +105,7 @@
 	losses := map[gossip.TraitKey][]*lostRequest{}
 	for i := range d.lost {
 		l := &d.lost[i]
-		for _, trait := range l.traits {
+		for trait := range l.traits.All() {
 			if d.counts(l, trait) {
 				losses[trait] = append(losses[trait], l)
 			}
--- a/core/poison/memory.go
+++ b/core/poison/memory.go
@@ -7,43 +7,95 @@
 	"arbutustrestle/core/gossip"
 )
 
-// dropEvidence drops the lost requests that count against no trait, that are old, or that
-// are more than can be held.
-func (d *Detector) dropEvidence(now time.Time) {
+// dropOld drops the lost requests that count against no trait or are old.
+func (d *Detector) dropOld(now time.Time) {
 	d.lost = slices.DeleteFunc(d.lost, func(l lostRequest) bool {
-		return now.Sub(l.at) > evidenceMemory || !slices.ContainsFunc(l.traits, func(trait gossip.TraitKey) bool { return d.counts(&l, trait) })
+		return now.Sub(l.at) > evidenceMemory || !d.countsAtAll(&l)
 	})
-	d.dropSurplus()
-	clear(d.held)
-	for _, l := range d.lost {
-		d.held[l.id] = struct{}{}
+}
+
+// countsAtAll reports whether a lost request counts against a trait.
+func (d *Detector) countsAtAll(l *lostRequest) bool {
+	for trait := range l.traits.All() {
+		if d.counts(l, trait) {
+			return true
+		}
 	}
-	d.dropBegun(now)
+	return false
 }
 
-// dropSurplus drops the oldest lost requests beyond maxLossesPerTrait for each convicted
-// trait, and beyond maxLost for all others together.
-func (d *Detector) dropSurplus() {
+// dropSurplus drops the oldest lost requests beyond what can be held, and marks those that
+// all instances report. losses holds those that count against each trait.
+func (d *Detector) dropSurplus(losses map[gossip.TraitKey][]*lostRequest) {
+	again := lostAgain(losses)
 	newer := map[gossip.TraitKey]int{}
-	others := 0
-	var kept []lostRequest
+	repeated, others := 0, 0
+	kept := make([]lostRequest, 0, len(d.lost))
 	for _, l := range slices.Backward(d.lost) {
-		convicts := false
-		for _, trait := range l.traits {
-			if _, found := d.convicted[trait]; found && d.counts(&l, trait) {
-				convicts = convicts || newer[trait] < maxLossesPerTrait
-				newer[trait]++
-			}
-		}
-		if !convicts {
+		convicts, repeats := d.convictsOrRepeats(&l, again, newer)
+		l.reported = convicts || repeats && repeated < maxRepeated
+		switch {
+		case l.reported && !convicts:
+			repeated++
+		case !l.reported:
 			others++
 		}
-		if convicts || others <= maxLost {
+		if l.reported || others <= maxLost {
 			kept = append(kept, l)
 		}
 	}
 	slices.Reverse(kept)
 	d.lost = kept
+	clear(d.held)
+	for _, l := range d.lost {
+		d.held[l.id] = struct{}{}
+	}
+}
+
+// lostAgain returns the traits that were lost in several moments.
+func lostAgain(losses map[gossip.TraitKey][]*lostRequest) map[gossip.TraitKey]struct{} {
+	again := map[gossip.TraitKey]struct{}{}
+	for trait, list := range losses {
+		if moments(list) > 1 {
+			again[trait] = struct{}{}
+		}
+	}
+	return again
+}
+
+// convictsOrRepeats reports whether a lost request is one of the newest maxLossesPerTrait
+// with a convicted trait, and whether it has one of the traits in again. newer counts the
+// later ones with each convicted trait.
+func (d *Detector) convictsOrRepeats(l *lostRequest, again map[gossip.TraitKey]struct{}, newer map[gossip.TraitKey]int) (convicts, repeats bool) {
+	for trait := range l.traits.All() {
+		if !d.counts(l, trait) {
+			continue
+		}
+		if _, found := d.convicted[trait]; found {
+			convicts = convicts || newer[trait] < maxLossesPerTrait
+			newer[trait]++
+			continue
+		}
+		_, found := again[trait]
+		repeats = repeats || found
+	}
+	return convicts, repeats
+}
+
+// reportedLosses returns the lost requests that this instance reports.
+func (d *Detector) reportedLosses(now time.Time) []lostRequest {
+	var list []lostRequest
+	own := 0
+	for _, l := range slices.Backward(d.lost) {
+		if !l.reported && l.own && now.Sub(l.at) < reportTime && own < maxReported {
+			own++
+			l.reported = true
+		}
+		if l.reported {
+			list = append(list, l)
+		}
+	}
+	return list
 }
 
 // dropBegun drops the begun answers of traits that aren't suspected any more, once peers
@@ -51,7 +103,7 @@
 func (d *Detector) dropBegun(now time.Time) {
 	suspected := map[gossip.TraitKey]struct{}{}
 	for _, l := range d.lost {
-		for _, trait := range l.traits {
+		for trait := range l.traits.All() {
 			suspected[trait] = struct{}{}
 		}
 	}
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -1,7 +1,8 @@
 // Package poison detects requests that end upstreams: they crash each upstream that begins
 // to answer them (queries of death). What such requests have in common is a trait: a part
-// of their prompt. The package holds the evidence of one instance and of its peers, and
-// decides which requests may not be sent.
+// of their prompt, or that they are tries of one request, which its fingerprint tells. The
+// package holds the evidence of one instance and of its peers, and decides which requests
+// may not be sent.
 //
 // An upstream that ends takes all requests down with it. Only those whose answer had not
 // begun can be the cause, and a trait with which any answer begins is sound. So a trait is
@@ -35,16 +36,23 @@
 	// first half of that time, or it would go round between them with its age reduced by
 	// the time under way.
 	evidenceMemory = 10 * time.Minute
-	// maxLost bounds the lost requests that are held, and so the size of heartbeats.
-	maxLost = 32
+	// maxLost bounds the lost requests that are held beside those with a trait that was lost
+	// in several moments. One that ends upstreams must not be displaced by those that are
+	// lost with it before it comes again.
+	maxLost = 128
+	// maxRepeated bounds those with such a trait, which all instances report, and maxReported
+	// those that an instance reports of its own, for reportTime. Both bound the size of
+	// heartbeats. An instance may lose as many at once as an upstream has slots.
+	maxRepeated = 8
+	maxReported = 64
 	// maxBegun bounds the traits with begun answers that are reported.
 	maxBegun = 64
 	// maxLossesPerTrait bounds the lost requests that are kept for one convicted trait. It
 	// exceeds requiredLossesBegun.
 	maxLossesPerTrait = 12
-	// begunMemory is how long a begun answer is reported, so that peers drop their evidence
-	// against its trait. One that goes on reporting a loss with the trait is told again.
-	begunMemory = 5 * time.Second
+	// reportTime is how long what an instance has seen itself is reported, so that peers hear
+	// of it several times. A begun answer is reported longer while a loss with its trait is.
+	reportTime = 5 * time.Second
 	// firstProbe is the time after the last loss at which a request with a convicted trait
 	// may be sent again, to learn whether the trait still ends upstreams. It doubles with
 	// each further loss, up to maxProbeDoublings times.
@@ -61,9 +69,10 @@
 	return gossip.TraitKey(xxhash.Sum64String(id))
 }
 
-// RequestKey returns the key of a request, the same at all instances.
-func RequestKey(id string) uint64 {
-	return xxhash.Sum64String(id)
+// LossID identifies the loss of a request with its upstream, at all instances. One request
+// may be lost with several upstreams.
+func LossID(requestID string, upstream ident.Upstream) uint64 {
+	return xxhash.Sum64String(requestID + " " + string(upstream))
 }
 
 // Detector holds the evidence and the convictions of one instance. It is safe for
@@ -89,8 +98,12 @@
 // lostRequest is a request that ended with its upstream before its answer began.
 type lostRequest struct {
 	id     uint64
-	traits []gossip.TraitKey
+	traits gossip.Traits
 	at     time.Time
+	// own is set if this instance sent the request.
+	own bool
+	// reported is set if all instances report the request, whoever sent it.
+	reported bool
 }
 
 // begunAnswer is when the last answer on a trait began, and until when that is reported.
@@ -107,23 +120,23 @@
 }
 
 // RequestLost records a request that ended with its upstream before its answer began. id
-// is its RequestKey; traits are those that other requests may have as well.
-func (d *Detector) RequestLost(now time.Time, id uint64, traits []gossip.TraitKey) []Change {
+// is its LossID.
+func (d *Detector) RequestLost(now time.Time, id uint64, traits gossip.Traits) []Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.holds(id) {
 		return nil
 	}
-	d.addLost(lostRequest{id: id, traits: traits, at: now})
+	d.addLost(lostRequest{id: id, traits: traits, at: now, own: true})
 	return d.update(now)
 }
 
 // AnswerBegun records that an answer to a request with the traits has begun.
-func (d *Detector) AnswerBegun(now time.Time, traits []gossip.TraitKey) []Change {
+func (d *Detector) AnswerBegun(now time.Time, traits gossip.Traits) []Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	changed := false
-	for _, trait := range traits {
+	for trait := range traits.All() {
 		d.history.add(now, trait)
 		if d.recordBegun(now, trait, now) {
 			changed = true
@@ -160,16 +173,22 @@
 	return d.update(now)
 }
 
-// Evidence returns what this instance knows, from its own requests and from peers.
+// Evidence returns what this instance reports: its own losses for a while, and those that
+// are evidence against a trait, from its own requests and from peers.
 func (d *Detector) Evidence(now time.Time) gossip.LossEvidence {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	var evidence gossip.LossEvidence
-	for _, l := range d.lost {
+	reported := map[gossip.TraitKey]struct{}{}
+	for _, l := range d.reportedLosses(now) {
 		evidence.Lost = append(evidence.Lost, gossip.LostRequest{ID: l.id, Traits: l.traits, Age: now.Sub(l.at)})
+		for trait := range l.traits.All() {
+			reported[trait] = struct{}{}
+		}
 	}
 	for trait, b := range d.begun {
-		if !b.at.IsZero() {
+		_, found := reported[trait]
+		if !b.at.IsZero() && (found || now.Before(b.reportUntil)) {
 			evidence.Begun = append(evidence.Begun, gossip.BegunTrait{Trait: trait, Age: now.Sub(b.at)})
 		}
 	}
@@ -182,7 +201,7 @@
 }
 
 func (d *Detector) addLost(l lostRequest) {
-	if len(l.traits) == 0 {
+	if l.traits.Fingerprint == 0 && len(l.traits.Parts) == 0 {
 		return
 	}
 	if d.held == nil {
@@ -194,7 +213,7 @@
 		i--
 	}
 	d.lost = slices.Insert(d.lost, i, l)
-	for _, trait := range l.traits {
+	for trait := range l.traits.All() {
 		if _, found := d.begun[trait]; !found {
 			d.setBegun(l.at, trait, d.history.last(trait))
 		}
@@ -216,5 +235,5 @@
 	if d.begun == nil {
 		d.begun = map[gossip.TraitKey]begunAnswer{}
 	}
-	d.begun[trait] = begunAnswer{at: at, reportUntil: now.Add(begunMemory)}
+	d.begun[trait] = begunAnswer{at: at, reportUntil: now.Add(reportTime)}
 }
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -16,16 +16,24 @@
 	return start.Add(time.Duration(seconds * float64(time.Second)))
 }
 
-func keys(traits ...string) []gossip.TraitKey {
-	var list []gossip.TraitKey
-	for _, trait := range traits {
-		list = append(list, PartKey(trait))
+// keys returns the traits of a request with the prompt parts, whose fingerprint isn't known.
+func keys(parts ...string) gossip.Traits {
+	var traits gossip.Traits
+	for _, part := range parts {
+		traits.Parts = append(traits.Parts, PartKey(part))
 	}
-	return list
+	return traits
+}
+
+// request returns the traits of a request with a fingerprint and prompt parts.
+func request(fingerprint gossip.TraitKey, parts ...string) gossip.Traits {
+	traits := keys(parts...)
+	traits.Fingerprint = fingerprint
+	return traits
 }
 
 // lose records a loss of one request at each of the given times, in seconds.
-func lose(d *Detector, traits []gossip.TraitKey, seconds ...float64) {
+func lose(d *Detector, traits gossip.Traits, seconds ...float64) {
 	for _, s := range seconds {
 		d.RequestLost(at(s), uint64(s*1000)+1, traits)
 	}
@@ -68,6 +76,11 @@
 			d.AnswerBegun(at(0), keys("p"))
 			lose(d, keys("p"), 1, 2, 3, 4, 5, 6, 7, 8)
 		}, true},
+		{"a part of one request that came again", func(d *Detector) { lose(d, request(7, "p"), 1, 2, 3) }, false},
+		{"a part of two requests, one of which came again", func(d *Detector) {
+			lose(d, request(7, "p"), 1, 2)
+			lose(d, request(8, "p"), 3)
+		}, true},
 		{"a trait that others share", func(d *Detector) {
 			lose(d, keys("q", "p"), 1)
 			lose(d, keys("q"), 2, 3)
@@ -172,6 +185,15 @@
 	if d.Suspects(2, keys("common", "q")) {
 		t.Error("a trait with answers is suspected")
 	}
+	first, second := LossID("request", "upstream-1"), LossID("request", "upstream-2")
+	d.RequestLost(at(2), first, request(7))
+	if d.Suspects(first, request(7)) {
+		t.Error("a request that was lost once isn't tried again")
+	}
+	d.RequestLost(at(3), second, request(7))
+	if !d.Suspects(second, request(7)) {
+		t.Error("a request that was lost twice is tried again")
+	}
 }
 
 // TestBoundedMemory checks that evidence about ever new traits stays bounded, and that it
@@ -192,9 +214,15 @@
 	if !refused(d, 55, "p") {
 		t.Error("the conviction is lost")
 	}
-	if e := d.Evidence(at(55)); len(e.Lost) > maxLost+maxLossesPerTrait || len(e.Begun) > 2*maxBegun {
+	if e := d.Evidence(at(55)); len(e.Lost) > maxRepeated+maxReported+maxLossesPerTrait || len(e.Begun) > 2*maxBegun {
 		t.Errorf("%d lost requests, %d begun traits", len(e.Lost), len(e.Begun))
 	}
+	if e := d.Evidence(at(60)); len(e.Lost) > maxRepeated+maxLossesPerTrait || len(e.Begun) > maxRepeated+maxLossesPerTrait {
+		t.Errorf("%d lost requests, %d begun traits some seconds later", len(e.Lost), len(e.Begun))
+	}
+	if len(d.lost) > maxRepeated+maxLost+maxLossesPerTrait {
+		t.Errorf("%d lost requests held", len(d.lost))
+	}
 	if held := len(d.history.recent) + len(d.history.older); held > 2*maxHistory {
 		t.Errorf("%d traits in the history", held)
 	}
@@ -232,8 +260,13 @@
 	events    []event
 	// tainted makes some requests hold the trait that ends upstreams, from second 4 on.
 	tainted bool
+	// repeated makes one request that ends upstreams come again and again, about once a
+	// second, from second 4 on.
+	repeated bool
 	// outages makes upstreams end for other reasons.
 	outages bool
+	// retries makes lost requests be sent to up to three upstreams.
+	retries bool
 
 	crashes      []float64
 	lateSends    int
@@ -250,8 +283,9 @@
 type waitingRequest struct {
 	id       uint64
 	instance int
-	traits   []gossip.TraitKey
+	traits   gossip.Traits
 	deadly   bool
+	tries    int
 	beginsAt float64
 }
 
@@ -261,8 +295,9 @@
 }
 
 const (
-	deadlyTrait = "deadly"
-	step        = 0.02
+	deadlyTrait   = "deadly"
+	deadlyRequest = 7
+	step          = 0.02
 )
 
 func newFleet(seed uint64, instances, upstreams int) *fleet {
@@ -302,11 +337,14 @@
 	for range f.poisson(perSecond * step) {
 		session := fmt.Sprintf("session-%d", f.random.IntN(60))
 		deadly := f.tainted && f.now > 4 && f.random.Float64() < 0.08
-		traits := keys("first", session)
+		traits := request(gossip.TraitKey(f.random.Uint64()), "first", session)
 		if deadly {
-			traits = append(traits, PartKey(deadlyTrait))
+			traits.Parts = append(traits.Parts, PartKey(deadlyTrait))
 		}
-		f.send(traits, deadly)
+		f.send(waitingRequest{traits: traits, deadly: deadly})
+	}
+	if f.repeated && f.now > 4 && f.random.Float64() < step {
+		f.send(waitingRequest{traits: request(deadlyRequest, "first", "session-0"), deadly: true})
 	}
 }
 
@@ -318,28 +356,43 @@
 	return n
 }
 
-func (f *fleet) send(traits []gossip.TraitKey, deadly bool) {
-	instance := f.random.IntN(len(f.detectors))
-	_, refused := f.detectors[instance].AdmitSend(at(f.now), traits)
-	if !deadly {
+// send sends a new request from any instance.
+func (f *fleet) send(r waitingRequest) {
+	f.nextID++
+	r.id = f.nextID
+	r.instance = f.random.IntN(len(f.detectors))
+	if !r.deadly {
 		f.sound++
 	}
-	if refused {
-		if !deadly {
-			f.refusedSound++
-		}
-		return
+	if !f.try(r) && !r.deadly {
+		f.refusedSound++
 	}
-	if deadly && len(f.crashes) >= 5 && f.now > f.crashes[4]+5 {
+}
+
+// try makes one attempt of a request. It reports false if the request is refused.
+func (f *fleet) try(r waitingRequest) bool {
+	if _, refused := f.detectors[r.instance].AdmitSend(at(f.now), r.traits); refused {
+		return false
+	}
+	r.tries++
+	if r.deadly && len(f.crashes) >= f.allowedCrashes() && f.now > f.crashes[f.allowedCrashes()-1]+5 {
 		f.lateSends++
 	}
 	u := &f.upstreams[f.random.IntN(len(f.upstreams))]
-	if f.now < u.downUntil {
-		return
+	if f.now >= u.downUntil {
+		r.beginsAt = f.now + 0.05 + f.random.ExpFloat64()*0.3
+		u.waiting = append(u.waiting, r)
 	}
-	f.nextID++
-	wait := 0.05 + f.random.ExpFloat64()*0.3
-	u.waiting = append(u.waiting, waitingRequest{id: f.nextID, instance: instance, traits: traits, deadly: deadly, beginsAt: f.now + wait})
+	return true
+}
+
+// allowedCrashes is the number of endings some seconds after which hardly any deadly request
+// may be sent.
+func (f *fleet) allowedCrashes() int {
+	if f.repeated {
+		return 3
+	}
+	return 5
 }
 
 func (f *fleet) progress() {
@@ -361,29 +414,36 @@
 		u.waiting = kept
 		if ended {
 			f.crashes = append(f.crashes, f.now)
-			f.end(u)
+			f.end(i)
 		}
 	}
 }
 
 // end ends an upstream for some seconds. The requests that wait there are lost.
-func (f *fleet) end(u *upstreamState) {
-	for _, r := range u.waiting {
-		f.detectors[r.instance].RequestLost(at(f.now), r.id, r.traits)
-	}
+func (f *fleet) end(upstream int) {
+	u := &f.upstreams[upstream]
+	lost := u.waiting
 	u.waiting = nil
 	u.downUntil = f.now + 1 + 3*f.random.Float64()
+	for _, r := range lost {
+		d := f.detectors[r.instance]
+		id := LossID(fmt.Sprint(r.id), ident.Upstream(fmt.Sprint(upstream)))
+		d.RequestLost(at(f.now), id, r.traits)
+		if f.retries && r.tries < 3 && !d.Suspects(id, r.traits) {
+			f.after(0.1, func() { f.try(r) })
+		}
+	}
 }
 
 // outage ends single upstreams, and now and then a third of them at once.
 func (f *fleet) outage() {
 	if f.random.Float64() < step/1.5 {
-		f.end(&f.upstreams[f.random.IntN(len(f.upstreams))])
+		f.end(f.random.IntN(len(f.upstreams)))
 	}
 	if f.random.Float64() < step/8 {
 		first := f.random.IntN(3)
 		for i := first; i < len(f.upstreams); i += 3 {
-			f.end(&f.upstreams[i])
+			f.end(i)
 		}
 	}
 }
@@ -436,6 +496,67 @@
 	}
 }
 
+// TestFleetStopsRequestThatEndsUpstreams guards against one request that comes again and
+// again, at any instance, and ends one upstream after the other: hardly any may be sent some
+// seconds after the third ending, by all instances together, also while upstreams end for
+// other reasons and lost requests are tried again; and no sound request of its session may be
+// refused for it.
+func TestFleetStopsRequestThatEndsUpstreams(t *testing.T) {
+	for seed := range uint64(24) {
+		f := newFleet(seed, []int{9, 30}[seed%2], []int{12, 60}[seed%2])
+		f.repeated, f.outages, f.retries = true, seed/2%2 == 1, seed/4%2 == 1
+		f.run(40)
+		if len(f.crashes) == 0 || len(f.crashes) < 3 && !f.outages {
+			t.Errorf("seed %d: the request ended %d upstreams only", seed, len(f.crashes))
+		}
+		if f.lateSends > 3 {
+			t.Errorf("seed %d: sent %d times, %d upstreams ended", seed, f.lateSends, len(f.crashes))
+		}
+		if f.refusedSound*200 > f.sound {
+			t.Errorf("seed %d: %d of %d sound requests refused", seed, f.refusedSound, f.sound)
+		}
+	}
+}
+
+// TestLossesNotDisplaced guards against losing the evidence against a request that comes again
+// because many others are lost with it each time, at several instances.
+func TestLossesNotDisplaced(t *testing.T) {
+	const others = 90
+	for position := 0; position <= others; position += others / 6 {
+		detectors := []*Detector{{Self: "a"}, {Self: "b"}, {Self: "c"}}
+		for i := range detectors {
+			loseTogether(detectors, i, others, position)
+		}
+		for _, d := range detectors {
+			if _, found := d.Check(at(30), request(deadlyRequest)); !found {
+				t.Errorf("position %d: %s sends the request", position, d.Self)
+			}
+		}
+	}
+}
+
+// loseTogether makes the instance with the given index lose the deadly request, and all
+// instances together lose others, and exchanges their evidence. position is the number of
+// others that are recorded first.
+func loseTogether(detectors []*Detector, index, others, position int) {
+	now := at(float64(10 * index))
+	for i := range others + 1 {
+		if i == position {
+			id := LossID("deadly", ident.Upstream(fmt.Sprint(index)))
+			detectors[index].RequestLost(now, id, request(deadlyRequest))
+			continue
+		}
+		id := uint64(1000*index + i)
+		detectors[i%len(detectors)].RequestLost(now, id, request(gossip.TraitKey(1_000_000+id), fmt.Sprint(id)))
+	}
+	for _, from := range detectors {
+		evidence := from.Evidence(now.Add(time.Second))
+		for _, to := range detectors {
+			to.Merge(now.Add(1100*time.Millisecond), evidence)
+		}
+	}
+}
+
 // TestNoTraitConvictedByOutages guards against upstreams that end for other reasons making
 // their requests suspects that are refused.
 func TestNoTraitConvictedByOutages(t *testing.T) {
--- a/core/result/result.go
+++ b/core/result/result.go
@@ -121,6 +121,7 @@
 	WorkspaceLimit
 	Overloaded
 	PoisonedPrompt
+	PoisonedRequest
 	Draining
 	NotReady
 
@@ -154,7 +155,7 @@
 	"place-forbidden", "no-place-allowed",
 	"deadline-passed", "caller-gone",
 	"key-required", "key-malformed", "key-expired", "key-reused", "owner-gone", "owner-unreachable", "records-full", "answer-not-kept",
-	"class-full", "workspace-limit", "overloaded", "poisoned-prompt", "draining", "not-ready",
+	"class-full", "workspace-limit", "overloaded", "poisoned-prompt", "poisoned-request", "draining", "not-ready",
 	"no-upstream", "hop-limit", "older-table", "peer-unreachable", "peer-refused",
 	"connect-failed", "upstream-refused", "upstream-failed", "upstream-leaving", "first-byte-timeout", "idle-timeout",
 	"answer-too-large", "answer-cut", "answer-mismatch", "retry-budget", "upstream-status",
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -81,8 +81,8 @@
 	// status code in it.
 	headSent bool
 	status   int
-	// traitKeys is set by traits.
-	traitKeys []gossip.TraitKey
+	// evidenceTraits is set by traits.
+	evidenceTraits gossip.Traits
 	// fingerprintHash is set by fingerprint.
 	fingerprintHash uint64
 	// peer is the upstream, or the instance in another region, of the last attempt.
--- a/io/proxy/lost.go
+++ b/io/proxy/lost.go
@@ -22,9 +22,9 @@
 	// choose them.
 	maxLoggedParts     = 16
 	maxLoggedPartBytes = 64
-	// maxTraits bounds the traits of a request, which heartbeats carry. Further prompt
-	// parts are ignored.
-	maxTraits = 32
+	// maxEvidenceParts bounds the prompt parts of a request that are evidence, which
+	// heartbeats carry. Further ones are ignored.
+	maxEvidenceParts = 32
 )
 
 // recordLoss checks after a failed attempt whether the request was lost: its upstream ended
@@ -33,7 +33,7 @@
 	if f == nil || begun || outcomeOf(f) != pool.Broken || !p.hasEnded(ctx, lease, f) {
 		return
 	}
-	changes := p.Poison.RequestLost(p.Clock.Now(), poison.RequestKey(call.ID), call.traits())
+	changes := p.Poison.RequestLost(p.Clock.Now(), poison.LossID(call.ID, lease.Upstream.ID), call.traits())
 	syncer.RecordConvictions(p.Log, p.Metrics, changes)
 	p.Metrics.Events.Add("requests-lost-before-answer", 1)
 	p.Log.Warn().
@@ -61,7 +61,7 @@
 	return ended == true
 }
 
-// recordBegun records that an answer has begun, which shows that the parts of its prompt
+// recordBegun records that an answer has begun, which shows that the traits of its request
 // don't end upstreams.
 func (p *Proxy) recordBegun(call *Call, a *http1.Answer) {
 	if a.Status < 200 || a.Status >= 300 {
@@ -71,12 +71,18 @@
 	syncer.RecordConvictions(p.Log, p.Metrics, changes)
 }
 
-// refusePoisoned refuses a request with a prompt part that ends upstreams.
+// refusePoisoned refuses a request that ends upstreams, or with a prompt part that does.
 func (p *Proxy) refusePoisoned(call *Call) *result.Failure {
 	finding, refused := p.Poison.Check(p.Clock.Now(), call.traits())
 	if !refused {
 		return nil
 	}
+	if finding.Trait == call.traits().Fingerprint {
+		failure := refuse(result.StepAdmit, result.PoisonedRequest, finding.RetryAfter)
+		failure.Cause = errors.Errorf("request %s ended upstreams: it was lost %d times, the last time %s ago",
+			call.loggedFingerprint(), finding.Losses, finding.Age.Round(time.Millisecond))
+		return failure
+	}
 	failure := refuse(result.StepAdmit, result.PoisonedPrompt, finding.RetryAfter)
 	failure.Cause = errors.Errorf("prompt part %q ended upstreams: %d requests with it were lost, the last one %s ago",
 		call.partID(finding.Trait), finding.Losses, finding.Age.Round(time.Millisecond))
@@ -93,18 +99,18 @@
 	return ""
 }
 
-// traits returns the keys of what other requests may have in common with the call: the
-// shared parts of its prompt, maxTraits at most.
-func (c *Call) traits() []gossip.TraitKey {
+// traits returns the keys of the request itself and of the shared parts of its prompt,
+// maxEvidenceParts at most.
+func (c *Call) traits() gossip.Traits {
+	if c.evidenceTraits.Fingerprint != 0 {
+		return c.evidenceTraits
+	}
+	c.evidenceTraits.Fingerprint = gossip.TraitKey(c.fingerprint())
 	shared := c.sharedParts()
-	count := min(len(shared), maxTraits)
-	if c.traitKeys == nil && count > 0 {
-		c.traitKeys = make([]gossip.TraitKey, 0, count)
-		for _, part := range shared[:count] {
-			c.traitKeys = append(c.traitKeys, poison.PartKey(part.ID))
-		}
+	for _, part := range shared[:min(len(shared), maxEvidenceParts)] {
+		c.evidenceTraits.Parts = append(c.evidenceTraits.Parts, poison.PartKey(part.ID))
 	}
-	return c.traitKeys
+	return c.evidenceTraits
 }
 
 // sharedParts returns the parts of the prompt that other requests may share: all but the
--- a/io/proxy/poison_test.go
+++ b/io/proxy/poison_test.go
@@ -173,10 +173,10 @@
 	for i := range 10_000 {
 		call.Parts = append(call.Parts, pool.PromptPart{ID: fmt.Sprint(i)})
 	}
-	if keys := call.traits(); len(keys) != maxTraits {
-		t.Errorf("%d parts are evidence", len(keys))
+	if keys := call.traits(); len(keys.Parts) != maxEvidenceParts {
+		t.Errorf("%d parts are evidence", len(keys.Parts))
 	}
-	if keys := (&Call{}).traits(); len(keys) != 0 {
-		t.Errorf("%d parts of no prompt", len(keys))
+	if keys := (&Call{}).traits(); len(keys.Parts) != 0 {
+		t.Errorf("%d parts of no prompt", len(keys.Parts))
 	}
 }
--- a/io/proxy/retry.go
+++ b/io/proxy/retry.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"arbutustrestle/core/ident"
 	"arbutustrestle/core/poison"
 	"arbutustrestle/core/result"
 )
@@ -14,7 +15,10 @@
 	if ctx.Err() != nil || f.Outcome == result.Unknown && !call.Route.Repeatable() {
 		return false
 	}
-	if f.Reason == result.PoisonedPrompt || f.Outcome == result.Unknown && p.Poison.Suspects(poison.RequestKey(call.ID), call.traits()) {
+	if f.Reason == result.PoisonedPrompt || f.Reason == result.PoisonedRequest {
+		return false
+	}
+	if f.Outcome == result.Unknown && p.Poison.Suspects(poison.LossID(call.ID, ident.Upstream(call.peer)), call.traits()) {
 		return false
 	}
 	if call.headSent && (call.LastEventID == "" || !call.Route.Resumable) {
--- a/io/wire/evidence_test.go
+++ b/io/wire/evidence_test.go
@@ -15,7 +15,7 @@
 	address := netip.MustParseAddrPort("10.0.0.1:7000")
 	evidence := gossip.LossEvidence{
 		Lost: []gossip.LostRequest{
-			{ID: 1 << 63, Traits: []gossip.TraitKey{7, 1 << 62}, Age: 300 * time.Millisecond},
+			{ID: 1 << 63, Traits: gossip.Traits{Fingerprint: 1<<61 + 1, Parts: []gossip.TraitKey{7, 1 << 62}}, Age: 300 * time.Millisecond},
 			{ID: 2},
 		},
 		Begun: []gossip.BegunTrait{{Trait: 9, Age: time.Second}},
--- a/io/wire/relay.go
+++ b/io/wire/relay.go
@@ -130,9 +130,9 @@
 
 func evidenceToWire(m *BeatRecord, e *gossip.LossEvidence) {
 	for _, l := range e.Lost {
-		lost := &LostRequest{Id: l.ID, AgeMs: milliseconds(l.Age)}
-		for _, trait := range l.Traits {
-			lost.Traits = append(lost.Traits, uint64(trait))
+		lost := &LostRequest{Id: l.ID, AgeMs: milliseconds(l.Age), Fingerprint: uint64(l.Traits.Fingerprint)}
+		for _, part := range l.Traits.Parts {
+			lost.Parts = append(lost.Parts, uint64(part))
 		}
 		m.Lost = append(m.Lost, lost)
 	}
@@ -145,8 +145,9 @@
 	var e gossip.LossEvidence
 	for _, lost := range m.GetLost() {
 		l := gossip.LostRequest{ID: lost.GetId(), Age: time.Duration(lost.GetAgeMs()) * time.Millisecond}
-		for _, trait := range lost.GetTraits() {
-			l.Traits = append(l.Traits, gossip.TraitKey(trait))
+		l.Traits.Fingerprint = gossip.TraitKey(lost.GetFingerprint())
+		for _, part := range lost.GetParts() {
+			l.Traits.Parts = append(l.Traits.Parts, gossip.TraitKey(part))
 		}
 		e.Lost = append(e.Lost, l)
 	}
