--- a/io/proxy/poison_test.go
+++ b/io/proxy/poison_test.go
@@ -33,32 +33,31 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { _ = l.Close() })
-		u.listener = l
-		go cr.serve(t, u)
+		go cr.serve(t, u, l)
 	}
 	return cr
 }
 
-func (cr *crasher) serve(t *testing.T, u *upstream) {
-	u.serve(t, func(c net.Conn, r *http.Request) {
+func (cr *crasher) serve(t *testing.T, u *upstream, l net.Listener) {
+	u.serve(t, l, func(c net.Conn, r *http.Request) {
 		if !cr.deadly(r) {
 			okStream(c, r)
 			return
 		}
-		cr.end(t, u)
+		cr.end(t, u, l)
 		_ = c.(*net.TCPConn).SetLinger(0)
 	})
 }
 
 var okStream = chunked(false, "id: 1\ndata: a\n\n")
 
-// end closes the upstream's listener and opens it again soon after.
-func (cr *crasher) end(t *testing.T, u *upstream) {
+// end closes the upstream's listener and opens another one at its address soon after.
+func (cr *crasher) end(t *testing.T, u *upstream, l net.Listener) {
 	cr.mu.Lock()
 	defer cr.mu.Unlock()
 	cr.arrivals++
-	address := u.listener.Addr().String()
-	if err := u.listener.Close(); err != nil {
+	address := l.Addr().String()
+	if err := l.Close(); err != nil {
 		// Another request has just ended it.
 		return
 	}
@@ -70,10 +69,7 @@
 			return
 		}
 		t.Cleanup(func() { _ = l.Close() })
-		cr.mu.Lock()
-		u.listener = l
-		cr.mu.Unlock()
-		cr.serve(t, u)
+		cr.serve(t, u, l)
 	})
 }
 
--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -137,9 +137,10 @@
 	}
 }
 
-func (u *upstream) serve(t testing.TB, do reply) {
+// serve accepts connections until the listener is closed.
+func (u *upstream) serve(t testing.TB, l net.Listener, do reply) {
 	for {
-		c, err := u.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -228,7 +229,7 @@
 		t.Cleanup(func() { _ = l.Close() })
 		u := &upstream{listener: l}
 		inst.upstreams[i] = u
-		go u.serve(t, do)
+		go u.serve(t, l, do)
 		id := fmt.Sprintf("u-%d", i)
 		changes[id] = mirror.UpstreamUpdated{Upstream: pool.Upstream{
 			ID: ident.Upstream(id), Service: "app", Zone: "z", Region: "near", Slots: 100,
