Don't take an answer that broke off before its body for one that has begun

Cause: passBody reported a first part also if reading the body failed before any byte of it, so that core/poison acquitted a request, on a route that is no stream, whose upstream ends right after its head. Change: a part is reported once there is one, or once an empty body has ended.

--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -78,7 +78,9 @@
 // maxHeldBytes of it have arrived.
 func (p *Proxy) passBody(ctx context.Context, call *Call, a *http1.Answer, sink Sink, onPart func()) *result.Failure {
 	data, err := io.ReadAll(io.LimitReader(a.Body, maxHeldBytes))
-	onPart()
+	if err == nil || len(data) > 0 {
+		onPart()
+	}
 	if err != nil {
 		return p.answerFailure(ctx, call, result.AnswerCut, err)
 	}
--- a/io/proxy/poison_test.go
+++ b/io/proxy/poison_test.go
@@ -16,6 +16,8 @@
 // arrives.
 type crasher struct {
 	deadly func(r *http.Request) bool
+	// headFirst makes an upstream send the head of its answer before it ends.
+	headFirst bool
 
 	mu      sync.Mutex
 	crashes int
@@ -23,9 +25,8 @@
 	arrivals int
 }
 
-// newCrasher returns a crasher of the upstreams of an instance.
-func newCrasher(t *testing.T, inst *testInstance, deadly func(r *http.Request) bool) *crasher {
-	cr := &crasher{deadly: deadly}
+// start takes over the upstreams of an instance.
+func (cr *crasher) start(t *testing.T, inst *testInstance) {
 	for _, u := range inst.upstreams {
 		_ = u.listener.Close()
 		l, err := net.Listen("tcp", u.listener.Addr().String())
@@ -35,7 +36,6 @@
 		t.Cleanup(func() { _ = l.Close() })
 		go cr.serve(t, u, l)
 	}
-	return cr
 }
 
 func (cr *crasher) serve(t *testing.T, u *upstream, l net.Listener) {
@@ -44,6 +44,9 @@
 			okStream(c, r)
 			return
 		}
+		if cr.headFirst {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\nContent-Length: 9\r\n\r\n", r.Header.Get("Id"))
+		}
 		cr.end(t, u, l)
 		_ = c.(*net.TCPConn).SetLinger(0)
 	})
@@ -87,9 +90,8 @@
 		t.Run(path, func(t *testing.T) {
 			t.Parallel()
 			inst := newTestInstance(t, okStream, okStream).ready(t)
-			cr := newCrasher(t, inst, func(r *http.Request) bool {
-				return strings.Contains(r.Header.Get("Parts"), "deadly")
-			})
+			cr := &crasher{deadly: func(r *http.Request) bool { return strings.Contains(r.Header.Get("Parts"), "deadly") }}
+			cr.start(t, inst)
 			send := func(i int, parts string) *http.Response {
 				response, _, err := inst.send(t, path, "", http.Header{"Id": {fmt.Sprint(i)}, "Parts": {parts}})
 				if err != nil {
@@ -122,43 +124,50 @@
 // time to come back, while requests that differ from it in their path or body are served.
 func TestRequestThatEndsUpstreams(t *testing.T) {
 	for _, path := range []string{"/safe/", "/once/", "/stream/", "/resume/"} {
-		t.Run(path[1:len(path)-1], func(t *testing.T) {
-			t.Parallel()
-			inst := newTestInstance(t, okStream, okStream).ready(t)
-			deadly := path + "deadly"
-			cr := newCrasher(t, inst, func(r *http.Request) bool { return r.URL.Path == deadly && r.ContentLength == 4 })
-			header := func(i int) http.Header {
-				return http.Header{"Id": {fmt.Sprint(i)}, "Parts": {"first,session"}}
-			}
-			status := func(i int, path, body string) int {
-				response, _, err := inst.send(t, path, body, header(i))
-				if err != nil {
-					return 0
-				}
-				return response.StatusCode
-			}
-			if got := status(0, path+"sound", "body"); got != http.StatusOK {
-				t.Fatalf("sound request before: %d", got)
-			}
-			for i := range 12 {
-				status(100+i, deadly, "body")
-				time.Sleep(700 * time.Millisecond)
-			}
-			arrivals, crashes := cr.counts()
-			if crashes > 4 {
-				t.Errorf("%d upstreams ended, the request arrived %d times", crashes, arrivals)
-			}
-			response, _, err := inst.send(t, deadly, "body", header(200))
-			if err != nil || response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
-				t.Errorf("the request afterwards: %v, %v", response, err)
-			}
-			if got := status(201, path+"sound", "body"); got != http.StatusOK {
-				t.Errorf("another path afterwards: %d", got)
-			}
-			if got := status(202, deadly, "other"); got != http.StatusOK {
-				t.Errorf("another body afterwards: %d", got)
-			}
-		})
+		t.Run(path[1:len(path)-1], func(t *testing.T) { testRequestThatEndsUpstreams(t, path, false) })
+		t.Run(path[1:len(path)-1]+"-after-head", func(t *testing.T) { testRequestThatEndsUpstreams(t, path, true) })
+	}
+}
+
+func testRequestThatEndsUpstreams(t *testing.T, path string, headFirst bool) {
+	t.Parallel()
+	inst := newTestInstance(t, okStream, okStream).ready(t)
+	deadly := path + "deadly"
+	cr := &crasher{
+		deadly:    func(r *http.Request) bool { return r.URL.Path == deadly && r.ContentLength == 4 },
+		headFirst: headFirst,
+	}
+	cr.start(t, inst)
+	header := func(i int) http.Header {
+		return http.Header{"Id": {fmt.Sprint(i)}, "Parts": {"first,session"}}
+	}
+	status := func(i int, path, body string) int {
+		response, _, err := inst.send(t, path, body, header(i))
+		if err != nil {
+			return 0
+		}
+		return response.StatusCode
+	}
+	if got := status(0, path+"sound", "body"); got != http.StatusOK {
+		t.Fatalf("sound request before: %d", got)
+	}
+	for i := range 12 {
+		status(100+i, deadly, "body")
+		time.Sleep(700 * time.Millisecond)
+	}
+	arrivals, crashes := cr.counts()
+	if crashes > 4 {
+		t.Errorf("%d upstreams ended, the request arrived %d times", crashes, arrivals)
+	}
+	response, _, err := inst.send(t, deadly, "body", header(200))
+	if err != nil || response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
+		t.Errorf("the request afterwards: %v, %v", response, err)
+	}
+	if got := status(201, path+"sound", "body"); got != http.StatusOK {
+		t.Errorf("another path afterwards: %d", got)
+	}
+	if got := status(202, deadly, "other"); got != http.StatusOK {
+		t.Errorf("another body afterwards: %d", got)
 	}
 }
 
