Log the version of an upstream's software, and which streams callers take up

Cause: no line had the version that an entry believes an upstream to have, nor the event after which a stream goes on, so that the hypotheses on the users' report of ORDER could not be told apart. Change: the version is read from the list and logged with upstreams, tries and ends; Resumes is read from callers and logged with the event. No logic changes.

--- a/core/pool/replica.go
+++ b/core/pool/replica.go
@@ -15,9 +15,12 @@
 	// publish it.
 	StartTime time.Time
 	Service   ident.Service
-	Address   netip.AddrPort
-	Zone      ident.Zone
-	Region    ident.Region
+	// Version is the version of the upstream's software. Versions have no order; empty if the
+	// upstream doesn't publish it.
+	Version string
+	Address netip.AddrPort
+	Zone    ident.Zone
+	Region  ident.Region
 	// Slots is the number of requests that the upstream serves at once.
 	Slots int
 	// Draining is set when the upstream accepts no new requests.
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -79,6 +79,8 @@
 			Str("reason", failure.Reason.String()).
 			Str("outcome", failure.Outcome.String()).
 			Str("peer", failure.Peer).
+			Str("upstream-version", call.upstreamVersion).
+			Str("last-event", loggedID(call.LastEventID)).
 			Int("sends", call.sends).
 			Msg("request tried again")
 	}
@@ -125,6 +127,7 @@
 // answer on and calls onPart whenever a part of it arrives.
 func (p *Proxy) useLease(ctx context.Context, cancel context.CancelCauseFunc, call *Call, lease *pool.Lease, pass func(a *http1.Answer, onPart func()) *result.Failure) *result.Failure {
 	call.peer = string(lease.Upstream.ID)
+	call.upstreamVersion = lease.Upstream.Version
 	call.countSend()
 	watch := p.watchUpstream(ctx, call, lease, cancel)
 	defer watch.stop()
@@ -240,6 +243,7 @@
 		return refuse(result.StepForward, result.PeerUnreachable, 0)
 	}
 	call.peer = string(to.Region.Name) + "@" + address.String()
+	call.upstreamVersion = ""
 	call.countSend()
 	p.Spill.RecordSent(p.Clock.Now(), to.Region.Name, call.Service, call.PromptTokens)
 	p.Metrics.Events.Add("relayed", 1)
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -40,6 +40,9 @@
 	// LastEventID is the id of the last event of a stream that the caller has received;
 	// empty if there is none.
 	LastEventID string
+	// Resumes is the id of the caller's attempt that brought the first event of the stream
+	// that LastEventID is of; empty if the caller names none.
+	Resumes string
 	// Header is the header that is forwarded to the upstream.
 	Header http.Header
 }
@@ -77,6 +80,9 @@
 	// heldAnswer is an upstream's own error answer, which is passed on if no later
 	// attempt succeeds.
 	heldAnswer *wholeAnswer
+	// resumedAfter is the id of the event after which the caller takes up a stream; empty for
+	// a new one.
+	resumedAfter string
 	// headSent is set once the head of the answer was passed on, and status is the
 	// status code in it.
 	headSent bool
@@ -85,8 +91,10 @@
 	evidenceTraits gossip.Traits
 	// fingerprintHash is set by fingerprint.
 	fingerprintHash uint64
-	// peer is the upstream, or the instance in another region, of the last attempt.
-	peer string
+	// peer is the upstream, or the instance in another region, of the last attempt, and
+	// upstreamVersion the version of an upstream's software.
+	peer            string
+	upstreamVersion string
 	// firstByteAt is when the first byte of the answer was passed on.
 	firstByteAt time.Time
 	// lastPartAt is when the last part of a stream arrived, and longestPause the longest
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -131,6 +131,7 @@
 	if !route.Resumable {
 		call.LastEventID = ""
 	}
+	call.resumedAfter = call.LastEventID
 	if err := control.SetReadDeadline(call.Deadline); err != nil {
 		p.Log.Error().Err(err).Str("request-id", call.ID).Msg("time to read a body not bounded")
 	}
@@ -307,6 +308,12 @@
 		line = p.Log.Warn()
 	}
 	line = line.Str("request-id", call.ID).Int64("took-ms", elapsed.Milliseconds()).Str("peer", call.peer)
+	if call.upstreamVersion != "" {
+		line = line.Str("upstream-version", call.upstreamVersion)
+	}
+	if call.resumedAfter != "" {
+		line = line.Str("resumed-after", loggedID(call.resumedAfter)).Str("resumes", loggedID(call.Resumes))
+	}
 	if call.Route != nil {
 		line = line.Str("route", call.Route.Name).
 			Str("fingerprint", call.loggedFingerprint()).
@@ -341,6 +348,13 @@
 		Msg("request not answered")
 }
 
+// loggedID shortens an id that a caller or an upstream chose.
+func loggedID(id string) string {
+	return id[:min(len(id), maxLoggedIDBytes)]
+}
+
+const maxLoggedIDBytes = 64
+
 // recordLatencies records the latencies of a request that matched a route.
 func (p *Proxy) recordLatencies(call *Call, took time.Duration) {
 	kind := call.Route.Kind
--- a/io/syncer/activate.go
+++ b/io/syncer/activate.go
@@ -113,7 +113,7 @@
 
 func (l *Loop) setUpstream(now time.Time, c mirror.UpstreamUpdated, revision uint64) {
 	if l.opts.Pool.SetUpstream(now, c.Upstream) {
-		l.opts.Log.Info().Str("upstream", string(c.Upstream.ID)).Str("service", string(c.Upstream.Service)).Bool("draining", c.Upstream.Draining).Time("started", c.Upstream.StartTime).Dur("cold", c.Upstream.WarmupLeft).EmbedObject(storeRevision(revision)).Msg("upstream changed")
+		l.opts.Log.Info().Str("upstream", string(c.Upstream.ID)).Str("service", string(c.Upstream.Service)).Str("upstream-version", c.Upstream.Version).Bool("draining", c.Upstream.Draining).Time("started", c.Upstream.StartTime).Dur("cold", c.Upstream.WarmupLeft).EmbedObject(storeRevision(revision)).Msg("upstream changed")
 	}
 }
 
