--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -37,7 +37,7 @@
 type testCallerCodec struct{}
 
 func (testCallerCodec) ParseRequest(r *http.Request) (Request, error) {
-	q := Request{ID: r.Header.Get("Id"), Header: r.Header.Clone(), LastEventID: r.Header.Get("Last")}
+	q := Request{ID: r.Header.Get("Id"), Header: r.Header.Clone(), LastEventID: r.Header.Get("Last"), Resumes: r.Header.Get("Resumes")}
 	for _, id := range strings.FieldsFunc(r.Header.Get("Parts"), func(r rune) bool { return r == ',' }) {
 		q.Parts = append(q.Parts, pool.PromptPart{ID: id, Tokens: 10})
 	}
