Let streams go on only at the version of an upstream's software that began them

Cause: the version in the list was never read. A stream that went on was a new request with an event id, for which every upstream of the service would do: within one answer, in another region, and for a caller who took it up elsewhere, of whose stream no entry knew where it began.

Change: pool.VersionBound, one condition at the choice of an upstream, of a region and in relayed requests; core/resume keeps where streams began, which entries tell each other (notices to 8 peers, heartbeats) while versions are mixed; a stream whose beginning nobody can tell is refused with 503 stream-unknown.

Why it works: the first event that is passed on binds the stream, and whoever takes it up either knows the version, or that there is only one, or refuses.

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -59,6 +59,8 @@
 	// LossEvidence is sent everywhere, but not in records that a third instance passes
 	// on.
 	LossEvidence LossEvidence
+	// BegunStreams are sent with LossEvidence.
+	BegunStreams []BegunStreams
 }
 
 // servesRegion reports whether the instance is one of a region and is not leaving.
@@ -206,6 +208,7 @@
 		r.ServiceLoads = p.ServiceLoads
 		r.RegionDigest = p.RegionDigest
 		r.LossEvidence = p.LossEvidence
+		r.BegunStreams = p.BegunStreams
 	} else {
 		p.lastDirect = now
 	}
--- a/core/gossip/heartbeat.go
+++ b/core/gossip/heartbeat.go
@@ -235,6 +235,7 @@
 			r.ServiceLoads = nil
 			r.RegionDigest = 0
 			r.LossEvidence = LossEvidence{}
+			r.BegunStreams = nil
 			list = append(list, r)
 		}
 	}
--- a/core/gossip/loads.go
+++ b/core/gossip/loads.go
@@ -48,6 +48,8 @@
 	// TokensPerMilli is the number of prompt tokens that all of them together read in a
 	// millisecond; zero for a plain service.
 	TokensPerMilli float64
+	// Versions are the versions of the software of these upstreams.
+	Versions []string
 }
 
 // RateLimit is the number of requests a second that an upstream takes from all instances
--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -20,6 +20,8 @@
 	Priority int
 	// Excluded lists upstreams that the request was already sent to.
 	Excluded []ident.Upstream
+	// VersionBound is set for a request that goes on with a stream.
+	VersionBound VersionBound
 }
 
 // Projection is the projected latency of a request at an upstream.
@@ -94,7 +96,7 @@
 	upstreams := p.eligible(now, req.Service)
 	sampler := p.newLoadSampler(p.unreportedCost(now, req.Service, upstreams))
 	for _, r := range upstreams {
-		if slices.Contains(req.Excluded, r.ID) {
+		if slices.Contains(req.Excluded, r.ID) || !req.VersionBound.allows(now, r) {
 			continue
 		}
 		c := p.estimate(now, req, r, r.ID == preferred)
--- a/core/pool/lease.go
+++ b/core/pool/lease.go
@@ -131,6 +131,7 @@
 		r.recordFailure(now)
 	case Unreachable:
 		r.recordFailure(now)
+		r.endedAt = now
 		// An upstream that comes back after it was unreachable has lost its cache.
 		r.markCold(now, l.pool.services[r.Service].Warmup)
 	case Replaced:
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -5,6 +5,7 @@
 package pool
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -43,6 +44,7 @@
 	// unlisted holds the upstreams that have left the list, for unlistedMemory or for as
 	// long as they would be cold.
 	unlisted map[ident.Upstream]unlisted
+	versions versions
 	// meanLoadAge is the mean age of the load reports of peers. sendRates holds the rate
 	// at which this instance sends requests for each service.
 	meanLoadAge time.Duration
@@ -99,6 +101,7 @@
 func (p *Pool) SetUpstream(now time.Time, u Upstream) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.versions.set(now, u)
 	if u.Region != p.settings.Region {
 		return false
 	}
@@ -136,7 +139,7 @@
 
 // isNewRun reports whether a list entry describes another run than the one held.
 func (r *replica) isNewRun(u Upstream) bool {
-	return !u.StartTime.IsZero() && !u.StartTime.Equal(r.StartTime) || u.Address != r.Address || u.Service != r.Service
+	return !u.StartTime.IsZero() && !u.StartTime.Equal(r.StartTime) || u.Address != r.Address || u.Service != r.Service || u.Version != r.Version
 }
 
 // unlisted is an upstream that has left the list.
@@ -154,6 +157,7 @@
 func (p *Pool) RemoveUpstream(now time.Time, id ident.Upstream) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.versions.remove(now, id)
 	r, held := p.replicas[id]
 	if held {
 		delete(p.replicas, id)
@@ -239,6 +243,9 @@
 			}
 		}
 		s.Upstreams++
+		if !slices.Contains(s.Versions, r.Version) {
+			s.Versions = append(s.Versions, r.Version)
+		}
 		if p.services[r.Service].Engine {
 			s.TokensPerMilli += p.promptRate / min(max(r.slowdown, 1), maxSlowdown)
 		}
--- a/core/pool/replica.go
+++ b/core/pool/replica.go
@@ -86,6 +86,8 @@
 	// while no other waited. lastFirstByte is when it last sent a first byte.
 	lastActivity  time.Time
 	lastFirstByte time.Time
+	// endedAt is when the upstream was last found to take no connections.
+	endedAt time.Time
 
 	cache promptCache
 }
--- a/core/result/result.go
+++ b/core/result/result.go
@@ -127,6 +127,7 @@
 
 	// Route and forward.
 	NoUpstream
+	StreamUnknown
 	HopLimit
 	OlderTable
 	PeerUnreachable
@@ -156,7 +157,7 @@
 	"deadline-passed", "caller-gone",
 	"key-required", "key-malformed", "key-expired", "key-reused", "owner-gone", "owner-unreachable", "records-full", "answer-not-kept",
 	"class-full", "workspace-limit", "overloaded", "poisoned-prompt", "poisoned-request", "draining", "not-ready",
-	"no-upstream", "hop-limit", "older-table", "peer-unreachable", "peer-refused",
+	"no-upstream", "stream-unknown", "hop-limit", "older-table", "peer-unreachable", "peer-refused",
 	"connect-failed", "upstream-refused", "upstream-failed", "upstream-leaving", "first-byte-timeout", "idle-timeout",
 	"answer-too-large", "answer-cut", "answer-mismatch", "retry-budget", "upstream-status",
 	"upstream-changed",
--- /dev/null
+++ b/core/resume/resume.go
@@ -0,0 +1,114 @@
+// Package resume remembers which version of an upstream's software streams began at, so that
+// a caller who takes one up again, at any instance, gets events that fit those it has.
+package resume
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"arbutustrestle/core/gossip"
+	"arbutustrestle/core/ident"
+)
+
+const (
+	// memory is the least time for which the beginning of a stream is remembered, unless
+	// there are very many.
+	memory = 30 * time.Second
+	// maxStreams bounds each half of the streams that are remembered.
+	maxStreams = 16384
+	// reportTime is how long an instance reports a stream that began there, so that peers
+	// hear of it several times.
+	reportTime = 3 * time.Second
+	// maxReported bounds the streams in one report, and so the size of heartbeats.
+	maxReported = 256
+)
+
+// KeyOf returns the key of the stream whose first event came in answer to a request.
+func KeyOf(requestID string) gossip.StreamKey {
+	return gossip.StreamKey(xxhash.Sum64String(requestID))
+}
+
+// Table holds where streams began, at this instance and at its peers. It is safe for
+// concurrent use; its zero value holds none.
+type Table struct {
+	mu     sync.Mutex
+	recent map[gossip.StreamKey]gossip.StreamOrigin
+	older  map[gossip.StreamKey]gossip.StreamOrigin
+	// changed is when recent became empty.
+	changed time.Time
+	// own holds the streams that are reported, oldest first.
+	own []ownStream
+}
+
+type ownStream struct {
+	key    gossip.StreamKey
+	origin gossip.StreamOrigin
+	at     time.Time
+}
+
+// Begun records a stream that began, or was taken up, at this instance.
+func (t *Table) Begun(now time.Time, key gossip.StreamKey, origin gossip.StreamOrigin) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.add(now, key, origin)
+	t.own = append(t.own, ownStream{key, origin, now})
+	if len(t.own) > maxReported {
+		t.own = slices.Delete(t.own, 0, len(t.own)-maxReported)
+	}
+}
+
+// Learn records streams that began at a peer.
+func (t *Table) Learn(now time.Time, groups []gossip.BegunStreams) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, g := range groups {
+		for _, key := range g.Keys {
+			t.add(now, key, g.Origin)
+		}
+	}
+}
+
+// Lookup returns where a stream began.
+func (t *Table) Lookup(key gossip.StreamKey) (gossip.StreamOrigin, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if origin, found := t.recent[key]; found {
+		return origin, true
+	}
+	origin, found := t.older[key]
+	return origin, found
+}
+
+// Report returns the streams that lately began at this instance, of the services for which
+// peers can't tell by themselves where a stream began.
+func (t *Table) Report(now time.Time, ambiguous func(ident.Service) bool) []gossip.BegunStreams {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.own = slices.DeleteFunc(t.own, func(o ownStream) bool { return now.Sub(o.at) > reportTime })
+	var groups []gossip.BegunStreams
+	for _, o := range t.own {
+		if !ambiguous(o.origin.Service) {
+			continue
+		}
+		i := slices.IndexFunc(groups, func(g gossip.BegunStreams) bool { return g.Origin == o.origin })
+		if i < 0 {
+			i = len(groups)
+			groups = append(groups, gossip.BegunStreams{Origin: o.origin})
+		}
+		groups[i].Keys = append(groups[i].Keys, o.key)
+	}
+	return groups
+}
+
+// add remembers a stream, and forgets the older half once that is old enough.
+func (t *Table) add(now time.Time, key gossip.StreamKey, origin gossip.StreamOrigin) {
+	if t.recent == nil || len(t.recent) >= maxStreams || now.Sub(t.changed) > memory {
+		t.older = t.recent
+		t.recent = map[gossip.StreamKey]gossip.StreamOrigin{}
+		t.changed = now
+	}
+	t.recent[key] = origin
+}
--- a/core/spec/spec.go
+++ b/core/spec/spec.go
@@ -174,6 +174,14 @@
 	return nil, false
 }
 
+// SharesRoutes reports whether a route leads to the service and to others.
+func (c *Config) SharesRoutes(service ident.Service) bool {
+	return slices.ContainsFunc(c.routes, func(r *Route) bool {
+		leads := slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service })
+		return leads && len(r.Targets) > 1
+	})
+}
+
 // HomeRegions returns the regions that all restricted routes of a host allow, and false
 // when none of its routes is restricted.
 func (c *Config) HomeRegions(host string) ([]ident.Region, bool) {
--- a/core/spill/spill.go
+++ b/core/spill/spill.go
@@ -12,6 +12,7 @@
 	"arbutustrestle/core/gossip"
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/member"
+	"arbutustrestle/core/pool"
 	"arbutustrestle/core/rank"
 )
 
@@ -38,6 +39,8 @@
 	// millisecond, or 0 for a plain service.
 	TokensPerMilli float64
 	Upstreams      int
+	// Versions are the versions of the software of the upstreams.
+	Versions []string
 	// Instances are the instances of the region that accept requests; at least one.
 	Instances []gossip.Record
 }
@@ -90,11 +93,23 @@
 			}
 			list[i].Upstreams = max(list[i].Upstreams, s.Upstreams)
 			list[i].TokensPerMilli = max(list[i].TokensPerMilli, s.TokensPerMilli)
+			list[i].Versions = mergeVersions(list[i].Versions, s.Versions)
 			list[i].Instances = append(list[i].Instances, r)
 			return list
 		}
 	}
-	return append(list, RegionLoad{Name: r.Region, Waits: s.Waits, TokensPerMilli: s.TokensPerMilli, Upstreams: s.Upstreams, Instances: []gossip.Record{r}})
+	return append(list, RegionLoad{Name: r.Region, Waits: s.Waits, TokensPerMilli: s.TokensPerMilli, Upstreams: s.Upstreams, Versions: s.Versions, Instances: []gossip.Record{r}})
+}
+
+// mergeVersions returns the versions in either list, without changing them.
+func mergeVersions(a, b []string) []string {
+	merged := slices.Clone(a)
+	for _, version := range b {
+		if !slices.Contains(merged, version) {
+			merged = append(merged, version)
+		}
+	}
+	return merged
 }
 
 // Request holds the properties of a request that the decision depends on.
@@ -115,6 +130,8 @@
 	Allowed func(ident.Region) bool
 	// Excluded lists regions that have rejected the request.
 	Excluded []ident.Region
+	// VersionBound is set for a request that goes on with a stream.
+	VersionBound pool.VersionBound
 }
 
 // Choice is a region to send a request to.
@@ -137,6 +154,9 @@
 		if r.Upstreams == 0 || !req.Allowed(r.Name) || slices.Contains(req.Excluded, r.Name) {
 			continue
 		}
+		if req.VersionBound.Bound && !slices.Contains(r.Versions, req.VersionBound.Version) {
+			continue
+		}
 		c := t.project(now, req, r)
 		if !found || c.FirstByte < best.FirstByte {
 			best = c
--- a/core/spill/spill_test.go
+++ b/core/spill/spill_test.go
@@ -7,6 +7,7 @@
 	"arbutustrestle/core/gossip"
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/member"
+	"arbutustrestle/core/pool"
 )
 
 var start = time.Unix(1_800_000_000, 0)
@@ -92,6 +93,21 @@
 	}
 }
 
+// A stream goes on only in a region that reports an upstream with the version that began it.
+func TestPickVersion(t *testing.T) {
+	north, south := remoteMember("north-1", "north", 0), remoteMember("south-1", "south", time.Second)
+	north.ServiceLoads[0].Versions = []string{"v2"}
+	south.ServiceLoads[0].Versions = []string{"v2", "v1"}
+	table := newTable(north, south)
+	req := newRequest(5 * time.Second)
+	for version, want := range map[string]ident.Region{"v1": "south", "v2": "north", "v3": "", "": ""} {
+		req.VersionBound = pool.VersionBound{Bound: true, Version: version}
+		if choice, _ := table.Pick(start, req); choice.Region.Name != want {
+			t.Errorf("version %q: picked %q", version, choice.Region.Name)
+		}
+	}
+}
+
 // A burst between two reports doesn't go entirely to the region that looked idle: sent
 // requests count until reports can include them.
 func TestBurstIsSpread(t *testing.T) {
--- a/io/daemon/gateway.go
+++ b/io/daemon/gateway.go
@@ -24,6 +24,7 @@
 	"arbutustrestle/core/mirror"
 	"arbutustrestle/core/poison"
 	"arbutustrestle/core/pool"
+	"arbutustrestle/core/resume"
 	"arbutustrestle/core/spill"
 	"arbutustrestle/io/config"
 	"arbutustrestle/io/http1"
@@ -66,6 +67,7 @@
 		metric.NewSet,
 		func() *spill.Table { return &spill.Table{} },
 		func(s config.Gateway) *poison.Detector { return &poison.Detector{Self: s.ID} },
+		func() *resume.Table { return &resume.Table{} },
 		func() *proxy.Latencies { return &proxy.Latencies{} },
 	),
 )
@@ -129,6 +131,7 @@
 	Spill          *spill.Table
 	Budget         *budget.Budget
 	Poison         *poison.Detector
+	Streams        *resume.Table
 	UpstreamClient *http1.Client
 }
 
@@ -153,6 +156,7 @@
 		Spill:     p.Spill,
 		Budget:    p.Budget,
 		Poison:    p.Poison,
+		Streams:   p.Streams,
 		CloseIdle: p.UpstreamClient.CloseExpiredConns,
 	})
 }
@@ -169,6 +173,7 @@
 	Spill          *spill.Table
 	Budget         *budget.Budget
 	Poison         *poison.Detector
+	Streams        *resume.Table
 	UpstreamClient *http1.Client
 	Links          *link.Pool
 	Latencies      *proxy.Latencies
@@ -186,6 +191,7 @@
 		Spill:          p.Spill,
 		Budget:         p.Budget,
 		Poison:         p.Poison,
+		Streams:        p.Streams,
 		UpstreamClient: p.UpstreamClient,
 		Links:          p.Links,
 		Latencies:      p.Latencies,
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -58,6 +58,9 @@
 	// no limit.
 	Limit      gossip.RateLimit
 	LimitError error
+	// Version is the version of the upstream's software, as the list gave it when the request
+	// was sent.
+	Version string
 }
 
 // Attempt is a request as it is sent to one upstream.
--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -197,6 +197,7 @@
 	}
 	if e.lastID != "" {
 		call.LastEventID = e.lastID
+		p.bindVersion(call)
 	}
 	return nil
 }
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -14,6 +14,7 @@
 	"arbutustrestle/core/poison"
 	"arbutustrestle/core/pool"
 	"arbutustrestle/core/result"
+	"arbutustrestle/core/resume"
 	"arbutustrestle/core/spec"
 	"arbutustrestle/core/spill"
 	"arbutustrestle/io/http1"
@@ -36,6 +37,7 @@
 	Spill          *spill.Table
 	Budget         *budget.Budget
 	Poison         *poison.Detector
+	Streams        *resume.Table
 	UpstreamClient *http1.Client
 	Links          *link.Pool
 	Latencies      *Latencies
@@ -138,6 +140,7 @@
 		call.uncountSend(failure)
 		return failure
 	}
+	answer.Meta.Version = lease.Upstream.Version
 	defer func() { _ = answer.Body.Close() }()
 	begun := false
 	failure = pass(answer, func() {
@@ -261,6 +264,7 @@
 		PromptTokens:     call.PromptTokens,
 		OutputTokens:     call.OutputTokens,
 		Parts:            call.Parts,
+		VersionBound:     call.versionBound,
 	})
 	if failure == nil && !firstByteTimer.Stop() {
 		failure = p.answerFailure(ctx, call, result.FirstByteTimeout, nil)
@@ -270,6 +274,7 @@
 		call.uncountSend(failure)
 		return failure
 	}
+	call.upstreamVersion = answer.Meta.Version
 	begun := false
 	return p.passAnswer(ctx, cancel, call, answer, sink, func() {
 		if !begun {
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -83,6 +83,9 @@
 	// resumedAfter is the id of the event after which the caller takes up a stream; empty for
 	// a new one.
 	resumedAfter string
+	// versionBound is set once a part of a stream was passed on, here or in an earlier answer
+	// to the caller: it may go on only at upstreams with that version of their software.
+	versionBound pool.VersionBound
 	// headSent is set once the head of the answer was passed on, and status is the
 	// status code in it.
 	headSent bool
@@ -159,6 +162,8 @@
 		Parts:    c.Parts,
 		Priority: c.Route.Priority,
 		Excluded: c.tried,
+
+		VersionBound: c.versionBound,
 	}
 }
 
--- a/io/proxy/choose.go
+++ b/io/proxy/choose.go
@@ -71,6 +71,7 @@
 		PrefixKey:      call.prefixKey(),
 		Allowed:        call.Route.Allows,
 		Excluded:       call.visited,
+		VersionBound:   call.versionBound,
 	})
 }
 
--- a/io/proxy/lost.go
+++ b/io/proxy/lost.go
@@ -33,6 +33,7 @@
 	if f == nil || begun || outcomeOf(f) != pool.Broken || !p.hasEnded(ctx, lease, f) {
 		return
 	}
+	lease.MarkEnded(p.Clock.Now())
 	changes := p.Poison.RequestLost(p.Clock.Now(), poison.LossID(call.ID, lease.Upstream.ID), call.traits())
 	syncer.RecordConvictions(p.Log, p.Metrics, changes)
 	p.Metrics.Events.Add("requests-lost-before-answer", 1)
--- /dev/null
+++ b/io/proxy/resume.go
@@ -0,0 +1,95 @@
+package proxy
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"arbutustrestle/core/clock"
+	"arbutustrestle/core/gossip"
+	"arbutustrestle/core/pool"
+	"arbutustrestle/core/result"
+	"arbutustrestle/core/resume"
+	"arbutustrestle/core/spec"
+)
+
+const (
+	// originWait bounds the time for which a stream that a caller takes up waits to learn
+	// where it began: a peer may just have sent it.
+	originWait = 200 * time.Millisecond
+	// originPollInterval is the time between two checks meanwhile.
+	originPollInterval = 20 * time.Millisecond
+	// unknownStreamRetryAfter is the Retry-After value if that isn't known: by then all peers
+	// that can tell have sent a heartbeat.
+	unknownStreamRetryAfter = 500 * time.Millisecond
+)
+
+// bindVersion binds a stream to the version whose event has just been passed on.
+func (p *Proxy) bindVersion(call *Call) {
+	if call.versionBound.Bound || !call.Route.Resumable {
+		return
+	}
+	call.versionBound = pool.VersionBound{Bound: true, Version: call.upstreamVersion}
+	p.recordOrigin(call.ID, gossip.StreamOrigin{Service: call.Service, Version: call.upstreamVersion})
+}
+
+// recordOrigin remembers where the stream began that a request brought the first event of.
+// Peers are told at once, since this instance may end, unless they can tell by themselves.
+func (p *Proxy) recordOrigin(requestID string, origin gossip.StreamOrigin) {
+	key := resume.KeyOf(requestID)
+	p.Streams.Begun(p.Clock.Now(), key, origin)
+	if p.Loop.Ambiguous(origin.Service) {
+		p.Loop.AnnounceStream(key, origin)
+	}
+}
+
+// bindResumed binds a stream that a caller takes up to the service and version that began it.
+// It refuses one whose beginning isn't known, or was at a service that the route no longer
+// leads to.
+func (p *Proxy) bindResumed(ctx context.Context, call *Call) *result.Failure {
+	origin, found := p.awaitOrigin(ctx, call)
+	allowed := found && slices.ContainsFunc(call.Route.Targets, func(t spec.Target) bool { return t.Service == origin.Service })
+	if !allowed {
+		return refuse(result.StepRoute, result.StreamUnknown, p.retryAfter(unknownStreamRetryAfter, call.Deadline.Sub(p.Clock.Now())))
+	}
+	call.Service = origin.Service
+	call.versionBound = pool.VersionBound{Bound: true, Version: origin.Version}
+	if call.Resumes != "" {
+		p.recordOrigin(call.Resumes, origin)
+	}
+	return nil
+}
+
+// awaitOrigin returns where a stream began, and waits a moment for a peer to tell it.
+func (p *Proxy) awaitOrigin(ctx context.Context, call *Call) (gossip.StreamOrigin, bool) {
+	giveUp := call.Arrived.Add(min(originWait, call.Deadline.Sub(call.Arrived)/4))
+	for {
+		if origin, found := p.origin(call); found {
+			return origin, true
+		}
+		if call.Resumes == "" || p.Clock.Now().After(giveUp) || !clock.Sleep(ctx, originPollInterval) {
+			return gossip.StreamOrigin{}, false
+		}
+	}
+}
+
+// origin returns where the stream that a caller takes up began, if that is known.
+func (p *Proxy) origin(call *Call) (gossip.StreamOrigin, bool) {
+	if call.Resumes != "" {
+		if origin, found := p.Streams.Lookup(resume.KeyOf(call.Resumes)); found {
+			return origin, true
+		}
+	}
+	return p.soleOrigin(call.Route)
+}
+
+// soleOrigin returns where all streams of a route begin, if that is one service with one
+// version of its software.
+func (p *Proxy) soleOrigin(route *spec.Route) (gossip.StreamOrigin, bool) {
+	if len(route.Targets) != 1 {
+		return gossip.StreamOrigin{}, false
+	}
+	service := route.Targets[0].Service
+	version, sole := p.Pool.SoleVersion(p.Clock.Now(), service)
+	return gossip.StreamOrigin{Service: service, Version: version}, sole
+}
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -131,7 +131,6 @@
 	if !route.Resumable {
 		call.LastEventID = ""
 	}
-	call.resumedAfter = call.LastEventID
 	if err := control.SetReadDeadline(call.Deadline); err != nil {
 		p.Log.Error().Err(err).Str("request-id", call.ID).Msg("time to read a body not bounded")
 	}
@@ -141,6 +140,10 @@
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
 		return badRequest(result.CallerGone, err)
 	}
+	if call.LastEventID != "" {
+		call.resumedAfter = call.LastEventID
+		return p.bindResumed(r.Context(), call)
+	}
 	return nil
 }
 
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -42,6 +42,8 @@
 	PromptTokens int
 	OutputTokens int
 	Parts        []pool.PromptPart
+	// VersionBound is set for a request that goes on with a stream.
+	VersionBound pool.VersionBound
 }
 
 // Send relays a request over an open link and returns the head of its answer. When the
@@ -102,7 +104,7 @@
 	return &http1.Answer{
 		Status:  int(head.GetStatus()),
 		Header:  wire.HeadersFromWire(head.GetHeaders()),
-		Meta:    http1.AnswerMeta{RequestID: a.id, Signed: head.GetSigned()},
+		Meta:    http1.AnswerMeta{RequestID: a.id, Signed: head.GetSigned(), Version: head.GetVersion()},
 		Length:  -1,
 		Framing: http1.Framing(min(head.GetFraming(), uint32(http1.FramedByClose))),
 		Body:    a,
@@ -191,6 +193,8 @@
 		LastEvent:    r.Attempt.LastEventID,
 		ObjectiveMs:  uint64(max(0, r.LatencyObjective.Milliseconds())),
 		Resumable:    r.Resumable,
+		VersionBound: r.VersionBound.Bound,
+		Version:      r.VersionBound.Version,
 	}
 	for _, p := range r.Parts {
 		m.Parts = append(m.Parts, &wire.Part{Id: p.ID, Tokens: uint32(max(0, p.Tokens))})
@@ -219,6 +223,7 @@
 		Model:            m.GetModel(),
 		PromptTokens:     int(m.GetPromptTokens()),
 		OutputTokens:     int(m.GetOutputTokens()),
+		VersionBound:     pool.VersionBound{Bound: m.GetVersionBound(), Version: m.GetVersion()},
 	}
 	for _, p := range m.GetParts() {
 		r.Parts = append(r.Parts, pool.PromptPart{ID: p.GetId(), Tokens: int(p.GetTokens())})
@@ -242,6 +247,7 @@
 		Headers: wire.HeadersToWire(a.Header),
 		Signed:  a.Meta.Signed,
 		Framing: uint32(a.Framing),
+		Version: a.Meta.Version,
 	}
 	return r.send(&wire.Frame{Kind: &wire.Frame_Head{Head: head}})
 }
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"arbutustrestle/core/ident"
+	"arbutustrestle/core/pool"
 	"arbutustrestle/core/result"
 	"arbutustrestle/io/http1"
 	"arbutustrestle/io/link"
@@ -123,6 +124,31 @@
 	}
 }
 
+// TestVersionSurvives checks that a stream which is relayed stays bound to its version, and
+// that the version which answered is known to the sender.
+func TestVersionSurvives(t *testing.T) {
+	bound := pool.VersionBound{Bound: true, Version: "v2"}
+	if got := FromWire(toWire(&Request{VersionBound: bound})).VersionBound; got != bound {
+		t.Errorf("sent %v, got %v", bound, got)
+	}
+	links, address := startPeer(t, func(_ *link.Stream, r *Reply) {
+		a := testAnswer()
+		a.Meta.Version = "v2"
+		_ = r.WriteHead(a)
+		_ = r.End(nil)
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	answer, failure := Send(ctx, links, address, &Request{Attempt: http1.Attempt{RequestID: "1", Remaining: time.Second}})
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.Meta.Version != "v2" {
+		t.Errorf("version %q", answer.Meta.Version)
+	}
+}
+
 // TestFramingSurvives guards against an answer whose end is not proved being passed on by
 // the other region as if it were.
 func TestFramingSurvives(t *testing.T) {
--- a/io/syncer/convictions.go
+++ b/io/syncer/convictions.go
@@ -12,18 +12,19 @@
 	"arbutustrestle/io/metric"
 )
 
-// mergeEvidence merges the evidence on lost requests of the members from which a heartbeat has
-// arrived since.
-func (l *Loop) mergeEvidence(now time.Time, v *gossip.View) {
+// mergeReports merges the evidence on lost requests and the begun streams of the members from
+// which a heartbeat has arrived since.
+func (l *Loop) mergeReports(now time.Time, v *gossip.View) {
 	merged := make(map[ident.Instance]time.Time, len(v.Members))
 	for i := range v.Members {
 		m := &v.Members[i]
 		merged[m.ID] = m.LastHeartbeat
-		if m.LastHeartbeat.After(l.evidenceAt[m.ID]) {
+		if m.LastHeartbeat.After(l.reportsAt[m.ID]) {
 			RecordConvictions(l.opts.Log, l.opts.Metrics, l.opts.Poison.Merge(now, m.EvidenceAt(now)))
+			l.learnStreams(now, m)
 		}
 	}
-	l.evidenceAt = merged
+	l.reportsAt = merged
 }
 
 // RecordConvictions counts and logs the traits that have been convicted or acquitted.
--- a/io/syncer/handle.go
+++ b/io/syncer/handle.go
@@ -20,7 +20,7 @@
 	_ link.RelayHandler = (*Handler)(nil)
 )
 
-// Notify handles a heartbeat or changes of published values. Anything else, and a
+// Notify handles a heartbeat, changes of published values or streams that have begun. Anything else, and a
 // heartbeat whose first record is not the sender's own, is counted and dropped.
 func (h *Handler) Notify(from link.Identity, n *wire.Notice) {
 	switch kind := n.GetKind().(type) {
@@ -35,6 +35,9 @@
 			h.Loop.receiveChanges(from.Incarnation.Instance, g, kind.Changes)
 			return
 		}
+	case *wire.Notice_StreamsBegun:
+		h.Loop.opts.Streams.Learn(h.Loop.opts.Clock.Now(), wire.StreamsFromWire(kind.StreamsBegun.GetGroups()))
+		return
 	}
 	h.Loop.opts.Metrics.Events.Add("notice-not-valid", 1)
 }
--- /dev/null
+++ b/io/syncer/streams.go
@@ -0,0 +1,88 @@
+package syncer
+
+import (
+	"context"
+	"time"
+
+	"arbutustrestle/core/gossip"
+	"arbutustrestle/core/ident"
+	"arbutustrestle/io/wire"
+)
+
+const (
+	// announceDelay is the time for which streams that have begun are collected before peers
+	// are told of them.
+	announceDelay = 20 * time.Millisecond
+	// maxAnnouncePeers bounds the peers that are told at once. The others learn of the streams
+	// by heartbeat.
+	maxAnnouncePeers = 8
+)
+
+// Ambiguous reports whether it can't be told from the config and the list of upstreams where
+// a stream of a service began: its routes lead to others too, or versions differ.
+func (l *Loop) Ambiguous(service ident.Service) bool {
+	if config := l.View().Config; config != nil && config.SharesRoutes(service) {
+		return true
+	}
+	_, sole := l.opts.Pool.SoleVersion(l.opts.Clock.Now(), service)
+	return !sole
+}
+
+// AnnounceStream tells peers soon that a stream has begun.
+func (l *Loop) AnnounceStream(key gossip.StreamKey, origin gossip.StreamOrigin) {
+	l.announceMu.Lock()
+	defer l.announceMu.Unlock()
+	l.announced = append(l.announced, gossip.BegunStreams{Origin: origin, Keys: []gossip.StreamKey{key}})
+	if len(l.announced) == 1 {
+		time.AfterFunc(announceDelay, func() { l.post(l.announceStreams) })
+	}
+}
+
+// announceStreams sends the collected streams to peers.
+func (l *Loop) announceStreams(now time.Time) {
+	l.announceMu.Lock()
+	streams := l.announced
+	l.announced = nil
+	l.announceMu.Unlock()
+	if len(streams) == 0 {
+		return
+	}
+	notice := &wire.Notice{Kind: &wire.Notice_StreamsBegun{StreamsBegun: &wire.StreamsBegun{Groups: wire.StreamsToWire(streams)}}}
+	for _, m := range l.announcePeers(now) {
+		l.work.Go(func() { l.announceTo(l.runCtx, m, notice) })
+	}
+}
+
+// announcePeers returns the peers that are told of streams at once: those of the region first,
+// as callers take up most streams there.
+func (l *Loop) announcePeers(now time.Time) []gossip.Member {
+	var near, far []gossip.Member
+	for _, m := range l.membership.View(now).Members {
+		switch {
+		case !m.Alive:
+		case m.Region == l.opts.Self.Region:
+			near = append(near, m)
+		default:
+			far = append(far, m)
+		}
+	}
+	peers := append(near, far...)
+	return peers[:min(len(peers), maxAnnouncePeers)]
+}
+
+func (l *Loop) announceTo(ctx context.Context, m gossip.Member, notice *wire.Notice) {
+	ctx, cancel := context.WithTimeout(ctx, shortSendTimeout)
+	defer cancel()
+	if err := l.opts.Links.Notify(ctx, m.PeerAddress, notice); err != nil {
+		l.opts.Metrics.Events.Add("streams-not-announced", 1)
+		l.opts.Log.Debug().Err(err).Str("peer", string(m.ID)).Msg("begun streams not announced; the next heartbeat has them")
+	}
+}
+
+// learnStreams records the streams that have begun at the members from which a heartbeat has
+// arrived since the last call.
+func (l *Loop) learnStreams(now time.Time, m *gossip.Member) {
+	if len(m.BegunStreams) > 0 {
+		l.opts.Streams.Learn(now, m.BegunStreams)
+	}
+}
--- a/io/syncer/syncer.go
+++ b/io/syncer/syncer.go
@@ -22,6 +22,7 @@
 	"arbutustrestle/core/mirror"
 	"arbutustrestle/core/poison"
 	"arbutustrestle/core/pool"
+	"arbutustrestle/core/resume"
 	"arbutustrestle/core/spec"
 	"arbutustrestle/core/spill"
 	"arbutustrestle/io/link"
@@ -67,6 +68,7 @@
 	Spill   *spill.Table
 	Budget  *budget.Budget
 	Poison  *poison.Detector
+	Streams *resume.Table
 	// CloseIdle closes idle connections. It is called every few seconds.
 	CloseIdle func()
 }
@@ -96,9 +98,8 @@
 	pendingRelistings map[ident.Upstream]relisting
 	closeIdleAt       time.Time
 	election          gossip.WatcherElection
-	// evidenceAt holds when the last heartbeat of each member arrived whose evidence on prompt
-	// parts was merged.
-	evidenceAt map[ident.Instance]time.Time
+	// reportsAt holds when the last heartbeat of each member arrived whose reports were merged.
+	reportsAt map[ident.Instance]time.Time
 	// lastTick is the time of the last tick, and refreshing the number of groups that are
 	// being read again after a pause.
 	lastTick   time.Time
@@ -110,6 +111,10 @@
 	// watching goroutines read it.
 	paused atomic.Bool
 
+	announceMu sync.Mutex
+	// announced holds the streams that peers are told of next.
+	announced []gossip.BegunStreams
+
 	sendMu  sync.Mutex
 	sending map[netip.AddrPort]*sendSlot
 	// shortDialed holds the addresses for which the last heartbeat that had to open a
@@ -163,7 +168,7 @@
 		pendingRelistings: map[ident.Upstream]relisting{},
 		sending:           map[netip.AddrPort]*sendSlot{},
 		shortDialed:       map[netip.AddrPort]bool{},
-		evidenceAt:        map[ident.Instance]time.Time{},
+		reportsAt:         map[ident.Instance]time.Time{},
 	}
 	for g := range l.health {
 		l.health[g].resume = make(chan struct{}, 1)
@@ -258,6 +263,7 @@
 		r.LeavingUpstreams = l.opts.Pool.LeavingUpstreams()
 		r.ServiceLoads = l.opts.Pool.ServiceLoads(now)
 		r.LossEvidence = l.opts.Poison.Evidence(now)
+		r.BegunStreams = l.opts.Streams.Report(now, l.Ambiguous)
 	})
 	for _, hb := range l.membership.DueHeartbeats(now) {
 		l.send(ctx, hb)
@@ -292,7 +298,7 @@
 	l.opts.Spill.Update(now, v)
 	l.opts.Budget.SetInstanceCount(now, len(alive))
 	l.opts.Poison.SetInstances(alive)
-	l.mergeEvidence(now, v)
+	l.mergeReports(now, v)
 	l.view.Store(&View{Config: l.config, Membership: v, Phase: l.phase, UpstreamsListed: l.health[mirror.UpstreamsGroup].listed})
 }
 
--- a/io/wire/relay.go
+++ b/io/wire/relay.go
@@ -53,12 +53,14 @@
 		m.Leaving = append(m.Leaving, &UpstreamRun{Upstream: string(run.Upstream), StartMs: startToWire(run.StartTime)})
 	}
 	evidenceToWire(m, &r.LossEvidence)
+	m.BegunStreams = StreamsToWire(r.BegunStreams)
 	for _, s := range r.ServiceLoads {
 		m.Services = append(m.Services, &ServiceLoad{
 			Service:     string(s.Service),
 			WaitMs:      waitsToWire(s.Waits),
 			Replicas:    uint32(max(0, s.Upstreams)),
 			TokensPerMs: float32(s.TokensPerMilli),
+			Versions:    s.Versions,
 		})
 	}
 	return m
@@ -117,17 +119,45 @@
 		r.LeavingUpstreams = append(r.LeavingUpstreams, gossip.UpstreamRun{Upstream: ident.Upstream(run.GetUpstream()), StartTime: startFromWire(run.GetStartMs())})
 	}
 	r.LossEvidence = evidenceFromWire(m)
+	r.BegunStreams = StreamsFromWire(m.GetBegunStreams())
 	for _, s := range m.GetServices() {
 		r.ServiceLoads = append(r.ServiceLoads, gossip.ServiceLoad{
 			Service:        ident.Service(s.GetService()),
 			Waits:          waitsFromWire(s.GetWaitMs()),
 			Upstreams:      int(s.GetReplicas()),
 			TokensPerMilli: float64(max(0, s.GetTokensPerMs())),
+			Versions:       s.GetVersions(),
 		})
 	}
 	return r, nil
 }
 
+// StreamsToWire encodes streams that have begun.
+func StreamsToWire(groups []gossip.BegunStreams) []*StreamGroup {
+	var list []*StreamGroup
+	for _, g := range groups {
+		m := &StreamGroup{Service: string(g.Origin.Service), Version: g.Origin.Version}
+		for _, key := range g.Keys {
+			m.Keys = append(m.Keys, uint64(key))
+		}
+		list = append(list, m)
+	}
+	return list
+}
+
+// StreamsFromWire decodes streams that have begun.
+func StreamsFromWire(list []*StreamGroup) []gossip.BegunStreams {
+	var groups []gossip.BegunStreams
+	for _, m := range list {
+		g := gossip.BegunStreams{Origin: gossip.StreamOrigin{Service: ident.Service(m.GetService()), Version: m.GetVersion()}}
+		for _, key := range m.GetKeys() {
+			g.Keys = append(g.Keys, gossip.StreamKey(key))
+		}
+		groups = append(groups, g)
+	}
+	return groups
+}
+
 func evidenceToWire(m *BeatRecord, e *gossip.LossEvidence) {
 	for _, l := range e.Lost {
 		lost := &LostRequest{Id: l.ID, AgeMs: milliseconds(l.Age), Fingerprint: uint64(l.Traits.Fingerprint)}
