--- a/core/poison/bench_test.go
+++ b/core/poison/bench_test.go
@@ -33,3 +33,23 @@
 		})
 	}
 }
+
+func BenchmarkCheck(b *testing.B) {
+	d := &Detector{Self: "a"}
+	lose(d, keys("p"), 1, 2, 3)
+	traits := keys("first", "second", "third")
+	b.ReportAllocs()
+	for b.Loop() {
+		d.Check(at(4), traits)
+	}
+}
+
+func BenchmarkAnswerBegun(b *testing.B) {
+	d := &Detector{Self: "a"}
+	lose(d, keys("p"), 1, 2, 3)
+	traits := keys("first", "second", "third")
+	b.ReportAllocs()
+	for b.Loop() {
+		d.AnswerBegun(at(4), traits)
+	}
+}
--- a/core/poison/convict.go
+++ b/core/poison/convict.go
@@ -31,6 +31,16 @@
 	d.dropOld(now)
 	losses := d.lossesByTrait()
 	before := d.convicted
+	d.convictAll(losses)
+	d.dropSurplus(losses)
+	d.dropBegun(now)
+	d.dropProbes()
+	return changes(before, d.convicted)
+}
+
+// convictAll replaces the convictions. losses holds the lost requests that count against each
+// trait.
+func (d *Detector) convictAll(losses map[gossip.TraitKey][]*lostRequest) {
 	d.convicted = map[gossip.TraitKey]conviction{}
 	for trait, list := range losses {
 		if c, found := d.convict(trait, list); found {
@@ -46,10 +56,6 @@
 		c.companions = d.companions(trait, c, losses[trait])
 		d.convicted[trait] = c
 	}
-	d.dropSurplus(losses)
-	d.dropBegun(now)
-	d.dropProbes()
-	return changes(before, d.convicted)
 }
 
 // convict returns the conviction of a trait by the requests that were lost with it.
--- /dev/null
+++ b/core/poison/fleet_test.go
@@ -0,0 +1,291 @@
+package poison
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"arbutustrestle/core/gossip"
+	"arbutustrestle/core/ident"
+)
+
+// fleet is a number of instances, with a virtual clock, that send requests to upstreams
+// and exchange their evidence with delays.
+type fleet struct {
+	random    *rand.Rand
+	detectors []*Detector
+	upstreams []upstreamState
+	now       float64
+	events    []event
+	// tainted makes some requests hold the trait that ends upstreams, from second 4 on.
+	tainted bool
+	// repeated makes one request that ends upstreams come again and again, about once a
+	// second, from second 4 on.
+	repeated bool
+	// outages makes upstreams end for other reasons.
+	outages bool
+	// retries makes lost requests be sent to up to three upstreams.
+	retries bool
+
+	crashes      []float64
+	lateSends    int
+	refusedSound int
+	sound        int
+	nextID       uint64
+}
+
+type upstreamState struct {
+	downUntil float64
+	waiting   []waitingRequest
+}
+
+type waitingRequest struct {
+	id       uint64
+	instance int
+	traits   gossip.Traits
+	deadly   bool
+	tries    int
+	beginsAt float64
+}
+
+type event struct {
+	at float64
+	do func()
+}
+
+const (
+	deadlyTrait   = "deadly"
+	deadlyRequest = 7
+	step          = 0.02
+)
+
+func newFleet(seed uint64, instances, upstreams int) *fleet {
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), upstreams: make([]upstreamState, upstreams)}
+	var names []ident.Instance
+	for i := range instances {
+		names = append(names, ident.Instance(fmt.Sprintf("entry-%d", i)))
+	}
+	for _, name := range names {
+		d := &Detector{Self: name}
+		d.SetInstances(names)
+		f.detectors = append(f.detectors, d)
+	}
+	return f
+}
+
+func (f *fleet) run(seconds float64) {
+	for f.now < seconds {
+		f.now += step
+		f.arrivals()
+		f.progress()
+		if f.outages {
+			f.outage()
+		}
+		f.gossip()
+		for len(f.events) > 0 && f.events[0].at <= f.now {
+			f.events[0].do()
+			f.events = f.events[1:]
+		}
+	}
+}
+
+// arrivals sends the requests of one step: all share the first trait, some sessions share a
+// second one, and each has an own one, which isn't evidence and so is left out.
+func (f *fleet) arrivals() {
+	perSecond := 2 * float64(len(f.detectors))
+	for range f.poisson(perSecond * step) {
+		session := fmt.Sprintf("session-%d", f.random.IntN(60))
+		deadly := f.tainted && f.now > 4 && f.random.Float64() < 0.08
+		traits := request(gossip.TraitKey(f.random.Uint64()), "first", session)
+		if deadly {
+			traits.Parts = append(traits.Parts, PartKey(deadlyTrait))
+		}
+		f.send(waitingRequest{traits: traits, deadly: deadly})
+	}
+	if f.repeated && f.now > 4 && f.random.Float64() < step {
+		f.send(waitingRequest{traits: request(deadlyRequest, "first", "session-0"), deadly: true})
+	}
+}
+
+func (f *fleet) poisson(mean float64) int {
+	n := 0
+	for p := f.random.ExpFloat64(); p < mean; p += f.random.ExpFloat64() {
+		n++
+	}
+	return n
+}
+
+// send sends a new request from any instance.
+func (f *fleet) send(r waitingRequest) {
+	f.nextID++
+	r.id = f.nextID
+	r.instance = f.random.IntN(len(f.detectors))
+	if !r.deadly {
+		f.sound++
+	}
+	if !f.try(r) && !r.deadly {
+		f.refusedSound++
+	}
+}
+
+// try makes one attempt of a request. It reports false if the request is refused.
+func (f *fleet) try(r waitingRequest) bool {
+	if _, refused := f.detectors[r.instance].AdmitSend(at(f.now), r.traits); refused {
+		return false
+	}
+	r.tries++
+	if r.deadly && len(f.crashes) >= f.allowedCrashes() && f.now > f.crashes[f.allowedCrashes()-1]+5 {
+		f.lateSends++
+	}
+	u := &f.upstreams[f.random.IntN(len(f.upstreams))]
+	if f.now >= u.downUntil {
+		r.beginsAt = f.now + 0.05 + f.random.ExpFloat64()*0.3
+		u.waiting = append(u.waiting, r)
+	}
+	return true
+}
+
+// allowedCrashes is the number of endings some seconds after which hardly any deadly request
+// may be sent.
+func (f *fleet) allowedCrashes() int {
+	if f.repeated {
+		return 3
+	}
+	return 5
+}
+
+func (f *fleet) progress() {
+	for i := range f.upstreams {
+		u := &f.upstreams[i]
+		kept := u.waiting[:0:0]
+		ended := false
+		for _, r := range u.waiting {
+			switch {
+			case f.now < r.beginsAt:
+				kept = append(kept, r)
+			case r.deadly:
+				kept = append(kept, r)
+				ended = true
+			default:
+				f.detectors[r.instance].AnswerBegun(at(f.now), r.traits)
+			}
+		}
+		u.waiting = kept
+		if ended {
+			f.crashes = append(f.crashes, f.now)
+			f.end(i)
+		}
+	}
+}
+
+// end ends an upstream for some seconds. The requests that wait there are lost.
+func (f *fleet) end(upstream int) {
+	u := &f.upstreams[upstream]
+	lost := u.waiting
+	u.waiting = nil
+	u.downUntil = f.now + 1 + 3*f.random.Float64()
+	for _, r := range lost {
+		d := f.detectors[r.instance]
+		id := LossID(fmt.Sprint(r.id), ident.Upstream(fmt.Sprint(upstream)))
+		d.RequestLost(at(f.now), id, r.traits)
+		if f.retries && r.tries < 3 && !d.Suspects(id, r.traits) {
+			f.after(0.1, func() { f.try(r) })
+		}
+	}
+}
+
+// outage ends single upstreams, and now and then a third of them at once.
+func (f *fleet) outage() {
+	if f.random.Float64() < step/1.5 {
+		f.end(f.random.IntN(len(f.upstreams)))
+	}
+	if f.random.Float64() < step/8 {
+		first := f.random.IntN(3)
+		for i := first; i < len(f.upstreams); i += 3 {
+			f.end(i)
+		}
+	}
+}
+
+// gossip sends the evidence of each instance to a few others, which get it some time
+// later.
+func (f *fleet) gossip() {
+	for _, from := range f.detectors {
+		if f.random.Float64() > step/0.4 {
+			continue
+		}
+		evidence := from.Evidence(at(f.now))
+		for range min(12, len(f.detectors)) {
+			to := f.detectors[f.random.IntN(len(f.detectors))]
+			delay := 0.01 + f.random.ExpFloat64()*0.1
+			f.after(delay, func() { to.Merge(at(f.now), evidence) })
+		}
+	}
+}
+
+func (f *fleet) after(delay float64, do func()) {
+	e := event{at: f.now + delay, do: do}
+	i := len(f.events)
+	for i > 0 && f.events[i-1].at > e.at {
+		i--
+	}
+	f.events = append(f.events[:i], append([]event{e}, f.events[i:]...)...)
+}
+
+// TestFleetStopsTraitThatEndsUpstreams guards against a trait of a prompt that ends one upstream after
+// the other: of the requests that hold it, hardly any may be sent some seconds after the
+// fifth upstream has ended, by all instances together, also while upstreams end for other
+// reasons; and no sound request may be refused for it.
+func TestFleetStopsTraitThatEndsUpstreams(t *testing.T) {
+	for seed := range uint64(12) {
+		for _, outages := range []bool{false, true} {
+			f := newFleet(seed, []int{9, 30}[seed%2], []int{12, 60}[seed%2])
+			f.tainted, f.outages = true, outages
+			f.run(40)
+			if len(f.crashes) < 3 {
+				t.Errorf("seed %d, outages %v: the trait ended %d upstreams only", seed, outages, len(f.crashes))
+			}
+			if f.lateSends > 3 {
+				t.Errorf("seed %d, outages %v: %d requests sent, %d upstreams ended", seed, outages, f.lateSends, len(f.crashes))
+			}
+			if f.refusedSound*200 > f.sound {
+				t.Errorf("seed %d, outages %v: %d of %d sound requests refused", seed, outages, f.refusedSound, f.sound)
+			}
+		}
+	}
+}
+
+// TestFleetStopsRequestThatEndsUpstreams guards against one request that comes again and
+// again, at any instance, and ends one upstream after the other: hardly any may be sent some
+// seconds after the third ending, by all instances together, also while upstreams end for
+// other reasons and lost requests are tried again; and no sound request of its session may be
+// refused for it.
+func TestFleetStopsRequestThatEndsUpstreams(t *testing.T) {
+	for seed := range uint64(24) {
+		f := newFleet(seed, []int{9, 30}[seed%2], []int{12, 60}[seed%2])
+		f.repeated, f.outages, f.retries = true, seed/2%2 == 1, seed/4%2 == 1
+		f.run(40)
+		if len(f.crashes) == 0 || len(f.crashes) < 3 && !f.outages {
+			t.Errorf("seed %d: the request ended %d upstreams only", seed, len(f.crashes))
+		}
+		if f.lateSends > 3 {
+			t.Errorf("seed %d: sent %d times, %d upstreams ended", seed, f.lateSends, len(f.crashes))
+		}
+		if f.refusedSound*200 > f.sound {
+			t.Errorf("seed %d: %d of %d sound requests refused", seed, f.refusedSound, f.sound)
+		}
+	}
+}
+
+// TestNoTraitConvictedByOutages guards against upstreams that end for other reasons making
+// their requests suspects that are refused.
+func TestNoTraitConvictedByOutages(t *testing.T) {
+	for seed := range uint64(12) {
+		f := newFleet(seed, []int{9, 30}[seed%2], []int{12, 60}[seed%2])
+		f.outages = true
+		f.run(60)
+		if f.refusedSound > 0 {
+			t.Errorf("seed %d: %d of %d sound requests refused", seed, f.refusedSound, f.sound)
+		}
+	}
+}
--- /dev/null
+++ b/io/proxy/record.go
@@ -0,0 +1,77 @@
+package proxy
+
+import (
+	"time"
+
+	"arbutustrestle/core/result"
+	"arbutustrestle/io/http1"
+)
+
+// recordEnd counts and logs the end of a request.
+func (p *Proxy) recordEnd(call *Call, f *result.Failure) {
+	now := p.Clock.Now()
+	p.Metrics.CountRequest(f)
+	elapsed := now.Sub(call.Arrived)
+	line := p.Log.Info()
+	if f != nil && f.Reason != result.CallerGone {
+		line = p.Log.Warn()
+	}
+	line = line.Str("request-id", call.ID).Int64("took-ms", elapsed.Milliseconds()).Str("peer", call.peer)
+	if call.upstreamVersion != "" {
+		line = line.Str("upstream-version", call.upstreamVersion)
+	}
+	if call.resumedAfter != "" {
+		line = line.Str("resumed-after", loggedID(call.resumedAfter)).Str("resumes", loggedID(call.Resumes))
+	}
+	if call.Route != nil {
+		line = line.Str("route", call.Route.Name).
+			Str("fingerprint", call.loggedFingerprint()).
+			Str("service", string(call.Service)).
+			Uint64("config-version", call.ConfigVersion).
+			Int("sends", call.sends).
+			Int64("projected-wait-ms", call.projection.Wait.Milliseconds()).
+			Int64("projected-first-ms", call.projection.FirstByte.Milliseconds()).
+			Int("prompt-tokens", call.PromptTokens).
+			Int("uncached-tokens", call.uncachedTokens).
+			Ints("tokens-ahead", call.tokensAhead[:]).
+			Int("in-flight-there", call.inFlight).
+			Int64("left-ms", call.Deadline.Sub(now).Milliseconds())
+		p.recordLatencies(call, elapsed)
+	}
+	if !call.firstByteAt.IsZero() {
+		line = line.Int("status", call.status).Int64("first-ms", call.firstByteAt.Sub(call.Arrived).Milliseconds()).Int("bytes", call.bodyBytes).Int64("longest-pause-ms", call.longestPause.Milliseconds())
+	}
+	if call.framing != http1.FramingUnknown {
+		line = line.Str("framing", call.framing.String()).Bool("inside-event", call.insideEvent)
+	}
+	if f == nil {
+		line.Str("outcome", result.Done.String()).Msg("request answered")
+		return
+	}
+	line.Str("outcome", f.Outcome.String()).
+		Str("step", f.Step.String()).
+		Str("reason", f.Reason.String()).
+		Int64("retry-after-ms", f.RetryAfter.Milliseconds()).
+		Bool("begun", call.headSent).
+		AnErr("cause", f.Cause).
+		Msg("request not answered")
+}
+
+// loggedID shortens an id that a caller or an upstream chose.
+func loggedID(id string) string {
+	return id[:min(len(id), maxLoggedIDBytes)]
+}
+
+const maxLoggedIDBytes = 64
+
+// recordLatencies records the latencies of a request that matched a route.
+func (p *Proxy) recordLatencies(call *Call, took time.Duration) {
+	kind := call.Route.Kind
+	p.Latencies.record(wholeRequest, kind, took)
+	if !call.firstByteAt.IsZero() {
+		p.Latencies.record(firstByte, kind, call.firstByteAt.Sub(call.Arrived))
+	}
+	if call.longestPause > 0 {
+		p.Latencies.record(longestPause, kind, call.longestPause)
+	}
+}
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -16,7 +15,6 @@
 
 	"arbutustrestle/core/member"
 	"arbutustrestle/core/result"
-	"arbutustrestle/io/http1"
 	"arbutustrestle/io/syncer"
 )
 
@@ -189,75 +187,6 @@
 // defaultBodyBytes bounds request bodies if operators set no limit.
 const defaultBodyBytes = 8 << 20
 
-// httpSink writes an answer to a caller's HTTP connection.
-type httpSink struct {
-	writer  http.ResponseWriter
-	control *http.ResponseController
-	// chunksAllowed is set if the caller's version of HTTP has chunks.
-	chunksAllowed bool
-	// endsWithConn is set if the end of the answer is the end of its connection.
-	endsWithConn bool
-}
-
-// WriteHead writes the head.
-func (s *httpSink) WriteHead(head AnswerHead) error {
-	header := s.writer.Header()
-	connection := header.Get("Connection")
-	RemoveHopByHopHeaders(head.Header)
-	for name, values := range head.Header {
-		header[name] = values
-	}
-	if connection != "" {
-		header.Set("Connection", connection)
-	}
-	s.setFraming(header, head)
-	if _, dated := head.Header["Date"]; !dated {
-		header["Date"] = nil
-	}
-	s.writer.WriteHeader(head.Status)
-	return nil
-}
-
-// setFraming sets the header from which the caller learns where the answer ends.
-func (s *httpSink) setFraming(header http.Header, head AnswerHead) {
-	switch {
-	case head.Framing == http1.FramedByClose:
-		s.endsWithConn = true
-		omitFraming(header)
-	case head.Length >= 0:
-		header.Set("Content-Length", strconv.FormatInt(head.Length, 10))
-	default:
-		s.endsWithConn = !s.chunksAllowed
-	}
-}
-
-// omitFraming makes net/http send neither a length nor chunks and close the connection
-// after the answer.
-func omitFraming(header http.Header) {
-	header.Set("Transfer-Encoding", "identity")
-}
-
-// reset resets the connection.
-func (s *httpSink) reset() error {
-	conn, _, err := s.control.Hijack()
-	if err != nil {
-		return errors.Trace(err)
-	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	return errors.Trace(conn.Close())
-}
-
-// Write writes a part of the body and flushes it.
-func (s *httpSink) Write(p []byte) (int, error) {
-	n, err := s.writer.Write(p)
-	if err != nil {
-		return n, errors.Trace(err)
-	}
-	return n, errors.Trace(s.control.Flush())
-}
-
 // writeError writes the error answer for a request that was not served.
 func (p *Proxy) writeError(codec CallerCodec, w http.ResponseWriter, call *Call, f *result.Failure) {
 	h := w.Header()
@@ -300,72 +229,3 @@
 		return http.StatusBadGateway
 	}
 }
-
-// recordEnd counts and logs the end of a request.
-func (p *Proxy) recordEnd(call *Call, f *result.Failure) {
-	now := p.Clock.Now()
-	p.Metrics.CountRequest(f)
-	elapsed := now.Sub(call.Arrived)
-	line := p.Log.Info()
-	if f != nil && f.Reason != result.CallerGone {
-		line = p.Log.Warn()
-	}
-	line = line.Str("request-id", call.ID).Int64("took-ms", elapsed.Milliseconds()).Str("peer", call.peer)
-	if call.upstreamVersion != "" {
-		line = line.Str("upstream-version", call.upstreamVersion)
-	}
-	if call.resumedAfter != "" {
-		line = line.Str("resumed-after", loggedID(call.resumedAfter)).Str("resumes", loggedID(call.Resumes))
-	}
-	if call.Route != nil {
-		line = line.Str("route", call.Route.Name).
-			Str("fingerprint", call.loggedFingerprint()).
-			Str("service", string(call.Service)).
-			Uint64("config-version", call.ConfigVersion).
-			Int("sends", call.sends).
-			Int64("projected-wait-ms", call.projection.Wait.Milliseconds()).
-			Int64("projected-first-ms", call.projection.FirstByte.Milliseconds()).
-			Int("prompt-tokens", call.PromptTokens).
-			Int("uncached-tokens", call.uncachedTokens).
-			Ints("tokens-ahead", call.tokensAhead[:]).
-			Int("in-flight-there", call.inFlight).
-			Int64("left-ms", call.Deadline.Sub(now).Milliseconds())
-		p.recordLatencies(call, elapsed)
-	}
-	if !call.firstByteAt.IsZero() {
-		line = line.Int("status", call.status).Int64("first-ms", call.firstByteAt.Sub(call.Arrived).Milliseconds()).Int("bytes", call.bodyBytes).Int64("longest-pause-ms", call.longestPause.Milliseconds())
-	}
-	if call.framing != http1.FramingUnknown {
-		line = line.Str("framing", call.framing.String()).Bool("inside-event", call.insideEvent)
-	}
-	if f == nil {
-		line.Str("outcome", result.Done.String()).Msg("request answered")
-		return
-	}
-	line.Str("outcome", f.Outcome.String()).
-		Str("step", f.Step.String()).
-		Str("reason", f.Reason.String()).
-		Int64("retry-after-ms", f.RetryAfter.Milliseconds()).
-		Bool("begun", call.headSent).
-		AnErr("cause", f.Cause).
-		Msg("request not answered")
-}
-
-// loggedID shortens an id that a caller or an upstream chose.
-func loggedID(id string) string {
-	return id[:min(len(id), maxLoggedIDBytes)]
-}
-
-const maxLoggedIDBytes = 64
-
-// recordLatencies records the latencies of a request that matched a route.
-func (p *Proxy) recordLatencies(call *Call, took time.Duration) {
-	kind := call.Route.Kind
-	p.Latencies.record(wholeRequest, kind, took)
-	if !call.firstByteAt.IsZero() {
-		p.Latencies.record(firstByte, kind, call.firstByteAt.Sub(call.Arrived))
-	}
-	if call.longestPause > 0 {
-		p.Latencies.record(longestPause, kind, call.longestPause)
-	}
-}
--- /dev/null
+++ b/io/proxy/sink.go
@@ -0,0 +1,80 @@
+package proxy
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+
+	"github.com/juju/errors"
+
+	"arbutustrestle/io/http1"
+)
+
+// httpSink writes an answer to a caller's HTTP connection.
+type httpSink struct {
+	writer  http.ResponseWriter
+	control *http.ResponseController
+	// chunksAllowed is set if the caller's version of HTTP has chunks.
+	chunksAllowed bool
+	// endsWithConn is set if the end of the answer is the end of its connection.
+	endsWithConn bool
+}
+
+// WriteHead writes the head.
+func (s *httpSink) WriteHead(head AnswerHead) error {
+	header := s.writer.Header()
+	connection := header.Get("Connection")
+	RemoveHopByHopHeaders(head.Header)
+	for name, values := range head.Header {
+		header[name] = values
+	}
+	if connection != "" {
+		header.Set("Connection", connection)
+	}
+	s.setFraming(header, head)
+	if _, dated := head.Header["Date"]; !dated {
+		header["Date"] = nil
+	}
+	s.writer.WriteHeader(head.Status)
+	return nil
+}
+
+// setFraming sets the header from which the caller learns where the answer ends.
+func (s *httpSink) setFraming(header http.Header, head AnswerHead) {
+	switch {
+	case head.Framing == http1.FramedByClose:
+		s.endsWithConn = true
+		omitFraming(header)
+	case head.Length >= 0:
+		header.Set("Content-Length", strconv.FormatInt(head.Length, 10))
+	default:
+		s.endsWithConn = !s.chunksAllowed
+	}
+}
+
+// omitFraming makes net/http send neither a length nor chunks and close the connection
+// after the answer.
+func omitFraming(header http.Header) {
+	header.Set("Transfer-Encoding", "identity")
+}
+
+// reset resets the connection.
+func (s *httpSink) reset() error {
+	conn, _, err := s.control.Hijack()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	return errors.Trace(conn.Close())
+}
+
+// Write writes a part of the body and flushes it.
+func (s *httpSink) Write(p []byte) (int, error) {
+	n, err := s.writer.Write(p)
+	if err != nil {
+		return n, errors.Trace(err)
+	}
+	return n, errors.Trace(s.control.Flush())
+}
