Tell few peers of begun streams where there are many, and count versions by service

Where there are more than eight peers, the eight first ones by id were told of each stream, always the same, and nobody else before the next heartbeat (1.6 s at 84 instances), too late if the instance is killed. Now three random ones of the region and one of another are told, and repeat it in their heartbeats for 0.8 s. Whether versions are mixed was found by going through all upstreams for each reported stream, in each tick; it is counted by service now, and asked once for each origin.

--- a/core/pool/version.go
+++ b/core/pool/version.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -29,56 +30,76 @@
 	return !b.Bound || r.Version == b.Version && now.Sub(r.endedAt) >= unprovenTime
 }
 
+// versions holds which versions of each service are in use, in all regions. Its zero value
+// holds none.
+type versions struct {
+	listed   map[ident.Upstream]serviceVersion
+	services map[ident.Service]*serviceVersions
+}
+
 // serviceVersion is a version of the software of a service's upstreams.
 type serviceVersion struct {
 	service ident.Service
 	version string
 }
 
-// versions holds which versions of each service are in use, in all regions. Its zero value
-// holds none.
-type versions struct {
-	listed map[ident.Upstream]serviceVersion
-	// leftAt is when an upstream with the version last left the list.
-	leftAt map[serviceVersion]time.Time
+// serviceVersions holds the versions of one service.
+type serviceVersions struct {
+	// upstreams is the number of listed upstreams with each version; never 0.
+	upstreams map[string]int
+	// leftAt is when the last upstream with a version left the list.
+	leftAt map[string]time.Time
 }
 
+// set records an upstream of the list.
 func (v *versions) set(now time.Time, u Upstream) {
+	current := serviceVersion{u.Service, u.Version}
+	if v.listed[u.ID] == current {
+		return
+	}
+	v.remove(now, u.ID)
 	if v.listed == nil {
 		v.listed = map[ident.Upstream]serviceVersion{}
-		v.leftAt = map[serviceVersion]time.Time{}
-	}
-	current := serviceVersion{u.Service, u.Version}
-	if before, found := v.listed[u.ID]; found && before != current {
-		v.leftAt[before] = now
+		v.services = map[ident.Service]*serviceVersions{}
 	}
 	v.listed[u.ID] = current
+	s := v.services[u.Service]
+	if s == nil {
+		s = &serviceVersions{upstreams: map[string]int{}, leftAt: map[string]time.Time{}}
+		v.services[u.Service] = s
+	}
+	s.upstreams[u.Version]++
+	delete(s.leftAt, u.Version)
 }
 
+// remove records that an upstream has left the list.
 func (v *versions) remove(now time.Time, id ident.Upstream) {
-	if before, found := v.listed[id]; found {
-		v.leftAt[before] = now
-		delete(v.listed, id)
+	before, found := v.listed[id]
+	if !found {
+		return
+	}
+	delete(v.listed, id)
+	s := v.services[before.service]
+	s.upstreams[before.version]--
+	if s.upstreams[before.version] == 0 {
+		delete(s.upstreams, before.version)
+		s.leftAt[before.version] = now
 	}
 }
 
 // inUse returns the versions of a service that are listed or were so lately.
 func (v *versions) inUse(now time.Time, service ident.Service) []string {
-	var list []string
-	add := func(sv serviceVersion) {
-		if sv.service == service && !slices.Contains(list, sv.version) {
-			list = append(list, sv.version)
-		}
-	}
-	for _, sv := range v.listed {
-		add(sv)
+	s := v.services[service]
+	if s == nil {
+		return nil
 	}
-	for sv, at := range v.leftAt {
+	list := slices.Collect(maps.Keys(s.upstreams))
+	for version, at := range s.leftAt {
 		if now.Sub(at) > versionMemory {
-			delete(v.leftAt, sv)
+			delete(s.leftAt, version)
 			continue
 		}
-		add(sv)
+		list = append(list, version)
 	}
 	return list
 }
--- a/core/resume/resume.go
+++ b/core/resume/resume.go
@@ -22,6 +22,9 @@
 	// reportTime is how long an instance reports a stream that began there, so that peers
 	// hear of it several times.
 	reportTime = 3 * time.Second
+	// passOnTime is how long an instance reports a stream that a peer has told it of, so that
+	// others hear of it sooner than from that peer, which may end.
+	passOnTime = 800 * time.Millisecond
 	// maxReported bounds the streams in one report, and so the size of heartbeats.
 	maxReported = 256
 )
@@ -39,14 +42,14 @@
 	older  map[gossip.StreamKey]gossip.StreamOrigin
 	// changed is when recent became empty.
 	changed time.Time
-	// own holds the streams that are reported, oldest first.
-	own []ownStream
+	// reported holds the streams that are reported, oldest first.
+	reported []reportedStream
 }
 
-type ownStream struct {
+type reportedStream struct {
 	key    gossip.StreamKey
 	origin gossip.StreamOrigin
-	at     time.Time
+	until  time.Time
 }
 
 // Begun records a stream that began, or was taken up, at this instance.
@@ -54,9 +57,18 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.add(now, key, origin)
-	t.own = append(t.own, ownStream{key, origin, now})
-	if len(t.own) > maxReported {
-		t.own = slices.Delete(t.own, 0, len(t.own)-maxReported)
+	t.report(key, origin, now.Add(reportTime))
+}
+
+// PassOn records streams that a peer has told this instance of just now, and reports them.
+func (t *Table) PassOn(now time.Time, groups []gossip.BegunStreams) {
+	t.Learn(now, groups)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, g := range groups {
+		for _, key := range g.Keys {
+			t.report(key, g.Origin, now.Add(passOnTime))
+		}
 	}
 }
 
@@ -82,25 +94,30 @@
 	return origin, found
 }
 
-// Report returns the streams that lately began at this instance, of the services for which
+// Report returns the streams that lately began or were passed on here, of the services for which
 // peers can't tell by themselves where a stream began.
 func (t *Table) Report(now time.Time, ambiguous func(ident.Service) bool) []gossip.BegunStreams {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.own = slices.DeleteFunc(t.own, func(o ownStream) bool { return now.Sub(o.at) > reportTime })
+	t.reported = slices.DeleteFunc(t.reported, func(s reportedStream) bool { return now.After(s.until) })
 	var groups []gossip.BegunStreams
-	for _, o := range t.own {
-		if !ambiguous(o.origin.Service) {
-			continue
-		}
-		i := slices.IndexFunc(groups, func(g gossip.BegunStreams) bool { return g.Origin == o.origin })
+	for _, s := range t.reported {
+		i := slices.IndexFunc(groups, func(g gossip.BegunStreams) bool { return g.Origin == s.origin })
 		if i < 0 {
 			i = len(groups)
-			groups = append(groups, gossip.BegunStreams{Origin: o.origin})
+			groups = append(groups, gossip.BegunStreams{Origin: s.origin})
 		}
-		groups[i].Keys = append(groups[i].Keys, o.key)
+		groups[i].Keys = append(groups[i].Keys, s.key)
+	}
+	return slices.DeleteFunc(groups, func(g gossip.BegunStreams) bool { return !ambiguous(g.Origin.Service) })
+}
+
+// report adds a stream to the reports, and drops the oldest beyond maxReported.
+func (t *Table) report(key gossip.StreamKey, origin gossip.StreamOrigin, until time.Time) {
+	t.reported = append(t.reported, reportedStream{key, origin, until})
+	if len(t.reported) > maxReported {
+		t.reported = slices.Delete(t.reported, 0, len(t.reported)-maxReported)
 	}
-	return groups
 }
 
 // add remembers a stream, and forgets the older half once that is old enough.
--- a/core/resume/resume_test.go
+++ b/core/resume/resume_test.go
@@ -45,6 +45,23 @@
 	}
 }
 
+// TestPassOn checks that an instance which was told of a stream tells others for a moment, so
+// that they know of it though the instance where it began has ended.
+func TestPassOn(t *testing.T) {
+	var told, other Table
+	told.PassOn(start, []gossip.BegunStreams{{Origin: first, Keys: []gossip.StreamKey{KeyOf("one")}}})
+	other.Learn(start, told.Report(start.Add(passOnTime/2), always))
+	if origin, found := other.Lookup(KeyOf("one")); !found || origin != first {
+		t.Errorf("began at %v, found %v", origin, found)
+	}
+	if report := told.Report(start.Add(passOnTime+time.Millisecond), always); len(report) != 0 {
+		t.Errorf("still reported: %v", report)
+	}
+	if report := other.Report(start, always); len(report) != 0 {
+		t.Errorf("passed on again: %v", report)
+	}
+}
+
 // TestReportOnlyAmbiguous checks that streams cost nothing in heartbeats while every instance
 // can tell where they began.
 func TestReportOnlyAmbiguous(t *testing.T) {
--- a/io/syncer/handle.go
+++ b/io/syncer/handle.go
@@ -36,7 +36,7 @@
 			return
 		}
 	case *wire.Notice_StreamsBegun:
-		h.Loop.opts.Streams.Learn(h.Loop.opts.Clock.Now(), wire.StreamsFromWire(kind.StreamsBegun.GetGroups()))
+		h.Loop.receiveStreams(wire.StreamsFromWire(kind.StreamsBegun.GetGroups()))
 		return
 	}
 	h.Loop.opts.Metrics.Events.Add("notice-not-valid", 1)
--- a/io/syncer/streams.go
+++ b/io/syncer/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"arbutustrestle/core/gossip"
@@ -13,9 +14,12 @@
 	// announceDelay is the time for which streams that have begun are collected before peers
 	// are told of them.
 	announceDelay = 20 * time.Millisecond
-	// maxAnnouncePeers bounds the peers that are told at once. The others learn of the streams
-	// by heartbeat.
+	// maxAnnouncePeers is the number of peers up to which all are told at once. Where there
+	// are more, announceNear of the region and announceFar of others are, and pass it on with
+	// their heartbeats.
 	maxAnnouncePeers = 8
+	announceNear     = 3
+	announceFar      = 1
 )
 
 // Ambiguous reports whether it can't be told from the config and the list of upstreams where
@@ -48,26 +52,37 @@
 		return
 	}
 	notice := &wire.Notice{Kind: &wire.Notice_StreamsBegun{StreamsBegun: &wire.StreamsBegun{Groups: wire.StreamsToWire(streams)}}}
-	for _, m := range l.announcePeers(now) {
+	for _, m := range announcePeers(l.membership.View(now)) {
 		l.work.Go(func() { l.announceTo(l.runCtx, m, notice) })
 	}
 }
 
-// announcePeers returns the peers that are told of streams at once: those of the region first,
-// as callers take up most streams there.
-func (l *Loop) announcePeers(now time.Time) []gossip.Member {
+// announcePeers returns the peers that are told of streams at once: most of them in the
+// region, where callers take up most streams.
+func announcePeers(v *gossip.View) []gossip.Member {
 	var near, far []gossip.Member
-	for _, m := range l.membership.View(now).Members {
+	for _, m := range v.Members {
 		switch {
 		case !m.Alive:
-		case m.Region == l.opts.Self.Region:
+		case m.Region == v.Self.Region:
 			near = append(near, m)
 		default:
 			far = append(far, m)
 		}
 	}
-	peers := append(near, far...)
-	return peers[:min(len(peers), maxAnnouncePeers)]
+	if len(near)+len(far) <= maxAnnouncePeers {
+		return append(near, far...)
+	}
+	return append(sample(near, announceNear), sample(far, announceFar)...)
+}
+
+// sample returns up to count random members of a list.
+func sample(list []gossip.Member, count int) []gossip.Member {
+	var chosen []gossip.Member
+	for _, i := range rand.Perm(len(list))[:min(count, len(list))] {
+		chosen = append(chosen, list[i])
+	}
+	return chosen
 }
 
 func (l *Loop) announceTo(ctx context.Context, m gossip.Member, notice *wire.Notice) {
@@ -79,6 +94,17 @@
 	}
 }
 
+// receiveStreams records streams that a peer announces, and passes them on if it doesn't tell
+// all others.
+func (l *Loop) receiveStreams(groups []gossip.BegunStreams) {
+	now := l.opts.Clock.Now()
+	if len(l.View().Membership.Members) > maxAnnouncePeers {
+		l.opts.Streams.PassOn(now, groups)
+		return
+	}
+	l.opts.Streams.Learn(now, groups)
+}
+
 // learnStreams records the streams that have begun at the members from which a heartbeat has
 // arrived since the last call.
 func (l *Loop) learnStreams(now time.Time, m *gossip.Member) {
