Keep the address of a test's upstream while it is down

One earlier failure of the package, in a run whose output was cut to its last lines, may have been the same; that isn't shown.

--- a/io/proxy/poison_test.go
+++ b/io/proxy/poison_test.go
@@ -5,11 +5,16 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
+	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
+
 	"arbutustrestle/core/pool"
 )
 
@@ -62,19 +67,24 @@
 	_, _ = io.WriteString(c, "f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n")
 }
 
-// end closes the upstream's listener and opens another one at its address soon after.
+// end closes the upstream's listener and listens again at its address soon after.
 func (cr *crasher) end(t *testing.T, u *upstream, l net.Listener) {
 	cr.mu.Lock()
 	defer cr.mu.Unlock()
 	cr.arrivals++
-	address := l.Addr().String()
+	address := l.Addr().(*net.TCPAddr).AddrPort()
 	if err := l.Close(); err != nil {
 		// Another request has just ended it.
 		return
 	}
 	cr.crashes++
+	socket, err := bindAddress(address)
+	if err != nil {
+		t.Errorf("address of an upstream not kept: %v", err)
+		return
+	}
 	time.AfterFunc(100*time.Millisecond, func() {
-		l, err := net.Listen("tcp", address)
+		l, err := listenOn(socket)
 		if err != nil {
 			t.Errorf("upstream not started again: %v", err)
 			return
@@ -84,6 +94,29 @@
 	})
 }
 
+// bindAddress returns a socket that keeps an IPv4 address from other programs and refuses
+// connections.
+func bindAddress(address netip.AddrPort) (int, error) {
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC|syscall.SOCK_NONBLOCK, 0)
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	if err := syscall.SetsockoptInt(socket, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		return 0, errors.Trace(err)
+	}
+	return socket, errors.Trace(syscall.Bind(socket, &syscall.SockaddrInet4{Port: int(address.Port()), Addr: address.Addr().As4()}))
+}
+
+// listenOn makes a bound socket accept connections.
+func listenOn(socket int) (net.Listener, error) {
+	if err := syscall.Listen(socket, syscall.SOMAXCONN); err != nil {
+		return nil, errors.Trace(err)
+	}
+	file := os.NewFile(uintptr(socket), "upstream")
+	defer func() { _ = file.Close() }()
+	return net.FileListener(file)
+}
+
 func (cr *crasher) counts() (arrivals, crashes int) {
 	cr.mu.Lock()
 	defer cr.mu.Unlock()
