End an answer from another region at once if a second head comes

Cause: a frame with a further head, inside an answer, was read as data of no bytes, so that a peer that sends heads without end held a request until its deadline. Change: it is a frame out of order.

--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -161,6 +161,9 @@
 			a.done = true
 			continue
 		}
+		if f.GetHead() != nil {
+			return 0, errUnexpectedFrame
+		}
 		a.unread = f.GetData()
 	}
 	n := copy(p, a.unread)
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -232,3 +232,44 @@
 		t.Fatalf("took %s", took)
 	}
 }
+
+// TestEndlessPeer checks that an instance of another region which sends without end holds a
+// request no longer than its deadline, and ends it at once if what it sends is no answer.
+func TestEndlessPeer(t *testing.T) {
+	const deadline = 400 * time.Millisecond
+	data := make([]byte, frameBytes)
+	cases := []struct {
+		name string
+		// frame sends one more frame after the head.
+		frame  func(r *Reply) error
+		atOnce bool
+	}{
+		{"data", func(r *Reply) error { _, err := r.Write(data); return err }, false},
+		{"empty frames", func(r *Reply) error { return r.send(&wire.Frame{}) }, false},
+		{"heads", func(r *Reply) error { return r.WriteHead(testAnswer()) }, true},
+		{"frames out of order", func(r *Reply) error { r.sequence++; return r.send(&wire.Frame{}) }, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			links, address := startPeer(t, func(_ *link.Stream, r *Reply) {
+				for err := r.WriteHead(testAnswer()); err == nil; err = c.frame(r) {
+				}
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), deadline)
+			defer cancel()
+			began := time.Now()
+			answer, failure := Send(ctx, links, address, &Request{Attempt: http1.Attempt{RequestID: "1", Remaining: deadline}})
+			if failure != nil {
+				t.Fatal(failure)
+			}
+			defer func() { _ = answer.Body.Close() }()
+			if _, err := io.Copy(io.Discard, answer.Body); err == nil {
+				t.Error("the answer counts as whole")
+			}
+			if took := time.Since(began); took > deadline+2*time.Second || c.atOnce && ctx.Err() != nil {
+				t.Errorf("ended after %s", took)
+			}
+		})
+	}
+}
