--- a/io/proxy/poison_test.go
+++ b/io/proxy/poison_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -60,12 +59,7 @@
 
 var okStream = chunked(false, "id: 1\ndata: a\n\n")
 
-// okClosingStream is okStream with the word that its connection ends, so that no further
-// request is lost on it.
-func okClosingStream(c net.Conn, r *http.Request) {
-	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
-	_, _ = io.WriteString(c, "f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n")
-}
+var okClosingStream = closing("id: 1\ndata: a\n\n")
 
 // end closes the upstream's listener and listens again at its address soon after.
 func (cr *crasher) end(t *testing.T, u *upstream, l net.Listener) {
--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -186,6 +186,15 @@
 	}
 }
 
+// closing returns a reply that sends a whole stream and says that its connection ends, so that
+// no further request is lost on it.
+func closing(events string) reply {
+	return func(c net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+		_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n0\r\n\r\n", len(events), events)
+	}
+}
+
 // testInstance is an instance in front of two upstreams.
 type testInstance struct {
 	proxy     *Proxy
--- a/io/proxy/version_test.go
+++ b/io/proxy/version_test.go
@@ -55,7 +55,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			rest := chunked(false, "id: 2\ndata: b\n\n")
+			rest := closing("id: 2\ndata: b\n\n")
 			inst := newTestInstance(t, cutOrRest(rest), cutOrRest(rest)).ready(t)
 			inst.publishVersions(t, c.first, c.second)
 			response, body, err := inst.send(t, "/resume/", "", nil)
@@ -85,7 +85,7 @@
 		return response
 	}
 	begin := func(t *testing.T, first, second string) *testInstance {
-		rest := chunked(false, "id: 2\ndata: b\n\n")
+		rest := closing("id: 2\ndata: b\n\n")
 		inst := newTestInstance(t, cutOrRest(rest), cutOrRest(rest)).ready(t)
 		inst.publishVersions(t, first, second)
 		if _, _, err := inst.send(t, "/resume/", "", http.Header{"Id": {"first"}}); err == nil && first != second {
