--- a/io/syncer/streams.go
+++ b/io/syncer/streams.go
@@ -105,8 +105,7 @@
 	l.opts.Streams.Learn(now, groups)
 }
 
-// learnStreams records the streams that have begun at the members from which a heartbeat has
-// arrived since the last call.
+// learnStreams records the streams that a member has named in its last heartbeat.
 func (l *Loop) learnStreams(now time.Time, m *gossip.Member) {
 	if len(m.BegunStreams) > 0 {
 		l.opts.Streams.Learn(now, m.BegunStreams)
--- a/io/wire/evidence_test.go
+++ b/io/wire/evidence_test.go
@@ -9,7 +9,7 @@
 	"arbutustrestle/core/gossip"
 )
 
-// TestLossEvidenceOnWire checks that what an instance knows of prompt parts arrives as it
+// TestLossEvidenceOnWire checks that what an instance knows of lost requests arrives as it
 // was sent.
 func TestLossEvidenceOnWire(t *testing.T) {
 	address := netip.MustParseAddrPort("10.0.0.1:7000")
