Ask for the version again where a request that goes on with a stream leaves

Found by reading the diff once more. Cause: whether the version of an upstream is proved was asked where it is chosen only; one that ended while the request waited for its connection, and came back under its id with other software, got the rest of the stream. Change: the lease keeps the bound, and AdmitSend asks it, as it asks for drain, pauses and limits. TestVersionUnprovenAtSend failed before.

--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -81,6 +81,7 @@
 		Upstream:       r.Upstream,
 		InFlight:       r.inFlight,
 		UncachedTokens: best.uncached,
+		versionBound:   req.VersionBound,
 		excess:         best.excess,
 		request:        request,
 		pool:           p,
--- a/core/pool/lease.go
+++ b/core/pool/lease.go
@@ -51,6 +51,8 @@
 	InFlight       int
 	UncachedTokens int
 
+	// versionBound is that of the request, asked again where it leaves.
+	versionBound VersionBound
 	// excess is the part of FirstByte that applies to the whole service.
 	excess     time.Duration
 	request    *pendingRequest
--- a/core/pool/pace.go
+++ b/core/pool/pace.go
@@ -157,7 +157,7 @@
 
 // AdmitSend reports whether the request may be sent now, which is later than it was
 // chosen: a connection had to be opened. Meanwhile the upstream may have restarted, left,
-// begun to drain, become cold, named a limit, or said that it leaves or wants no request;
+// begun to drain, become cold, ended (so that its version isn't proved), named a limit, or said that it leaves or wants no request;
 // its zone may have been evacuated; the process may have been paused; the region may have
 // changed. The PacedSend is nil if the upstream is warm and names no limit. A request that
 // was admitted must be sent.
@@ -166,6 +166,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := l.replica
+	if !l.versionBound.allows(now, r) {
+		return nil, false
+	}
 	if p.replicas[r.ID] != r || p.isClosed(r) || r.refuses(now) || p.isHeld(now) {
 		return nil, false
 	}
--- a/core/pool/version_test.go
+++ b/core/pool/version_test.go
@@ -57,6 +57,24 @@
 	}
 }
 
+// TestVersionUnprovenAtSend guards against a stream that goes on at other software under the
+// same id: its upstream ended after it was chosen, while the request waited for a connection.
+func TestVersionUnprovenAtSend(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	p := New(Settings{Self: "entry-1", Region: "near", PromptRate: 60})
+	p.SetUpstream(now, versioned("u", "v1"))
+	bound, _ := p.Pick(now, Request{Service: "chat", VersionBound: VersionBound{Bound: true, Version: "v1"}})
+	unbound, _ := p.Pick(now, Request{Service: "chat"})
+	unbound.MarkEnded(now.Add(time.Millisecond))
+	now = now.Add(time.Second)
+	if _, admitted := bound.AdmitSend(now); admitted {
+		t.Error("a stream goes on at an upstream that has ended since it was chosen")
+	}
+	if _, admitted := unbound.AdmitSend(now); !admitted {
+		t.Error("a new request isn't sent")
+	}
+}
+
 // TestSoleVersion checks when a stream can have begun at one version only: upstreams of other
 // regions count, and so do versions whose last upstream has left lately.
 func TestSoleVersion(t *testing.T) {
