Conclude that one version is in use only after following the list for as long as streams last

Callers saw: after a restart of all instances, streams that had begun at a version whose upstreams had just left were taken up with 200 and ended with the other version's events. Cause: SoleVersion went by the list and by what had left it while this process watched; a process that has just started took 'none seen' for 'there was none'. Change: the pool holds since when it has followed the list, peers that live tell one that starts (VersionHistory in the heartbeats with all records), and until it has followed for twice the route's timeout streams count as ambiguous: unknown ones are refused, new ones recorded and announced. The same after the list went unread for over 2 s and was read again as a whole.

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -61,6 +61,9 @@
 	LossEvidence LossEvidence
 	// BegunStreams are sent with LossEvidence.
 	BegunStreams []BegunStreams
+	// VersionHistory is sent along with the records of third instances, and so to each
+	// instance that has just started.
+	VersionHistory VersionHistory
 }
 
 // servesRegion reports whether the instance is one of a region and is not leaving.
--- a/core/gossip/heartbeat.go
+++ b/core/gossip/heartbeat.go
@@ -58,6 +58,7 @@
 	own.UpstreamLimits = nil
 	own.LeavingUpstreams = nil
 	heartbeats := s.membershipHeartbeats(now, regional, remote, own)
+	own.VersionHistory = VersionHistory{}
 	heartbeats = append(heartbeats, s.regionHeartbeats(now, regional, own)...)
 	heartbeats = append(heartbeats, s.remoteHeartbeats(now, remote, own)...)
 	s.announcing = false
@@ -85,7 +86,9 @@
 		return nil
 	}
 	chosen, rest := s.regionRotation.next(regional)
-	heartbeats := appendHeartbeats(nil, chosen, []Record{s.self})
+	withLoads := s.self
+	withLoads.VersionHistory = VersionHistory{}
+	heartbeats := appendHeartbeats(nil, chosen, []Record{withLoads})
 	if s.self.WatchesPlatform || s.announcing {
 		// All peers rely on the heartbeats of a watcher; the loads go to some of them.
 		heartbeats = appendHeartbeats(heartbeats, rest, []Record{own})
@@ -236,6 +239,7 @@
 			r.RegionDigest = 0
 			r.LossEvidence = LossEvidence{}
 			r.BegunStreams = nil
+			r.VersionHistory = VersionHistory{}
 			list = append(list, r)
 		}
 	}
--- a/core/gossip/streams.go
+++ b/core/gossip/streams.go
@@ -1,6 +1,10 @@
 package gossip
 
-import "arbutustrestle/core/ident"
+import (
+	"time"
+
+	"arbutustrestle/core/ident"
+)
 
 // StreamKey is the hash of the id of the request that brought the first event of a stream.
 type StreamKey uint64
@@ -18,3 +22,23 @@
 	Origin StreamOrigin
 	Keys   []StreamKey
 }
+
+// VersionHistory is what an instance has seen of the list of upstreams. One that has just
+// started can't tell from the list alone at which versions streams began that callers take
+// up: the upstreams may have left.
+type VersionHistory struct {
+	// Followed is how long the instance has seen all versions that were listed, here or by
+	// the word of a peer; zero if it hasn't read the list.
+	Followed time.Duration
+	InUse    []VersionUse
+}
+
+// VersionUse is a version of the software of a service's upstreams that is listed or was so
+// lately.
+type VersionUse struct {
+	Service ident.Service
+	Version string
+	// SinceListed is the time since the last upstream with the version left the list; zero
+	// while one is listed.
+	SinceListed time.Duration
+}
--- a/core/pool/version.go
+++ b/core/pool/version.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"arbutustrestle/core/gossip"
 	"arbutustrestle/core/ident"
 )
 
@@ -16,6 +17,9 @@
 	// upstream has ended: it may have come back with other software, which the list shows by
 	// then.
 	unprovenTime = 5 * time.Second
+	// maxUnseen is how long the list may have gone unread without a version having come and
+	// gone unseen: an upstream's entry stays in the list for longer.
+	maxUnseen = 2 * time.Second
 )
 
 // VersionBound restricts a request to upstreams with one version of their software, since it
@@ -35,6 +39,12 @@
 type versions struct {
 	listed   map[ident.Upstream]serviceVersion
 	services map[ident.Service]*serviceVersions
+	// followedSince is the time since which each version that was listed is held, seen here
+	// or told by a peer; zero while the list hasn't been read.
+	followedSince time.Time
+	// told is what a peer told at toldAt, before the list was read.
+	told   gossip.VersionHistory
+	toldAt time.Time
 }
 
 // serviceVersion is a version of the software of a service's upstreams.
@@ -51,6 +61,19 @@
 	leftAt map[string]time.Time
 }
 
+// service returns the versions of a service, and adds the service if it isn't held.
+func (v *versions) service(name ident.Service) *serviceVersions {
+	s := v.services[name]
+	if s == nil {
+		s = &serviceVersions{upstreams: map[string]int{}, leftAt: map[string]time.Time{}}
+		if v.services == nil {
+			v.services = map[ident.Service]*serviceVersions{}
+		}
+		v.services[name] = s
+	}
+	return s
+}
+
 // set records an upstream of the list.
 func (v *versions) set(now time.Time, u Upstream) {
 	current := serviceVersion{u.Service, u.Version}
@@ -60,14 +83,9 @@
 	v.remove(now, u.ID)
 	if v.listed == nil {
 		v.listed = map[ident.Upstream]serviceVersion{}
-		v.services = map[ident.Service]*serviceVersions{}
 	}
 	v.listed[u.ID] = current
-	s := v.services[u.Service]
-	if s == nil {
-		s = &serviceVersions{upstreams: map[string]int{}, leftAt: map[string]time.Time{}}
-		v.services[u.Service] = s
-	}
+	s := v.service(u.Service)
 	s.upstreams[u.Version]++
 	delete(s.leftAt, u.Version)
 }
@@ -104,12 +122,84 @@
 	return list
 }
 
+// learn takes over what a peer has seen of the list. A version that isn't listed here counts
+// as in use: the peer may hold a newer list.
+func (v *versions) learn(now time.Time, h gossip.VersionHistory) {
+	for _, use := range h.InUse {
+		s := v.service(use.Service)
+		if s.upstreams[use.Version] > 0 {
+			continue
+		}
+		if at := now.Add(-use.SinceListed); at.After(s.leftAt[use.Version]) {
+			s.leftAt[use.Version] = at
+		}
+	}
+	if since := now.Add(-h.Followed); since.Before(v.followedSince) {
+		v.followedSince = since
+	}
+}
+
+// MarkListRead records that the list has been read as a whole, after it was last known to be
+// complete at the given time; zero if it never was. Versions that came and went between the
+// two aren't known.
+func (p *Pool) MarkListRead(now, completeAt time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v := &p.versions
+	if !v.followedSince.IsZero() && now.Sub(completeAt) <= maxUnseen {
+		return
+	}
+	v.followedSince = now
+	if now.Sub(v.toldAt) <= maxUnseen {
+		v.learn(now, v.told)
+	}
+}
+
+// LearnVersions takes over what a peer has seen of the list.
+func (p *Pool) LearnVersions(now time.Time, h gossip.VersionHistory) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v := &p.versions
+	if v.followedSince.IsZero() {
+		if v.toldAt.IsZero() || h.Followed >= v.told.Followed {
+			v.told, v.toldAt = h, now
+		}
+		return
+	}
+	v.learn(now, h)
+}
+
+// VersionHistory returns what this instance has seen of the list.
+func (p *Pool) VersionHistory(now time.Time) gossip.VersionHistory {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v := &p.versions
+	if v.followedSince.IsZero() {
+		return gossip.VersionHistory{}
+	}
+	h := gossip.VersionHistory{Followed: min(now.Sub(v.followedSince), versionMemory)}
+	for name, s := range v.services {
+		for _, version := range v.inUse(now, name) {
+			use := gossip.VersionUse{Service: name, Version: version}
+			if s.upstreams[version] == 0 {
+				use.SinceListed = now.Sub(s.leftAt[version])
+			}
+			h.InUse = append(h.InUse, use)
+		}
+	}
+	return h
+}
+
 // SoleVersion returns the version of a service's software if only one is in use, in all
-// regions, and was so for as long as streams may be taken up.
-func (p *Pool) SoleVersion(now time.Time, service ident.Service) (string, bool) {
+// regions, and was so for as long as the streams last that may be taken up.
+func (p *Pool) SoleVersion(now time.Time, service ident.Service, streamLife time.Duration) (string, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.versions.inUse(now, service)
+	v := &p.versions
+	if v.followedSince.IsZero() || now.Sub(v.followedSince) < min(streamLife, versionMemory) {
+		return "", false
+	}
+	list := v.inUse(now, service)
 	if len(list) != 1 {
 		return "", false
 	}
--- a/core/pool/version_test.go
+++ b/core/pool/version_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"arbutustrestle/core/gossip"
 	"arbutustrestle/core/ident"
 )
 
@@ -79,10 +80,13 @@
 // regions count, and so do versions whose last upstream has left lately.
 func TestSoleVersion(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
+	const streamLife = 8 * time.Second
 	p := New(Settings{Self: "entry-1", Region: "near"})
+	p.MarkListRead(now, time.Time{})
+	now = now.Add(streamLife)
 	check := func(step, want string, sole bool) {
 		t.Helper()
-		if version, found := p.SoleVersion(now, "chat"); found != sole || version != want {
+		if version, found := p.SoleVersion(now, "chat", streamLife); found != sole || version != want {
 			t.Errorf("%s: %q, %v", step, version, found)
 		}
 	}
@@ -101,3 +105,58 @@
 	p.SetUpstream(now, versioned("b", "v3"))
 	check("another version under the same id", "", false)
 }
+
+// TestSoleVersionAfterStart guards against a stream that goes on at the only version that is
+// listed, though it began at one that left while this instance wasn't there to see it. An
+// instance that has just started, or has not read the list for a while, must have followed it
+// for as long as streams last, unless a peer that has tells it.
+func TestSoleVersionAfterStart(t *testing.T) {
+	const streamLife = 8 * time.Second
+	start := time.Unix(1_000_000, 0)
+	list := func() *Pool {
+		p := New(Settings{Self: "entry-1", Region: "near"})
+		p.SetUpstream(start, versioned("a", "v2"))
+		p.MarkListRead(start, time.Time{})
+		return p
+	}
+	peer := list()
+	peer.SetUpstream(start, versioned("b", "v1"))
+	peer.RemoveUpstream(start.Add(time.Second), "b")
+	calm := list()
+	second := func(n int) time.Time { return start.Add(time.Duration(n) * time.Second) }
+	for _, c := range []struct {
+		name  string
+		tell  func(p *Pool)
+		after int
+		sole  bool
+	}{
+		{"just started", func(*Pool) {}, 1, false},
+		{"nearly as long as streams last", func(*Pool) {}, 7, false},
+		{"as long as streams last", func(*Pool) {}, 8, true},
+		{"told by a peer that has followed for long", func(p *Pool) { p.LearnVersions(second(20), calm.VersionHistory(second(20))) }, 20, true},
+		{"told by one that has just started too", func(p *Pool) { p.LearnVersions(second(3), calm.VersionHistory(second(3))) }, 4, false},
+		{"told of a version that left before", func(p *Pool) { p.LearnVersions(second(20), peer.VersionHistory(second(20))) }, 21, false},
+		{"told that long ago", func(p *Pool) { p.LearnVersions(second(20), peer.VersionHistory(second(20))) }, 62, true},
+		{"told of one that isn't listed here yet", func(p *Pool) {
+			p.LearnVersions(second(20), gossip.VersionHistory{Followed: time.Minute, InUse: []gossip.VersionUse{{Service: "chat", Version: "v3"}}})
+		}, 30, false},
+		{"the list wasn't read for a while", func(p *Pool) { p.MarkListRead(second(20), second(17)) }, 21, false},
+		{"the list was read again at once", func(p *Pool) { p.MarkListRead(second(20), second(19)) }, 21, true},
+	} {
+		p := list()
+		c.tell(p)
+		if _, sole := p.SoleVersion(second(c.after), "chat", streamLife); sole != c.sole {
+			t.Errorf("%s: sole is %v", c.name, sole)
+		}
+	}
+	early := New(Settings{Self: "entry-1", Region: "near"})
+	early.LearnVersions(second(20), calm.VersionHistory(second(20)))
+	if _, sole := early.SoleVersion(second(20), "chat", streamLife); sole {
+		t.Error("sole before the list is read")
+	}
+	early.SetUpstream(second(21), versioned("a", "v2"))
+	early.MarkListRead(second(21), time.Time{})
+	if version, sole := early.SoleVersion(second(21), "chat", streamLife); !sole || version != "v2" {
+		t.Error("what a peer told before the list was read is forgotten")
+	}
+}
--- a/core/spec/spec.go
+++ b/core/spec/spec.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -82,6 +83,16 @@
 	return len(r.HomeRegions) == 0 || slices.Contains(r.HomeRegions, region)
 }
 
+// StreamLife returns how long a stream of the route lasts at most, from its first event until
+// a caller takes it up for the last time. The first answer lasts no longer than the timeout,
+// and neither does one that goes on with it.
+func (r *Route) StreamLife() time.Duration {
+	if r.Timeout == 0 {
+		return math.MaxInt64
+	}
+	return 2 * r.Timeout
+}
+
 // PickService returns the service for a random number drawn uniformly from 0 up to 1.
 func (r *Route) PickService(random float64) ident.Service {
 	total := 0.0
@@ -182,6 +193,17 @@
 	})
 }
 
+// StreamLife returns how long the streams last of the resumable routes that lead to a service.
+func (c *Config) StreamLife(service ident.Service) time.Duration {
+	longest := time.Duration(0)
+	for _, r := range c.routes {
+		if r.Resumable && slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service }) {
+			longest = max(longest, r.StreamLife())
+		}
+	}
+	return longest
+}
+
 // HomeRegions returns the regions that all restricted routes of a host allow, and false
 // when none of its routes is restricted.
 func (c *Config) HomeRegions(host string) ([]ident.Region, bool) {
--- a/io/proxy/version_test.go
+++ b/io/proxy/version_test.go
@@ -5,7 +5,9 @@
 	"net/http"
 	"net/netip"
 	"testing"
+	"time"
 
+	"arbutustrestle/core/gossip"
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/pool"
 )
@@ -126,10 +128,19 @@
 	})
 	t.Run("beginning unknown, one version", func(t *testing.T) {
 		t.Parallel()
-		// The list has had no other version before.
 		inst := begin(t, "", "")
+		// A peer has seen no other version for as long as streams last.
+		inst.proxy.Pool.LearnVersions(inst.proxy.Clock.Now(), gossip.VersionHistory{Followed: time.Minute})
 		if response := resume(t, inst, "second", ""); response.StatusCode != http.StatusOK {
 			t.Errorf("%v", response)
 		}
 	})
+	t.Run("beginning unknown, one version, just started", func(t *testing.T) {
+		t.Parallel()
+		inst := begin(t, "", "")
+		response := resume(t, inst, "second", "")
+		if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" || inst.arrivals() != 2 {
+			t.Errorf("%v, %d sends", response, inst.arrivals())
+		}
+	})
 }
--- a/io/syncer/heartbeat.go
+++ b/io/syncer/heartbeat.go
@@ -99,6 +99,9 @@
 // receiveHeartbeat merges the records of a heartbeat into the membership.
 func (l *Loop) receiveHeartbeat(records []gossip.Record) {
 	l.post(func(now time.Time) {
+		if history := records[0].VersionHistory; history.Followed > 0 {
+			l.opts.Pool.LearnVersions(now, history)
+		}
 		if l.membership.Receive(now, records) {
 			l.publish(now)
 		}
--- a/io/syncer/streams.go
+++ b/io/syncer/streams.go
@@ -23,12 +23,14 @@
 )
 
 // Ambiguous reports whether it can't be told from the config and the list of upstreams where
-// a stream of a service began: its routes lead to others too, or versions differ.
+// a stream of a service began: its routes lead to others too, versions differ, or the list
+// hasn't been followed for long enough.
 func (l *Loop) Ambiguous(service ident.Service) bool {
-	if config := l.View().Config; config != nil && config.SharesRoutes(service) {
+	config := l.View().Config
+	if config == nil || config.SharesRoutes(service) {
 		return true
 	}
-	_, sole := l.opts.Pool.SoleVersion(l.opts.Clock.Now(), service)
+	_, sole := l.opts.Pool.SoleVersion(l.opts.Clock.Now(), service, config.StreamLife(service))
 	return !sole
 }
 
--- a/io/syncer/syncer.go
+++ b/io/syncer/syncer.go
@@ -264,6 +264,7 @@
 		r.ServiceLoads = l.opts.Pool.ServiceLoads(now)
 		r.LossEvidence = l.opts.Poison.Evidence(now)
 		r.BegunStreams = l.opts.Streams.Report(now, l.Ambiguous)
+		r.VersionHistory = l.opts.Pool.VersionHistory(now)
 	})
 	for _, hb := range l.membership.DueHeartbeats(now) {
 		l.send(ctx, hb)
--- a/io/syncer/values.go
+++ b/io/syncer/values.go
@@ -86,7 +86,6 @@
 // peers.
 func (l *Loop) readSucceeded(ctx context.Context, now time.Time, g mirror.Group, items []mirror.Item, revision uint64, full bool) {
 	h := &l.health[g]
-	h.heardAt = now
 	if h.lost {
 		h.lost = false
 		if now.Sub(h.lostAt) > shortOutage {
@@ -96,6 +95,7 @@
 	}
 	after := l.mirrors[g].Revision()
 	l.merge(ctx, now, g, items, revision, full)
+	h.heardAt = now
 	if !full {
 		l.forwardChanges(ctx, now, g, after, items)
 	}
@@ -127,6 +127,9 @@
 	if full {
 		changes = held.Replace(items, revision)
 		l.health[g].listed = true
+		if g == mirror.UpstreamsGroup {
+			l.opts.Pool.MarkListRead(now, l.health[g].heardAt)
+		}
 	} else {
 		changes = held.Apply(items, revision)
 	}
--- a/io/wire/records.go
+++ b/io/wire/records.go
@@ -54,6 +54,10 @@
 	}
 	evidenceToWire(m, &r.LossEvidence)
 	m.BegunStreams = StreamsToWire(r.BegunStreams)
+	m.FollowedMs = milliseconds(r.VersionHistory.Followed)
+	for _, use := range r.VersionHistory.InUse {
+		m.Versions = append(m.Versions, &VersionUse{Service: string(use.Service), Version: use.Version, SinceListedMs: milliseconds(use.SinceListed)})
+	}
 	for _, s := range r.ServiceLoads {
 		m.Services = append(m.Services, &ServiceLoad{
 			Service:     string(s.Service),
@@ -120,6 +124,14 @@
 	}
 	r.LossEvidence = evidenceFromWire(m)
 	r.BegunStreams = StreamsFromWire(m.GetBegunStreams())
+	r.VersionHistory.Followed = time.Duration(m.GetFollowedMs()) * time.Millisecond
+	for _, use := range m.GetVersions() {
+		r.VersionHistory.InUse = append(r.VersionHistory.InUse, gossip.VersionUse{
+			Service:     ident.Service(use.GetService()),
+			Version:     use.GetVersion(),
+			SinceListed: time.Duration(use.GetSinceListedMs()) * time.Millisecond,
+		})
+	}
 	for _, s := range m.GetServices() {
 		r.ServiceLoads = append(r.ServiceLoads, gossip.ServiceLoad{
 			Service:        ident.Service(s.GetService()),
