Send heartbeats to a few contacts in each other region where there are many

Cause: each instance sent heartbeats to all of the other regions, so that the fleet's cost grew with the square of its size, in bytes between regions above all, and each kept a link to every other one. Change: with more than 12 instances in other regions, an instance sends to three contacts in each, chosen by rendezvous. Contacts tell their region when they last heard of it (9 bytes each), pass on the whole record where it is new or its phase has changed, and tell some of the region the loads of others. An instance that hears of one it doesn't hold asks for all records; silent ones are tried a dozen at a time; links to former contacts are closed. What single instances told all (evidence on lost requests, begun streams) is passed on in the region by who hears it. The 9 instances of small sites send as before.

TestFleetTraffic, heartbeats a second to other regions from each instance, and to how many there: at 84 instances 35.3 to 56 before, 15.0 to 6 after; at 300, 125.3 to 200 before (the test failed on both), 15.0 to 6 after; records of all kinds 140.6 and 457.5 a second before, 60.0 and 92.5 after. TestFleetKill, Drain, Islands, Loss hold the bounds of the directory. The spill table takes the instances with links of a region apart from the reports of loads.

--- a/core/gossip/agree.go
+++ b/core/gossip/agree.go
@@ -1,14 +1,13 @@
 package gossip
 
 import (
-	"cmp"
 	"encoding/binary"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"arbutustrestle/core/clock"
+	"arbutustrestle/core/ident"
 	"arbutustrestle/core/member"
 )
 
@@ -50,9 +49,8 @@
 	updatedAt time.Time
 }
 
-// update computes the digest of the instances that the region has now.
-func (d *regionDigest) update(now time.Time, region []Record) {
-	value := digestOf(region)
+// update records the digest of the instances that the region has now.
+func (d *regionDigest) update(now time.Time, value uint64) {
 	suspended := !d.updatedAt.IsZero() && clock.Suspension(d.updatedAt, now) > maxSuspension
 	d.updatedAt = now
 	if value == d.value && !suspended {
@@ -70,41 +68,51 @@
 	return d.value
 }
 
-// digestOf returns the digest of a sorted list of instances.
-func digestOf(region []Record) uint64 {
-	var text []byte
-	for _, r := range region {
-		text = append(text, r.ID...)
-		text = append(text, 0)
-		text = binary.BigEndian.AppendUint64(text, r.Incarnation)
-	}
-	return max(1, xxhash.Sum64(text))
-}
-
-// regionRecords returns the records of the alive instances of the region that accept
-// traffic or soon will, sorted by name, this one included unless it is leaving.
-func (s *State) regionRecords(now time.Time) []Record {
-	var list []Record
-	if s.self.Phase <= member.Ready {
-		list = append(list, s.self)
-	}
-	for _, p := range s.peers {
-		if p.alive(now) && p.servesRegion(s.self.Region) {
-			list = append(list, p.Record)
+// regionPeers returns the alive instances of the region that accept traffic or soon will,
+// sorted by name, without this one.
+func (s *State) regionPeers(now time.Time) []*peerState {
+	var list []*peerState
+	for _, id := range s.ids {
+		if p := s.peers[id]; p.alive(now) && p.servesRegion(s.self.Region) {
+			list = append(list, p)
 		}
 	}
-	slices.SortFunc(list, func(a, b Record) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
 
-// updateDigest computes the digest of the region and sets the one that is announced.
-func (s *State) updateDigest(now time.Time) []Record {
-	region := s.regionRecords(now)
-	s.digest.update(now, region)
+// updateDigest computes the digest of the region and sets the one that is announced. It
+// returns the peers of the region.
+func (s *State) updateDigest(now time.Time) []*peerState {
+	region := s.regionPeers(now)
+	s.digest.update(now, s.digestOf(region))
 	s.self.RegionDigest = s.digest.announced(now)
 	return region
 }
 
+// digestOf returns the digest of a sorted list of peers and of this instance, unless it is
+// leaving.
+func (s *State) digestOf(region []*peerState) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	var buffer [64]byte
+	write := func(id ident.Instance, incarnation uint64) {
+		text := append(append(buffer[:0], id...), 0)
+		_, _ = digest.Write(binary.BigEndian.AppendUint64(text, incarnation))
+	}
+	written := s.self.Phase > member.Ready
+	for _, p := range region {
+		if !written && s.self.ID < p.ID {
+			written = true
+			write(s.self.ID, s.self.Incarnation)
+		}
+		write(p.ID, p.Incarnation)
+	}
+	if !written {
+		write(s.self.ID, s.self.Incarnation)
+	}
+	return max(1, digest.Sum64())
+}
+
 // regionAgrees reports whether all instances of the region have announced the digest that
 // this one holds, and are the majority of those that it remembers.
 func (s *State) regionAgrees(now time.Time) bool {
@@ -112,15 +120,15 @@
 	if s.self.RegionDigest == 0 || s.self.Phase > member.Ready {
 		return false
 	}
-	if len(region) == 1 && now.Sub(s.digest.changedAt) < aloneSettleTime {
+	if len(region) == 0 && now.Sub(s.digest.changedAt) < aloneSettleTime {
 		return false
 	}
-	for _, r := range region {
-		if r.ID != s.self.ID && !s.peers[r.ID].announced(now, s.self.RegionDigest) {
+	for _, p := range region {
+		if !p.announced(now, s.self.RegionDigest) {
 			return false
 		}
 	}
-	return 2*len(region) > s.rememberedInstances()
+	return 2*(len(region)+1) > s.rememberedInstances()
 }
 
 // announced reports whether a recent heartbeat from the instance itself carried a digest.
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -64,6 +64,11 @@
 	// VersionHistory is sent along with the records of third instances, and so to each
 	// instance that has just started.
 	VersionHistory VersionHistory
+	// WantsRecords asks the receiver for the records of all instances.
+	WantsRecords bool
+	// Heard holds the instances of other regions that the sender gets heartbeats from. It is
+	// sent within a region.
+	Heard []HeardInstance
 }
 
 // servesRegion reports whether the instance is one of a region and is not leaving.
@@ -79,27 +84,50 @@
 	// lastDirect is when the last heartbeat came from the instance itself; zero if none
 	// did in this incarnation.
 	lastDirect time.Time
+	// loadsAt is when ServiceLoads were sent.
+	loadsAt time.Time
+	// refusedAt is when a connection to the instance was last refused.
+	refusedAt time.Time
+	// relayed is set for an instance of another region of which only contacts hear, and
+	// contact if it gets heartbeats from this one.
+	relayed, contact bool
+	// passOnUntil is until when the whole record is sent to the region; zero unless it has
+	// changed here lately.
+	passOnUntil time.Time
 	// pastIncarnations holds earlier incarnations, whose late heartbeats are ignored.
 	pastIncarnations []uint64
 }
 
 // State is the membership as held by one instance. It is not safe for concurrent use.
 type State struct {
-	self     Record
-	seeds    []netip.AddrPort
-	random   *rand.Rand
-	peers    map[ident.Instance]*peerState
+	self   Record
+	seeds  []netip.AddrPort
+	random *rand.Rand
+	peers  map[ident.Instance]*peerState
+	// ids holds the names of the peers, sorted, and byKey the peers by the key of the run that
+	// is held.
+	ids      []ident.Instance
+	byKey    map[InstanceKey]*peerState
 	lastTick time.Time
 	digest   regionDigest
 
-	// newInstances were first seen since the last tick and are sent the records of all
-	// others.
-	newInstances map[ident.Instance]struct{}
-	// announcing makes the next heartbeat go to all instances.
+	// newInstances were first seen since the last tick, or have asked for it, and are sent
+	// the records of all others. The value is set for those that have asked.
+	newInstances map[ident.Instance]bool
+	// unacquainted instances may hold no record of this one yet, and get a heartbeat soon.
+	unacquainted map[ident.Instance]struct{}
+	// announcing makes the next heartbeat go to the whole region, and to all instances of
+	// other regions that get any.
 	announcing bool
+	// usesContacts is set while heartbeats to other regions go to contacts only.
+	usesContacts bool
+	// ask is an instance that knows of one which this instance doesn't; empty if there is
+	// none.
+	ask ident.Instance
 	// regionRotation and remoteRotation hold the order in which instances get heartbeats.
 	regionRotation rotation
 	remoteRotation rotation
+	silentRotation rotation
 
 	// The times at which heartbeats of each kind were last sent.
 
@@ -107,6 +135,8 @@
 	lastRemote     time.Time
 	lastRetry      time.Time
 	lastMembership time.Time
+	lastAsk        time.Time
+	lastContacts   time.Time
 }
 
 // New returns the state of an instance that holds only its seeds.
@@ -116,10 +146,12 @@
 		seeds:  seeds,
 		random: random,
 		peers:  map[ident.Instance]*peerState{},
+		byKey:  map[InstanceKey]*peerState{},
 		// The rotations begin at the own ID, so that instances which start together don't
 		// all begin with the same peer.
 		regionRotation: rotation{self.ID},
 		remoteRotation: rotation{self.ID},
+		silentRotation: rotation{self.ID},
 	}
 }
 
@@ -148,33 +180,61 @@
 		seen := peer != nil && peer.Incarnation == r.Incarnation
 		if s.receiveRecord(now, r, i == 0) {
 			changed = true
-			if !seen && i == 0 {
-				s.addNewInstance(r.ID)
-			}
-			if !seen && i > 0 {
-				// That instance may hold no record of this one yet.
-				s.Announce()
-			}
+			s.noteChange(now, r.ID, seen, i == 0)
+		}
+		if i == 0 && r.WantsRecords {
+			s.addNewInstance(r.ID, true)
+		}
+		if i == 0 && s.receiveHeard(now, r.ID, r.Heard) {
+			changed = true
 		}
 	}
 	return changed
 }
 
-func (s *State) addNewInstance(id ident.Instance) {
+// noteChange records whom to tell of an instance that has changed, from its own heartbeat or
+// by the word of another one.
+func (s *State) noteChange(now time.Time, id ident.Instance, seen, direct bool) {
+	p := s.peers[id]
+	switch {
+	case direct && s.usesContacts && p.Region != s.self.Region:
+		p.passOnUntil = now.Add(passOnTime)
+		s.announcing = true
+	case seen:
+	case direct:
+		s.addNewInstance(id, false)
+	case !s.usesContacts:
+		// That instance may hold no record of this one yet.
+		s.Announce()
+	case p.Region == s.self.Region:
+		s.addUnacquainted(id)
+	}
+}
+
+func (s *State) addNewInstance(id ident.Instance, asked bool) {
 	if s.newInstances == nil {
-		s.newInstances = map[ident.Instance]struct{}{}
+		s.newInstances = map[ident.Instance]bool{}
 	}
-	s.newInstances[id] = struct{}{}
+	s.newInstances[id] = s.newInstances[id] || asked
+}
+
+func (s *State) addUnacquainted(id ident.Instance) {
+	if s.unacquainted == nil {
+		s.unacquainted = map[ident.Instance]struct{}{}
+	}
+	s.unacquainted[id] = struct{}{}
 }
 
 func (s *State) receiveRecord(now time.Time, r Record, direct bool) bool {
 	p := s.peers[r.ID]
 	if p == nil {
 		p = &peerState{Record: r, lastUpdate: now.Add(-r.Age)}
+		p.loadsAt = p.lastUpdate
 		if direct {
 			p.lastDirect = now
 		}
-		s.peers[r.ID] = p
+		p.relayed = s.usesContacts && r.Region != s.self.Region
+		s.addPeer(p)
 		return true
 	}
 	if r.Incarnation != p.Incarnation {
@@ -188,13 +248,35 @@
 	return changed
 }
 
+func (s *State) addPeer(p *peerState) {
+	s.peers[p.ID] = p
+	s.byKey[keyOf(p.ID, p.Incarnation)] = p
+	i, _ := slices.BinarySearch(s.ids, p.ID)
+	s.ids = slices.Insert(s.ids, i, p.ID)
+}
+
+// removePeers removes the peers that were silent for longer than forgetTimeout.
+func (s *State) removePeers(now time.Time) {
+	s.ids = slices.DeleteFunc(s.ids, func(id ident.Instance) bool {
+		p := s.peers[id]
+		if now.Sub(p.lastUpdate) <= forgetTimeout {
+			return false
+		}
+		delete(s.peers, id)
+		delete(s.byKey, keyOf(p.ID, p.Incarnation))
+		return true
+	})
+}
+
 // receiveIncarnation merges a record of another incarnation than the one held.
 func (s *State) receiveIncarnation(now time.Time, p *peerState, r Record, direct bool) bool {
 	if slices.Contains(p.pastIncarnations, r.Incarnation) || !direct && p.alive(now) {
 		return false
 	}
 	p.pastIncarnations = append(p.pastIncarnations, p.Incarnation)
-	p.Record = Record{Incarnation: r.Incarnation}
+	delete(s.byKey, keyOf(p.ID, p.Incarnation))
+	s.byKey[keyOf(r.ID, r.Incarnation)] = p
+	p.Record = Record{ID: r.ID, Incarnation: r.Incarnation}
 	p.lastUpdate = time.Time{}
 	p.lastDirect = time.Time{}
 	p.update(now, r, direct)
@@ -208,29 +290,56 @@
 		r.UpstreamLoads = p.UpstreamLoads
 		r.UpstreamLimits = p.UpstreamLimits
 		r.LeavingUpstreams = p.LeavingUpstreams
-		r.ServiceLoads = p.ServiceLoads
+		p.keepLoads(now, &r)
 		r.RegionDigest = p.RegionDigest
 		r.LossEvidence = p.LossEvidence
 		r.BegunStreams = p.BegunStreams
+		r.VersionHistory = p.VersionHistory
+		r.Heard = p.Heard
 	} else {
 		p.lastDirect = now
+		p.loadsAt = now
 	}
 	// The phase never goes back within an incarnation.
 	r.Phase = max(r.Phase, p.Phase)
 	p.Record = r
-	if updated := now.Add(-r.Age); updated.After(p.lastUpdate) {
-		p.lastUpdate = updated
+	p.heard(now.Add(-r.Age))
+}
+
+// keepLoads keeps the held loads unless a third instance has passed on newer ones.
+func (p *peerState) keepLoads(now time.Time, r *Record) {
+	if at := now.Add(-r.Age); len(r.ServiceLoads) > 0 && at.After(p.loadsAt) {
+		p.loadsAt = at
+		return
+	}
+	r.ServiceLoads = p.ServiceLoads
+}
+
+// heard records when the instance was last heard of, unless a connection to it was refused
+// since.
+func (p *peerState) heard(at time.Time) {
+	if at.After(p.lastUpdate) && at.After(p.refusedAt) {
+		p.lastUpdate = at
 	}
 }
 
 func (p *peerState) alive(now time.Time) bool {
-	return p.Phase != member.Stopped && now.Sub(p.lastUpdate) < aliveTimeout
+	return p.Phase != member.Stopped && now.Sub(p.lastUpdate) < p.timeout()
+}
+
+// timeout returns the time without an update after which the instance counts as silent.
+func (p *peerState) timeout() time.Duration {
+	if p.relayed {
+		return relayedTimeout
+	}
+	return aliveTimeout
 }
 
 // MarkUnreachable records that a connection to an instance was refused, so that nothing
 // listens there. The instance counts as silent until the next update.
 func (s *State) MarkUnreachable(now time.Time, id ident.Instance) {
 	if p := s.peers[id]; p != nil && p.alive(now) {
-		p.lastUpdate = now.Add(-aliveTimeout)
+		p.lastUpdate = now.Add(-p.timeout())
+		p.refusedAt = now
 	}
 }
--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -20,8 +20,10 @@
 	seeds   []netip.AddrPort
 	isCut   func(from, to netip.AddrPort) bool
 	pending []delivery
-	// records counts the records sent.
-	records int
+	// records counts the records sent, and remote the heartbeats to other regions.
+	records, remote int
+	// targets holds the addresses in other regions that heartbeats were sent to.
+	targets map[[2]netip.AddrPort]struct{}
 }
 
 type delivery struct {
@@ -33,11 +35,17 @@
 const networkDelay = 55 * time.Millisecond
 
 func newNetwork(t *testing.T) *network {
-	return &network{t: t, now: time.Unix(1_800_000_000, 0), states: map[netip.AddrPort]*State{}}
+	return &network{t: t, now: time.Unix(1_800_000_000, 0), states: map[netip.AddrPort]*State{}, targets: map[[2]netip.AddrPort]struct{}{}}
+}
+
+// region returns the region of the instance with an address: they are assigned in turn.
+func region(a netip.AddrPort) int {
+	b := a.Addr().As4()
+	return (int(b[2])<<8 + int(b[3])) % 3
 }
 
 func address(n int) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 7000)
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}), 7000)
 }
 
 // start starts instance n, or restarts it. Instances are assigned to three regions in
@@ -61,6 +69,10 @@
 		for from, s := range w.states {
 			for _, send := range s.DueHeartbeats(w.now) {
 				w.records += len(send.Records)
+				if region(from) != region(send.Address) {
+					w.remote++
+					w.targets[[2]netip.AddrPort{from, send.Address}] = struct{}{}
+				}
 				if w.isCut == nil || !w.isCut(from, send.Address) {
 					w.pending = append(w.pending, delivery{w.now.Add(networkDelay), send.Address, send.Records})
 				}
--- a/core/gossip/heartbeat.go
+++ b/core/gossip/heartbeat.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -23,8 +24,10 @@
 	retryInterval     = 1200 * time.Millisecond
 	bootstrapInterval = 200 * time.Millisecond
 	// membershipInterval is the time between two heartbeats that carry the records of
-	// third instances.
-	membershipInterval = 4 * time.Second
+	// third instances. Where contacts tell their regions of changes, it is
+	// largeMembershipInterval.
+	membershipInterval      = 4 * time.Second
+	largeMembershipInterval = 20 * time.Second
 	// fanout is the least number of alive instances, within the region or outside it,
 	// that a heartbeat goes to; they are served in rotation. When there are more
 	// instances, a heartbeat goes to as many as needed for each to receive one every
@@ -51,51 +54,83 @@
 func (s *State) DueHeartbeats(now time.Time) []Heartbeat {
 	s.compensatePause(now)
 	s.updateDigest(now)
+	s.countRemote()
 	regional, remote, silent := s.groupPeers(now)
+	contacts := s.chooseContacts(now, remote)
 	s.self.Sequence++
 	own := s.self
 	own.UpstreamLoads = nil
 	own.UpstreamLimits = nil
 	own.LeavingUpstreams = nil
-	heartbeats := s.membershipHeartbeats(now, regional, remote, own)
+	heartbeats := s.membershipHeartbeats(now, regional, contacts, own)
 	own.VersionHistory = VersionHistory{}
 	heartbeats = append(heartbeats, s.regionHeartbeats(now, regional, own)...)
-	heartbeats = append(heartbeats, s.remoteHeartbeats(now, remote, own)...)
+	heartbeats = append(heartbeats, s.remoteHeartbeats(now, contacts, own)...)
+	heartbeats = append(heartbeats, s.askHeartbeat(now, own)...)
 	s.announcing = false
-	retry := retryInterval
-	if len(regional)+len(remote) == 0 {
-		retry = bootstrapInterval
+	return append(heartbeats, s.retryHeartbeats(now, silent, len(regional)+len(remote) == 0, own)...)
+}
+
+// retryHeartbeats returns the heartbeats to silent instances, and to seeds where none is
+// alive. In a large installation they go to a part of the silent ones each time.
+func (s *State) retryHeartbeats(now time.Time, silent []*peerState, alone bool, own Record) []Heartbeat {
+	interval := retryInterval
+	if alone {
+		interval = bootstrapInterval
 	}
-	if !due(&s.lastRetry, now, retry) {
-		return heartbeats
+	if !due(&s.lastRetry, now, interval) {
+		return nil
 	}
-	retryRecords := []Record{own}
-	heartbeats = appendHeartbeats(heartbeats, silent, retryRecords)
+	own.WantsRecords = alone
+	records := []Record{own}
+	if s.usesContacts {
+		silent, _ = s.silentRotation.next(silent, fanout)
+	}
+	heartbeats := appendHeartbeats(nil, silent, records)
 	for _, address := range s.seeds {
 		if address != s.self.PeerAddress && !s.isAlive(now, address) {
-			heartbeats = append(heartbeats, Heartbeat{Address: address, Records: retryRecords})
+			heartbeats = append(heartbeats, Heartbeat{Address: address, Records: records})
 		}
 	}
 	return heartbeats
 }
 
 // regionHeartbeats returns the heartbeats to instances of the region, which carry this
-// instance's upstream loads.
+// instance's upstream loads, and what it has heard of other regions.
 func (s *State) regionHeartbeats(now time.Time, regional []*peerState, own Record) []Heartbeat {
 	if !due(&s.lastRegion, now, regionInterval(len(regional)+1)) && !s.announcing {
-		return nil
+		return s.greetings(own)
 	}
-	chosen, rest := s.regionRotation.next(regional)
+	s.unacquainted = nil
+	chosen, rest := s.regionRotation.next(regional, roundSize(len(regional)))
 	withLoads := s.self
 	withLoads.VersionHistory = VersionHistory{}
-	heartbeats := appendHeartbeats(nil, chosen, []Record{withLoads})
+	withLoads.Heard = s.heardInstances(now)
+	passedOn := s.passedOn(now)
+	records := append([]Record{withLoads}, passedOn...)
+	reported := min(reportFanout, len(chosen))
+	heartbeats := appendHeartbeats(nil, chosen[:reported], append(slices.Clip(records), s.loadReports(now)...))
+	heartbeats = appendHeartbeats(heartbeats, chosen[reported:], records)
 	if s.self.WatchesPlatform || s.announcing {
 		// All peers rely on the heartbeats of a watcher; the loads go to some of them.
-		heartbeats = appendHeartbeats(heartbeats, rest, []Record{own})
+		heartbeats = appendHeartbeats(heartbeats, rest, append([]Record{own}, passedOn...))
 	}
 	return heartbeats
 }
 
+// greetings returns the heartbeats to instances that may hold no record of this one.
+func (s *State) greetings(own Record) []Heartbeat {
+	var to []*peerState
+	for id := range s.unacquainted {
+		if p := s.peers[id]; p != nil {
+			to = append(to, p)
+		}
+	}
+	s.unacquainted = nil
+	slices.SortFunc(to, byID)
+	return appendHeartbeats(nil, to, []Record{own})
+}
+
 // regionInterval returns the time between two heartbeats in a region with the given
 // number of instances.
 func regionInterval(instances int) time.Duration {
@@ -106,17 +141,17 @@
 // in a region with the given number of instances.
 func MeanLoadAge(instances int) time.Duration {
 	peers := instances - 1
-	each := max(fanout, (peers+maxRounds-1)/maxRounds)
+	each := roundSize(peers)
 	return regionInterval(instances) * time.Duration(max(1, peers)) / time.Duration(2*min(each, max(1, peers)))
 }
 
 // remoteHeartbeats returns the heartbeats to instances of other regions, which carry the
 // service loads of this region.
-func (s *State) remoteHeartbeats(now time.Time, remote []*peerState, own Record) []Heartbeat {
+func (s *State) remoteHeartbeats(now time.Time, contacts []*peerState, own Record) []Heartbeat {
 	if !due(&s.lastRemote, now, HeartbeatInterval) && !s.announcing {
 		return nil
 	}
-	chosen, rest := s.remoteRotation.next(remote)
+	chosen, rest := s.remoteRotation.next(contacts, roundSize(len(contacts)))
 	heartbeats := appendHeartbeats(nil, chosen, []Record{own})
 	if s.announcing {
 		heartbeats = appendHeartbeats(heartbeats, rest, []Record{own})
@@ -126,14 +161,19 @@
 
 // membershipHeartbeats returns the heartbeats that carry the records of all alive
 // instances. They go to new instances and, now and then, to a few others.
-func (s *State) membershipHeartbeats(now time.Time, regional, remote []*peerState, own Record) []Heartbeat {
+func (s *State) membershipHeartbeats(now time.Time, regional, contacts []*peerState, own Record) []Heartbeat {
 	var to []*peerState
-	if due(&s.lastMembership, now, membershipInterval) {
+	interval := membershipInterval
+	if s.usesContacts {
+		interval = largeMembershipInterval
+	}
+	if due(&s.lastMembership, now, interval) {
 		to = append(to, s.sample(regional, regionMembershipFanout)...)
-		to = append(to, s.sample(remote, remoteMembershipFanout)...)
+		to = append(to, s.sample(contacts, remoteMembershipFanout)...)
 	}
-	for id := range s.newInstances {
-		if p := s.peers[id]; p != nil && !slices.Contains(to, p) {
+	for id, asked := range s.newInstances {
+		p := s.peers[id]
+		if p != nil && !slices.Contains(to, p) && (asked || s.introduces(id, regional)) {
 			to = append(to, p)
 		}
 	}
@@ -181,7 +221,7 @@
 // groupPeers divides the peers into alive ones of the own region, alive ones of other
 // regions, and silent ones.
 func (s *State) groupPeers(now time.Time) (regional, remote, silent []*peerState) {
-	for _, id := range s.sortedIDs() {
+	for _, id := range s.ids {
 		p := s.peers[id]
 		switch {
 		case !p.alive(now):
@@ -202,9 +242,14 @@
 	lastSent ident.Instance
 }
 
-// next returns the part of a sorted list that is due, and the rest.
-func (r *rotation) next(list []*peerState) (chosen, rest []*peerState) {
-	count := max(fanout, (len(list)+maxRounds-1)/maxRounds)
+// roundSize returns how many of a number of instances a heartbeat goes to.
+func roundSize(instances int) int {
+	return max(fanout, (instances+maxRounds-1)/maxRounds)
+}
+
+// next returns the part of a sorted list that is due, of at most count instances, and the
+// rest.
+func (r *rotation) next(list []*peerState, count int) (chosen, rest []*peerState) {
 	if len(list) <= count {
 		return list, nil
 	}
@@ -227,33 +272,16 @@
 // membershipRecords returns the records of alive peers, without loads.
 func (s *State) membershipRecords(now time.Time) []Record {
 	var list []Record
-	for _, id := range s.sortedIDs() {
+	for _, id := range s.ids {
 		p := s.peers[id]
 		if p.alive(now) {
-			r := p.Record
-			r.Age = now.Sub(p.lastUpdate)
-			r.UpstreamLoads = nil
-			r.UpstreamLimits = nil
-			r.LeavingUpstreams = nil
-			r.ServiceLoads = nil
-			r.RegionDigest = 0
-			r.LossEvidence = LossEvidence{}
-			r.BegunStreams = nil
-			r.VersionHistory = VersionHistory{}
-			list = append(list, r)
+			list = append(list, p.withoutReports(now))
 		}
 	}
 	return list
 }
 
-func (s *State) sortedIDs() []ident.Instance {
-	ids := make([]ident.Instance, 0, len(s.peers))
-	for id := range s.peers {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
+func byID(a, b *peerState) int { return cmp.Compare(a.ID, b.ID) }
 
 func (s *State) isAlive(now time.Time, peer netip.AddrPort) bool {
 	for _, p := range s.peers {
--- a/core/gossip/view.go
+++ b/core/gossip/view.go
@@ -18,6 +18,10 @@
 	Alive bool
 	// LastHeartbeat is when the last heartbeat came from the instance itself.
 	LastHeartbeat time.Time
+	// LoadsAt is when the instance sent ServiceLoads.
+	LoadsAt time.Time
+	// Contact is set if this instance sends it heartbeats, so that there is a link to it.
+	Contact bool
 }
 
 // View is an immutable snapshot of the membership.
@@ -29,19 +33,25 @@
 	// that a duty which is assigned over RegionInstances has one holder. It is never set
 	// for an instance that is leaving.
 	RegionAgrees bool
+	// UsesContacts is set while instances of other regions send heartbeats to some of this
+	// region only.
+	UsesContacts bool
 }
 
 // View returns the membership now, and removes instances that were silent for longer than
 // forgetTimeout.
 func (s *State) View(now time.Time) *View {
-	v := &View{Self: s.self}
-	for _, id := range s.sortedIDs() {
+	v := &View{Self: s.self, UsesContacts: s.usesContacts}
+	s.removePeers(now)
+	for _, id := range s.ids {
 		p := s.peers[id]
-		if now.Sub(p.lastUpdate) > forgetTimeout {
-			delete(s.peers, id)
-			continue
-		}
-		v.Members = append(v.Members, Member{Record: p.Record, Alive: p.alive(now), LastHeartbeat: p.lastDirect})
+		v.Members = append(v.Members, Member{
+			Record:        p.Record,
+			Alive:         p.alive(now),
+			LastHeartbeat: p.lastDirect,
+			LoadsAt:       p.loadsAt,
+			Contact:       p.contact || p.Region == s.self.Region,
+		})
 	}
 	v.RegionAgrees = s.regionAgrees(now)
 	return v
--- a/core/poison/bench_test.go
+++ b/core/poison/bench_test.go
@@ -28,7 +28,7 @@
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				d.Merge(at(10), all)
+				d.Merge(at(10), all, false)
 			}
 		})
 	}
--- a/core/poison/fleet_test.go
+++ b/core/poison/fleet_test.go
@@ -218,7 +218,7 @@
 		for range min(12, len(f.detectors)) {
 			to := f.detectors[f.random.IntN(len(f.detectors))]
 			delay := 0.01 + f.random.ExpFloat64()*0.1
-			f.after(delay, func() { to.Merge(at(f.now), evidence) })
+			f.after(delay, func() { to.Merge(at(f.now), evidence, false) })
 		}
 	}
 }
--- a/core/poison/memory.go
+++ b/core/poison/memory.go
@@ -85,10 +85,10 @@
 // reportedLosses returns the lost requests that this instance reports.
 func (d *Detector) reportedLosses(now time.Time) []lostRequest {
 	var list []lostRequest
-	own := 0
+	told := 0
 	for _, l := range slices.Backward(d.lost) {
-		if !l.reported && l.own && now.Sub(l.at) < reportTime && own < maxReported {
-			own++
+		if !l.reported && l.told && now.Sub(l.at) < reportTime && told < maxReported {
+			told++
 			l.reported = true
 		}
 		if l.reported {
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -100,8 +100,9 @@
 	id     uint64
 	traits gossip.Traits
 	at     time.Time
-	// own is set if this instance sent the request.
-	own bool
+	// told is set if this instance tells peers of the request for a while: it sent it, or
+	// others of its region may not have heard of it.
+	told bool
 	// reported is set if all instances report the request, whoever sent it.
 	reported bool
 }
@@ -127,7 +128,7 @@
 	if d.holds(id) {
 		return nil
 	}
-	d.addLost(lostRequest{id: id, traits: traits, at: now, own: true})
+	d.addLost(lostRequest{id: id, traits: traits, at: now, told: true})
 	return d.update(now)
 }
 
@@ -148,8 +149,9 @@
 	return d.update(now)
 }
 
-// Merge takes over what peers know. Ages are as of now.
-func (d *Detector) Merge(now time.Time, evidence gossip.LossEvidence) []Change {
+// Merge takes over what a peer knows. Ages are as of now. passOn is set if the peer doesn't
+// tell all instances of this region.
+func (d *Detector) Merge(now time.Time, evidence gossip.LossEvidence, passOn bool) []Change {
 	if len(evidence.Lost) == 0 && len(evidence.Begun) == 0 {
 		return nil
 	}
@@ -158,7 +160,7 @@
 	changed := false
 	for _, l := range evidence.Lost {
 		if l.Age < evidenceMemory/2 && !d.holds(l.ID) {
-			d.addLost(lostRequest{id: l.ID, traits: l.Traits, at: now.Add(-l.Age)})
+			d.addLost(lostRequest{id: l.ID, traits: l.Traits, at: now.Add(-l.Age), told: passOn})
 			changed = true
 		}
 	}
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -101,8 +101,8 @@
 func TestMergedEvidence(t *testing.T) {
 	a, b := &Detector{Self: "a"}, &Detector{Self: "b"}
 	exchange := func(seconds float64) {
-		a.Merge(at(seconds), b.Evidence(at(seconds)))
-		b.Merge(at(seconds), a.Evidence(at(seconds)))
+		a.Merge(at(seconds), b.Evidence(at(seconds)), false)
+		b.Merge(at(seconds), a.Evidence(at(seconds)), false)
 	}
 	lose(a, keys("p"), 1)
 	lose(b, keys("p"), 2)
@@ -236,12 +236,12 @@
 		for _, from := range detectors {
 			evidence := from.Evidence(at(s))
 			for _, to := range detectors {
-				to.Merge(at(s+delay), evidence)
+				to.Merge(at(s+delay), evidence, false)
 			}
 		}
 	}
 	for _, d := range detectors {
-		d.Merge(at(1001), gossip.LossEvidence{Begun: []gossip.BegunTrait{{Trait: PartKey("other")}}})
+		d.Merge(at(1001), gossip.LossEvidence{Begun: []gossip.BegunTrait{{Trait: PartKey("other")}}}, false)
 		d.RequestLost(at(1001), 99, keys("q"))
 		if e := d.Evidence(at(1001)); len(e.Lost) != 1 {
 			t.Errorf("%s holds %d lost requests", d.Self, len(e.Lost))
@@ -283,7 +283,7 @@
 	for _, from := range detectors {
 		evidence := from.Evidence(now.Add(time.Second))
 		for _, to := range detectors {
-			to.Merge(now.Add(1100*time.Millisecond), evidence)
+			to.Merge(now.Add(1100*time.Millisecond), evidence, false)
 		}
 	}
 }
--- a/core/resume/resume.go
+++ b/core/resume/resume.go
@@ -60,14 +60,17 @@
 	t.report(key, origin, now.Add(reportTime))
 }
 
-// PassOn records streams that a peer has told this instance of just now, and reports them.
+// PassOn records streams that a peer has told this instance of just now, and reports those
+// that it didn't know. To report the others would keep two instances telling each other.
 func (t *Table) PassOn(now time.Time, groups []gossip.BegunStreams) {
-	t.Learn(now, groups)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, g := range groups {
 		for _, key := range g.Keys {
-			t.report(key, g.Origin, now.Add(passOnTime))
+			if _, known := t.lookup(key); !known {
+				t.report(key, g.Origin, now.Add(passOnTime))
+			}
+			t.add(now, key, g.Origin)
 		}
 	}
 }
@@ -87,6 +90,10 @@
 func (t *Table) Lookup(key gossip.StreamKey) (gossip.StreamOrigin, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.lookup(key)
+}
+
+func (t *Table) lookup(key gossip.StreamKey) (gossip.StreamOrigin, bool) {
 	if origin, found := t.recent[key]; found {
 		return origin, true
 	}
--- a/core/resume/resume_test.go
+++ b/core/resume/resume_test.go
@@ -60,6 +60,11 @@
 	if report := other.Report(start, always); len(report) != 0 {
 		t.Errorf("passed on again: %v", report)
 	}
+	again := start.Add(passOnTime + time.Millisecond)
+	told.PassOn(again, []gossip.BegunStreams{{Origin: first, Keys: []gossip.StreamKey{KeyOf("one")}}})
+	if report := told.Report(again, always); len(report) != 0 {
+		t.Errorf("a known stream is passed on: %v", report)
+	}
 }
 
 // TestReportOnlyAmbiguous checks that streams cost nothing in heartbeats while every instance
--- a/core/spill/spill.go
+++ b/core/spill/spill.go
@@ -41,7 +41,8 @@
 	Upstreams      int
 	// Versions are the versions of the software of the upstreams.
 	Versions []string
-	// Instances are the instances of the region that accept requests; at least one.
+	// Instances are the instances of the region that accept requests and to which this one
+	// has links; at least one.
 	Instances []gossip.Record
 }
 
@@ -71,13 +72,24 @@
 
 // Update replaces the reports by those of a membership view.
 func (t *Table) Update(now time.Time, v *gossip.View) {
+	instances := map[ident.Region][]gossip.Record{}
+	for _, m := range v.Members {
+		if m.Contact && receives(v, &m) {
+			instances[m.Region] = append(instances[m.Region], m.Record)
+		}
+	}
 	regions := map[ident.Service][]RegionLoad{}
 	for _, m := range v.Members {
-		if m.Region == v.Self.Region || !m.Alive || m.Phase != member.Ready || now.Sub(m.LastHeartbeat) > maxReportAge {
+		if !receives(v, &m) || now.Sub(m.LoadsAt) > maxReportAge || len(instances[m.Region]) == 0 {
 			continue
 		}
 		for _, s := range m.ServiceLoads {
-			regions[s.Service] = merge(regions[s.Service], m.Record, s)
+			regions[s.Service] = merge(regions[s.Service], m.Region, s)
+		}
+	}
+	for _, list := range regions {
+		for i := range list {
+			list[i].Instances = instances[list[i].Name]
 		}
 	}
 	t.mu.Lock()
@@ -85,20 +97,24 @@
 	t.regions = regions
 }
 
-func merge(list []RegionLoad, r gossip.Record, s gossip.ServiceLoad) []RegionLoad {
+// receives reports whether an instance of another region accepts requests.
+func receives(v *gossip.View, m *gossip.Member) bool {
+	return m.Region != v.Self.Region && m.Alive && m.Phase == member.Ready
+}
+
+func merge(list []RegionLoad, region ident.Region, s gossip.ServiceLoad) []RegionLoad {
 	for i := range list {
-		if list[i].Name == r.Region {
+		if list[i].Name == region {
 			for class, wait := range s.Waits {
 				list[i].Waits[class] = max(list[i].Waits[class], wait)
 			}
 			list[i].Upstreams = max(list[i].Upstreams, s.Upstreams)
 			list[i].TokensPerMilli = max(list[i].TokensPerMilli, s.TokensPerMilli)
 			list[i].Versions = mergeVersions(list[i].Versions, s.Versions)
-			list[i].Instances = append(list[i].Instances, r)
 			return list
 		}
 	}
-	return append(list, RegionLoad{Name: r.Region, Waits: s.Waits, TokensPerMilli: s.TokensPerMilli, Upstreams: s.Upstreams, Versions: s.Versions, Instances: []gossip.Record{r}})
+	return append(list, RegionLoad{Name: region, Waits: s.Waits, TokensPerMilli: s.TokensPerMilli, Upstreams: s.Upstreams, Versions: s.Versions})
 }
 
 // mergeVersions returns the versions in either list, without changing them.
--- a/core/spill/spill_test.go
+++ b/core/spill/spill_test.go
@@ -23,8 +23,9 @@
 				{Service: "chat", Waits: gossip.ByPriority[time.Duration]{wait, wait, wait, wait}, Upstreams: 4, TokensPerMilli: 320},
 			},
 		},
-		Alive:         true,
-		LastHeartbeat: start,
+		Alive:   true,
+		LoadsAt: start,
+		Contact: true,
 	}
 }
 
@@ -50,7 +51,7 @@
 	draining := remoteMember("north-1", "north", 0)
 	draining.Phase = member.Draining
 	silent := remoteMember("north-1", "north", 0)
-	silent.LastHeartbeat = start.Add(-maxReportAge - time.Second)
+	silent.LoadsAt = start.Add(-maxReportAge - time.Second)
 	dead := remoteMember("north-1", "north", 0)
 	dead.Alive = false
 	idle := remoteMember("north-1", "north", 0)
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -225,3 +225,41 @@
 func (fetchHandler) Fetch(_ context.Context, _ link.Identity, f *wire.Fetch) *wire.Value {
 	return &wire.Value{Key: f.GetKey(), Found: true}
 }
+
+// TestCloseUnused checks that a link to an instance which is no contact any more is closed, but
+// not at once, and not while an exchange runs on it.
+func TestCloseUnused(t *testing.T) {
+	address := serve(t, func(conn net.Conn) { faultyPeer(conn, "stream", "hang") })
+	pool := &link.Pool{Self: link.Identity{Incarnation: self}}
+	defer pool.Close()
+	if err := pool.Notify(context.Background(), address, &wire.Notice{}); err != nil {
+		t.Fatal(err)
+	}
+	exchange, err := pool.Relay(address, &wire.Relay{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	keep := map[netip.AddrPort]struct{}{address: {}}
+	for _, step := range []struct {
+		name string
+		keep map[netip.AddrPort]struct{}
+		end  bool
+		open bool
+	}{
+		{"unwanted, with an exchange", nil, false, true},
+		{"again", nil, false, true},
+		{"wanted again, and the exchange ends", keep, true, true},
+		{"unwanted", nil, false, true},
+		{"wanted in between", keep, false, true},
+		{"unwanted", nil, false, true},
+		{"still unwanted", nil, false, false},
+	} {
+		if step.end {
+			exchange.Close()
+		}
+		pool.CloseUnused(step.keep)
+		if open := pool.Connected(address); open != step.open {
+			t.Errorf("%s: open is %v", step.name, open)
+		}
+	}
+}
--- a/io/link/pool.go
+++ b/io/link/pool.go
@@ -44,6 +44,10 @@
 	controlMu sync.Mutex
 	// control is nil while no control stream is open. It is guarded by controlMu.
 	control *Stream
+
+	// unwanted is set if the last call of CloseUnused didn't want the link. It is guarded by
+	// Pool.mu.
+	unwanted bool
 }
 
 func (p *Pool) peer(address netip.AddrPort) *peer {
@@ -73,6 +77,39 @@
 	}
 }
 
+// CloseUnused closes the links that carry no exchange, to addresses that are not in keep and
+// were not at the call before: whoever still held the link then has had the time since.
+func (p *Pool) CloseUnused(keep map[netip.AddrPort]struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, target := range p.peers {
+		_, wanted := keep[address]
+		if unwanted := target.unwanted; wanted || !unwanted || target.inUse() {
+			target.unwanted = !wanted
+			continue
+		}
+		delete(p.peers, address)
+		go target.close()
+	}
+}
+
+// inUse reports whether the link carries an exchange, or a message is being sent on it.
+func (p *peer) inUse() bool {
+	if !p.controlMu.TryLock() {
+		return true
+	}
+	defer p.controlMu.Unlock()
+	s := p.openSession.Load()
+	if s == nil {
+		return false
+	}
+	exchanges := s.streams.count()
+	if p.control != nil {
+		exchanges--
+	}
+	return exchanges > 0
+}
+
 // Close closes all links.
 func (p *Pool) Close() {
 	p.CloseExcept(nil)
--- a/io/link/streams.go
+++ b/io/link/streams.go
@@ -38,6 +38,12 @@
 	delete(s.open, stream)
 }
 
+func (s *streamSet) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open)
+}
+
 // interruptReads makes the readers of all streams return, those of streams that are added
 // later too.
 func (s *streamSet) interruptReads() {
--- a/io/syncer/reports.go
+++ b/io/syncer/reports.go
@@ -20,13 +20,19 @@
 		m := &v.Members[i]
 		merged[m.ID] = m.LastHeartbeat
 		if m.LastHeartbeat.After(l.reportsAt[m.ID]) {
-			RecordConvictions(l.opts.Log, l.opts.Metrics, l.opts.Poison.Merge(now, m.EvidenceAt(now)))
-			l.learnStreams(now, m)
+			RecordConvictions(l.opts.Log, l.opts.Metrics, l.opts.Poison.Merge(now, m.EvidenceAt(now), l.passesOn(v, m)))
+			l.learnStreams(now, v, m)
 		}
 	}
 	l.reportsAt = merged
 }
 
+// passesOn reports whether a member tells some instances of this region only, which then tell
+// the others.
+func (l *Loop) passesOn(v *gossip.View, m *gossip.Member) bool {
+	return v.UsesContacts && m.Region != l.opts.Self.Region
+}
+
 // RecordConvictions counts and logs the traits that have been convicted or acquitted.
 // The log has their keys; the requests that are lost or refused are logged with the ids.
 func RecordConvictions(log zerolog.Logger, metrics *metric.Set, changes []poison.Change) {
--- a/io/syncer/streams.go
+++ b/io/syncer/streams.go
@@ -65,7 +65,7 @@
 	var near, far []gossip.Member
 	for _, m := range v.Members {
 		switch {
-		case !m.Alive:
+		case !m.Alive || !m.Contact:
 		case m.Region == v.Self.Region:
 			near = append(near, m)
 		default:
@@ -108,8 +108,12 @@
 }
 
 // learnStreams records the streams that a member has named in its last heartbeat.
-func (l *Loop) learnStreams(now time.Time, m *gossip.Member) {
-	if len(m.BegunStreams) > 0 {
+func (l *Loop) learnStreams(now time.Time, v *gossip.View, m *gossip.Member) {
+	switch {
+	case len(m.BegunStreams) == 0:
+	case l.passesOn(v, m):
+		l.opts.Streams.PassOn(now, m.BegunStreams)
+	default:
 		l.opts.Streams.Learn(now, m.BegunStreams)
 	}
 }
--- a/io/syncer/streams_test.go
+++ b/io/syncer/streams_test.go
@@ -23,17 +23,19 @@
 		add := func(count int, region ident.Region, alive bool) {
 			for i := range count {
 				id := ident.Instance(fmt.Sprintf("%s-%v-%d", region, alive, i))
-				v.Members = append(v.Members, gossip.Member{Record: gossip.Record{ID: id, Region: region}, Alive: alive})
+				v.Members = append(v.Members, gossip.Member{Record: gossip.Record{ID: id, Region: region}, Alive: alive, Contact: true})
 			}
 		}
 		add(c.near, "near", true)
 		add(c.far, "far", true)
 		add(c.dead, "near", false)
+		// One that gets no heartbeats, so that there is no link to it.
+		v.Members = append(v.Members, gossip.Member{Record: gossip.Record{ID: "unlinked", Region: "far"}, Alive: true})
 		near, far := 0, 0
 		for _, m := range announcePeers(v) {
 			switch {
-			case !m.Alive:
-				t.Errorf("%s is told, and not alive", m.ID)
+			case !m.Alive || !m.Contact:
+				t.Errorf("%s is told, alive %v, contact %v", m.ID, m.Alive, m.Contact)
 			case m.Region == "near":
 				near++
 			default:
--- a/io/syncer/syncer.go
+++ b/io/syncer/syncer.go
@@ -224,10 +224,24 @@
 	for g := range mirror.GroupCount {
 		l.catchUp(ctx, now, g)
 	}
-	if !now.Before(l.closeIdleAt) && l.opts.CloseIdle != nil {
+	if !now.Before(l.closeIdleAt) {
 		l.closeIdleAt = now.Add(closeIdleInterval)
+		l.closeIdle()
+	}
+}
+
+// closeIdle closes the connections that aren't used any more.
+func (l *Loop) closeIdle() {
+	if l.opts.CloseIdle != nil {
 		l.opts.CloseIdle()
 	}
+	contacts := map[netip.AddrPort]struct{}{}
+	for _, m := range l.View().Membership.Members {
+		if m.Contact {
+			contacts[m.PeerAddress] = struct{}{}
+		}
+	}
+	l.opts.Links.CloseUnused(contacts)
 }
 
 // SetPhase changes the phase and announces it to the peers at once.
--- a/io/wire/records.go
+++ b/io/wire/records.go
@@ -36,6 +36,11 @@
 		AgeMs:            milliseconds(r.Age),
 		Watches:          r.WatchesPlatform,
 		RegionDigest:     r.RegionDigest,
+		WantsRecords:     r.WantsRecords,
+	}
+	for _, h := range r.Heard {
+		m.HeardKeys = append(m.HeardKeys, uint64(h.Key))
+		m.HeardAgeMs = append(m.HeardAgeMs, milliseconds(h.Age))
 	}
 	for _, l := range r.UpstreamLoads {
 		m.Loads = append(m.Loads, &ReplicaLoad{
@@ -107,6 +112,11 @@
 		Age:               time.Duration(m.GetAgeMs()) * time.Millisecond,
 		WatchesPlatform:   m.GetWatches(),
 		RegionDigest:      m.GetRegionDigest(),
+		WantsRecords:      m.GetWantsRecords(),
+	}
+	ages := m.GetHeardAgeMs()
+	for i, key := range m.GetHeardKeys()[:min(len(m.GetHeardKeys()), len(ages))] {
+		r.Heard = append(r.Heard, gossip.HeardInstance{Key: gossip.InstanceKey(key), Age: time.Duration(ages[i]) * time.Millisecond})
 	}
 	for _, l := range m.GetLoads() {
 		r.UpstreamLoads = append(r.UpstreamLoads, gossip.UpstreamLoad{
