Answer what was sent before the process of a planned stop ends

Callers saw: at a planned stop under load, connections that had just been accepted, or waited to be, were closed without a byte of an answer. Cause: the process ended as soon as no request was in flight at one look, or at the end of its grace time, with its listener open: what arrived after the look was cut, and connections in the accept queue were reset. Change: before the exit (a second before, if the process is still busy) the listener accepts what waits and closes, so that callers are refused at once and go elsewhere; what still arrives on open connections is refused with 503 for a quarter of a second, and the process ends when no connection has a request under way.

--- a/io/daemon/gateway.go
+++ b/io/daemon/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -211,6 +212,9 @@
 	links        *link.Pool
 	peerServer   *link.Server
 	callerServer *http.Server
+	// callers is the listener of callerServer, and callerConns its connections.
+	callers     *stopListener
+	callerConns connCounts
 	// auxServers holds the servers for readiness, directory and metrics, by address.
 	auxServers map[netip.AddrPort]*http.Server
 
@@ -251,7 +255,7 @@
 	p.Metrics.Func("log-lines-dropped", func() any { return p.LogWriter.DroppedLines() })
 	p.Metrics.Func("log-bytes", func() any { return p.LogWriter.WrittenBytes() })
 	handler := &syncer.Handler{Loop: p.Loop, RelayFunc: p.Proxy.Relay}
-	return &gateway{
+	g := &gateway{
 		settings:     p.Settings,
 		log:          p.Log,
 		syncer:       p.Loop,
@@ -265,6 +269,8 @@
 			p.Settings.MetricsAddress:   newHTTPServer(p.Metrics),
 		},
 	}
+	g.callerServer.ConnState = g.callerConns.track
+	return g
 }
 
 func newHTTPServer(h http.Handler) *http.Server {
@@ -330,6 +336,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	g.callers = &stopListener{TCPListener: callers.(*net.TCPListener)}
 	for address, s := range g.auxServers {
 		l, err := listen(ctx, address)
 		if err != nil {
@@ -339,7 +346,7 @@
 	}
 	g.work.Go(func() { g.syncer.Run(ctx) })
 	g.work.Go(func() { logServeError(g.log, g.peerServer.Serve(ctx, peers)) })
-	g.work.Go(func() { logServeError(g.log, g.callerServer.Serve(callers)) })
+	g.work.Go(func() { logServeError(g.log, g.callerServer.Serve(g.callers)) })
 	g.log.Info().
 		Str("caller-address", g.settings.CallerAddress.String()).
 		Str("peer-address", g.settings.PeerAddress.String()).
@@ -356,6 +363,12 @@
 	exitMargin = 250 * time.Millisecond
 	// minDrainTime is the time that callers have to switch to other instances.
 	minDrainTime = 3 * time.Second
+	// refuseTime is how long before the exit an instance that is still busy takes no more
+	// connections. A connection on which nothing has arrived in it carries no request.
+	refuseTime = time.Second
+	// keptConnTime is how long requests on kept connections are answered after that: they may
+	// be under way.
+	keptConnTime = 250 * time.Millisecond
 	// drainPollInterval is the time between two checks of the requests in flight.
 	drainPollInterval = 50 * time.Millisecond
 )
@@ -368,13 +381,10 @@
 	grace := g.settings.Bounds.Grace
 	g.log.Info().Int("in-flight", g.proxy.InFlight()).Dur("grace", grace).Msg("draining")
 	g.syncer.SetPhase(ctx, member.Draining)
-	g.proxy.Drain(proxy.DrainSchedule{StrictAt: start.Add(min(minDrainTime, grace/2)), ExitAt: start.Add(grace - exitMargin)})
 	exit := start.Add(grace - exitMargin)
-	g.awaitIdle(start.Add(minDrainTime), exit)
-	// A request that arrives between the last check and the exit would be cut off, so
-	// new ones are refused before the last wait.
-	g.proxy.Drain(proxy.DrainSchedule{StrictAt: start, ExitAt: start})
-	g.awaitIdle(start, exit)
+	g.proxy.Drain(proxy.DrainSchedule{StrictAt: start.Add(min(minDrainTime, grace/2)), ExitAt: exit})
+	g.awaitIdle(start.Add(minDrainTime), exit.Add(-refuseTime))
+	g.refuseCallers(start, exit)
 	g.syncer.SetPhase(ctx, member.Stopped)
 	time.Sleep(drainPollInterval)
 	g.log.Info().Int("in-flight", g.proxy.InFlight()).Dur("took", time.Since(start)).Msg("stopped")
@@ -390,6 +400,19 @@
 	g.links.Close()
 }
 
+// refuseCallers takes no more connections, so that callers find out at once, and refuses what
+// still arrives on the open ones: a request that arrives between the last look and the exit
+// would be cut off. It returns when all that was sent has its answer.
+func (g *gateway) refuseCallers(start, exit time.Time) {
+	g.proxy.Drain(proxy.DrainSchedule{StrictAt: start, ExitAt: start})
+	g.callers.stop()
+	earliest, latest := time.Now().Add(keptConnTime), time.Now().Add(refuseTime)
+	g.awaitIdle(earliest, exit)
+	for time.Now().Before(latest) && time.Now().Before(exit) && g.callerConns.unanswered() > 0 {
+		time.Sleep(drainPollInterval)
+	}
+}
+
 // awaitIdle waits until no request is in flight, at least until earliest and at most until
 // latest.
 func (g *gateway) awaitIdle(earliest, latest time.Time) {
--- a/io/daemon/listen.go
+++ b/io/daemon/listen.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
@@ -17,9 +18,9 @@
 	return l, errors.Annotatef(err, "listen on %s; check that no other process uses it", address)
 }
 
-// logServeError logs the error of a server, unless the server was shut down.
+// logServeError logs the error of a server, unless the server or its listener was shut down.
 func logServeError(log zerolog.Logger, err error) {
-	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) && !errors.Is(err, os.ErrDeadlineExceeded) {
 		log.Error().Err(err).Msg("server stopped with an error")
 	}
 }
