End one exchange, not the process, where an unexpected error occurs

Cause: nothing recovered from a panic. One in a stream of a peer ended the process (shown by TestPanicEndsOneStream on the code before), one in a caller's request left it without an answer and without a line in the log (TestPanicEndsOneRequest), one published value that the decoder panics on kept those beside it from becoming active, so that the instance never became ready (TestPanicOnOneValue). Change: io/guard logs the stack and counts panics; a request gets 502 internal-error, as it may have run; a stream of a peer ends; a value is refused; an event of the control loop ends alone. A panic in the loop's own tick still ends the process, which the platform starts again. No message is known that causes one.

--- a/core/result/result.go
+++ b/core/result/result.go
@@ -147,6 +147,9 @@
 	UpstreamStatus
 	UpstreamChanged
 
+	// InternalError is a fault of this program, at any step.
+	InternalError
+
 	reasonCount
 )
 
@@ -161,6 +164,7 @@
 	"connect-failed", "upstream-refused", "upstream-failed", "upstream-leaving", "first-byte-timeout", "idle-timeout",
 	"answer-too-large", "answer-cut", "answer-mismatch", "retry-budget", "upstream-status",
 	"upstream-changed",
+	"internal-error",
 }
 
 // String returns the kebab-case name of the reason, as used in counters, logs
--- a/io/daemon/gateway.go
+++ b/io/daemon/gateway.go
@@ -261,7 +261,7 @@
 		syncer:       p.Loop,
 		proxy:        p.Proxy,
 		links:        p.Links,
-		peerServer:   &link.Server{Self: p.Self, Handler: handler, Log: p.Log, KeepAlive: linkKeepAlive},
+		peerServer:   &link.Server{Self: p.Self, Handler: handler, Log: p.Log, KeepAlive: linkKeepAlive, Events: p.Metrics.Events},
 		callerServer: newHTTPServer(p.Proxy.Handler(p.Adapter.CallerCodec())),
 		auxServers: map[netip.AddrPort]*http.Server{
 			p.Settings.ReadyAddress:     newHTTPServer(p.Adapter.ReadyHandler(p.Directory)),
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"io"
 	"net"
 	"net/netip"
@@ -263,3 +264,45 @@
 		}
 	}
 }
+
+// panicHandler panics on the first exchange.
+type panicHandler struct {
+	link.Handler
+	once sync.Once
+}
+
+func (h *panicHandler) Fetch(context.Context, link.Identity, *wire.Fetch) *wire.Value {
+	h.once.Do(func() { panic("nil pointer") })
+	return &wire.Value{Key: "k", Found: true}
+}
+
+// TestPanicEndsOneStream guards against a message of a peer that ends the process: its stream
+// ends, and the next one on the same link is served.
+func TestPanicEndsOneStream(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	events := new(expvar.Map)
+	server := &link.Server{Self: link.Identity{Incarnation: remote}, Handler: &panicHandler{}, Events: events}
+	done := make(chan struct{})
+	go func() {
+		_ = server.Serve(ctx, listener)
+		close(done)
+	}()
+	pool := &link.Pool{Self: link.Identity{Incarnation: self}}
+	address := netip.MustParseAddrPort(listener.Addr().String())
+	if _, err := pool.Fetch(ctx, address, &wire.Fetch{Key: "k"}); err == nil {
+		t.Error("answered in spite of a panic")
+	}
+	if v, err := pool.Fetch(ctx, address, &wire.Fetch{Key: "k"}); err != nil || !v.GetFound() {
+		t.Errorf("the next exchange: %v, error %v", v, err)
+	}
+	if count := events.Get("panics"); count == nil || count.String() != "1" {
+		t.Errorf("%v panics counted", count)
+	}
+	pool.Close()
+	cancel()
+	<-done
+}
--- a/io/link/server.go
+++ b/io/link/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"net"
 	"sync"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
+	"arbutustrestle/io/guard"
 	"arbutustrestle/io/wire"
 )
 
@@ -44,6 +46,8 @@
 	// KeepAlive is the time between two pings on a link. Zero selects
 	// keepAliveInterval.
 	KeepAlive time.Duration
+	// Events counts panics of the handler; nil if nobody reads them.
+	Events *expvar.Map
 
 	work sync.WaitGroup
 }
@@ -114,6 +118,7 @@
 		stream := newStream(conn, from.peer, from.streams)
 		s.work.Go(func() {
 			defer stream.Abort()
+			defer guard.Recover(s.Log, s.Events, "stream of "+stream.Peer.Incarnation.String())
 			s.serveStream(ctx, stream)
 		})
 	}
--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -227,6 +227,12 @@
 }
 
 func newTestInstance(t testing.TB, first, second reply) *testInstance {
+	t.Helper()
+	return newTestInstanceWith(t, first, second, func(d mirror.Decoder) mirror.Decoder { return d })
+}
+
+// newTestInstanceWith returns an instance whose decoder of published values is wrapped.
+func newTestInstanceWith(t testing.TB, first, second reply, wrap func(mirror.Decoder) mirror.Decoder) *testInstance {
 	t.Helper()
 	inst := &testInstance{source: &testSource{}}
 	changes := testDecoder{"config": mirror.ConfigUpdated{Config: spec.New(1, routes(), []spec.Service{{Name: "app"}}, spec.Limits{BodyBytes: 100})}}
@@ -251,7 +257,7 @@
 	self := gossip.Record{ID: "entry-1", Incarnation: 1, Zone: "z", Region: "near", PeerAddress: netip.MustParseAddrPort("127.0.0.1:1"), CallerAddress: netip.MustParseAddrPort("127.0.0.1:2")}
 	links := &link.Pool{}
 	parts := syncer.Options{
-		Self: self, Source: inst.source, Decoder: changes, Clock: c, Log: zerolog.Nop(), Metrics: metric.NewSet(), Links: links,
+		Self: self, Source: inst.source, Decoder: wrap(changes), Clock: c, Log: zerolog.Nop(), Metrics: metric.NewSet(), Links: links,
 		Pool:  pool.New(pool.Settings{Self: "entry-1", Region: "near", PromptRate: 60}),
 		Spill: &spill.Table{}, Budget: newSettledBudget(), Poison: &poison.Detector{Self: "entry-1"}, Streams: &resume.Table{},
 	}
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -15,6 +15,7 @@
 
 	"arbutustrestle/core/member"
 	"arbutustrestle/core/result"
+	"arbutustrestle/io/guard"
 	"arbutustrestle/io/syncer"
 )
 
@@ -68,10 +69,29 @@
 	}
 	call := &Call{Arrived: p.Clock.Now()}
 	sink := &httpSink{writer: w, control: http.NewResponseController(w), chunksAllowed: r.ProtoAtLeast(1, 1)}
+	defer p.endPanicked(codec, w, call, sink)
 	failure := p.identify(codec, view, call, r, sink.control)
 	if failure == nil {
 		failure = p.runUntilDeadline(r.Context(), call, sink)
 	}
+	p.conclude(codec, w, call, sink, failure)
+}
+
+// endPanicked answers a request that has met a fault of this program. It may have run.
+func (p *Proxy) endPanicked(codec CallerCodec, w http.ResponseWriter, call *Call, sink *httpSink) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause == http.ErrAbortHandler { //nolint:errorlint // It is passed to panic as it is.
+		panic(cause)
+	}
+	guard.Report(p.Log, p.Metrics.Events, "request "+call.ID, cause)
+	p.conclude(codec, w, call, sink, &result.Failure{Outcome: result.Unknown, Step: result.StepStream, Reason: result.InternalError})
+}
+
+// conclude records the end of a request and answers it if that hasn't been done.
+func (p *Proxy) conclude(codec CallerCodec, w http.ResponseWriter, call *Call, sink *httpSink, failure *result.Failure) {
 	p.recordEnd(call, failure)
 	if failure == nil {
 		return
--- a/io/syncer/activate.go
+++ b/io/syncer/activate.go
@@ -3,10 +3,12 @@
 import (
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/mirror"
+	"arbutustrestle/io/guard"
 )
 
 // storeRevision writes a revision to a log line, as its era and the store's own number.
@@ -38,7 +40,7 @@
 // activate activates one published value. If it is of a listing that is the first one
 // after a return of the store, it may be older than what is in force.
 func (l *Loop) activate(now time.Time, item mirror.Item, returned bool) {
-	change, err := l.opts.Decoder.Decode(item)
+	change, err := l.decode(item)
 	if err != nil {
 		l.opts.Metrics.Events.Add("value-refused", 1)
 		l.opts.Log.Error().Err(err).Str("key", item.Key).EmbedObject(storeRevision(item.Revision)).Msg("published value refused; other values are unaffected")
@@ -59,6 +61,18 @@
 	}
 }
 
+// decode decodes a published value. One that the decoder panics on is refused like others that
+// can't be read, so that those after it become active.
+func (l *Loop) decode(item mirror.Item) (change mirror.Change, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			guard.Report(l.opts.Log, l.opts.Metrics.Events, "decoding of "+item.Key, cause)
+			change, err = nil, errors.Errorf("decode %s: %v", item.Key, cause)
+		}
+	}()
+	return l.opts.Decoder.Decode(item)
+}
+
 func (l *Loop) activateConfig(c mirror.ConfigUpdated, revision uint64) {
 	if l.config != nil && c.Config.Version < l.config.Version {
 		l.opts.Log.Info().Uint64("version", c.Config.Version).Uint64("version-in-force", l.config.Version).EmbedObject(storeRevision(revision)).Msg("config not taken; it is older than the one in force")
--- a/io/syncer/syncer.go
+++ b/io/syncer/syncer.go
@@ -25,6 +25,7 @@
 	"arbutustrestle/core/resume"
 	"arbutustrestle/core/spec"
 	"arbutustrestle/core/spill"
+	"arbutustrestle/io/guard"
 	"arbutustrestle/io/link"
 	"arbutustrestle/io/metric"
 )
@@ -200,11 +201,18 @@
 		case <-ticker.C:
 			l.tick(ctx, l.opts.Clock.Now())
 		case event := <-l.events:
-			event(l.opts.Clock.Now())
+			l.runEvent(event)
 		}
 	}
 }
 
+// runEvent runs a posted function. Most handle a message from outside, and none may end the
+// process.
+func (l *Loop) runEvent(event func(now time.Time)) {
+	defer guard.Recover(l.opts.Log, l.opts.Metrics.Events, "event of the control loop")
+	event(l.opts.Clock.Now())
+}
+
 // post runs a function on the loop's goroutine.
 func (l *Loop) post(event func(now time.Time)) {
 	select {
