Resume a stream that sends bytes but no whole event

Callers saw: a stream that could be resumed sent a byte of an event, a comment or a blank line now and then and never went on, until its route's timeout. Cause: any byte started the wait for a stalled upstream anew. Change: a whole event must come within one and a half times that wait (7.5 times the route's gap objective, 2.25 s at least), which is sooner than callers give up.

--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -167,7 +167,7 @@
 		call.recordPart(p.Clock.Now())
 		onPart()
 		failure := p.passEvents(ctx, call, a, splitter, part, sink)
-		stall.reset()
+		stall.reset(p.Clock.Now(), splitter.events.Count())
 		return failure
 	})
 	if failure != nil {
--- a/io/proxy/stall.go
+++ b/io/proxy/stall.go
@@ -23,11 +23,20 @@
 	return max(stallFactor*r.EventGapObjective, minStallTimeout)
 }
 
-// stallTimer cancels an attempt at a resumable stream after a long time without data, so
-// that the stream goes on at another upstream. Its zero value does nothing.
+// eventTimeout returns the time without a whole event after which a stream counts as stalled,
+// though bytes arrive: callers give up soon after.
+func eventTimeout(r *spec.Route) time.Duration {
+	return stallTimeout(r) * 3 / 2
+}
+
+// stallTimer cancels an attempt at a resumable stream after a long time without data or without
+// a whole event, so that the stream goes on at another upstream. Its zero value does nothing.
 type stallTimer struct {
-	timer *time.Timer
-	data  time.Duration
+	timer       *time.Timer
+	data, event time.Duration
+	// events is the number of whole events, and lastEvent when the last one was passed on.
+	events    int
+	lastEvent time.Time
 }
 
 // startStallTimer starts the timer of an attempt if another one may follow.
@@ -35,18 +44,22 @@
 	if !call.Route.Resumable || call.sends >= call.Route.MaxAttempts {
 		return &stallTimer{}
 	}
-	t := &stallTimer{data: stallTimeout(call.Route)}
+	t := &stallTimer{data: stallTimeout(call.Route), event: eventTimeout(call.Route), lastEvent: p.Clock.Now()}
 	t.timer = time.AfterFunc(t.data, func() {
 		cancel(&result.Failure{Outcome: result.Unknown, Step: result.StepStream, Reason: result.IdleTimeout})
 	})
 	return t
 }
 
-// reset starts the wait for the next data.
-func (t *stallTimer) reset() {
-	if t.timer != nil {
-		t.timer.Reset(t.data)
+// reset starts the wait for the next data. events is the number of whole events so far.
+func (t *stallTimer) reset(now time.Time, events int) {
+	if t.timer == nil {
+		return
+	}
+	if events > t.events {
+		t.events, t.lastEvent = events, now
 	}
+	t.timer.Reset(min(t.data, t.lastEvent.Add(t.event).Sub(now)))
 }
 
 func (t *stallTimer) stop() {
--- a/io/proxy/stall_test.go
+++ b/io/proxy/stall_test.go
@@ -11,6 +11,53 @@
 	"time"
 )
 
+// TestStalledStream guards against a stream that never goes on though it sends something now and
+// then: a byte of an event, comments, or blank lines. It is resumed at another upstream while its
+// caller still waits, and a slow one with whole events isn't.
+func TestStalledStream(t *testing.T) {
+	const first = "id: 1\ndata: a\n\n"
+	drip := func(text string, pause time.Duration, count int) reply {
+		return func(c net.Conn, r *http.Request) {
+			if r.Header.Get("Last") != "" {
+				closing("id: 2\ndata: b\n\n")(c, r)
+				return
+			}
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\nConnection: close\r\n\r\n%s", r.Header.Get("Id"), first)
+			for range count {
+				time.Sleep(pause)
+				if _, err := io.WriteString(c, text); err != nil {
+					return
+				}
+			}
+			_, _ = io.WriteString(c, "id: 2\ndata: b\n\n")
+		}
+	}
+	for _, c := range []struct {
+		name  string
+		reply reply
+		sends int
+	}{
+		{"a byte of an event", drip("d", 200*time.Millisecond, 60), 2},
+		{"comments", drip(": still here\n\n", 200*time.Millisecond, 60), 2},
+		{"blank lines", drip("\n", 200*time.Millisecond, 60), 2},
+		{"nothing", drip("", 12*time.Second, 1), 2},
+		{"slow and whole", drip("data: a\n\n", minStallTimeout-300*time.Millisecond, 4), 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			inst := newTestInstance(t, c.reply, c.reply).ready(t)
+			began := time.Now()
+			_, body, err := inst.send(t, "/resume-long/", "", nil)
+			if err != nil || !strings.HasPrefix(body, first) || !strings.HasSuffix(body, "id: 2\ndata: b\n\n") || inst.arrivals() != c.sends {
+				t.Errorf("%q, error %v, %d sends", body, err, inst.arrivals())
+			}
+			if took := time.Since(began); c.sends > 1 && took > 2*minStallTimeout {
+				t.Errorf("resumed after %s", took)
+			}
+		})
+	}
+}
+
 // TestSlowReader guards against a sound stream that is cut, and sent again elsewhere, because its
 // caller reads slowly: the upstream isn't stalled while the gateway doesn't read.
 func TestSlowReader(t *testing.T) {
