Don't go on with a stream at the service that its route has just been moved to

Callers would see: a stream that began at one service, taken up at an instance that didn't serve its beginning after a config has moved the route, went on at the other service. Cause: the origin was concluded from the route as it is.

--- a/core/spec/spec.go
+++ b/core/spec/spec.go
@@ -52,6 +52,9 @@
 	Kind   RequestKind
 	// Targets has at least one element.
 	Targets []Target
+	// TargetsSince is when the route began to lead to its targets; zero if it has since the
+	// first config.
+	TargetsSince time.Time
 	// Timeout is the longest time that a request is kept waiting; zero means no limit.
 	Timeout time.Duration
 	// LatencyObjective is the time within which the answer, or the first event of a
@@ -193,6 +196,43 @@
 	})
 }
 
+// Follow records which routes lead elsewhere than in the config before, as of now. It is called
+// before the config is shared.
+func (c *Config) Follow(before *Config, now time.Time) {
+	earlier := make(map[routeKey]*Route, len(before.routes))
+	for _, r := range before.routes {
+		earlier[r.key()] = r
+	}
+	for _, r := range c.routes {
+		held := earlier[r.key()]
+		if held != nil && slices.Equal(held.Targets, r.Targets) {
+			r.TargetsSince = held.TargetsSince
+			continue
+		}
+		r.TargetsSince = now
+	}
+}
+
+// routeKey identifies a route to its callers.
+type routeKey struct{ host, prefix string }
+
+func (r *Route) key() routeKey {
+	return routeKey{strings.ToLower(r.Host), r.Prefix}
+}
+
+// Moved reports whether the route led to other targets while streams that still last may have
+// begun.
+func (r *Route) Moved(now time.Time) bool {
+	return !r.TargetsSince.IsZero() && now.Sub(r.TargetsSince) < r.StreamLife()
+}
+
+// Moved reports whether a resumable route to a service has moved.
+func (c *Config) Moved(now time.Time, service ident.Service) bool {
+	return slices.ContainsFunc(c.routes, func(r *Route) bool {
+		return r.Resumable && r.Moved(now) && slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service })
+	})
+}
+
 // StreamLife returns how long the streams last of the resumable routes that lead to a service.
 func (c *Config) StreamLife(service ident.Service) time.Duration {
 	longest := time.Duration(0)
--- a/io/proxy/resume.go
+++ b/io/proxy/resume.go
@@ -83,13 +83,14 @@
 	return p.soleOrigin(call.Route)
 }
 
-// soleOrigin returns where all streams of a route begin that last still, if that is one service
+// soleOrigin returns where all streams of a route began that still last, if that is one service
 // with one version of its software.
 func (p *Proxy) soleOrigin(route *spec.Route) (gossip.StreamOrigin, bool) {
-	if len(route.Targets) != 1 {
+	now := p.Clock.Now()
+	if len(route.Targets) != 1 || route.Moved(now) {
 		return gossip.StreamOrigin{}, false
 	}
 	service := route.Targets[0].Service
-	version, sole := p.Pool.SoleVersion(p.Clock.Now(), service, route.StreamLife())
+	version, sole := p.Pool.SoleVersion(now, service, route.StreamLife())
 	return gossip.StreamOrigin{Service: service, Version: version}, sole
 }
--- a/io/proxy/version_test.go
+++ b/io/proxy/version_test.go
@@ -9,7 +9,9 @@
 
 	"arbutustrestle/core/gossip"
 	"arbutustrestle/core/ident"
+	"arbutustrestle/core/mirror"
 	"arbutustrestle/core/pool"
+	"arbutustrestle/core/spec"
 )
 
 // publishVersions lists both upstreams with the versions of their software.
@@ -135,6 +137,29 @@
 			t.Errorf("%v", response)
 		}
 	})
+	t.Run("beginning unknown, one version, route moved", func(t *testing.T) {
+		t.Parallel()
+		inst := begin(t, "", "")
+		inst.proxy.Pool.LearnVersions(inst.proxy.Clock.Now(), gossip.VersionHistory{Followed: time.Minute})
+		moved := routes()
+		for i := range moved {
+			moved[i].Targets = []spec.Target{{Service: "other", Weight: 1}}
+		}
+		config := spec.New(2, moved, []spec.Service{{Name: "app"}, {Name: "other"}}, spec.Limits{})
+		inst.decoder["config"] = mirror.ConfigUpdated{Config: config}
+		inst.source.change(mirror.OperatorGroup, mirror.Item{Key: "config", Revision: 2})
+		for range 200 {
+			if inst.proxy.Loop.View().Config.Version == 2 {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		inst.proxy.Pool.SetUpstream(inst.proxy.Clock.Now(), pool.Upstream{ID: "u-0", Service: "other", Zone: "z", Region: "near", Slots: 100, Address: testAddress(inst.upstreams[0])})
+		response := resume(t, inst, "second", "")
+		if response.StatusCode != http.StatusServiceUnavailable || inst.arrivals() != 2 {
+			t.Errorf("%v, %d sends", response, inst.arrivals())
+		}
+	})
 	t.Run("beginning unknown, one version, just started", func(t *testing.T) {
 		t.Parallel()
 		inst := begin(t, "", "")
--- a/io/syncer/activate.go
+++ b/io/syncer/activate.go
@@ -47,7 +47,7 @@
 	}
 	switch c := change.(type) {
 	case mirror.ConfigUpdated:
-		l.activateConfig(c, item.Revision)
+		l.activateConfig(now, c, item.Revision)
 	case mirror.UpstreamUpdated:
 		l.activateUpstream(now, c, item.Revision, returned)
 	case mirror.UpstreamRemoved:
@@ -73,11 +73,14 @@
 	return l.opts.Decoder.Decode(item)
 }
 
-func (l *Loop) activateConfig(c mirror.ConfigUpdated, revision uint64) {
+func (l *Loop) activateConfig(now time.Time, c mirror.ConfigUpdated, revision uint64) {
 	if l.config != nil && c.Config.Version < l.config.Version {
 		l.opts.Log.Info().Uint64("version", c.Config.Version).Uint64("version-in-force", l.config.Version).EmbedObject(storeRevision(revision)).Msg("config not taken; it is older than the one in force")
 		return
 	}
+	if l.config != nil {
+		c.Config.Follow(l.config, now)
+	}
 	l.config = c.Config
 	l.opts.Pool.SetServices(c.Config.Services)
 	l.opts.Log.Info().Uint64("version", c.Config.Version).EmbedObject(storeRevision(revision)).Int("routes", len(c.Config.Routes())).Msg("config in force")
--- a/io/syncer/streams.go
+++ b/io/syncer/streams.go
@@ -23,14 +23,15 @@
 )
 
 // Ambiguous reports whether it can't be told from the config and the list of upstreams where
-// a stream of a service began: its routes lead to others too, versions differ, or the list
-// hasn't been followed for long enough.
+// a stream of a service began: its routes lead to others too or did so lately, versions differ,
+// or the list hasn't been followed for long enough.
 func (l *Loop) Ambiguous(service ident.Service) bool {
 	config := l.View().Config
-	if config == nil || config.SharesRoutes(service) {
+	now := l.opts.Clock.Now()
+	if config == nil || config.SharesRoutes(service) || config.Moved(now, service) {
 		return true
 	}
-	_, sole := l.opts.Pool.SoleVersion(l.opts.Clock.Now(), service, config.StreamLife(service))
+	_, sole := l.opts.Pool.SoleVersion(now, service, config.StreamLife(service))
 	return !sole
 }
 
