Let requests at a paused instance of another region go on

Callers saw: an instance that stood still for more than some 4 s, or waited for one that did, gave up all requests between the two: 502, or a stream cut, though they had run or went on. Cause: a ping that isn't answered closed the link with all that ran on it. Change: such a link gets no new exchanges and is closed when those on it have ended, or as soon as the peer answers on another link and still not on this one; the end that accepted it waits 10 s instead of 3.

--- a/io/daemon/gateway.go
+++ b/io/daemon/gateway.go
@@ -74,7 +74,7 @@
 )
 
 // linkKeepAlive is the time between two pings on a link. A link on which a ping is not
-// answered within the write timeout of package link is closed, and the next heartbeat
+// answered within the write timeout of package link is used no more, and the next heartbeat
 // opens another one.
 const linkKeepAlive = time.Second
 
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -38,7 +38,10 @@
 	// noticeIdleTimeout is the time without a message after which the receiver closes
 	// a control stream.
 	noticeIdleTimeout = 30 * time.Second
-	readBufferBytes   = 4 << 10
+	// silenceTimeout is how long a peer may answer no ping, and read nothing, before its link is
+	// closed at the end that accepted it. It may be paused, and still wait for its requests.
+	silenceTimeout  = 10 * time.Second
+	readBufferBytes = 4 << 10
 )
 
 // Identity identifies one end of a link to the other. It is sent in the hello.
@@ -129,26 +132,39 @@
 	return newStream(conn, s.peer, s.streams), nil
 }
 
-// muxConfig returns the settings of a session. A zero interval selects
+// clientConfig returns the settings of the session of who dials, which Pool watches.
+func clientConfig() *yamux.Config {
+	c := muxConfig()
+	c.EnableKeepAlive = false
+	c.ConnectionWriteTimeout = writeTimeout
+	return c
+}
+
+// serverConfig returns the settings of the session of who accepts. A zero interval selects
 // keepAliveInterval.
-func muxConfig(keepAlive time.Duration) *yamux.Config {
-	c := yamux.DefaultConfig()
+func serverConfig(keepAlive time.Duration) *yamux.Config {
+	c := muxConfig()
 	c.KeepAliveInterval = cmp.Or(keepAlive, keepAliveInterval)
-	c.ConnectionWriteTimeout = writeTimeout
+	c.ConnectionWriteTimeout = silenceTimeout
+	return c
+}
+
+func muxConfig() *yamux.Config {
+	c := yamux.DefaultConfig()
 	c.StreamOpenTimeout = exchangeTimeout
 	c.LogOutput = io.Discard
 	return c
 }
 
 // dial connects to a peer and exchanges hellos on the first stream of the session.
-func dial(ctx context.Context, address netip.AddrPort, self Identity, keepAlive time.Duration) (*session, error) {
+func dial(ctx context.Context, address netip.AddrPort, self Identity) (*session, error) {
 	d := net.Dialer{Timeout: dialTimeout}
 	conn, err := d.DialContext(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, errors.Annotatef(err, "dial %s", address)
 	}
 	open := &streamSet{}
-	mux, err := yamux.Client(&sessionConn{Conn: conn, streams: open}, muxConfig(keepAlive))
+	mux, err := yamux.Client(&sessionConn{Conn: conn, streams: open}, clientConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, errors.Annotatef(err, "start a session with %s", address)
--- a/io/link/pool.go
+++ b/io/link/pool.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"sync"
@@ -22,7 +23,7 @@
 	// change.
 	Self Identity
 	// KeepAlive is the time between two pings on a link. A link on which a ping is not
-	// answered is closed. Zero selects keepAliveInterval.
+	// answered is used no more. Zero selects keepAliveInterval.
 	KeepAlive time.Duration
 
 	mu    sync.Mutex
@@ -42,8 +43,10 @@
 	openSession atomic.Pointer[session]
 
 	controlMu sync.Mutex
-	// control is nil while no control stream is open. It is guarded by controlMu.
-	control *Stream
+	// control is nil while no control stream is open, and else a stream of controlSession.
+	// Both are guarded by controlMu.
+	control        *Stream
+	controlSession *session
 
 	// unwanted is set if the last call of CloseUnused didn't want the link. It is guarded by
 	// Pool.mu.
@@ -104,7 +107,7 @@
 		return false
 	}
 	exchanges := s.streams.count()
-	if p.control != nil {
+	if p.control != nil && p.controlSession == s {
 		exchanges--
 	}
 	return exchanges > 0
@@ -139,11 +142,15 @@
 		return target.control, nil
 	}
 	open := &wire.Open{Kind: &wire.Open_Control{Control: &wire.Control{}}}
-	stream, err := p.openStream(ctx, target, open)
+	s, err := p.connect(ctx, target)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	stream, err := startStream(s, open)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	target.control = stream
+	target.control, target.controlSession = stream, s
 	return stream, nil
 }
 
@@ -252,12 +259,13 @@
 	if target.session != nil && !target.session.mux.IsClosed() {
 		return target.session, nil
 	}
-	s, err := dial(ctx, target.address, p.Self, p.KeepAlive)
+	s, err := dial(ctx, target.address, p.Self)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 	target.session = s
 	target.openSession.Store(s)
+	go p.watchSession(target, s, cmp.Or(p.KeepAlive, keepAliveInterval))
 	return s, nil
 }
 
--- a/io/link/server.go
+++ b/io/link/server.go
@@ -72,7 +72,7 @@
 
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
 	open := &streamSet{}
-	mux, err := yamux.Server(&sessionConn{Conn: conn, streams: open}, muxConfig(s.KeepAlive))
+	mux, err := yamux.Server(&sessionConn{Conn: conn, streams: open}, serverConfig(s.KeepAlive))
 	if err != nil {
 		_ = conn.Close()
 		return
