Accept what waits before the listener of a planned stop closes, on a busy machine too

Cause: on a machine without a free processor the deadline of the last wait had passed before the wait began, and after 100 ms the listener was closed at a moment when connections waited. Change: a wait in vain is repeated once before the close, and after 200 ms the waits are short, so that the listener is always closed right after one in vain.

--- a/io/daemon/stop.go
+++ b/io/daemon/stop.go
@@ -13,40 +13,58 @@
 
 const (
 	// acceptQuiet is the time without a new connection after which a listener that stops is
-	// closed, and acceptStopTime the longest time until then.
-	acceptQuiet    = 2 * time.Millisecond
-	acceptStopTime = 100 * time.Millisecond
+	// closed. After acceptBusyTime it is acceptShortQuiet, and after acceptStopTime the listener
+	// is closed in any case.
+	acceptQuiet      = 5 * time.Millisecond
+	acceptShortQuiet = 500 * time.Microsecond
+	acceptBusyTime   = 200 * time.Millisecond
+	acceptStopTime   = 700 * time.Millisecond
 )
 
 // stopListener is a listener that can be closed without resetting the connections that wait to
 // be accepted.
 type stopListener struct {
 	*net.TCPListener
-	// stopBy is until when connections are accepted; nil unless it stops.
-	stopBy atomic.Pointer[time.Time]
+	// stoppedAt is when stop was called; nil before.
+	stoppedAt atomic.Pointer[time.Time]
+	// quiet is set after a wait for a connection in vain, and used by Accept only.
+	quiet bool
 }
 
 // stop makes Accept return what waits, and then an error.
 func (l *stopListener) stop() {
-	stopBy := time.Now().Add(acceptStopTime)
-	l.stopBy.Store(&stopBy)
-	_ = l.SetDeadline(time.Now().Add(acceptQuiet))
+	now := time.Now()
+	l.stoppedAt.Store(&now)
+	_ = l.SetDeadline(now.Add(acceptQuiet))
 }
 
 // Accept returns the next connection. Once stopped and none came for acceptQuiet, it closes the
 // listener.
 func (l *stopListener) Accept() (net.Conn, error) {
-	conn, err := l.TCPListener.Accept()
-	stopBy := l.stopBy.Load()
-	if stopBy == nil {
-		return conn, err
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) || err == nil && time.Now().After(*stopBy) {
-		_ = l.Close()
-		return conn, err
+	for {
+		conn, err := l.TCPListener.Accept()
+		stoppedAt := l.stoppedAt.Load()
+		if stoppedAt == nil {
+			return conn, err
+		}
+		stopping := time.Since(*stoppedAt)
+		// A deadline that passed while this process had no processor says nothing: the first
+		// wait in vain is repeated.
+		quietAgain := l.quiet
+		l.quiet = errors.Is(err, os.ErrDeadlineExceeded)
+		if l.quiet && quietAgain || stopping > acceptStopTime {
+			_ = l.Close()
+			return conn, err
+		}
+		quiet := acceptQuiet
+		if stopping > acceptBusyTime {
+			quiet = acceptShortQuiet
+		}
+		_ = l.SetDeadline(time.Now().Add(quiet))
+		if !l.quiet {
+			return conn, err
+		}
 	}
-	_ = l.SetDeadline(time.Now().Add(acceptQuiet))
-	return conn, err
 }
 
 // connCounts counts the open connections of a server by state. Its zero value is ready to use.
