Ignore new connections before the listener of a planned stop closes

Cause: where the process waits for a processor between its last look at the queue and the close, connections that came meanwhile are reset. Change: a filter on the listening socket drops the packets that open connections, so that the queue runs dry before the close; who sends them again finds the port closed. Where a system refuses the filter, the stop goes on as before, with a line in the log.

--- a/io/daemon/gateway.go
+++ b/io/daemon/gateway.go
@@ -405,7 +405,9 @@
 // would be cut off. It returns when all that was sent has its answer.
 func (g *gateway) refuseCallers(start, exit time.Time) {
 	g.proxy.Drain(proxy.DrainSchedule{StrictAt: start, ExitAt: start})
-	g.callers.stop()
+	if err := g.callers.stop(); err != nil {
+		g.log.Info().Err(err).Msg("connections that come until the listener is closed may be reset")
+	}
 	earliest, latest := time.Now().Add(keptConnTime), time.Now().Add(refuseTime)
 	g.awaitIdle(earliest, exit)
 	for time.Now().Before(latest) && time.Now().Before(exit) && g.callerConns.unanswered() > 0 {
--- a/io/daemon/stop.go
+++ b/io/daemon/stop.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -31,11 +32,32 @@
 	quiet bool
 }
 
-// stop makes Accept return what waits, and then an error.
-func (l *stopListener) stop() {
+// stop makes Accept return what waits, and then an error. The error is set if connections can
+// still come until the listener is closed, of which the last ones may be reset.
+func (l *stopListener) stop() error {
+	err := l.ignoreNew()
 	now := time.Now()
 	l.stoppedAt.Store(&now)
 	_ = l.SetDeadline(now.Add(acceptQuiet))
+	return errors.Annotate(err, "ignore new connections")
+}
+
+// ignoreNew drops the packets that open connections: who sends them again finds the port
+// closed. Otherwise connections arrive between the last look and the close, and are reset.
+func (l *stopListener) ignoreNew() error {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return err
+	}
+	dropAll := unix.SockFprog{Len: 1, Filter: &unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K}}
+	var attachErr error
+	attach := func(fd uintptr) {
+		attachErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &dropAll)
+	}
+	if err := raw.Control(attach); err != nil {
+		return err
+	}
+	return attachErr
 }
 
 // Accept returns the next connection. Once stopped and none came for acceptQuiet, it closes the
