--- a/core/gossip/contact.go
+++ b/core/gossip/contact.go
@@ -24,9 +24,8 @@
 	// maxDirect is the number of instances of other regions up to which each gets
 	// heartbeats.
 	maxDirect = 12
-	// contactsPerRegion is the number of contacts in each other region. With three, an
-	// instance whose region loses a third of its instances at once keeps one in 26 of 27
-	// cases.
+	// contactsPerRegion is the number of contacts in each other region. With three, a
+	// region that loses a third of its instances at once still hears of 26 in 27 others.
 	contactsPerRegion = 3
 	// relayedTimeout is the time without an update after which an instance of which only
 	// contacts hear is no longer named to callers. It covers the time until other contacts
