--- a/core/pool/pace.go
+++ b/core/pool/pace.go
@@ -176,13 +176,14 @@
 		return nil, false
 	}
 	paced, found := p.pace(now, r)
-	if !found {
-		return nil, l.admitBrittle(now)
-	}
 	last := p.sendTimes[r.ID].sentAt
-	if !p.isSender(now, r.ID, paced) || now.Sub(last) < paced.interval(len(p.region.instances)) || !l.admitBrittle(now) {
+	if found && (!p.isSender(now, r.ID, paced) || now.Sub(last) < paced.interval(len(p.region.instances))) || !l.admitBrittle(now) {
 		return nil, false
 	}
+	r.recentSends.record(now)
+	if !found {
+		return nil, true
+	}
 	p.sendTimes.recordSend(now, r.ID)
 	return p.pacedSend(now, r, last), true
 }
--- a/core/pool/replica.go
+++ b/core/pool/replica.go
@@ -89,7 +89,8 @@
 	endedAt time.Time
 
 	// prompts holds what this instance has sent to this run.
-	prompts prefix.Index
+	prompts     prefix.Index
+	recentSends recentSends
 }
 
 // pendingRequest is a request whose first byte has not arrived.
--- a/io/syncer/activate.go
+++ b/io/syncer/activate.go
@@ -130,8 +130,12 @@
 }
 
 func (l *Loop) setUpstream(now time.Time, c mirror.UpstreamUpdated, revision uint64) {
+	sends := l.opts.Pool.SendsSince(c.Upstream.ID, c.Upstream.StartTime)
 	if l.opts.Pool.SetUpstream(now, c.Upstream) {
-		l.opts.Log.Info().Str("upstream", string(c.Upstream.ID)).Str("service", string(c.Upstream.Service)).Str("upstream-version", c.Upstream.Version).Bool("draining", c.Upstream.Draining).Time("started", c.Upstream.StartTime).Dur("cold", c.Upstream.WarmupLeft).EmbedObject(storeRevision(revision)).Msg("upstream changed")
+		if c.Upstream.WarmupLeft > 0 {
+			l.opts.Metrics.Events.Add("sends-before-cold-known", int64(sends))
+		}
+		l.opts.Log.Info().Int("requests-since-start", sends).Str("upstream", string(c.Upstream.ID)).Str("service", string(c.Upstream.Service)).Str("upstream-version", c.Upstream.Version).Bool("draining", c.Upstream.Draining).Time("started", c.Upstream.StartTime).Dur("cold", c.Upstream.WarmupLeft).EmbedObject(storeRevision(revision)).Msg("upstream changed")
 	}
 }
 
