Keep what an upstream says of being cold when a cut ends

It set the time back to that before the first failure, so that an entry, an answer or the return of a zone that said less time in between was lost with it, on each instance that had been cut off. Both are now held apart.

--- a/core/pool/pace.go
+++ b/core/pool/pace.go
@@ -63,7 +63,7 @@
 func (p *Pool) pace(now time.Time, r *replica) (pace, bool) {
 	warmup := p.services[r.Service].WarmupRate
 	paced := pace{perSecond: warmup, senders: 1}
-	cold := r.isCold(now) && warmup > 0
+	cold := p.isCold(now, r) && warmup > 0
 	if r.limit.Named {
 		limit := max(r.limit.PerSecond, minLimitRate)
 		if !cold || limit < warmup {
@@ -190,7 +190,7 @@
 
 func (p *Pool) pacedSend(now time.Time, r *replica, last time.Time) *PacedSend {
 	send := &PacedSend{
-		ColdLeft:  max(0, r.coldUntil.Sub(now)),
+		ColdLeft:  max(0, p.coldUntil(r).Sub(now)),
 		Limit:     r.limit.RateLimit,
 		Instances: len(p.region.instances),
 	}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -201,20 +201,21 @@
 	return held
 }
 
-// takeUnlisted makes what an upstream said of itself hold on when it returns to the list in
-// the same run.
+// takeUnlisted makes what an upstream said of itself, and what its connections showed, hold on
+// when it returns to the list in the same run.
 func (p *Pool) takeUnlisted(r *replica) {
 	before, found := p.unlisted[r.ID]
 	delete(p.unlisted, r.ID)
 	if found && !before.replica.isNewRun(r.Upstream) {
 		r.takeOver(before.replica.selfReport)
+		r.dialColdUntil = before.replica.dialColdUntil
 	}
 }
 
 // forgetUnlisted removes the upstreams that have left long ago and would be warm by now.
 func (p *Pool) forgetUnlisted(now time.Time) {
 	for id, u := range p.unlisted {
-		if now.Sub(u.leftAt) > unlistedMemory && !u.replica.isCold(now) {
+		if now.Sub(u.leftAt) > unlistedMemory && !p.isCold(now, u.replica) {
 			delete(p.unlisted, id)
 		}
 	}
@@ -262,7 +263,7 @@
 	defer p.mu.Unlock()
 	byName := map[ident.Service]*gossip.ServiceLoad{}
 	for _, r := range p.replicas {
-		if _, paced := p.pace(now, r); paced || r.isCold(now) || !p.usable(now, r) {
+		if _, paced := p.pace(now, r); paced || p.isCold(now, r) || !p.usable(now, r) {
 			continue
 		}
 		s := byName[r.Service]
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -100,7 +100,7 @@
 		t.Fatal("a new run is not reported as a change")
 	}
 	lease.End(start, Broken)
-	if r := p.replicas["engine-0"]; r.inFlight != 0 || r.failures != 0 || !r.isCold(start) || r.prompts.Len() != 0 {
+	if r := p.replicas["engine-0"]; r.inFlight != 0 || r.failures != 0 || !p.isCold(start, r) || r.prompts.Len() != 0 {
 		t.Errorf("the new run inherits %+v", r)
 	}
 }
@@ -275,7 +275,7 @@
 	p = newPool("entry-1", 1)
 	lease, _ = p.Pick(start, prompt("a", 0))
 	lease.End(start, Unreachable)
-	if !p.replicas["engine-0"].isCold(start.Add(time.Second)) {
+	if !p.isCold(start.Add(time.Second), p.replicas["engine-0"]) {
 		t.Error("an unreachable upstream counts as warm")
 	}
 }
--- a/core/pool/reach.go
+++ b/core/pool/reach.go
@@ -7,21 +7,11 @@
 	"arbutustrestle/core/ident"
 )
 
-// dialCold holds how cold an upstream was before no connection to it could be opened, which
-// makes it count as cold. If it was this instance that was cut off, that is taken back.
-type dialCold struct {
-	before, since time.Time
-}
-
 // recordUnreachable records that no connection to the upstream could be opened. One that comes
 // back after that has lost its cache.
 func (r *replica) recordUnreachable(now time.Time, warmup time.Duration) {
 	r.endedAt = now
-	if !r.coldUntil.Equal(r.dialCold.since) {
-		r.dialCold.before = r.coldUntil
-	}
-	r.markCold(now, warmup)
-	r.dialCold.since = r.coldUntil
+	r.dialColdUntil = latest(r.dialColdUntil, now.Add(warmup))
 }
 
 // recordSilence records that a request sent at a time ended because the upstream sent nothing. The
@@ -45,9 +35,7 @@
 			continue
 		}
 		r.recordSuccess()
-		if r.coldUntil.Equal(r.dialCold.since) {
-			r.coldUntil = r.dialCold.before
-		}
+		r.dialColdUntil = time.Time{}
 	}
 }
 
--- a/core/pool/replica.go
+++ b/core/pool/replica.go
@@ -66,7 +66,9 @@
 
 	selfReport
 	brittleState
-	dialCold dialCold
+	// dialColdUntil is until when the upstream counts as cold since no connection to it could be
+	// opened. If it was this instance that was cut off, that is taken back.
+	dialColdUntil time.Time
 	// silentAt is when a request last ended because the upstream was silent.
 	silentAt time.Time
 
@@ -118,11 +120,18 @@
 	return &replica{Upstream: u, slowdown: 1, holdTime: defaultHoldTime}
 }
 
-func (r *replica) isCold(now time.Time) bool {
-	return now.Before(r.coldUntil)
+// coldUntil returns the time until which an upstream counts as cold, by what it says of itself
+// and by what its connections show; zero if it never was.
+func (p *Pool) coldUntil(r *replica) time.Time {
+	return latest(r.selfReport.coldUntil, r.dialColdUntil)
 }
 
-// markCold makes the upstream count as cold for at least the given time.
+func (p *Pool) isCold(now time.Time, r *replica) bool {
+	return now.Before(p.coldUntil(r))
+}
+
+// markCold records that the upstream said that it is cold for the given time, or that nothing was
+// sent to it for so long that it is.
 func (r *replica) markCold(now time.Time, d time.Duration) {
 	if d > 0 {
 		r.coldUntil = latest(r.coldUntil, now.Add(d))
