Count an upstream that has ended as cold until it has answered and warmed up, at all instances

Cause: that an upstream is warm was known of its id, not of its run. Only an instance that failed to connect while it was down knew better, and told no peer; an instance sends to each upstream less than twice a second, so most did not. Newer disturbances stretch the time without an entry: upstreams that start again behind a cut from the store, a store that is away or slow.

All connections of a process end with it, so an instance now watches its idle ones. When the last one to an upstream is closed without notice, it tries to connect; if that fails, and others can be reached, the upstream has ended: it counts as cold, for 15 s or until it answers, and from then for its warm-up. Heartbeats tell the region, as they do of requests that were lost with their upstream (which did not make it cold before). A new run in the list replaces all that. A build without the new field ignores it.

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -56,6 +56,8 @@
 	// UpstreamLimits and LeavingUpstreams are sent with UpstreamLoads.
 	UpstreamLimits   []UpstreamLimit
 	LeavingUpstreams []UpstreamRun
+	// EndedUpstreams is sent with UpstreamLoads.
+	EndedUpstreams []UpstreamEnd
 	// BrittleUpstreams is sent with UpstreamLoads. The rate in it is the number of rejections
 	// in a second that the upstream tolerates.
 	BrittleUpstreams []UpstreamLimit
@@ -295,6 +297,7 @@
 		r.UpstreamLoads = p.UpstreamLoads
 		r.UpstreamLimits = p.UpstreamLimits
 		r.LeavingUpstreams = p.LeavingUpstreams
+		r.EndedUpstreams = p.EndedUpstreams
 		r.BrittleUpstreams = p.BrittleUpstreams
 		r.Reach = p.Reach
 		p.keepLoads(now, &r)
--- a/core/gossip/heartbeat.go
+++ b/core/gossip/heartbeat.go
@@ -62,6 +62,7 @@
 	own.UpstreamLoads = nil
 	own.UpstreamLimits = nil
 	own.LeavingUpstreams = nil
+	own.EndedUpstreams = nil
 	own.BrittleUpstreams = nil
 	heartbeats := s.membershipHeartbeats(now, regional, contacts, own)
 	own.VersionHistory = VersionHistory{}
--- a/core/gossip/loads.go
+++ b/core/gossip/loads.go
@@ -66,6 +66,17 @@
 	StartTime time.Time
 }
 
+// UpstreamEnd tells that a run of an upstream has ended, as the sender of a heartbeat has found
+// itself.
+type UpstreamEnd struct {
+	UpstreamRun
+	// Returned is set once something at its address has answered again: it may have started just
+	// before that.
+	Returned bool
+	// Age is the time since the run was last found to have ended, or since it returned.
+	Age time.Duration
+}
+
 // UpstreamLimit is what an instance knows of the limit of an upstream.
 type UpstreamLimit struct {
 	Upstream ident.Upstream
--- a/core/gossip/view.go
+++ b/core/gossip/view.go
@@ -108,6 +108,23 @@
 	return list
 }
 
+// EndedUpstreams returns the upstreams that other instances of the own region have found to have
+// ended, with ages as of now.
+func (v *View) EndedUpstreams(now time.Time) []UpstreamEnd {
+	var list []UpstreamEnd
+	for i := range v.Members {
+		m := &v.Members[i]
+		if m.Region != v.Self.Region {
+			continue
+		}
+		for _, e := range m.EndedUpstreams {
+			e.Age += now.Sub(m.LastHeartbeat)
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
 // ReadyAddresses returns the caller addresses of the instances in a region that accept
 // traffic, with the instances of the given availability zone first.
 func (v *View) ReadyAddresses(region ident.Region, zone ident.Zone) []netip.AddrPort {
--- a/core/pool/lease.go
+++ b/core/pool/lease.go
@@ -81,6 +81,7 @@
 	l.pool.mu.Lock()
 	defer l.pool.mu.Unlock()
 	l.replica.lastActivity = now
+	l.replica.recordReturn(now, l.started)
 	if !l.removeFromBacklog() {
 		return
 	}
@@ -151,6 +152,9 @@
 	case Unreachable:
 		r.recordFailure(now)
 		r.recordUnreachable(now, l.pool.services[r.Service].Warmup)
+		if r.end.isOpen(now) {
+			r.recordEnd(now)
+		}
 	case Replaced:
 		r.backoffUntil = now.Add(maxBackoff)
 	case Cancelled:
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -209,6 +209,7 @@
 	if found && !before.replica.isNewRun(r.Upstream) {
 		r.takeOver(before.replica.selfReport)
 		r.dialColdUntil = before.replica.dialColdUntil
+		r.end = before.replica.end
 	}
 }
 
--- a/core/pool/replica.go
+++ b/core/pool/replica.go
@@ -69,6 +69,8 @@
 	// dialColdUntil is until when the upstream counts as cold since no connection to it could be
 	// opened. If it was this instance that was cut off, that is taken back.
 	dialColdUntil time.Time
+	// end is what is known of the end of the run.
+	end runEnd
 	// silentAt is when a request last ended because the upstream was silent.
 	silentAt time.Time
 
@@ -123,7 +125,7 @@
 // coldUntil returns the time until which an upstream counts as cold, by what it says of itself
 // and by what its connections show; zero if it never was.
 func (p *Pool) coldUntil(r *replica) time.Time {
-	return latest(r.selfReport.coldUntil, r.dialColdUntil)
+	return latest(latest(r.coldUntil, r.dialColdUntil), r.end.coldUntil(p.services[r.Service].Warmup))
 }
 
 func (p *Pool) isCold(now time.Time, r *replica) bool {
--- a/core/pool/version.go
+++ b/core/pool/version.go
@@ -205,10 +205,3 @@
 	}
 	return list[0], true
 }
-
-// MarkEnded records that the upstream has ended: it takes no connections.
-func (l *Lease) MarkEnded(now time.Time) {
-	l.pool.mu.Lock()
-	defer l.pool.mu.Unlock()
-	l.replica.endedAt = now
-}
--- a/io/daemon/gateway.go
+++ b/io/daemon/gateway.go
@@ -197,7 +197,7 @@
 }
 
 func newGatewayProxy(p proxyParams) *proxy.Proxy {
-	return &proxy.Proxy{
+	requests := &proxy.Proxy{
 		Self:           p.Settings.ID,
 		Region:         p.Settings.Region,
 		Clock:          p.Clock,
@@ -216,6 +216,8 @@
 		Latencies:      p.Latencies,
 		QueueRequests:  p.Settings.QueueRequests,
 	}
+	p.UpstreamClient.WatchIdleConns(requests.ConnsClosed)
+	return requests
 }
 
 func newGatewayDirectory(l *syncer.Loop) *proxy.Directory {
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -51,6 +51,10 @@
 	reused bool
 	// idleUntil is the time after which the connection must not be reused.
 	idleUntil time.Time
+	// watched is closed once the watch of the idle connection has ended; nil if there is none.
+	// closed is set before if the upstream has closed the connection.
+	watched chan struct{}
+	closed  bool
 	// refused holds the ids of the last requests that the upstream refused on the connection,
 	// maxRefused at most.
 	refused []string
@@ -75,6 +79,9 @@
 // connPool keeps idle connections. It is safe for concurrent use.
 type connPool struct {
 	clock clock.Clock
+	// ended is called when the last idle connection to an upstream was closed by the upstream
+	// without notice; nil if nobody asks.
+	ended func(connKey)
 
 	mu   sync.Mutex
 	idle map[connKey][]*conn
@@ -90,10 +97,14 @@
 		if c == nil {
 			return nil
 		}
+		c.stopWatch()
 		if p.clock.Now().Before(c.idleUntil) && c.reader.Buffered() == 0 && isIdle(c.Conn) {
 			return c
 		}
 		_ = c.Close()
+		if c.closed {
+			go p.ended(k)
+		}
 	}
 }
 
@@ -124,6 +135,47 @@
 		list = list[1:]
 	}
 	p.idle[c.key] = append(list, c)
+	if p.ended != nil {
+		c.watched = make(chan struct{})
+		go p.watch(c, c.watched)
+	}
+}
+
+// watch waits until something arrives on an idle connection, the upstream closes it, or stopWatch
+// is called.
+func (p *connPool) watch(c *conn, done chan struct{}) {
+	closed := waitForEnd(c.Conn)
+	c.closed = closed
+	close(done)
+	if closed && p.removeClosed(c) {
+		p.ended(c.key)
+	}
+}
+
+// removeClosed removes an idle connection that the upstream has closed. It reports whether that
+// came without notice and no other idle connection to the upstream is left.
+func (p *connPool) removeClosed(c *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[c.key]
+	i := slices.Index(list, c)
+	if i < 0 {
+		return false
+	}
+	_ = c.Close()
+	p.idle[c.key] = slices.Delete(list, i, i+1)
+	return p.clock.Now().Before(c.idleUntil) && !slices.ContainsFunc(p.idle[c.key], func(c *conn) bool { return isIdle(c.Conn) })
+}
+
+// stopWatch ends the watch of a connection that was idle.
+func (c *conn) stopWatch() {
+	if c.watched == nil {
+		return
+	}
+	_ = c.SetReadDeadline(time.Unix(1, 0))
+	<-c.watched
+	c.watched = nil
+	_ = c.SetReadDeadline(time.Time{})
 }
 
 // closeExpired closes connections that have been idle for too long.
@@ -162,12 +214,37 @@
 	err = control.Read(func(fd uintptr) bool {
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = n < 0 && (errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR))
+		open = n < 0 && isTemporary(err)
 		return true
 	})
 	return err == nil && open
 }
 
+// waitForEnd blocks until the other end closes a connection, and reports true then. It reports
+// false if data arrives, which it doesn't read, and when the read deadline passes.
+func waitForEnd(c net.Conn) bool {
+	raw, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	closed := false
+	err = control.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		closed = n == 0 || n < 0 && !isTemporary(err)
+		return closed || n > 0
+	})
+	return err == nil && closed
+}
+
+func isTemporary(err error) bool {
+	return errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR)
+}
+
 // setUserTimeout bounds the time for which sent data may stay unacknowledged.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var optionErr error
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -49,6 +49,13 @@
 	return &Client{Codec: codec, DialTimeout: dialTimeout, conns: connPool{clock: c}}
 }
 
+// WatchIdleConns makes the client call a function, in a goroutine of its own, when the last idle
+// connection to an upstream was closed by the upstream without notice. It is called before the
+// first request.
+func (c *Client) WatchIdleConns(ended func(id ident.Upstream, address netip.AddrPort)) {
+	c.conns.ended = func(k connKey) { ended(k.upstream, k.address) }
+}
+
 // CloseExpiredConns closes connections that have been idle for too long. It must be
 // called every few seconds.
 func (c *Client) CloseExpiredConns() {
--- a/io/proxy/lost.go
+++ b/io/proxy/lost.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/juju/errors"
@@ -64,16 +65,35 @@
 // hasEnded reports whether an upstream accepts no connections after an attempt there has
 // failed. One that only broke off an answer accepts them.
 func (p *Proxy) hasEnded(ctx context.Context, lease *pool.Lease, f *result.Failure) bool {
-	if f.Reason == result.UpstreamFailed {
-		return true
-	}
-	// All requests that were there fail at once; one of them checks for all.
-	ended, _, _ := p.endChecks.Do(string(lease.Upstream.ID), func() (any, error) {
+	return f.Reason == result.UpstreamFailed || p.refusesConnections(ctx, lease.Upstream.ID, lease.Upstream.Address)
+}
+
+// refusesConnections reports whether no connection to an upstream opens. All requests and
+// connections that were there fail at once; one of them checks for all.
+func (p *Proxy) refusesConnections(ctx context.Context, id ident.Upstream, address netip.AddrPort) bool {
+	refuses, _, _ := p.endChecks.Do(string(id), func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endCheckTimeout)
 		defer cancel()
-		return !p.UpstreamClient.CanConnect(ctx, lease.Upstream.ID, lease.Upstream.Address), nil
+		return !p.UpstreamClient.CanConnect(ctx, id, address), nil
 	})
-	return ended == true
+	return refuses == true
+}
+
+// ConnsClosed checks whether an upstream has ended after it has closed its connections here
+// without notice. It may be back before the list shows that it has started again.
+func (p *Proxy) ConnsClosed(id ident.Upstream, address netip.AddrPort) {
+	ctx := context.Background()
+	if !p.Pool.ExpectsRequests(id, address) || !p.refusesConnections(ctx, id, address) {
+		return
+	}
+	if !p.reachesOthers(ctx, id) {
+		p.Metrics.Events.Add("failures-without-reach", 1)
+		return
+	}
+	if p.Pool.MarkEnded(p.Clock.Now(), id, address) {
+		p.Metrics.Events.Add("upstreams-ended", 1)
+		p.Log.Info().Str("peer", string(id)).Msg("upstream has ended: it closed its connections and takes no new one")
+	}
 }
 
 // otherTargets is the number of further upstreams that show whether this instance is cut off.
--- a/io/syncer/syncer.go
+++ b/io/syncer/syncer.go
@@ -339,6 +339,7 @@
 		r.UpstreamLoads = l.opts.Pool.UpstreamLoads(now)
 		r.UpstreamLimits = l.opts.Pool.UpstreamLimits(now)
 		r.LeavingUpstreams = l.opts.Pool.LeavingUpstreams()
+		r.EndedUpstreams = l.opts.Pool.EndedUpstreams(now)
 		r.BrittleUpstreams = l.opts.Pool.BrittleUpstreams(now)
 		r.Reach = l.opts.Reach.Report(now)
 		r.ServiceLoads = l.opts.Pool.ServiceLoads(now)
@@ -366,6 +367,10 @@
 		l.opts.Metrics.Events.Add("upstreams-leaving-by-peers", 1)
 		l.opts.Log.Info().Str("upstream", string(run.Upstream)).Msg("upstream leaves, as a peer was told")
 	}
+	for _, e := range l.opts.Pool.SetPeerEnds(now, v.EndedUpstreams(now)) {
+		l.opts.Metrics.Events.Add("upstreams-ended-by-peers", 1)
+		l.opts.Log.Info().Str("upstream", string(e.Upstream)).Dur("age", e.Age).Bool("returned", e.Returned).Msg("upstream has ended, as a peer found")
+	}
 	var loads []gossip.UpstreamLoad
 	alive := []ident.Instance{l.opts.Self.ID}
 	for _, m := range v.Members {
--- a/io/wire/records.go
+++ b/io/wire/records.go
@@ -53,6 +53,9 @@
 	for _, run := range r.LeavingUpstreams {
 		m.Leaving = append(m.Leaving, &UpstreamRun{Upstream: string(run.Upstream), StartMs: startToWire(run.StartTime)})
 	}
+	for _, e := range r.EndedUpstreams {
+		m.Ended = append(m.Ended, &UpstreamEnd{Upstream: string(e.Upstream), StartMs: startToWire(e.StartTime), Returned: e.Returned, AgeMs: milliseconds(e.Age)})
+	}
 	evidenceToWire(m, &r.LossEvidence)
 	m.BegunStreams = StreamsToWire(r.BegunStreams)
 	m.FollowedMs = milliseconds(r.VersionHistory.Followed)
@@ -138,6 +141,13 @@
 	for _, run := range m.GetLeaving() {
 		r.LeavingUpstreams = append(r.LeavingUpstreams, gossip.UpstreamRun{Upstream: ident.Upstream(run.GetUpstream()), StartTime: startFromWire(run.GetStartMs())})
 	}
+	for _, e := range m.GetEnded() {
+		r.EndedUpstreams = append(r.EndedUpstreams, gossip.UpstreamEnd{
+			UpstreamRun: gossip.UpstreamRun{Upstream: ident.Upstream(e.GetUpstream()), StartTime: startFromWire(e.GetStartMs())},
+			Returned:    e.GetReturned(),
+			Age:         time.Duration(e.GetAgeMs()) * time.Millisecond,
+		})
+	}
 	r.LossEvidence = evidenceFromWire(m)
 	r.BegunStreams = StreamsFromWire(m.GetBegunStreams())
 	r.VersionHistory.Followed = time.Duration(m.GetFollowedMs()) * time.Millisecond
