Read the list before a stream goes on at the only version that is known

It can happen here: an instance that is cut off from the store and from its peers went on counting as following the list, and concluded from its old list that one version is in use. What was missing is the age of the list; it can't be bounded by a time, since a version may join and a stream break within any.

The instance now asks for a list that is as new as the request: one read of the changes for all streams that are taken up together.

--- a/core/pool/version.go
+++ b/core/pool/version.go
@@ -191,12 +191,13 @@
 }
 
 // SoleVersion returns the version of a service's software if only one is in use, in all
-// regions, and was so for as long as the streams last that may be taken up.
+// regions, and was so for as long as the streams last that may be taken up. That is by the list
+// that is held, which may be old.
 func (p *Pool) SoleVersion(now time.Time, service ident.Service, streamLife time.Duration) (string, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	v := &p.versions
-	if v.followedSince.IsZero() || now.Sub(v.followedSince) < min(streamLife, versionMemory) {
+	if p.isHeld(now) || v.followedSince.IsZero() || now.Sub(v.followedSince) < min(streamLife, versionMemory) {
 		return "", false
 	}
 	list := v.inUse(now, service)
--- a/io/proxy/resume.go
+++ b/io/proxy/resume.go
@@ -60,36 +60,47 @@
 	return nil
 }
 
-// awaitOrigin returns where a stream began, and waits a moment for a peer to tell it.
+// awaitOrigin returns where a stream began: as it is recorded, or else as follows from the list.
+// It waits a moment for a peer to tell it.
 func (p *Proxy) awaitOrigin(ctx context.Context, call *Call) (gossip.StreamOrigin, bool) {
-	giveUp := call.Arrived.Add(min(originWait, call.Deadline.Sub(call.Arrived)/4))
+	patience := call.Deadline.Sub(call.Arrived) / 4
+	giveUp := call.Arrived.Add(min(originWait, patience))
+	confirmed := false
 	for {
-		origin, ownership := p.origin(call)
-		if ownership == resume.OwnStream {
-			return origin, true
+		origin, ownership := p.recordedOrigin(call)
+		if ownership != resume.UnknownStream {
+			return origin, ownership == resume.OwnStream
+		}
+		if _, sole := p.soleOrigin(call.Route); sole && !confirmed {
+			confirmed = true
+			if p.confirmList(ctx, call, patience) {
+				return p.soleOrigin(call.Route)
+			}
+			continue
 		}
-		if ownership == resume.ForeignStream || call.Resumes == "" || p.Clock.Now().After(giveUp) || !clock.Sleep(ctx, originPollInterval) {
+		if call.Resumes == "" || p.Clock.Now().After(giveUp) || !clock.Sleep(ctx, originPollInterval) {
 			return gossip.StreamOrigin{}, false
 		}
 	}
 }
 
-// origin returns where the stream that a caller takes up began, if that is known.
-func (p *Proxy) origin(call *Call) (gossip.StreamOrigin, resume.Ownership) {
-	if call.Resumes != "" {
-		origin, ownership := p.Streams.LookupIn(call.workspaceName(), call.Resumes)
-		if ownership != resume.UnknownStream {
-			return origin, ownership
-		}
-	}
-	if origin, sole := p.soleOrigin(call.Route); sole {
-		return origin, resume.OwnStream
+// confirmList reports whether the list of upstreams that is held is as new as the request.
+func (p *Proxy) confirmList(ctx context.Context, call *Call, patience time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	return p.Loop.ConfirmList(ctx, call.Arrived)
+}
+
+// recordedOrigin returns where the stream that a caller takes up began, if that is recorded.
+func (p *Proxy) recordedOrigin(call *Call) (gossip.StreamOrigin, resume.Ownership) {
+	if call.Resumes == "" {
+		return gossip.StreamOrigin{}, resume.UnknownStream
 	}
-	return gossip.StreamOrigin{}, resume.UnknownStream
+	return p.Streams.LookupIn(call.workspaceName(), call.Resumes)
 }
 
 // soleOrigin returns where all streams of a route began that still last, if that is one service
-// with one version of its software.
+// with one version of its software by the list that is held.
 func (p *Proxy) soleOrigin(route *spec.Route) (gossip.StreamOrigin, bool) {
 	now := p.Clock.Now()
 	if len(route.Targets) != 1 || route.Moved(now) {
--- a/io/syncer/syncer.go
+++ b/io/syncer/syncer.go
@@ -13,6 +13,7 @@
 
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/singleflight"
 
 	"arbutustrestle/core/budget"
 	"arbutustrestle/core/clock"
@@ -130,6 +131,9 @@
 	// watching goroutines read it.
 	paused atomic.Bool
 
+	// confirmations are the reads of ConfirmList under way.
+	confirmations singleflight.Group
+
 	announceMu sync.Mutex
 	// announced holds the streams that peers are told of next.
 	announced []gossip.BegunStreams
