Begin streams that may go on only where the version of the upstream is proved

An upstream that has ended proves no version for 5 s, or until the list shows its new run, at all instances of the region, since ends are told now. Streams of resumable routes begin elsewhere meanwhile; the same is asked where the request leaves, and when its first event is passed on: if the version isn't proved any more, the stream goes on nowhere. While an upstream has answered again that the list doesn't show as new, one version doesn't count as the only one in use. A stream that breaks off after it began is now a sign of the end too, and ends are announced to the region at the next tick (100 ms) instead of with the next heartbeat.

--- a/core/gossip/heartbeat.go
+++ b/core/gossip/heartbeat.go
@@ -62,14 +62,13 @@
 	own.UpstreamLoads = nil
 	own.UpstreamLimits = nil
 	own.LeavingUpstreams = nil
-	own.EndedUpstreams = nil
 	own.BrittleUpstreams = nil
 	heartbeats := s.membershipHeartbeats(now, regional, contacts, own)
 	own.VersionHistory = VersionHistory{}
 	heartbeats = append(heartbeats, s.regionHeartbeats(now, regional, own)...)
 	heartbeats = append(heartbeats, s.remoteHeartbeats(now, contacts, own)...)
 	heartbeats = append(heartbeats, s.askHeartbeat(now, own)...)
-	s.announcing = false
+	s.announcing, s.announcingInRegion = false, false
 	return append(heartbeats, s.retryHeartbeats(now, silent, len(regional)+len(remote) == 0, own)...)
 }
 
@@ -100,7 +99,8 @@
 // regionHeartbeats returns the heartbeats to instances of the region, which carry this
 // instance's upstream loads, and what it has heard of other regions.
 func (s *State) regionHeartbeats(now time.Time, regional []*peerState, own Record) []Heartbeat {
-	if !due(&s.lastRegion, now, regionInterval(len(regional)+1)) && !s.announcing {
+	announcing := s.announcing || s.announcingInRegion
+	if !due(&s.lastRegion, now, regionInterval(len(regional)+1)) && !announcing {
 		return s.greetings(own)
 	}
 	s.unacquainted = nil
@@ -113,7 +113,7 @@
 	reported := min(reportFanout, len(chosen))
 	heartbeats := appendHeartbeats(nil, chosen[:reported], append(slices.Clip(records), s.loadReports(now)...))
 	heartbeats = appendHeartbeats(heartbeats, chosen[reported:], records)
-	if s.self.WatchesPlatform || s.announcing {
+	if s.self.WatchesPlatform || announcing {
 		// All peers rely on the heartbeats of a watcher; the loads go to some of them.
 		heartbeats = appendHeartbeats(heartbeats, rest, append([]Record{own}, passedOn...))
 	}
@@ -191,6 +191,11 @@
 	s.announcing = true
 }
 
+// AnnounceInRegion makes the next call of DueHeartbeats send to all instances of the region.
+func (s *State) AnnounceInRegion() {
+	s.announcingInRegion = true
+}
+
 // due reports whether an interval has passed since a time, and if so sets the time to
 // now. It allows half a tick less, since ticks arrive a little late.
 func due(last *time.Time, now time.Time, interval time.Duration) bool {
--- a/core/pool/ended.go
+++ b/core/pool/ended.go
@@ -53,9 +53,10 @@
 
 // recordReturn records an answer to a request that was sent after the upstream had ended. It may
 // have started just now.
-func (r *replica) recordReturn(now, sentAt time.Time) {
+func (p *Pool) recordReturn(now, sentAt time.Time, r *replica) {
 	if r.end.isOpen(now) && sentAt.After(r.end.at) {
 		r.end = runEnd{at: now, returned: true, own: true}
+		p.endNews = true
 	}
 }
 
@@ -63,7 +64,22 @@
 func (l *Lease) MarkEnded(now time.Time) {
 	l.pool.mu.Lock()
 	defer l.pool.mu.Unlock()
-	l.replica.recordEnd(now)
+	l.pool.markEnded(now, l.replica)
+}
+
+func (p *Pool) markEnded(now time.Time, r *replica) {
+	p.endNews = p.endNews || !r.end.isOpen(now)
+	r.recordEnd(now)
+}
+
+// TakeEndNews reports whether this instance has found an upstream to have ended, or to be back,
+// since the last call, before a peer did.
+func (p *Pool) TakeEndNews() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	news := p.endNews
+	p.endNews = false
+	return news
 }
 
 // MarkEnded records that an upstream at an address has ended: its connections have, and it takes
@@ -75,7 +91,7 @@
 	if r == nil || r.Address != address {
 		return false
 	}
-	r.recordEnd(now)
+	p.markEnded(now, r)
 	return true
 }
 
--- a/core/pool/ended_test.go
+++ b/core/pool/ended_test.go
@@ -82,3 +82,46 @@
 	p.ClearUnreachable(u.Service)
 	expectCold(t, p, time.Second, true)
 }
+
+// TestVersionAfterEnd guards against a stream that is bound to the version of the run before: it
+// began at an upstream that has ended and come back with other software before the list shows
+// that. Nor may one version count as the only one in use meanwhile.
+func TestVersionAfterEnd(t *testing.T) {
+	p := newPool("entry-1", 1)
+	p.MarkListRead(start, time.Time{})
+	begun := prompt("a", 0)
+	begun.VersionBound.Proved = true
+	now := start.Add(versionMemory)
+	p.SetRegion(now, []ident.Instance{"entry-1"}, true)
+	lease, found := p.Pick(now, begun)
+	if !found {
+		t.Fatal("no upstream for a stream that begins")
+	}
+	if _, sole := p.SoleVersion(now, "chat", time.Second); !sole {
+		t.Fatal("the only version isn't known")
+	}
+	u := testUpstream(0)
+	p.SetPeerEnds(now, []gossip.UpstreamEnd{{UpstreamRun: gossip.UpstreamRun{Upstream: u.ID, StartTime: u.StartTime}}})
+	if _, admitted := lease.AdmitSend(now); admitted {
+		t.Error("a stream is sent to an upstream whose version isn't proved")
+	}
+	if _, found := p.Pick(now, begun); found {
+		t.Error("an upstream whose version isn't proved is chosen for a stream")
+	}
+	other, found := p.Pick(now, prompt("a", 0))
+	if !found {
+		t.Fatal("no other request is sent there")
+	}
+	now = now.Add(time.Millisecond)
+	other.started = now
+	other.ResponseReceived(now)
+	if _, sole := p.SoleVersion(now, "chat", time.Second); sole {
+		t.Error("one version counts as the only one in use")
+	}
+	next := u
+	next.StartTime = now
+	p.SetUpstream(now, next)
+	if _, found := p.Pick(now, begun); !found {
+		t.Error("not chosen for a stream once the list shows the new run")
+	}
+}
--- a/core/pool/lease.go
+++ b/core/pool/lease.go
@@ -81,7 +81,7 @@
 	l.pool.mu.Lock()
 	defer l.pool.mu.Unlock()
 	l.replica.lastActivity = now
-	l.replica.recordReturn(now, l.started)
+	l.pool.recordReturn(now, l.started, l.replica)
 	if !l.removeFromBacklog() {
 		return
 	}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -52,6 +52,8 @@
 	// unlisted holds the upstreams that have left the list, for unlistedMemory or for as
 	// long as they would be cold.
 	unlisted map[ident.Upstream]unlisted
+	// endNews is set until peers are told that an upstream has ended or returned.
+	endNews  bool
 	versions versions
 	// meanLoadAge is the mean age of the load reports of peers. sendRates holds the rate
 	// at which this instance sends requests for each service.
--- a/core/pool/version.go
+++ b/core/pool/version.go
@@ -27,11 +27,26 @@
 type VersionBound struct {
 	Bound   bool
 	Version string
+	// Proved is set for a request that begins a stream which may go on later: the version of its
+	// upstream must be the listed one.
+	Proved bool
+	// Unknown is set, with Bound, if the version that began the stream isn't proved: it goes on
+	// nowhere.
+	Unknown bool
 }
 
 // allows reports whether the bound allows an upstream.
 func (b VersionBound) allows(now time.Time, r *replica) bool {
-	return !b.Bound || r.Version == b.Version && now.Sub(r.endedAt) >= unprovenTime
+	if b.Unknown || b.Bound && r.Version != b.Version {
+		return false
+	}
+	return !b.Bound && !b.Proved || r.versionProved(now)
+}
+
+// versionProved reports whether the listed version is that of the software at the address: the
+// run that the list describes is not known to have ended, here or by a peer.
+func (r *replica) versionProved(now time.Time) bool {
+	return now.Sub(r.endedAt) >= unprovenTime && now.Sub(r.end.at) >= unprovenTime
 }
 
 // versions holds which versions of each service are in use, in all regions. Its zero value
@@ -201,8 +216,28 @@
 		return "", false
 	}
 	list := v.inUse(now, service)
-	if len(list) != 1 {
+	if len(list) != 1 || p.mayHaveNewVersion(now, service) {
 		return "", false
 	}
 	return list[0], true
 }
+
+// ProvesVersion reports whether the request's upstream has the version with which it was chosen:
+// its run isn't known to have ended, nor to have been followed by one with another version.
+func (l *Lease) ProvesVersion(now time.Time) bool {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	current := l.pool.replicas[l.replica.ID]
+	return l.replica.versionProved(now) && (current == nil || current.Version == l.replica.Version)
+}
+
+// mayHaveNewVersion reports whether an upstream of a service has come back, maybe with other
+// software than the list shows.
+func (p *Pool) mayHaveNewVersion(now time.Time, service ident.Service) bool {
+	for _, r := range p.replicas {
+		if r.Service == service && r.end.returned && !r.versionProved(now) {
+			return true
+		}
+	}
+	return false
+}
--- a/core/spill/spill.go
+++ b/core/spill/spill.go
@@ -240,7 +240,7 @@
 		if r.Upstreams == 0 || !req.Allowed(r.Name) || slices.Contains(req.Excluded, r.Name) {
 			continue
 		}
-		if req.VersionBound.Bound && !slices.Contains(r.Versions, req.VersionBound.Version) {
+		if req.VersionBound.Unknown || req.VersionBound.Bound && !slices.Contains(r.Versions, req.VersionBound.Version) {
 			continue
 		}
 		c := t.project(now, req, r)
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -145,6 +145,7 @@
 func (p *Proxy) useLease(ctx context.Context, cancel context.CancelCauseFunc, call *Call, lease *pool.Lease, pass func(a *http1.Answer, onPart func()) *result.Failure) *result.Failure {
 	call.peer = string(lease.Upstream.ID)
 	call.upstreamVersion = lease.Upstream.Version
+	call.lease = lease
 	call.countSend()
 	watch := p.watchUpstream(ctx, call, lease, cancel)
 	defer watch.stop()
@@ -285,6 +286,7 @@
 // there, and passes the answer on.
 func (p *Proxy) relayTo(ctx context.Context, call *Call, address netip.AddrPort, firstByte time.Duration, sink Sink) *result.Failure {
 	call.upstreamVersion = ""
+	call.lease = nil
 	call.countSend()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -120,6 +120,8 @@
 	// upstreamVersion the version of an upstream's software.
 	peer            string
 	upstreamVersion string
+	// lease is that of the last attempt at an upstream of this region; nil if it went elsewhere.
+	lease *pool.Lease
 	// waits is set while the request may wait in the queue of this instance, ticket is its
 	// place there, and queued the time that it has waited. localFull is set while a request
 	// that goes before it waits for an upstream of this region.
@@ -225,6 +227,8 @@
 
 // poolRequest returns the parameters for choosing an upstream.
 func (c *Call) poolRequest() pool.Request {
+	bound := c.versionBound
+	bound.Proved = c.Route.Resumable
 	return pool.Request{
 		Service:  c.Service,
 		Tokens:   c.PromptTokens,
@@ -232,7 +236,7 @@
 		Priority: c.Priority(),
 		Excluded: c.tried,
 
-		VersionBound: c.versionBound,
+		VersionBound: bound,
 	}
 }
 
--- a/io/proxy/lost.go
+++ b/io/proxy/lost.go
@@ -30,11 +30,11 @@
 	maxEvidenceParts = 32
 )
 
-// recordLoss checks after a failed attempt whether the request was lost: its upstream ended
-// before its answer began. An upstream that can't be reached any more because this instance was
-// cut off looks the same, so that another one must be reached.
+// recordLoss checks after a failed attempt whether its upstream has ended, and whether the request
+// was lost with it before its answer began. An upstream that can't be reached any more because
+// this instance was cut off looks the same, so that another one must be reached.
 func (p *Proxy) recordLoss(ctx context.Context, call *Call, lease *pool.Lease, attempt *reach.Attempt, f *result.Failure, begun bool) {
-	if f == nil || begun || !mayHaveEnded(f) || !p.hasEnded(ctx, lease, f) {
+	if f == nil || !mayHaveEnded(f) || !p.hasEnded(ctx, lease, f) {
 		return
 	}
 	if !attempt.ReachedSince() && !p.reachesOthers(ctx, lease.Upstream.ID) {
@@ -42,6 +42,9 @@
 		return
 	}
 	lease.MarkEnded(p.Clock.Now())
+	if begun {
+		return
+	}
 	changes := p.Poison.RequestLost(p.Clock.Now(), poison.LossID(call.ID, lease.Upstream.ID), call.traits())
 	syncer.RecordConvictions(p.Log, p.Metrics, changes)
 	p.Metrics.Events.Add("requests-lost-before-answer", 1)
--- a/io/proxy/resume.go
+++ b/io/proxy/resume.go
@@ -24,11 +24,17 @@
 	unknownStreamRetryAfter = 500 * time.Millisecond
 )
 
-// bindVersion binds a stream to the version whose event has just been passed on.
+// bindVersion binds a stream to the version whose event has just been passed on. If its upstream
+// may have come back with other software before the stream began, it goes on nowhere.
 func (p *Proxy) bindVersion(call *Call) {
 	if call.versionBound.Bound || !call.Route.Resumable {
 		return
 	}
+	if call.lease != nil && !call.lease.ProvesVersion(p.Clock.Now()) {
+		call.versionBound = pool.VersionBound{Bound: true, Unknown: true}
+		p.Metrics.Events.Add("streams-of-unknown-version", 1)
+		return
+	}
 	call.versionBound = pool.VersionBound{Bound: true, Version: call.upstreamVersion}
 	p.recordOrigin(call, call.ID, gossip.StreamOrigin{Service: call.Service, Version: call.upstreamVersion})
 }
--- a/io/syncer/syncer.go
+++ b/io/syncer/syncer.go
@@ -351,6 +351,9 @@
 		r.BegunStreams = l.opts.Streams.Report(now, l.Ambiguous)
 		r.VersionHistory = l.opts.Pool.VersionHistory(now)
 	})
+	if l.opts.Pool.TakeEndNews() {
+		l.membership.AnnounceInRegion()
+	}
 	for _, hb := range l.membership.DueHeartbeats(now) {
 		l.send(ctx, hb)
 	}
