Don't end a stream as complete where the end of its last part proves nothing

What an answer's end proves is the weakest of its parts: such an end is now a break, so that the stream goes on elsewhere if attempts are left, or ends as cut.

TestEndOfLaterPart/chunks,_then_close failed before. Other places: plain answers have one part; a relayed answer carries the framing of its upstream, and goes on here.

--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -178,6 +178,10 @@
 		// Nothing shows that the stream had its last event before it broke off.
 		return p.answerFailure(ctx, call, result.AnswerMismatch, errors.New("no event instead of the rest of a stream"))
 	}
+	if goesOn && a.Framing == http1.FramedByClose && call.headFraming != http1.FramedByClose {
+		// The end that the caller gets must not prove more than this one does.
+		return p.answerFailure(ctx, call, result.AnswerCut, errors.New("the end of the rest of a stream proves nothing"))
+	}
 	return p.finishStream(call, a, splitter, sink)
 }
 
@@ -210,6 +214,7 @@
 		return nil
 	}
 	p.markHeadSent(call, a.Status)
+	call.headFraming = a.Framing
 	if err := sink.WriteHead(AnswerHead{Status: a.Status, Header: a.Header, Framing: a.Framing, Length: -1}); err != nil {
 		return callerGone(call, err)
 	}
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -139,6 +139,8 @@
 	// time between two parts.
 	lastPartAt   time.Time
 	longestPause time.Duration
+	// headFraming is the framing that the caller was given with the head of a stream.
+	headFraming http1.Framing
 	// framing is how the sender of the last answer marked its end, and insideEvent
 	// whether that answer, a stream, ended inside an event.
 	framing     http1.Framing
