Begin a stream at an upstream of unproved version where no other takes it

Such a stream begins now, and goes on nowhere if it breaks off. A relayed one is refused as before, since its version is told to the instance that it came to. All of io/proxy passes.

--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -22,6 +22,9 @@
 	Excluded []ident.Upstream
 	// VersionBound is set for a request that goes on with a stream.
 	VersionBound VersionBound
+	// UnprovedSuffices is set for a request that begins a stream, if an upstream whose version
+	// isn't proved is better than none: the stream can't go on elsewhere then.
+	UnprovedSuffices bool
 }
 
 // Projection is the projected latency of a request at an upstream.
@@ -43,6 +46,8 @@
 	uncached int
 	held     prefix.Estimate
 	affinity affinity
+	// versionBound is that under which the upstream was found.
+	versionBound VersionBound
 	// excess is the part of FirstByte that applies to the whole service and not to this
 	// upstream in particular.
 	excess time.Duration
@@ -89,7 +94,7 @@
 		CachedTokens:   req.Tokens - best.uncached,
 		held:           best.held,
 		affinity:       best.affinity,
-		versionBound:   req.VersionBound,
+		versionBound:   best.versionBound,
 		excess:         best.excess,
 		request:        request,
 		pool:           p,
@@ -98,7 +103,18 @@
 	}, true
 }
 
+// best returns the upstream with the lowest cost. A version that isn't proved suffices only where
+// no upstream has a proved one.
 func (p *Pool) best(now time.Time, req Request) (candidate, bool) {
+	best, found := p.bestAllowed(now, req)
+	if found || !req.UnprovedSuffices {
+		return best, found
+	}
+	req.VersionBound.Proved = false
+	return p.bestAllowed(now, req)
+}
+
+func (p *Pool) bestAllowed(now time.Time, req Request) (candidate, bool) {
 	var best candidate
 	found := false
 	prompt := p.viewPrompt(now, req)
@@ -112,6 +128,7 @@
 		c.cost += sampler.sample(r.ID)
 		if !found || c.cost < best.cost || c.cost == best.cost && c.replica.ID < best.replica.ID {
 			best = c
+			best.versionBound = req.VersionBound
 			found = true
 		}
 	}
--- a/core/pool/ended_test.go
+++ b/core/pool/ended_test.go
@@ -118,6 +118,13 @@
 	if _, sole := p.SoleVersion(now, "chat", time.Second); sole {
 		t.Error("one version counts as the only one in use")
 	}
+	now = now.Add(time.Second)
+	p.SetRegion(now, []ident.Instance{"entry-1"}, true)
+	unproved := begun
+	unproved.UnprovedSuffices = true
+	if l, found := p.Pick(now, unproved); !found || l.ProvesVersion(now) {
+		t.Error("a stream that need not go on isn't begun, or its version counts as proved")
+	}
 	next := u
 	next.StartTime = now
 	p.SetUpstream(now, next)
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -120,6 +120,8 @@
 	// upstreamVersion the version of an upstream's software.
 	peer            string
 	upstreamVersion string
+	// relayed is set if another instance has accepted the request.
+	relayed bool
 	// lease is that of the last attempt at an upstream of this region; nil if it went elsewhere.
 	lease *pool.Lease
 	// waits is set while the request may wait in the queue of this instance, ticket is its
@@ -238,7 +240,8 @@
 		Priority: c.Priority(),
 		Excluded: c.tried,
 
-		VersionBound: bound,
+		VersionBound:     bound,
+		UnprovedSuffices: !c.relayed && !bound.Bound,
 	}
 }
 
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -29,6 +29,7 @@
 			Header:       request.Attempt.Header,
 		},
 		versionBound: request.VersionBound,
+		relayed:      true,
 		Host:         request.Attempt.Host,
 		Method:       request.Attempt.Method,
 		Target:       request.Attempt.Target,
