Bound the bodies that an instance holds by its memory, and refuse what doesn't fit

Bodies were bounded each, not all together, were copied while they were read and once more when they were sent, and the runtime knew no limit. Long bodies are sent without a copy. The garbage collector is told of 0.65 of the memory. Relayed bodies count too.

Endless heads and bodies of upstreams were bounded before (io/http1/bounds.go, TestEndless*): heads at 64 KB, with interim and late answers; bodies are passed on in parts, answers held for another attempt at maxHeldBytes. Not in the budget: those held answers, events that are not whole, relayed frames on their way, the config.

--- a/io/config/gateway.go
+++ b/io/config/gateway.go
@@ -48,6 +48,8 @@
 	// QueueRequests is set if requests wait at the instance, in order, while upstreams have
 	// no capacity for them.
 	QueueRequests bool
+	// MemoryBytes is the memory that the process may use; zero if that isn't bounded.
+	MemoryBytes int64
 	// PromptRate is the number of prompt tokens that an engine is assumed to process in
 	// a millisecond until its rate has been observed.
 	PromptRate float64
@@ -93,6 +95,7 @@
 		{path{"bounds", "quota-slack"}, "0", number(&g.Bounds.QuotaSlack, 0, maxQuotaSlack)},
 		{path{"bounds", "grace"}, "8s", duration(&g.Bounds.Grace, time.Second, time.Hour)},
 		{path{"bounds", "directory-hold"}, "1s", duration(&g.Bounds.DirectoryHold, time.Second, time.Minute)},
+		{path{"limits", "memory"}, "0", megabytes(&g.MemoryBytes)},
 		{path{"queue", "enabled"}, "no", yesNo(&g.QueueRequests)},
 		{path{"engines", "prompt-rate"}, "80", number(&g.PromptRate, 0.01, 1e6)},
 	}
@@ -118,6 +121,7 @@
 		{"platform.address", g.PlatformAddress != other.PlatformAddress},
 		{"log.level", g.LogLevel != other.LogLevel},
 		{"bounds", g.Bounds != other.Bounds},
+		{"limits.memory", g.MemoryBytes != other.MemoryBytes},
 		{"queue.enabled", g.QueueRequests != other.QueueRequests},
 		{"engines.prompt-rate", g.PromptRate != other.PromptRate},
 	} {
@@ -198,6 +202,21 @@
 	}
 }
 
+// maxMemory detects typing errors.
+const maxMemory = 1 << 20
+
+// megabytes parses a number of MB, of 2^20 bytes each.
+func megabytes(into *int64) parseFunc {
+	return func(text string) (string, string) {
+		var parsed float64
+		if problem, remedy := number(&parsed, 0, maxMemory)(text); problem != "" {
+			return problem, remedy
+		}
+		*into = int64(parsed * (1 << 20))
+		return "", ""
+	}
+}
+
 // yesNo parses "yes" or "no".
 func yesNo(into *bool) parseFunc {
 	return func(text string) (string, string) {
--- a/io/daemon/gateway.go
+++ b/io/daemon/gateway.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"sync"
 	"syscall"
 	"time"
@@ -22,6 +23,7 @@
 	"arbutustrestle/core/gossip"
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/member"
+	"arbutustrestle/core/memory"
 	"arbutustrestle/core/mirror"
 	"arbutustrestle/core/poison"
 	"arbutustrestle/core/pool"
@@ -102,6 +104,23 @@
 	}
 }
 
+const (
+	// bodyMemoryPart is the part of the memory that bodies of requests may take. What the
+	// instance itself needs, what the kernel holds of bodies that haven't been read, and
+	// garbage that isn't collected yet take the rest.
+	bodyMemoryPart = 4
+	// heapMemoryShare is the share of the memory from which on garbage is collected sooner. The
+	// rest is for stacks, the kernel's buffers and what grows while a collection runs.
+	heapMemoryShare = 0.65
+)
+
+// limitHeap makes the runtime collect garbage in time for the memory of the process.
+func limitHeap(s config.Gateway) {
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(heapMemoryShare * float64(s.MemoryBytes)))
+	}
+}
+
 func newGatewayLinks(self link.Identity) *link.Pool {
 	return &link.Pool{Self: self, KeepAlive: linkKeepAlive}
 }
@@ -214,6 +233,7 @@
 		UpstreamClient: p.UpstreamClient,
 		Links:          p.Links,
 		Latencies:      p.Latencies,
+		Memory:         &memory.Budget{Limit: p.Settings.MemoryBytes / bodyMemoryPart},
 		QueueRequests:  p.Settings.QueueRequests,
 	}
 	p.UpstreamClient.WatchIdleConns(requests.ConnsClosed)
@@ -270,6 +290,7 @@
 )
 
 func newGateway(p gatewayParams) *gateway {
+	limitHeap(p.Settings)
 	p.Latencies.Register(p.Metrics)
 	p.Proxy.RegisterQueue(p.Metrics)
 	p.Metrics.Func("upstream-dials", func() any { return p.UpstreamClient.DialCount.Load() })
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -252,8 +252,15 @@
 	}
 	_ = header.Write(&b)
 	b.WriteString("\r\n")
-	b.Write(a.Body)
-	_, err := x.conn.Write(b.Bytes())
+	if len(a.Body) <= maxInlineWrite {
+		b.Write(a.Body)
+		_, err := x.conn.Write(b.Bytes())
+		x.writeResult <- err
+		return
+	}
+	// A long body isn't copied.
+	parts := net.Buffers{b.Bytes(), a.Body}
+	_, err := parts.WriteTo(x.conn.Conn)
 	x.writeResult <- err
 }
 
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -13,6 +13,7 @@
 	"arbutustrestle/core/clock"
 	"arbutustrestle/core/gossip"
 	"arbutustrestle/core/ident"
+	"arbutustrestle/core/memory"
 	"arbutustrestle/core/poison"
 	"arbutustrestle/core/pool"
 	"arbutustrestle/core/quota"
@@ -47,6 +48,8 @@
 	UpstreamClient *http1.Client
 	Links          *link.Pool
 	Latencies      *Latencies
+	// Memory bounds the bodies of all requests together; nil if nothing does.
+	Memory *memory.Budget
 	// QueueRequests is set if requests wait here while upstreams have no capacity for them; it
 	// is the settings key queue.enabled.
 	QueueRequests bool
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -10,6 +10,7 @@
 
 	"arbutustrestle/core/gossip"
 	"arbutustrestle/core/ident"
+	"arbutustrestle/core/memory"
 	"arbutustrestle/core/pool"
 	"arbutustrestle/core/queue"
 	"arbutustrestle/core/result"
@@ -110,6 +111,8 @@
 	// status code in it.
 	headSent bool
 	status   int
+	// memory holds the bytes of the body.
+	memory memory.Share
 	// bodyUnread is set if the request is answered without its body having been read.
 	bodyUnread bool
 	// evidenceTraits is set by traits.
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -50,6 +50,8 @@
 	}
 	p.activity.requests.Add(1)
 	defer p.activity.requests.Add(-1)
+	call.memory = p.Memory.NewShare()
+	defer call.memory.Release()
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
 	go relay.CancelOnClose(s, cancel)
@@ -77,6 +79,9 @@
 	if !p.admits(call.Deadline) {
 		return refuse(result.StepAdmit, result.Draining, 0)
 	}
+	if !call.memory.Grow(int64(len(call.Body))) {
+		return refuse(result.StepAdmit, result.Overloaded, 0)
+	}
 	if refusal := p.refusePoisoned(call); refusal != nil {
 		return refusal
 	}
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -70,7 +68,8 @@
 	if view.Phase >= member.Draining {
 		w.Header().Set("Connection", "close")
 	}
-	call := &Call{Arrived: p.Clock.Now()}
+	call := &Call{Arrived: p.Clock.Now(), memory: p.Memory.NewShare()}
+	defer call.memory.Release()
 	sink := &httpSink{writer: w, control: http.NewResponseController(w), chunksAllowed: r.ProtoAtLeast(1, 1)}
 	defer p.endPanicked(codec, w, call, sink)
 	failure := p.identify(codec, view, call, r, sink.control)
@@ -223,30 +222,6 @@
 	return &result.Failure{Outcome: result.NotRun, Step: result.StepIdentify, Reason: reason, Cause: err}
 }
 
-func readBody(call *Call, r *http.Request, limit int64) *result.Failure {
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	if r.ContentLength > limit {
-		return badRequest(result.BodyTooLarge, errors.Errorf("body of %d bytes exceeds the limit of %d", r.ContentLength, limit))
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return badRequest(result.BodyTooSlow, err)
-	}
-	if err != nil {
-		return badRequest(result.CallerGone, err)
-	}
-	if int64(len(body)) > limit {
-		return badRequest(result.BodyTooLarge, errors.Errorf("body exceeds the limit of %d bytes", limit))
-	}
-	call.Body = body
-	return nil
-}
-
-// defaultBodyBytes bounds request bodies if operators set no limit.
-const defaultBodyBytes = 8 << 20
-
 // writeError writes the error answer for a request that was not served.
 func (p *Proxy) writeError(codec CallerCodec, w http.ResponseWriter, call *Call, f *result.Failure) {
 	h := w.Header()
