--- a/core/pool/ended_test.go
+++ b/core/pool/ended_test.go
@@ -79,7 +79,7 @@
 	p := newPool("entry-1", 1)
 	u := testUpstream(0)
 	p.MarkEnded(start, u.ID, u.Address)
-	p.ClearUnreachable(u.Service)
+	p.ClearUnreachable(u.Service, true)
 	expectCold(t, p, time.Second, true)
 }
 
--- a/core/pool/reach.go
+++ b/core/pool/reach.go
@@ -25,9 +25,10 @@
 	r.recordFailure(now)
 }
 
-// ClearUnreachable reverts the backoff and the cold state that failed attempts at the upstreams
-// of a service have led to: it was this instance that was cut off from them.
-func (p *Pool) ClearUnreachable(service ident.Service) {
+// ClearUnreachable reverts what failed attempts at the upstreams of a service have led to: it was
+// this instance that was cut off from them. That is the backoff and, if the list is known to be new,
+// the cold state: otherwise one of them may have restarted behind the cut.
+func (p *Pool) ClearUnreachable(service ident.Service, newList bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, r := range p.replicas {
@@ -35,7 +36,9 @@
 			continue
 		}
 		r.recordSuccess()
-		r.dialColdUntil = time.Time{}
+		if newList {
+			r.dialColdUntil = time.Time{}
+		}
 	}
 }
 
--- a/core/pool/reach_test.go
+++ b/core/pool/reach_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"arbutustrestle/core/ident"
 )
 
 // TestColdAcrossCut guards against a cold upstream that is flooded at the end of a cut: what it
@@ -33,7 +35,7 @@
 			}
 			lease.End(start, Unreachable)
 			c.says(p, lease)
-			p.ClearUnreachable("chat")
+			p.ClearUnreachable("chat", true)
 			if !p.isCold(start.Add(time.Second), p.replicas["engine-0"]) {
 				t.Error("the upstream counts as warm after the cut")
 			}
@@ -47,8 +49,24 @@
 	p := newPool("entry-1", 1)
 	lease, _ := p.Pick(start, prompt("a", 0))
 	lease.End(start, Unreachable)
-	p.ClearUnreachable("chat")
+	p.ClearUnreachable("chat", true)
 	if p.isCold(start.Add(time.Second), p.replicas["engine-0"]) {
 		t.Error("the upstream counts as cold after the cut")
 	}
 }
+
+// TestColdAfterCutWithOldList guards against upstreams that are flooded at the end of a cut because
+// they have restarted behind it, while the list could not be read either.
+func TestColdAfterCutWithOldList(t *testing.T) {
+	p := newPool("entry-1", 1)
+	p.SetRegion(start, []ident.Instance{"entry-1"}, true)
+	lease, _ := p.Pick(start, prompt("a", 0))
+	lease.End(start, Unreachable)
+	p.ClearUnreachable("chat", false)
+	if !p.isCold(start.Add(warmupTime-time.Millisecond), p.replicas["engine-0"]) {
+		t.Error("the upstream counts as warm after the cut")
+	}
+	if _, found := p.Pick(start, prompt("a", 0)); !found {
+		t.Error("no request is sent to find out")
+	}
+}
--- a/io/proxy/reach.go
+++ b/io/proxy/reach.go
@@ -160,7 +160,7 @@
 			}
 		}
 		cutNow, closedNow := p.Reach.CutServices(now)
-		p.recordCutChanges(cut, cutNow)
+		p.recordCutChanges(ctx, cut, cutNow)
 		p.recordClosedChanges(closed, closedNow)
 		cut, closed = cutNow, closedNow
 	}
@@ -176,18 +176,25 @@
 
 // recordCutChanges logs and counts the services that the instance has been cut off from, or reaches
 // again.
-func (p *Proxy) recordCutChanges(before, after []ident.Service) {
+func (p *Proxy) recordCutChanges(ctx context.Context, before, after []ident.Service) {
 	for _, s := range added(before, after) {
 		p.Metrics.Events.Add("cut-off-begun", 1)
 		p.Log.Warn().Str("service", string(s)).Msg("cut off from the upstreams of a service that peers reach; requests are handed to them")
 	}
 	for _, s := range added(after, before) {
-		p.Pool.ClearUnreachable(s)
-		p.Metrics.Events.Add("cut-off-ended", 1)
-		p.Log.Info().Str("service", string(s)).Msg("upstreams of a service are reached again")
+		go p.endCut(ctx, s)
 	}
 }
 
+// endCut makes a service's upstreams usable again. Those that have restarted behind the cut have
+// written their entries by now.
+func (p *Proxy) endCut(ctx context.Context, s ident.Service) {
+	newList := p.Loop.ConfirmList(ctx, p.Clock.Now())
+	p.Pool.ClearUnreachable(s, newList)
+	p.Metrics.Events.Add("cut-off-ended", 1)
+	p.Log.Info().Str("service", string(s)).Bool("list-confirmed", newList).Msg("upstreams of a service are reached again")
+}
+
 // recordClosedChanges does the same for services to which no connection opens, while no peer is
 // known to reach them.
 func (p *Proxy) recordClosedChanges(before, after []ident.Service) {
