Don't look at an idle connection that its watch has locked

Cause: a watch that found its connection closed asked whether the others to the same upstream were open, with the list of idle connections locked; that look waits for the lock which the watch of the other connection holds until it ends. So the list stayed locked, and the loop, which closes expired connections, with it. Whether another one is open now follows from whether its watch still waits. TestWatchIdleConns asks for the list after each case, and failed before in 'one of two is closed'; it did not see it before, since that case expects no report.

--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -164,7 +164,18 @@
 	}
 	_ = c.Close()
 	p.idle[c.key] = slices.Delete(list, i, i+1)
-	return p.clock.Now().Before(c.idleUntil) && !slices.ContainsFunc(p.idle[c.key], func(c *conn) bool { return isIdle(c.Conn) })
+	return p.clock.Now().Before(c.idleUntil) && !slices.ContainsFunc(p.idle[c.key], (*conn).seemsOpen)
+}
+
+// seemsOpen reports whether the watch of an idle connection still waits. It must not look at the
+// connection itself, which the watch has locked.
+func (c *conn) seemsOpen() bool {
+	select {
+	case <-c.watched:
+		return false
+	default:
+		return true
+	}
 }
 
 // stopWatch ends the watch of a connection that was idle.
--- a/io/http1/watch_test.go
+++ b/io/http1/watch_test.go
@@ -66,6 +66,17 @@
 				client.conns.put(opened, time.Minute)
 			}
 			c.act(client, pairs)
+			waited := make(chan struct{})
+			go func() {
+				time.Sleep(50 * time.Millisecond)
+				client.CloseExpiredConns()
+				close(waited)
+			}()
+			select {
+			case <-waited:
+			case <-time.After(5 * time.Second):
+				t.Fatal("a watch locks the idle connections")
+			}
 			select {
 			case <-ended:
 				if !c.want {
