Don't take an entry of an earlier run of an upstream for a later one

The start of a run was compared only after the store had come back from an older copy.

An entry of an earlier run isn't taken for 10 s after the later one was first listed; then it is, since the later one may have been another writer's. Logged and counted (entries-of-earlier-runs). Left: the versions that other regions list follow such an entry for that time.

--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -138,13 +138,17 @@
 func (p *Pool) SetUpstream(now time.Time, u Upstream) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	r := p.replicas[u.ID]
+	if r != nil && r.outdates(now, u) {
+		return false
+	}
 	p.versions.set(now, u)
 	if u.Region != p.settings.Region {
 		return false
 	}
-	r := p.replicas[u.ID]
 	if r == nil || r.isNewRun(u) {
 		r = newReplica(u)
+		r.listedAt = now
 		r.markCold(now, u.WarmupLeft)
 		p.takeUnlisted(r)
 		p.replicas[u.ID] = r
@@ -174,6 +178,29 @@
 	return found && !before.replica.isOlderThan(&u)
 }
 
+// lateWriteTime is how long after the first description of a run one of an earlier run may still
+// come: the store may do what that run wrote seconds later. One that comes after that is taken, since
+// the description of the later run may have been another writer's.
+const lateWriteTime = 10 * time.Second
+
+// outdates reports whether a list entry describes an earlier run than the one held, and was
+// written late.
+func (r *replica) outdates(now time.Time, u Upstream) bool {
+	if u.StartTime.IsZero() || r.StartTime.IsZero() {
+		return false
+	}
+	return u.StartTime.Before(r.StartTime) && now.Sub(r.listedAt) < lateWriteTime
+}
+
+// IsLateWrite reports whether a list entry describes an earlier run than the one held, and is not
+// taken for that.
+func (p *Pool) IsLateWrite(now time.Time, u Upstream) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.replicas[u.ID]
+	return r != nil && r.outdates(now, u)
+}
+
 // isNewRun reports whether a list entry describes another run than the one held.
 func (r *replica) isNewRun(u Upstream) bool {
 	return !u.StartTime.IsZero() && !u.StartTime.Equal(r.StartTime) || u.Address != r.Address || u.Service != r.Service || u.Version != r.Version
--- a/core/pool/replica.go
+++ b/core/pool/replica.go
@@ -66,6 +66,8 @@
 
 	selfReport
 	brittleState
+	// listedAt is when the run was first described.
+	listedAt time.Time
 	// dialColdUntil is until when the upstream counts as cold since no connection to it could be
 	// opened. If it was this instance that was cut off, that is taken back.
 	dialColdUntil time.Time
--- a/io/syncer/activate.go
+++ b/io/syncer/activate.go
@@ -130,6 +130,11 @@
 }
 
 func (l *Loop) setUpstream(now time.Time, c mirror.UpstreamUpdated, revision uint64) {
+	if l.opts.Pool.IsLateWrite(now, c.Upstream) {
+		l.opts.Metrics.Events.Add("entries-of-earlier-runs", 1)
+		l.opts.Log.Info().Str("upstream", string(c.Upstream.ID)).Time("started", c.Upstream.StartTime).EmbedObject(storeRevision(revision)).Msg("description of an upstream not taken; it is of an earlier run than the held one")
+		return
+	}
 	sends := l.opts.Pool.SendsSince(c.Upstream.ID, c.Upstream.StartTime)
 	if l.opts.Pool.SetUpstream(now, c.Upstream) {
 		if c.Upstream.WarmupLeft > 0 {
