Tell of ended upstreams with heartbeats that come sooner, not with one more to the whole region

Found in reading the change: a direct heartbeat without loads replaces those that a peer holds of the sender, so that an announcement to a region of more than 13 instances at each end would have left them without loads for some 0.4 s, on each tick while upstreams end; one with loads to all would take 6 of 10 Mbit/s. The next regular heartbeat is now due after half of the interval, and has all reports, as before to 12 instances each.

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -56,7 +56,7 @@
 	// UpstreamLimits and LeavingUpstreams are sent with UpstreamLoads.
 	UpstreamLimits   []UpstreamLimit
 	LeavingUpstreams []UpstreamRun
-	// EndedUpstreams is sent everywhere, but not in records that a third instance passes on.
+	// EndedUpstreams is sent with UpstreamLoads.
 	EndedUpstreams []UpstreamEnd
 	// BrittleUpstreams is sent with UpstreamLoads. The rate in it is the number of rejections
 	// in a second that the upstream tolerates.
@@ -126,8 +126,8 @@
 	// announcing makes the next heartbeat go to the whole region, and to all instances of
 	// other regions that get any.
 	announcing bool
-	// announcingInRegion makes it go to the whole region only.
-	announcingInRegion bool
+	// urgent makes the next one to instances of the region due sooner.
+	urgent bool
 	// usesContacts is set while heartbeats to other regions go to contacts only.
 	usesContacts bool
 	// ask is an instance that knows of one which this instance doesn't; empty if there is
--- a/core/gossip/heartbeat.go
+++ b/core/gossip/heartbeat.go
@@ -62,13 +62,14 @@
 	own.UpstreamLoads = nil
 	own.UpstreamLimits = nil
 	own.LeavingUpstreams = nil
+	own.EndedUpstreams = nil
 	own.BrittleUpstreams = nil
 	heartbeats := s.membershipHeartbeats(now, regional, contacts, own)
 	own.VersionHistory = VersionHistory{}
 	heartbeats = append(heartbeats, s.regionHeartbeats(now, regional, own)...)
 	heartbeats = append(heartbeats, s.remoteHeartbeats(now, contacts, own)...)
 	heartbeats = append(heartbeats, s.askHeartbeat(now, own)...)
-	s.announcing, s.announcingInRegion = false, false
+	s.announcing = false
 	return append(heartbeats, s.retryHeartbeats(now, silent, len(regional)+len(remote) == 0, own)...)
 }
 
@@ -99,10 +100,14 @@
 // regionHeartbeats returns the heartbeats to instances of the region, which carry this
 // instance's upstream loads, and what it has heard of other regions.
 func (s *State) regionHeartbeats(now time.Time, regional []*peerState, own Record) []Heartbeat {
-	announcing := s.announcing || s.announcingInRegion
-	if !due(&s.lastRegion, now, regionInterval(len(regional)+1)) && !announcing {
+	interval := regionInterval(len(regional) + 1)
+	if s.urgent {
+		interval /= 2
+	}
+	if !due(&s.lastRegion, now, interval) && !s.announcing {
 		return s.greetings(own)
 	}
+	s.urgent = false
 	s.unacquainted = nil
 	chosen, rest := s.regionRotation.next(regional, roundSize(len(regional)))
 	withLoads := s.self
@@ -113,7 +118,7 @@
 	reported := min(reportFanout, len(chosen))
 	heartbeats := appendHeartbeats(nil, chosen[:reported], append(slices.Clip(records), s.loadReports(now)...))
 	heartbeats = appendHeartbeats(heartbeats, chosen[reported:], records)
-	if s.self.WatchesPlatform || announcing {
+	if s.self.WatchesPlatform || s.announcing {
 		// All peers rely on the heartbeats of a watcher; the loads go to some of them.
 		heartbeats = appendHeartbeats(heartbeats, rest, append([]Record{own}, passedOn...))
 	}
@@ -191,9 +196,9 @@
 	s.announcing = true
 }
 
-// AnnounceInRegion makes the next call of DueHeartbeats send to all instances of the region.
-func (s *State) AnnounceInRegion() {
-	s.announcingInRegion = true
+// Hurry makes the next heartbeat to instances of the region due after half of the interval.
+func (s *State) Hurry() {
+	s.urgent = true
 }
 
 // due reports whether an interval has passed since a time, and if so sets the time to
--- a/io/syncer/syncer.go
+++ b/io/syncer/syncer.go
@@ -352,7 +352,7 @@
 		r.VersionHistory = l.opts.Pool.VersionHistory(now)
 	})
 	if l.opts.Pool.TakeEndNews() {
-		l.membership.AnnounceInRegion()
+		l.membership.Hurry()
 	}
 	for _, hb := range l.membership.DueHeartbeats(now) {
 		l.send(ctx, hb)
