Log and count the answers that end with their connection

Before this, nothing told how a caller learns the end of its answer (the framing in an end line is the upstream's), and answers that were under way when their process ended left no trace. New: caller-framing in end lines, the metric close-ended-answers, and close-ended in the line on what a planned stop cuts off. No change of what callers get. go test ./io/proxy passes.

--- a/io/daemon/gateway.go
+++ b/io/daemon/gateway.go
@@ -294,6 +294,7 @@
 	p.Latencies.Register(p.Metrics)
 	p.Proxy.RegisterQueue(p.Metrics)
 	p.Metrics.Func("upstream-dials", func() any { return p.UpstreamClient.DialCount.Load() })
+	p.Metrics.Func("close-ended-answers", func() any { return p.Proxy.CloseEnded() })
 	p.Metrics.Func("quotas", func() any { return p.Proxy.Quota.Counts() })
 	p.Metrics.Func("convicted-traits", func() any { return p.Proxy.Poison.ConvictedTraits() })
 	p.Metrics.Func("log-lines-dropped", func() any { return p.LogWriter.DroppedLines() })
@@ -436,7 +437,7 @@
 	shutdownCtx, cancel := context.WithDeadline(ctx, exit)
 	defer cancel()
 	if err := g.callerServer.Shutdown(shutdownCtx); err != nil {
-		g.log.Warn().Err(err).Int("in-flight", g.proxy.InFlight()).Msg("requests cut off at the end of the grace time")
+		g.log.Warn().Err(err).Int("in-flight", g.proxy.InFlight()).Int("close-ended", g.proxy.CloseEnded()).Msg("requests cut off at the end of the grace time")
 	}
 	for _, s := range g.auxServers {
 		_ = s.Close()
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -146,6 +146,9 @@
 	longestPause time.Duration
 	// headFraming is the framing that the caller was given with the head of a stream.
 	headFraming http1.Framing
+	// callerFraming is how the caller learns where the answer ends; FramingUnknown if it has no
+	// head, or of a relayed request.
+	callerFraming http1.Framing
 	// framing is how the sender of the last answer marked its end, and insideEvent
 	// whether that answer, a stream, ended inside an event.
 	framing     http1.Framing
--- a/io/proxy/record.go
+++ b/io/proxy/record.go
@@ -43,6 +43,9 @@
 	if call.framing != http1.FramingUnknown {
 		line = line.Str("framing", call.framing.String()).Bool("inside-event", call.insideEvent)
 	}
+	if call.callerFraming != http1.FramingUnknown {
+		line = line.Str("caller-framing", call.callerFraming.String())
+	}
 	if f == nil {
 		line.Str("outcome", result.Done.String()).Msg("request answered")
 		return
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -15,6 +15,7 @@
 	"arbutustrestle/core/result"
 	"arbutustrestle/core/spec"
 	"arbutustrestle/io/guard"
+	"arbutustrestle/io/http1"
 	"arbutustrestle/io/syncer"
 )
 
@@ -29,6 +30,8 @@
 // activity tracks the requests that are being served.
 type activity struct {
 	requests atomic.Int64
+	// closeEnded counts the answers that end with their connection.
+	closeEnded atomic.Int64
 	// drain is nil until the instance starts draining.
 	drain atomic.Pointer[DrainSchedule]
 }
@@ -38,6 +41,11 @@
 	return int(p.activity.requests.Load())
 }
 
+// CloseEnded returns the number of answers under way whose end is that of their connection.
+func (p *Proxy) CloseEnded() int {
+	return int(p.activity.closeEnded.Load())
+}
+
 // Drain starts draining: requests that may not finish before the exit are refused, and
 // those that wait for an upstream at once.
 func (p *Proxy) Drain(d DrainSchedule) {
@@ -70,7 +78,8 @@
 	}
 	call := &Call{Arrived: p.Clock.Now(), memory: p.Memory.NewShare()}
 	defer call.memory.Release()
-	sink := &httpSink{writer: w, control: http.NewResponseController(w), chunksAllowed: r.ProtoAtLeast(1, 1)}
+	sink := &httpSink{writer: w, control: http.NewResponseController(w), chunksAllowed: r.ProtoAtLeast(1, 1), closeEnded: &p.activity.closeEnded}
+	defer sink.release()
 	defer p.endPanicked(codec, w, call, sink)
 	failure := p.identify(codec, view, call, r, sink.control)
 	if failure == nil {
@@ -94,6 +103,7 @@
 
 // conclude records the end of a request and answers it if that hasn't been done.
 func (p *Proxy) conclude(codec CallerCodec, w http.ResponseWriter, call *Call, sink *httpSink, failure *result.Failure) {
+	call.callerFraming = sink.framing
 	p.recordEnd(call, failure)
 	if failure == nil {
 		return
@@ -108,7 +118,7 @@
 // look whole. Where the end of the connection is the end of the answer, it resets the
 // connection; elsewhere an orderly close lets the caller read what was sent.
 func (p *Proxy) abortAnswer(call *Call, sink *httpSink) {
-	if sink.endsWithConn {
+	if sink.framing == http1.FramedByClose {
 		if err := sink.reset(); err != nil {
 			p.Log.Error().Err(err).Str("request-id", call.ID).Msg("connection of a caller not reset; its incomplete answer may look whole")
 		}
--- a/io/proxy/sink.go
+++ b/io/proxy/sink.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 
 	"github.com/juju/errors"
 
@@ -16,8 +17,10 @@
 	control *http.ResponseController
 	// chunksAllowed is set if the caller's version of HTTP has chunks.
 	chunksAllowed bool
-	// endsWithConn is set if the end of the answer is the end of its connection.
-	endsWithConn bool
+	// framing is how the caller learns where the answer ends; FramingUnknown before its head.
+	framing http1.Framing
+	// closeEnded counts the answers under way that end with their connection.
+	closeEnded *atomic.Int64
 }
 
 // WriteHead writes the head.
@@ -32,6 +35,9 @@
 		header.Set("Connection", connection)
 	}
 	s.setFraming(header, head)
+	if s.framing == http1.FramedByClose {
+		s.closeEnded.Add(1)
+	}
 	if _, dated := head.Header["Date"]; !dated {
 		header["Date"] = nil
 	}
@@ -43,12 +49,22 @@
 func (s *httpSink) setFraming(header http.Header, head AnswerHead) {
 	switch {
 	case head.Framing == http1.FramedByClose:
-		s.endsWithConn = true
+		s.framing = http1.FramedByClose
 		omitFraming(header)
 	case head.Length >= 0:
+		s.framing = http1.FramedByLength
 		header.Set("Content-Length", strconv.FormatInt(head.Length, 10))
+	case s.chunksAllowed:
+		s.framing = http1.FramedByChunks
 	default:
-		s.endsWithConn = !s.chunksAllowed
+		s.framing = http1.FramedByClose
+	}
+}
+
+// release ends the use of the sink.
+func (s *httpSink) release() {
+	if s.framing == http1.FramedByClose {
+		s.closeEnded.Add(-1)
 	}
 }
 
