--- a/io/proxy/framing_test.go
+++ b/io/proxy/framing_test.go
@@ -61,7 +61,7 @@
 		{"reset between events", untilClose(true, first)},
 		{"last chunk in an event", chunked(false, first, "id: 2\nda")},
 	}
-	rest := chunked(false, "id: 2\ndata: b\n\n")
+	rest := closing("id: 2\ndata: b\n\n")
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			inst := newTestInstance(t, firstThen(c.do, rest), firstThen(c.do, rest)).ready(t)
