Reset a caller's connection when its answer ends with it and isn't whole, whoever ends it

Such an answer has neither a length nor chunks, so that an orderly end of its connection says that it is whole. A handler that cut one off reset the connection; a process that ended in the middle of one didn't, and the kernel closed the connection in order: at the end of a planned stop's grace, after a kill, a crash, or for want of memory. 'run' never reset at all, also where the handler cut an answer to a caller of HTTP/1.0.

The reset is now arranged before the head is written (SO_LINGER of zero, package io/ending), and taken back once the answer is proved whole and flushed. So the end says 'whole' only where the program said so, and everything else that ends the connection resets it: handler, server, panic, exit, kernel. The server hands the connection on through its context, also through the wrapper of run's connection limit, which the former way, a hijacked connection that had to be TCP, would not have seen through.

--- a/io/daemon/gateway.go
+++ b/io/daemon/gateway.go
@@ -32,6 +32,7 @@
 	"arbutustrestle/core/resume"
 	"arbutustrestle/core/spill"
 	"arbutustrestle/io/config"
+	"arbutustrestle/io/ending"
 	"arbutustrestle/io/http1"
 	"arbutustrestle/io/link"
 	"arbutustrestle/io/logs"
@@ -315,6 +316,7 @@
 		},
 	}
 	g.callerServer.ConnState = g.callerConns.track
+	g.callerServer.ConnContext = ending.ConnContext
 	return g
 }
 
--- a/io/daemon/limit.go
+++ b/io/daemon/limit.go
@@ -32,6 +32,11 @@
 	release func()
 }
 
+// NetConn returns the connection itself.
+func (c *limitConn) NetConn() net.Conn {
+	return c.Conn
+}
+
 // Close closes the connection and frees its slot.
 func (c *limitConn) Close() error {
 	err := c.Conn.Close()
--- a/io/daemon/serve.go
+++ b/io/daemon/serve.go
@@ -13,6 +13,7 @@
 
 	"arbutustrestle/io/admin"
 	"arbutustrestle/io/config"
+	"arbutustrestle/io/ending"
 	"arbutustrestle/io/entry"
 	"arbutustrestle/io/link"
 	"arbutustrestle/io/loop"
@@ -60,6 +61,7 @@
 		settings: p.Settings,
 		caller: &http.Server{
 			Handler:           p.Server.Handler(),
+			ConnContext:       ending.ConnContext,
 			ReadHeaderTimeout: p.Settings.Timeouts.Header,
 			IdleTimeout:       p.Settings.Timeouts.Idle,
 			MaxHeaderBytes:    p.Settings.Limits.HeaderBytes,
--- a/io/entry/answer.go
+++ b/io/entry/answer.go
@@ -7,9 +7,12 @@
 	"strconv"
 	"time"
 
+	"github.com/juju/errors"
+
 	"arbutustrestle/core/clock"
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/result"
+	"arbutustrestle/io/ending"
 	"arbutustrestle/io/invoke"
 )
 
@@ -68,6 +71,7 @@
 // httpSink sends a response to a caller.
 type httpSink struct {
 	writer     http.ResponseWriter
+	request    *http.Request
 	controller *http.ResponseController
 	clock      clock.Clock
 	requestID  string
@@ -84,6 +88,9 @@
 	bodyRead bool
 	// streamed is true for an event stream; each of its writes is flushed.
 	streamed bool
+	// endsWithConn is true if the caller's version of HTTP has no chunks, so that the end of
+	// the answer is that of its connection.
+	endsWithConn bool
 }
 
 // writeDeadlineStep is the minimum time between two extensions of a write deadline.
@@ -100,6 +107,11 @@
 	// trailers only with a chunked body.
 	header.Set("Trailer", headerOutcome)
 	header.Del("Content-Length")
+	if s.endsWithConn = !s.request.ProtoAtLeast(1, 1); s.endsWithConn {
+		if err := ending.Reset(s.request); err != nil {
+			return errors.Trace(err)
+		}
+	}
 	s.headSent = true
 	s.extendWriteDeadline()
 	s.writer.WriteHeader(h.Status)
@@ -138,8 +150,15 @@
 }
 
 // finish completes a response that was sent whole.
-func (s *httpSink) finish() {
+func (s *httpSink) finish() error {
 	s.writer.Header().Set(headerOutcome, result.Done.String())
+	if !s.endsWithConn {
+		return nil
+	}
+	if err := s.controller.Flush(); err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(ending.InOrder(s.request))
 }
 
 // fail ends a request that was not answered in whole. Before the status line it sends an
--- a/io/entry/http.go
+++ b/io/entry/http.go
@@ -21,7 +21,8 @@
 // requestIDBytes is the length of a request ID before hexadecimal encoding.
 const requestIDBytes = 16
 
-// Handler returns the HTTP handler for callers.
+// Handler returns the HTTP handler for callers. Its server must have the hook
+// ending.ConnContext.
 func (s *Server) Handler() http.Handler {
 	r := mux.NewRouter()
 	// Path cleaning would redirect a call to another path than the one that the caller
@@ -37,7 +38,7 @@
 }
 
 func (s *Server) handleUnknown(w http.ResponseWriter, r *http.Request) {
-	sink := s.newSink(w)
+	sink := s.newSink(w, r)
 	f := notRun(result.StepIdentify, result.BadRequest)
 	if strings.HasPrefix(r.URL.Path, "/v1/services/") {
 		f.Reason = result.UnknownCall
@@ -79,7 +80,9 @@
 		s.Metrics.CountRequest(failure)
 	}
 	if failure == nil {
-		sink.finish()
+		if err := sink.finish(); err != nil {
+			s.Log.Warn().Err(err).Str("request-id", call.ID).Msg("a whole answer ends with a reset of its connection")
+		}
 		return
 	}
 	sink.fail(failure, s.detail(call, failure))
@@ -97,10 +100,11 @@
 	}
 }
 
-func (s *Server) newSink(w http.ResponseWriter) *httpSink {
+func (s *Server) newSink(w http.ResponseWriter, r *http.Request) *httpSink {
 	view := s.Views.View()
 	sink := &httpSink{
 		writer:       w,
+		request:      r,
 		controller:   http.NewResponseController(w),
 		clock:        s.Clock,
 		requestID:    s.newRequestID(),
@@ -131,7 +135,7 @@
 
 // identify reads the headers that all requests have in common.
 func (s *Server) identify(w http.ResponseWriter, r *http.Request) (*Call, *httpSink, *result.Failure) {
-	sink := s.newSink(w)
+	sink := s.newSink(w, r)
 	call := &Call{
 		ID:        sink.requestID,
 		Workspace: ident.Workspace(r.Header.Get(headerWorkspace)),
@@ -220,7 +224,7 @@
 func (s *Server) handleAdvice(w http.ResponseWriter, r *http.Request) {
 	workspace := ident.Workspace(r.URL.Query().Get("workspace"))
 	view := s.Views.View()
-	sink := s.newSink(w)
+	sink := s.newSink(w, r)
 	if f := adviceFailure(view, workspace); f != nil {
 		s.Metrics.CountRequest(f)
 		sink.fail(f, refusalDetail{})
--- a/io/entry/rig_test.go
+++ b/io/entry/rig_test.go
@@ -29,6 +29,7 @@
 	"arbutustrestle/io/emul/engine"
 	"arbutustrestle/io/emul/fault"
 	"arbutustrestle/io/emul/plain"
+	"arbutustrestle/io/ending"
 	"arbutustrestle/io/entry"
 	"arbutustrestle/io/invoke"
 	"arbutustrestle/io/link"
@@ -265,6 +266,7 @@
 		callers.ServeHTTP(w, q)
 	}))
 	in.caller.Config.MaxHeaderBytes = bodyLimit
+	in.caller.Config.ConnContext = ending.ConnContext
 	in.caller.Start()
 	c.t.Cleanup(func() {
 		in.server.Links.Close()
--- a/io/proxy/instance_test.go
+++ b/io/proxy/instance_test.go
@@ -29,6 +29,7 @@
 	"arbutustrestle/core/resume"
 	"arbutustrestle/core/spec"
 	"arbutustrestle/core/spill"
+	"arbutustrestle/io/ending"
 	"arbutustrestle/io/http1"
 	"arbutustrestle/io/link"
 	"arbutustrestle/io/metric"
@@ -263,7 +264,9 @@
 		loop.Run(ctx)
 		close(done)
 	}()
-	inst.server = httptest.NewServer(inst.proxy.Handler(testCallerCodec{}))
+	inst.server = httptest.NewUnstartedServer(inst.proxy.Handler(testCallerCodec{}))
+	inst.server.Config.ConnContext = ending.ConnContext
+	inst.server.Start()
 	t.Cleanup(func() {
 		inst.server.Close()
 		cancel()
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -15,7 +15,6 @@
 	"arbutustrestle/core/result"
 	"arbutustrestle/core/spec"
 	"arbutustrestle/io/guard"
-	"arbutustrestle/io/http1"
 	"arbutustrestle/io/syncer"
 )
 
@@ -60,7 +59,7 @@
 }
 
 // Handler returns the handler for callers' requests. It matches no paths itself: the
-// routes do.
+// routes do. Its server must have the hook ending.ConnContext.
 func (p *Proxy) Handler(codec CallerCodec) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		p.serve(codec, w, r)
@@ -78,7 +77,7 @@
 	}
 	call := &Call{Arrived: p.Clock.Now(), memory: p.Memory.NewShare()}
 	defer call.memory.Release()
-	sink := &httpSink{writer: w, control: http.NewResponseController(w), chunksAllowed: r.ProtoAtLeast(1, 1), closeEnded: &p.activity.closeEnded}
+	sink := &httpSink{writer: w, request: r, control: http.NewResponseController(w), closeEnded: &p.activity.closeEnded}
 	defer sink.release()
 	defer p.endPanicked(codec, w, call, sink)
 	failure := p.identify(codec, view, call, r, sink.control)
@@ -106,26 +105,18 @@
 	call.callerFraming = sink.framing
 	p.recordEnd(call, failure)
 	if failure == nil {
+		if err := sink.finish(); err != nil {
+			p.Log.Warn().Err(err).Str("request-id", call.ID).Msg("a whole answer ends with a reset of its connection")
+		}
 		return
 	}
 	if call.headSent || failure.Reason == result.CallerGone {
-		p.abortAnswer(call, sink)
+		// The server ends the connection with neither the rest of the answer nor a last chunk.
+		panic(http.ErrAbortHandler)
 	}
 	p.writeError(codec, w, call, failure)
 }
 
-// abortAnswer ends the connection and the handler, so that an incomplete answer doesn't
-// look whole. Where the end of the connection is the end of the answer, it resets the
-// connection; elsewhere an orderly close lets the caller read what was sent.
-func (p *Proxy) abortAnswer(call *Call, sink *httpSink) {
-	if sink.framing == http1.FramedByClose {
-		if err := sink.reset(); err != nil {
-			p.Log.Error().Err(err).Str("request-id", call.ID).Msg("connection of a caller not reset; its incomplete answer may look whole")
-		}
-	}
-	panic(http.ErrAbortHandler)
-}
-
 // runUntilDeadline serves a request within its deadline.
 func (p *Proxy) runUntilDeadline(ctx context.Context, call *Call, sink Sink) *result.Failure {
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
--- a/io/proxy/sink.go
+++ b/io/proxy/sink.go
@@ -1,22 +1,21 @@
 package proxy
 
 import (
-	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
 
 	"github.com/juju/errors"
 
+	"arbutustrestle/io/ending"
 	"arbutustrestle/io/http1"
 )
 
 // httpSink writes an answer to a caller's HTTP connection.
 type httpSink struct {
 	writer  http.ResponseWriter
+	request *http.Request
 	control *http.ResponseController
-	// chunksAllowed is set if the caller's version of HTTP has chunks.
-	chunksAllowed bool
 	// framing is how the caller learns where the answer ends; FramingUnknown before its head.
 	framing http1.Framing
 	// closeEnded counts the answers under way that end with their connection.
@@ -37,6 +36,9 @@
 	s.setFraming(header, head)
 	if s.framing == http1.FramedByClose {
 		s.closeEnded.Add(1)
+		if err := ending.Reset(s.request); err != nil {
+			return errors.Trace(err)
+		}
 	}
 	if _, dated := head.Header["Date"]; !dated {
 		header["Date"] = nil
@@ -54,7 +56,7 @@
 	case head.Length >= 0:
 		s.framing = http1.FramedByLength
 		header.Set("Content-Length", strconv.FormatInt(head.Length, 10))
-	case s.chunksAllowed:
+	case s.request.ProtoAtLeast(1, 1):
 		s.framing = http1.FramedByChunks
 	default:
 		s.framing = http1.FramedByClose
@@ -74,16 +76,15 @@
 	header.Set("Transfer-Encoding", "identity")
 }
 
-// reset resets the connection.
-func (s *httpSink) reset() error {
-	conn, _, err := s.control.Hijack()
-	if err != nil {
-		return errors.Trace(err)
+// finish ends an answer that was written whole.
+func (s *httpSink) finish() error {
+	if s.framing != http1.FramedByClose {
+		return nil
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
+	if err := s.control.Flush(); err != nil {
+		return errors.Trace(err)
 	}
-	return errors.Trace(conn.Close())
+	return errors.Trace(ending.InOrder(s.request))
 }
 
 // Write writes a part of the body and flushes it.
