--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -290,11 +290,11 @@
 func (p *Proxy) relayTo(ctx context.Context, call *Call, address netip.AddrPort, firstByte time.Duration, sink Sink) *result.Failure {
 	call.upstreamVersion = ""
 	call.lease = nil
-	call.countSend()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	firstByteTimer := p.startFirstByteTimer(call, firstByte, cancel)
 	defer firstByteTimer.Stop()
+	call.countSend()
 	answer, failure := relay.Send(ctx, p.Links, address, &relay.Request{
 		Attempt:          p.newAttempt(call),
 		Service:          call.Service,
--- a/io/proxy/retry.go
+++ b/io/proxy/retry.go
@@ -45,10 +45,11 @@
 const maxDestinations = 4
 
 // startFirstByteTimer starts a timer that cancels an attempt when its first byte is long
-// overdue and the request may be repeated elsewhere. For other requests the timer does
-// nothing: a slow upstream is no reason to end a request that must not run twice.
+// overdue and the request may be repeated elsewhere after this attempt, which isn't counted
+// yet. For other requests the timer does nothing: a slow upstream is no reason to end a
+// request that goes nowhere else.
 func (p *Proxy) startFirstByteTimer(call *Call, projected time.Duration, cancel context.CancelCauseFunc) *time.Timer {
-	if !call.Route.Repeatable() || call.sends >= call.Route.MaxAttempts {
+	if !call.Route.Repeatable() || call.sends+1 >= call.Route.MaxAttempts {
 		return time.NewTimer(time.Hour)
 	}
 	left := call.Deadline.Sub(p.Clock.Now())
