Don't take a caller for gone because a peer has lost this instance

A request relayed to an instance that was stopping was closed without an answer at the instance that its caller was connected to: the stopping one cancels what it serves for others and reports that its caller has gone, which is this instance, and that was believed of the caller here. TestPeerLosesThisInstance failed before (unknown, caller-gone).

--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -150,7 +150,13 @@
 	if f == nil {
 		return newFailure(result.Unknown, result.AnswerMismatch, address, errUnexpectedFrame)
 	}
-	return wire.FailureFromWire(f)
+	failure := wire.FailureFromWire(f)
+	if failure.Reason == result.CallerGone {
+		// To the other instance this one is the caller. That it lost it says nothing of the
+		// caller who waits here.
+		failure.Reason = result.PeerUnreachable
+	}
+	return failure
 }
 
 var errUnexpectedFrame = errors.New("frame of another request or out of order")
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -273,3 +273,29 @@
 		})
 	}
 }
+
+// TestPeerLosesThisInstance guards against a caller whose connection is closed without an answer, as
+// if it had left, since the instance that its request was relayed to has lost the one that sent it.
+func TestPeerLosesThisInstance(t *testing.T) {
+	gone := &result.Failure{Outcome: result.Unknown, Step: result.StepAttempt, Reason: result.CallerGone}
+	for name, reply := range map[string]func(s *link.Stream, r *Reply){
+		"before the head": func(_ *link.Stream, r *Reply) { _ = r.End(gone) },
+		"in the body": func(_ *link.Stream, r *Reply) {
+			_ = r.WriteHead(testAnswer())
+			_ = r.End(gone)
+		},
+	} {
+		links, address := startPeer(t, reply)
+		answer, failure := Send(t.Context(), links, address, &Request{Attempt: http1.Attempt{RequestID: "1", Remaining: time.Second}})
+		if failure == nil {
+			_, err := io.ReadAll(answer.Body)
+			if !errors.As(err, &failure) {
+				t.Fatalf("%s: error %v", name, err)
+			}
+			_ = answer.Body.Close()
+		}
+		if failure.Reason != result.PeerUnreachable || failure.Outcome != result.Unknown {
+			t.Errorf("%s: %s, %s", name, failure.Outcome, failure.Reason)
+		}
+	}
+}
