Answer the requests that outlast the grace of a planned stop, and log their ends

At the end of the grace time the process just exited: callers whose request was still with an upstream had their connection closed without an answer, streams ended with the process, and none of them had a line in the log. Their contexts now end first, with the reason draining, and those of relayed requests too: each caller gets 502 (it may have run) or a cut stream, upstreams are told, and the log has the end of each.

--- a/io/daemon/gateway.go
+++ b/io/daemon/gateway.go
@@ -29,6 +29,7 @@
 	"arbutustrestle/core/pool"
 	"arbutustrestle/core/quota"
 	"arbutustrestle/core/reach"
+	"arbutustrestle/core/result"
 	"arbutustrestle/core/resume"
 	"arbutustrestle/core/spill"
 	"arbutustrestle/io/config"
@@ -39,6 +40,7 @@
 	"arbutustrestle/io/metric"
 	"arbutustrestle/io/proxy"
 	"arbutustrestle/io/syncer"
+	"arbutustrestle/io/wire"
 )
 
 // Adapter provides the protocols that are specific to a platform: those of callers, of
@@ -260,6 +262,10 @@
 	// auxServers holds the servers for readiness, directory and metrics, by address.
 	auxServers map[netip.AddrPort]*http.Server
 
+	// requests is the context of callers' requests. endRequests ends them, and the relayed ones.
+	requests    context.Context
+	endRequests context.CancelCauseFunc
+
 	cancel context.CancelFunc
 	work   sync.WaitGroup
 }
@@ -300,7 +306,7 @@
 	p.Metrics.Func("convicted-traits", func() any { return p.Proxy.Poison.ConvictedTraits() })
 	p.Metrics.Func("log-lines-dropped", func() any { return p.LogWriter.DroppedLines() })
 	p.Metrics.Func("log-bytes", func() any { return p.LogWriter.WrittenBytes() })
-	handler := &syncer.Handler{Loop: p.Loop, RelayFunc: p.Proxy.Relay}
+	handler := &syncer.Handler{Loop: p.Loop}
 	g := &gateway{
 		settings:     p.Settings,
 		log:          p.Log,
@@ -315,6 +321,9 @@
 			p.Settings.MetricsAddress:   newHTTPServer(p.Metrics),
 		},
 	}
+	g.requests, g.endRequests = context.WithCancelCause(context.Background())
+	handler.RelayFunc = g.relay
+	g.callerServer.BaseContext = func(net.Listener) context.Context { return g.requests }
 	g.callerServer.ConnState = g.callerConns.track
 	g.callerServer.ConnContext = ending.ConnContext
 	return g
@@ -324,6 +333,15 @@
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout}
 }
 
+// relay serves a request that another instance has sent, until endRequests is called.
+func (g *gateway) relay(ctx context.Context, s *link.Stream, m *wire.Relay) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := context.AfterFunc(g.requests, func() { cancel(context.Cause(g.requests)) })
+	defer stop()
+	g.proxy.Relay(ctx, s, m)
+}
+
 // RunGateway runs an instance that serves by published routes, until it receives SIGTERM
 // or SIGINT and has drained. It reads the settings again on SIGHUP and when the file
 // changes.
@@ -409,6 +427,8 @@
 	// exitMargin is how long before the end of the grace time the process exits, even
 	// if requests are still in flight.
 	exitMargin = 250 * time.Millisecond
+	// cutTime is how long requests that are cut off then have to end.
+	cutTime = 150 * time.Millisecond
 	// minDrainTime is the time that callers have to switch to other instances.
 	minDrainTime = 3 * time.Second
 	// refuseTime is how long before the exit an instance that is still busy takes no more
@@ -433,13 +453,14 @@
 	g.proxy.Drain(proxy.DrainSchedule{StrictAt: start.Add(min(minDrainTime, grace/2)), ExitAt: exit})
 	g.awaitIdle(start.Add(minDrainTime), exit.Add(-refuseTime))
 	g.refuseCallers(start, exit)
+	g.cutRequests(exit)
 	g.syncer.SetPhase(ctx, member.Stopped)
 	time.Sleep(drainPollInterval)
 	g.log.Info().Int("in-flight", g.proxy.InFlight()).Dur("took", time.Since(start)).Msg("stopped")
-	shutdownCtx, cancel := context.WithDeadline(ctx, exit)
+	shutdownCtx, cancel := context.WithDeadline(ctx, exit.Add(cutTime))
 	defer cancel()
 	if err := g.callerServer.Shutdown(shutdownCtx); err != nil {
-		g.log.Warn().Err(err).Int("in-flight", g.proxy.InFlight()).Int("close-ended", g.proxy.CloseEnded()).Msg("requests cut off at the end of the grace time")
+		g.log.Warn().Err(err).Int("in-flight", g.proxy.InFlight()).Msg("connections of callers closed by the exit")
 	}
 	for _, s := range g.auxServers {
 		_ = s.Close()
@@ -448,6 +469,18 @@
 	g.links.Close()
 }
 
+// cutRequests ends the requests that outlast the grace time: each gets the answer that is true
+// then, or a cut one, and its line in the log.
+func (g *gateway) cutRequests(exit time.Time) {
+	g.awaitIdle(time.Now(), exit)
+	if g.proxy.InFlight() == 0 {
+		return
+	}
+	g.log.Warn().Int("in-flight", g.proxy.InFlight()).Int("close-ended", g.proxy.CloseEnded()).Msg("requests cut off at the end of the grace time")
+	g.endRequests(&result.Failure{Outcome: result.Unknown, Step: result.StepStream, Reason: result.Draining})
+	g.awaitIdle(exit, exit.Add(cutTime))
+}
+
 // refuseCallers takes no more connections, so that callers find out at once, and refuses what
 // still arrives on the open ones: a request that arrives between the last look and the exit
 // would be cut off. It returns when all that was sent has its answer.
--- a/io/proxy/queue.go
+++ b/io/proxy/queue.go
@@ -15,6 +15,7 @@
 	"arbutustrestle/core/result"
 	"arbutustrestle/core/spec"
 	"arbutustrestle/io/guard"
+	"arbutustrestle/io/http1"
 )
 
 const (
@@ -206,7 +207,7 @@
 		q.forget(now, w.call.ticket)
 	}
 	if now.Before(w.call.Deadline) {
-		return destination{}, &result.Failure{Outcome: result.NotRun, Step: result.StepAdmit, Reason: result.CallerGone, Cause: ctx.Err()}
+		return destination{}, &result.Failure{Outcome: result.NotRun, Step: result.StepAdmit, Reason: http1.CancelReason(ctx), Cause: ctx.Err()}
 	}
 	return destination{}, refuse(result.StepDeadline, result.DeadlinePassed, 0)
 }
