--- a/io/proxy/framing_test.go
+++ b/io/proxy/framing_test.go
@@ -148,30 +148,36 @@
 	return link.Identity{Incarnation: ident.Incarnation{Instance: id, Start: 1}, Zone: "z", Region: "r"}
 }
 
-// TestRelayedStreamEndedInsideEvent guards against an instance that serves a request for
-// another region marking a stream that broke off as whole.
-func TestRelayedStreamEndedInsideEvent(t *testing.T) {
-	do := untilClose(false, "id: 1\ndata: a\n\nid: 2\nda")
-	inst := newTestInstance(t, do, do).ready(t)
+// sendRelayed sends a request for another region to an instance, over a link.
+func sendRelayed(ctx context.Context, t *testing.T, inst *testInstance, target string, kind spec.RequestKind) (*http1.Answer, *result.Failure) {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-	defer cancel()
 	server := &link.Server{Handler: relayHandler{proxy: inst.proxy}, Log: zerolog.Nop(), Self: testIdentity("near")}
 	go func() { _ = server.Serve(ctx, listener) }()
 	links := &link.Pool{Self: testIdentity("far")}
-	defer links.Close()
+	t.Cleanup(links.Close)
 	address := listener.Addr().(*net.TCPAddr).AddrPort()
 	if err := links.Notify(ctx, address, &wire.Notice{}); err != nil {
 		t.Fatal(err)
 	}
-	answer, failure := relay.Send(ctx, links, address, &relay.Request{
-		Attempt: http1.Attempt{RequestID: "1", Method: http.MethodPost, Target: "/stream/", Host: "h", Remaining: 5 * time.Second},
+	return relay.Send(ctx, links, address, &relay.Request{
+		Attempt: http1.Attempt{RequestID: "1", Method: http.MethodPost, Target: target, Host: "h", Remaining: 5 * time.Second},
 		Service: "app",
-		Kind:    spec.Stream,
+		Kind:    kind,
 	})
+}
+
+// TestRelayedStreamEndedInsideEvent guards against an instance that serves a request for
+// another region marking a stream that broke off as whole.
+func TestRelayedStreamEndedInsideEvent(t *testing.T) {
+	do := untilClose(false, "id: 1\ndata: a\n\nid: 2\nda")
+	inst := newTestInstance(t, do, do).ready(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	answer, failure := sendRelayed(ctx, t, inst, "/stream/", spec.Stream)
 	if failure != nil {
 		t.Fatal(failure)
 	}
@@ -182,3 +188,28 @@
 		t.Errorf("%q, framed by %s, error %v", body, answer.Framing, err)
 	}
 }
+
+// TestRelayedAnswerCutInHead guards against an answer that looks whole to a caller in another region
+// since its upstream stopped in the middle of its head.
+func TestRelayedAnswerCutInHead(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: 1\r\nSigned: 1\r\nContent-Length: 1234\r\n\r\n"
+	for target, kind := range map[string]spec.RequestKind{"/stream/": spec.Stream, "/once/": spec.Unsafe, "/safe/": spec.Safe} {
+		for cut := 0; cut < len(head); cut += 5 {
+			t.Run(fmt.Sprintf("%s after %d bytes", target, cut), func(t *testing.T) {
+				t.Parallel()
+				do := func(c net.Conn, _ *http.Request) { _, _ = io.WriteString(c, head[:cut]) }
+				inst := newTestInstance(t, do, do).ready(t)
+				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+				defer cancel()
+				answer, failure := sendRelayed(ctx, t, inst, target, kind)
+				if failure == nil {
+					_ = answer.Body.Close()
+					t.Fatalf("status %d", answer.Status)
+				}
+				if failure.Outcome != result.Unknown || inst.arrivals() != 1 {
+					t.Errorf("%s, %s, %d arrivals", failure.Outcome, failure.Reason, inst.arrivals())
+				}
+			})
+		}
+	}
+}
