Take an answer that ends with its connection for cut off if its upstream has ended too

What is known beside it wasn't used: the upstream takes no connection any more and didn't say that it leaves.

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -175,6 +175,9 @@
 		watch.partReceived()
 		lease.ResponseReceived(p.Clock.Now())
 	})
+	if failure == nil && answer.Framing == http1.FramedByClose {
+		failure = p.checkUnprovedEnd(ctx, lease)
+	}
 	p.recordCache(call, lease)
 	p.endLease(lease, answerOutcome(answer, failure))
 	p.recordLoss(ctx, call, lease, evidence, failure, begun)
