Look again before an upstream that has just closed its connections counts as living

Whether an upstream has ended was checked by opening one connection. The kernel of a process that is killed closes its connections before its listener, so that the check, a moment after the first of them had ended, found the port open.

--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -62,6 +63,9 @@
 	c.conns.closeExpired()
 }
 
+// listenerCloseTime is longer than a kernel takes to close all sockets of a process.
+const listenerCloseTime = 20 * time.Millisecond
+
 // Send sends the request and returns the head of its answer. The outcome of a failure is
 // NotRun if no part of the request was sent or the upstream states that nothing ran.
 // When the context ends, Send closes the connection, so that the upstream stops working
@@ -117,6 +121,22 @@
 	return true
 }
 
+// KeepsConnection reports whether an upstream accepts a connection and doesn't end in the time that
+// the kernel takes to close the listener of a process that ends after its connections. It sends no
+// data.
+func (c *Client) KeepsConnection(ctx context.Context, id ident.Upstream, address netip.AddrPort) bool {
+	opened, err := c.open(ctx, connKey{id, address})
+	if err != nil {
+		return false
+	}
+	defer func() { _ = opened.Close() }()
+	_ = opened.SetReadDeadline(time.Now().Add(listenerCloseTime))
+	if _, err = opened.Read(make([]byte, 1)); errors.Is(err, os.ErrDeadlineExceeded) {
+		return true
+	}
+	return c.CanConnect(ctx, id, address)
+}
+
 // failure returns the failure of an attempt. If the context has ended, its reason
 // replaces the reason given, since the closed connection causes any error that follows.
 func (c *Client) failure(ctx context.Context, a *Attempt, o result.Outcome, r result.Reason, err error) *result.Failure {
--- a/io/proxy/lost.go
+++ b/io/proxy/lost.go
@@ -95,7 +95,7 @@
 	refuses, _, _ := p.endChecks.Do(string(id), func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endCheckTimeout)
 		defer cancel()
-		return !p.UpstreamClient.CanConnect(ctx, id, address), nil
+		return !p.UpstreamClient.KeepsConnection(ctx, id, address), nil
 	})
 	return refuses == true
 }
