--- a/io/proxy/panic_test.go
+++ b/io/proxy/panic_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -10,6 +11,7 @@
 
 	"arbutustrestle/core/mirror"
 	"arbutustrestle/core/result"
+	"arbutustrestle/io/ending"
 )
 
 // panicCodec panics on requests to one path.
@@ -89,3 +91,45 @@
 		t.Errorf("%v, %v", response, err)
 	}
 }
+
+// panicWriter panics at the second write of an answer's body.
+type panicWriter struct {
+	http.ResponseWriter
+	writes int
+}
+
+func (w *panicWriter) Write(p []byte) (int, error) {
+	if w.writes++; w.writes == 2 {
+		panic("no such part")
+	}
+	return w.ResponseWriter.Write(p)
+}
+
+func (w *panicWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// TestPanicInAnswer guards against an answer that looks whole although an unexpected error has ended it
+// in the middle, for an answer in chunks and one that ends with its connection.
+func TestPanicInAnswer(t *testing.T) {
+	for name, do := range map[string]reply{
+		"chunks": chunked(false, "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"),
+		"close": func(c net.Conn, r *http.Request) {
+			untilClose(false, "id: 1\ndata: a\n\n")(c, r)
+			waitUntilRead()
+			_, _ = c.Write([]byte("id: 2\ndata: b\n\n"))
+		},
+	} {
+		inst := newTestInstance(t, do, do).ready(t)
+		handler := inst.proxy.Handler(testCallerCodec{})
+		server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			handler.ServeHTTP(&panicWriter{ResponseWriter: w}, r)
+		}))
+		server.Config.ConnContext = ending.ConnContext
+		server.Start()
+		inst.server.URL = server.URL
+		_, body, err := inst.send(t, "/stream/", "", nil)
+		if err == nil {
+			t.Errorf("%s: %q looks whole", name, body)
+		}
+		server.Close()
+	}
+}
