Close callers' idle connections after the operator's time, and the longest idle one for want of descriptors

Connections that rest longer than the operator's time are closed now, and above three quarters of the descriptors (limits.descriptors in the settings) each new connection closes the one that has rested the longest. A request that comes as its connection is about to be closed keeps it.

--- a/io/config/gateway.go
+++ b/io/config/gateway.go
@@ -50,6 +50,9 @@
 	QueueRequests bool
 	// MemoryBytes is the memory that the process may use; zero if that isn't bounded.
 	MemoryBytes int64
+	// Descriptors is the number of descriptors that the process may have open; zero if that
+	// isn't bounded.
+	Descriptors int
 	// PromptRate is the number of prompt tokens that an engine is assumed to process in
 	// a millisecond until its rate has been observed.
 	PromptRate float64
@@ -96,6 +99,7 @@
 		{path{"bounds", "grace"}, "8s", duration(&g.Bounds.Grace, time.Second, time.Hour)},
 		{path{"bounds", "directory-hold"}, "1s", duration(&g.Bounds.DirectoryHold, time.Second, time.Minute)},
 		{path{"limits", "memory"}, "0", megabytes(&g.MemoryBytes)},
+		{path{"limits", "descriptors"}, "0", count(&g.Descriptors, 0, maxDescriptors)},
 		{path{"queue", "enabled"}, "no", yesNo(&g.QueueRequests)},
 		{path{"engines", "prompt-rate"}, "80", number(&g.PromptRate, 0.01, 1e6)},
 	}
@@ -122,6 +126,7 @@
 		{"log.level", g.LogLevel != other.LogLevel},
 		{"bounds", g.Bounds != other.Bounds},
 		{"limits.memory", g.MemoryBytes != other.MemoryBytes},
+		{"limits.descriptors", g.Descriptors != other.Descriptors},
 		{"queue.enabled", g.QueueRequests != other.QueueRequests},
 		{"engines.prompt-rate", g.PromptRate != other.PromptRate},
 	} {
@@ -217,6 +222,9 @@
 	}
 }
 
+// maxDescriptors detects typing errors.
+const maxDescriptors = 1 << 30
+
 // yesNo parses "yes" or "no".
 func yesNo(into *bool) parseFunc {
 	return func(text string) (string, string) {
--- /dev/null
+++ b/io/daemon/callers.go
@@ -0,0 +1,142 @@
+package daemon
+
+import (
+	"container/list"
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// callerIdleTimeout is how long a caller's connection stays open between requests where the
+	// operator sets no time.
+	callerIdleTimeout = 2 * time.Minute
+	// idleCheckInterval is the time between two checks of the connections that rest.
+	idleCheckInterval = time.Second
+	// callerDescriptorShare is the share of the descriptors that connections of callers may take
+	// while some of them rest. Connections to upstreams and instances, and files, have the rest.
+	callerDescriptorShare = 0.75
+)
+
+// callerConns tracks the open connections of callers and closes those that rest for too long. Its
+// zero value is ready to use and bounds nothing.
+type callerConns struct {
+	// max is the number of connections above which the one that rests the longest is closed; zero
+	// is none. It is set before the first use.
+	max int
+
+	mu    sync.Mutex
+	conns map[net.Conn]*callerConn
+	// resting holds the *callerConn of the connections between two requests, in the order in
+	// which they began to rest.
+	resting list.List
+}
+
+// callerConn is a connection of a caller.
+type callerConn struct {
+	net.Conn
+	state http.ConnState
+	// place is the place among those that rest; nil while a request runs or the first one is due.
+	place *list.Element
+	since time.Time
+	// ending is set once the connection was told to end.
+	ending bool
+}
+
+// track is the ConnState hook of the server.
+func (c *callerConns) track(conn net.Conn, state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conns == nil {
+		c.conns = map[net.Conn]*callerConn{}
+	}
+	known := c.conns[conn]
+	if known == nil {
+		known = &callerConn{Conn: conn}
+		c.conns[conn] = known
+	}
+	known.state = state
+	if known.place != nil {
+		c.resting.Remove(known.place)
+		known.place = nil
+	}
+	switch state {
+	case http.StateNew:
+		c.makeRoom()
+	case http.StateActive:
+		known.keep()
+	case http.StateIdle:
+		known.since = time.Now()
+		known.place = c.resting.PushBack(known)
+	case http.StateClosed, http.StateHijacked:
+		delete(c.conns, conn)
+	}
+}
+
+// makeRoom ends the connection that has rested the longest if there are more than max.
+func (c *callerConns) makeRoom() {
+	if c.max == 0 || len(c.conns) <= c.max {
+		return
+	}
+	for e := c.resting.Front(); e != nil; e = e.Next() {
+		if resting := e.Value.(*callerConn); !resting.ending {
+			resting.end()
+			return
+		}
+	}
+}
+
+// endResting ends the connections that have rested for longer than timeout.
+func (c *callerConns) endResting(now time.Time, timeout time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for e := c.resting.Front(); e != nil; e = e.Next() {
+		resting := e.Value.(*callerConn)
+		if now.Sub(resting.since) < timeout {
+			return
+		}
+		resting.end()
+	}
+}
+
+// end makes the server's wait for the next request fail, upon which it closes the connection.
+func (c *callerConn) end() {
+	c.ending = true
+	_ = c.SetReadDeadline(time.Unix(1, 0))
+}
+
+// keep takes end back: a request has come before the server's wait failed.
+func (c *callerConn) keep() {
+	if c.ending {
+		c.ending = false
+		_ = c.SetReadDeadline(time.Time{})
+	}
+}
+
+// unanswered returns the number of connections on which a request runs or the first one is due.
+func (c *callerConns) unanswered() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.conns) - c.resting.Len()
+}
+
+// runIdleChecks ends connections of callers that rest for longer than the operator allows, until
+// the context is done.
+func (g *gateway) runIdleChecks(ctx context.Context) {
+	ticker := time.NewTicker(idleCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			timeout := callerIdleTimeout
+			if config := g.syncer.View().Config; config != nil && config.Limits.IdleTimeout > 0 {
+				timeout = config.Limits.IdleTimeout
+			}
+			g.callerConns.endResting(now, timeout)
+		}
+	}
+}
--- a/io/daemon/gateway.go
+++ b/io/daemon/gateway.go
@@ -258,7 +258,7 @@
 	callerServer *http.Server
 	// callers is the listener of callerServer, and callerConns its connections.
 	callers     *stopListener
-	callerConns connCounts
+	callerConns callerConns
 	// auxServers holds the servers for readiness, directory and metrics, by address.
 	auxServers map[netip.AddrPort]*http.Server
 
@@ -287,14 +287,8 @@
 	LogWriter      *logs.AsyncWriter
 }
 
-const (
-	// headerTimeout limits the time to read the header of a request.
-	headerTimeout = 10 * time.Second
-	// callerIdleTimeout is how long a caller's connection stays open between requests.
-	// It is longer than the idle timeouts that operators set for their clients, so that
-	// a request is not sent on a connection while this end closes it.
-	callerIdleTimeout = 2 * time.Minute
-)
+// headerTimeout limits the time to read the header of a request.
+const headerTimeout = 10 * time.Second
 
 func newGateway(p gatewayParams) *gateway {
 	limitHeap(p.Settings)
@@ -323,9 +317,12 @@
 	}
 	g.requests, g.endRequests = context.WithCancelCause(context.Background())
 	handler.RelayFunc = g.relay
+	g.callerConns.max = int(callerDescriptorShare * float64(p.Settings.Descriptors))
 	g.callerServer.BaseContext = func(net.Listener) context.Context { return g.requests }
 	g.callerServer.ConnState = g.callerConns.track
 	g.callerServer.ConnContext = ending.ConnContext
+	// runIdleChecks ends connections that rest.
+	g.callerServer.IdleTimeout = 0
 	return g
 }
 
@@ -411,6 +408,7 @@
 	}
 	g.work.Go(func() { g.syncer.Run(ctx) })
 	g.work.Go(func() { g.proxy.RunReachChecks(ctx) })
+	g.work.Go(func() { g.runIdleChecks(ctx) })
 	g.work.Go(func() { logServeError(g.log, g.peerServer.Serve(ctx, peers)) })
 	g.work.Go(func() { logServeError(g.log, g.callerServer.Serve(g.callers)) })
 	g.log.Info().
--- a/io/daemon/stop.go
+++ b/io/daemon/stop.go
@@ -2,9 +2,7 @@
 
 import (
 	"net"
-	"net/http"
 	"os"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -105,36 +103,3 @@
 	}
 	return raw.Control(look) == nil && waiting > 0
 }
-
-// connCounts counts the open connections of a server by state. Its zero value is ready to use.
-type connCounts struct {
-	mu     sync.Mutex
-	states map[net.Conn]http.ConnState
-}
-
-// track is the ConnState hook of the server.
-func (c *connCounts) track(conn net.Conn, state http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.states == nil {
-		c.states = map[net.Conn]http.ConnState{}
-	}
-	if state == http.StateClosed || state == http.StateHijacked {
-		delete(c.states, conn)
-		return
-	}
-	c.states[conn] = state
-}
-
-// unanswered returns the number of connections on which a request runs or the first one is due.
-func (c *connCounts) unanswered() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	count := 0
-	for _, state := range c.states {
-		if state != http.StateIdle {
-			count++
-		}
-	}
-	return count
-}
