Refuse requests whose head has both a length and chunks, and end their connection

Where a head was read together with the request before it and so wasn't looked at, a body in chunks ends its connection with the answer.

TestRequestWithinRequest: 20 heads over sockets (folded, doubled, bare line ends, in parts, sent early), the inner request runs in none.

--- a/io/daemon/callers.go
+++ b/io/daemon/callers.go
@@ -7,6 +7,9 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"arbutustrestle/io/ending"
+	"arbutustrestle/io/strict"
 )
 
 const (
@@ -20,6 +23,11 @@
 	callerDescriptorShare = 0.75
 )
 
+// callerConnContext is the ConnContext hook of the servers of callers.
+func callerConnContext(ctx context.Context, c net.Conn) context.Context {
+	return strict.ConnContext(ending.ConnContext(ctx, c), c)
+}
+
 // callerConns tracks the open connections of callers and closes those that rest for too long. Its
 // zero value is ready to use and bounds nothing.
 type callerConns struct {
--- a/io/daemon/gateway.go
+++ b/io/daemon/gateway.go
@@ -33,12 +33,12 @@
 	"arbutustrestle/core/resume"
 	"arbutustrestle/core/spill"
 	"arbutustrestle/io/config"
-	"arbutustrestle/io/ending"
 	"arbutustrestle/io/http1"
 	"arbutustrestle/io/link"
 	"arbutustrestle/io/logs"
 	"arbutustrestle/io/metric"
 	"arbutustrestle/io/proxy"
+	"arbutustrestle/io/strict"
 	"arbutustrestle/io/syncer"
 	"arbutustrestle/io/wire"
 )
@@ -319,8 +319,11 @@
 	handler.RelayFunc = g.relay
 	g.callerConns.max = int(callerDescriptorShare * float64(p.Settings.Descriptors))
 	g.callerServer.BaseContext = func(net.Listener) context.Context { return g.requests }
-	g.callerServer.ConnState = g.callerConns.track
-	g.callerServer.ConnContext = ending.ConnContext
+	g.callerServer.ConnState = func(c net.Conn, state http.ConnState) {
+		strict.ConnState(c, state)
+		g.callerConns.track(c, state)
+	}
+	g.callerServer.ConnContext = callerConnContext
 	// runIdleChecks ends connections that rest.
 	g.callerServer.IdleTimeout = 0
 	return g
@@ -410,7 +413,7 @@
 	g.work.Go(func() { g.proxy.RunReachChecks(ctx) })
 	g.work.Go(func() { g.runIdleChecks(ctx) })
 	g.work.Go(func() { logServeError(g.log, g.peerServer.Serve(ctx, peers)) })
-	g.work.Go(func() { logServeError(g.log, g.callerServer.Serve(g.callers)) })
+	g.work.Go(func() { logServeError(g.log, g.callerServer.Serve(strict.Listener{Listener: g.callers})) })
 	g.log.Info().
 		Str("caller-address", g.settings.CallerAddress.String()).
 		Str("peer-address", g.settings.PeerAddress.String()).
--- a/io/daemon/serve.go
+++ b/io/daemon/serve.go
@@ -13,11 +13,11 @@
 
 	"arbutustrestle/io/admin"
 	"arbutustrestle/io/config"
-	"arbutustrestle/io/ending"
 	"arbutustrestle/io/entry"
 	"arbutustrestle/io/link"
 	"arbutustrestle/io/loop"
 	"arbutustrestle/io/metric"
+	"arbutustrestle/io/strict"
 )
 
 // servers holds the listeners of an instance and their servers.
@@ -61,7 +61,8 @@
 		settings: p.Settings,
 		caller: &http.Server{
 			Handler:           p.Server.Handler(),
-			ConnContext:       ending.ConnContext,
+			ConnContext:       callerConnContext,
+			ConnState:         strict.ConnState,
 			ReadHeaderTimeout: p.Settings.Timeouts.Header,
 			IdleTimeout:       p.Settings.Timeouts.Idle,
 			MaxHeaderBytes:    p.Settings.Limits.HeaderBytes,
@@ -100,7 +101,9 @@
 	s.cancel = cancel
 	s.work.Go(func() { s.loop.Run(runCtx) })
 	s.work.Go(func() { logServeError(s.log, s.peer.Serve(runCtx, listeners[1])) })
-	s.work.Go(func() { logServeError(s.log, s.caller.Serve(limitConns(listeners[0], s.settings.Limits.Connections))) })
+	s.work.Go(func() {
+		logServeError(s.log, s.caller.Serve(strict.Listener{Listener: limitConns(listeners[0], s.settings.Limits.Connections)}))
+	})
 	s.work.Go(func() { logServeError(s.log, s.admin.Serve(listeners[2])) })
 	s.log.Info().
 		Str("caller-address", s.settings.CallerAddress.String()).
--- a/io/entry/http.go
+++ b/io/entry/http.go
@@ -16,6 +16,7 @@
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/result"
 	"arbutustrestle/core/table"
+	"arbutustrestle/io/strict"
 )
 
 // requestIDBytes is the length of a request ID before hexadecimal encoding.
@@ -146,6 +147,13 @@
 		Sink:      sink,
 	}
 	call.BodyReader = &httpBodyReader{request: r, sink: sink, limit: int64(s.Limits.BodyBytes), timeout: s.Limits.BodyTimeout}
+	switch strict.Check(r) {
+	case strict.Clear:
+	case strict.Unknown:
+		w.Header().Set("Connection", "close")
+	case strict.Ambiguous:
+		return call, sink, notRun(result.StepIdentify, result.BadRequest)
+	}
 	if r.ContentLength > int64(s.Limits.BodyBytes) {
 		return call, sink, notRun(result.StepIdentify, result.BodyTooLarge)
 	}
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -15,6 +15,7 @@
 	"arbutustrestle/core/result"
 	"arbutustrestle/core/spec"
 	"arbutustrestle/io/guard"
+	"arbutustrestle/io/strict"
 	"arbutustrestle/io/syncer"
 )
 
@@ -80,6 +81,9 @@
 	sink := &httpSink{writer: w, request: r, control: http.NewResponseController(w), closeEnded: &p.activity.closeEnded}
 	defer sink.release()
 	defer p.endPanicked(codec, w, call, sink)
+	if strict.Check(r) == strict.Unknown {
+		w.Header().Set("Connection", "close")
+	}
 	failure := p.identify(codec, view, call, r, sink.control)
 	if failure == nil {
 		failure = p.runUntilDeadline(r.Context(), call, sink)
@@ -140,6 +144,10 @@
 	if err != nil {
 		return badRequest(result.BadRequest, err)
 	}
+	if strict.Check(r) == strict.Ambiguous {
+		p.boundUnreadBody(call, control)
+		return badRequest(result.BadRequest, errors.NotValidf("body with a length and chunks"))
+	}
 	if view.Config == nil {
 		return refuse(result.StepAdmit, result.NotReady, notReadyRetryAfter)
 	}
@@ -200,7 +208,11 @@
 // that was answered before its body.
 func (p *Proxy) boundUnreadBody(call *Call, control *http.ResponseController) {
 	call.bodyUnread = true
-	if err := control.SetReadDeadline(call.Deadline); err != nil {
+	deadline := call.Deadline
+	if deadline.IsZero() {
+		deadline = call.Arrived
+	}
+	if err := control.SetReadDeadline(deadline); err != nil {
 		p.Log.Error().Err(err).Str("request-id", call.ID).Msg("time to read a body not bounded")
 	}
 }
