--- a/io/daemon/callers.go
+++ b/io/daemon/callers.go
@@ -45,7 +45,6 @@
 // callerConn is a connection of a caller.
 type callerConn struct {
 	net.Conn
-	state http.ConnState
 	// place is the place among those that rest; nil while a request runs or the first one is due.
 	place *list.Element
 	since time.Time
@@ -65,7 +64,6 @@
 		known = &callerConn{Conn: conn}
 		c.conns[conn] = known
 	}
-	known.state = state
 	if known.place != nil {
 		c.resting.Remove(known.place)
 		known.place = nil
--- a/io/daemon/gateway.go
+++ b/io/daemon/gateway.go
@@ -22,14 +22,12 @@
 	"arbutustrestle/core/clock"
 	"arbutustrestle/core/gossip"
 	"arbutustrestle/core/ident"
-	"arbutustrestle/core/member"
 	"arbutustrestle/core/memory"
 	"arbutustrestle/core/mirror"
 	"arbutustrestle/core/poison"
 	"arbutustrestle/core/pool"
 	"arbutustrestle/core/quota"
 	"arbutustrestle/core/reach"
-	"arbutustrestle/core/result"
 	"arbutustrestle/core/resume"
 	"arbutustrestle/core/spill"
 	"arbutustrestle/io/config"
@@ -423,88 +421,3 @@
 		Msg("started")
 	return nil
 }
-
-const (
-	// exitMargin is how long before the end of the grace time the process exits, even
-	// if requests are still in flight.
-	exitMargin = 250 * time.Millisecond
-	// cutTime is how long requests that are cut off then have to end.
-	cutTime = 150 * time.Millisecond
-	// minDrainTime is the time that callers have to switch to other instances.
-	minDrainTime = 3 * time.Second
-	// refuseTime is how long before the exit an instance that is still busy takes no more
-	// connections. A connection on which nothing has arrived in it carries no request.
-	refuseTime = time.Second
-	// keptConnTime is how long requests on kept connections are answered after that: they may
-	// be under way.
-	keptConnTime = 250 * time.Millisecond
-	// drainPollInterval is the time between two checks of the requests in flight.
-	drainPollInterval = 50 * time.Millisecond
-)
-
-// drain keeps serving while callers switch to other instances, and returns when no request
-// is in flight or the grace time is over.
-func (g *gateway) drain() {
-	ctx := context.Background()
-	start := time.Now()
-	grace := g.settings.Bounds.Grace
-	g.log.Info().Int("in-flight", g.proxy.InFlight()).Dur("grace", grace).Msg("draining")
-	g.syncer.SetPhase(ctx, member.Draining)
-	exit := start.Add(grace - exitMargin)
-	g.proxy.Drain(proxy.DrainSchedule{StrictAt: start.Add(min(minDrainTime, grace/2)), ExitAt: exit})
-	g.awaitIdle(start.Add(minDrainTime), exit.Add(-refuseTime))
-	g.refuseCallers(start, exit)
-	g.cutRequests(exit)
-	g.syncer.SetPhase(ctx, member.Stopped)
-	time.Sleep(drainPollInterval)
-	g.log.Info().Int("in-flight", g.proxy.InFlight()).Dur("took", time.Since(start)).Msg("stopped")
-	shutdownCtx, cancel := context.WithDeadline(ctx, exit.Add(cutTime))
-	defer cancel()
-	if err := g.callerServer.Shutdown(shutdownCtx); err != nil {
-		g.log.Warn().Err(err).Int("in-flight", g.proxy.InFlight()).Msg("connections of callers closed by the exit")
-	}
-	for _, s := range g.auxServers {
-		_ = s.Close()
-	}
-	g.cancel()
-	g.links.Close()
-}
-
-// cutRequests ends the requests that outlast the grace time: each gets the answer that is true
-// then, or a cut one, and its line in the log.
-func (g *gateway) cutRequests(exit time.Time) {
-	g.awaitIdle(time.Now(), exit)
-	if g.proxy.InFlight() == 0 {
-		return
-	}
-	g.log.Warn().Int("in-flight", g.proxy.InFlight()).Int("close-ended", g.proxy.CloseEnded()).Msg("requests cut off at the end of the grace time")
-	g.endRequests(&result.Failure{Outcome: result.Unknown, Step: result.StepStream, Reason: result.Draining})
-	g.awaitIdle(exit, exit.Add(cutTime))
-}
-
-// refuseCallers takes no more connections, so that callers find out at once, and refuses what
-// still arrives on the open ones: a request that arrives between the last look and the exit
-// would be cut off. It returns when all that was sent has its answer.
-func (g *gateway) refuseCallers(start, exit time.Time) {
-	g.proxy.Drain(proxy.DrainSchedule{StrictAt: start, ExitAt: start})
-	if err := g.callers.stop(); err != nil {
-		g.log.Info().Err(err).Msg("connections that come until the listener is closed may be reset")
-	}
-	earliest, latest := time.Now().Add(keptConnTime), time.Now().Add(refuseTime)
-	g.awaitIdle(earliest, exit)
-	for time.Now().Before(latest) && time.Now().Before(exit) && g.callerConns.unanswered() > 0 {
-		time.Sleep(drainPollInterval)
-	}
-}
-
-// awaitIdle waits until no request is in flight, at least until earliest and at most until
-// latest.
-func (g *gateway) awaitIdle(earliest, latest time.Time) {
-	for {
-		now := time.Now()
-		if now.After(latest) || now.After(earliest) && g.proxy.InFlight() == 0 {
-			return
-		}
-		time.Sleep(drainPollInterval)
-	}
-}
--- a/io/entry/http.go
+++ b/io/entry/http.go
@@ -23,7 +23,8 @@
 const requestIDBytes = 16
 
 // Handler returns the HTTP handler for callers. Its server must have the hook
-// ending.ConnContext.
+// ending.ConnContext, and the listener and hooks of package strict, or each body in chunks ends its
+// connection.
 func (s *Server) Handler() http.Handler {
 	r := mux.NewRouter()
 	// Path cleaning would redirect a call to another path than the one that the caller
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -60,7 +60,8 @@
 }
 
 // Handler returns the handler for callers' requests. It matches no paths itself: the
-// routes do. Its server must have the hook ending.ConnContext.
+// routes do. Its server must have the hook ending.ConnContext, and the listener
+// and hooks of package strict, or each body in chunks ends its connection.
 func (p *Proxy) Handler(codec CallerCodec) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		p.serve(codec, w, r)
