End an exchange that a silent peer hasn't taken up after three seconds

Since the link's own timeout was taken away, a request that was handed to a peer which is gone waited until its deadline; before, it was answered after 3 s. An exchange now ends, alone, if nothing at all arrives on its link for 3 s after it was sent; a peer that is only busy sends something (TestUnansweredStream holds, and so do the link's and the relay's tests with the race detector).

--- a/io/link/link.go
+++ b/io/link/link.go
@@ -151,8 +151,7 @@
 
 func muxConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
-	// A stream that is not taken up in time must not end the others: each exchange has a deadline
-	// of its own, and pings tell a broken link.
+	// A stream that is not taken up in time must not end the others; see endIfSilent.
 	c.StreamOpenTimeout = 0
 	c.LogOutput = io.Discard
 	return c
--- a/io/link/pool.go
+++ b/io/link/pool.go
@@ -275,6 +275,7 @@
 		stream.Close()
 		return nil, errors.Trace(err)
 	}
+	s.streams.endIfSilent(stream, exchangeTimeout)
 	return stream, nil
 }
 
--- a/io/link/streams.go
+++ b/io/link/streams.go
@@ -3,11 +3,16 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 )
 
 // streamSet holds the open streams of a session. The methods add and remove do nothing
 // on a nil set.
 type streamSet struct {
+	// reads counts the reads from the connection of the session that have brought something.
+	reads atomic.Uint64
+
 	mu     sync.Mutex
 	open   map[*Stream]struct{}
 	closed bool
@@ -65,6 +70,26 @@
 	streams *streamSet
 }
 
+// Read counts what arrives.
+func (c *sessionConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.streams.reads.Add(1)
+	}
+	return n, err
+}
+
+// endIfSilent ends a stream if nothing arrives on its connection for a time: the peer may be gone,
+// and has not taken the stream up. One that is only busy sends something.
+func (s *streamSet) endIfSilent(stream *Stream, wait time.Duration) {
+	before := s.reads.Load()
+	time.AfterFunc(wait, func() {
+		if s.reads.Load() == before {
+			stream.Abort()
+		}
+	})
+}
+
 // Close makes the readers of all streams return, then closes the connection.
 func (c *sessionConn) Close() error {
 	c.streams.interruptReads()
--- a/io/link/unanswered_test.go
+++ b/io/link/unanswered_test.go
@@ -68,3 +68,44 @@
 		}
 	}
 }
+
+// stallingConn is a connection from which nothing is read any more once it is told so.
+type stallingConn struct {
+	net.Conn
+	stalled chan struct{}
+}
+
+func (c stallingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	select {
+	case <-c.stalled:
+		select {}
+	default:
+		return n, err
+	}
+}
+
+// TestSilentPeer guards against an exchange that waits until its deadline for a peer that is gone:
+// nothing at all arrives on the link.
+func TestSilentPeer(t *testing.T) {
+	t.Parallel()
+	stalled := make(chan struct{})
+	address := serve(t, func(conn net.Conn) { slowPeer(stallingConn{conn, stalled}, 0) })
+	pool := &link.Pool{Self: link.Identity{Incarnation: self}}
+	defer pool.Close()
+	if err := pool.Notify(context.Background(), address, &wire.Notice{}); err != nil {
+		t.Fatal(err)
+	}
+	close(stalled)
+	exchange, err := pool.Relay(address, &wire.Relay{RequestId: "q"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer exchange.Close()
+	exchange.SetDeadline(time.Time{})
+	began := time.Now()
+	var f wire.Frame
+	if err := exchange.Receive(&f); err == nil || time.Since(began) > 4*time.Second {
+		t.Errorf("ended after %s: %v", time.Since(began), err)
+	}
+}
