Call idle connections idle, and flush and end a whole answer in one place

No change of what callers get: both daemons flushed the answer and gave the connection its orderly end by the same lines, which stand in io/ending now. The tests of ends, over processes too, pass.

--- a/io/daemon/callers.go
+++ b/io/daemon/callers.go
@@ -16,10 +16,10 @@
 	// callerIdleTimeout is how long a caller's connection stays open between requests where the
 	// operator sets no time.
 	callerIdleTimeout = 2 * time.Minute
-	// idleCheckInterval is the time between two checks of the connections that rest.
+	// idleCheckInterval is the time between two checks of the idle connections.
 	idleCheckInterval = time.Second
 	// callerDescriptorShare is the share of the descriptors that connections of callers may take
-	// while some of them rest. Connections to upstreams and instances, and files, have the rest.
+	// while some of them are idle. Connections to upstreams and instances, and files, have the rest.
 	callerDescriptorShare = 0.75
 )
 
@@ -28,26 +28,27 @@
 	return strict.ConnContext(ending.ConnContext(ctx, c), c)
 }
 
-// callerConns tracks the open connections of callers and closes those that rest for too long. Its
+// callerConns tracks the open connections of callers and closes those that are idle for too long. Its
 // zero value is ready to use and bounds nothing.
 type callerConns struct {
-	// max is the number of connections above which the one that rests the longest is closed; zero
-	// is none. It is set before the first use.
+	// max is the number of connections above which the longest idle one is closed; zero is none.
+	// It is set before the first use.
 	max int
 
 	mu    sync.Mutex
 	conns map[net.Conn]*callerConn
-	// resting holds the *callerConn of the connections between two requests, in the order in
-	// which they began to rest.
-	resting list.List
+	// idle holds the *callerConn of the connections between two requests, the longest idle one
+	// first.
+	idle list.List
 }
 
 // callerConn is a connection of a caller.
 type callerConn struct {
 	net.Conn
-	// place is the place among those that rest; nil while a request runs or the first one is due.
+	// place is the place among the idle ones; nil while a request runs or the first one is due.
 	place *list.Element
-	since time.Time
+	// idleSince is set while place is.
+	idleSince time.Time
 	// ending is set once the connection was told to end.
 	ending bool
 }
@@ -65,7 +66,7 @@
 		c.conns[conn] = known
 	}
 	if known.place != nil {
-		c.resting.Remove(known.place)
+		c.idle.Remove(known.place)
 		known.place = nil
 	}
 	switch state {
@@ -74,36 +75,36 @@
 	case http.StateActive:
 		known.keep()
 	case http.StateIdle:
-		known.since = time.Now()
-		known.place = c.resting.PushBack(known)
+		known.idleSince = time.Now()
+		known.place = c.idle.PushBack(known)
 	case http.StateClosed, http.StateHijacked:
 		delete(c.conns, conn)
 	}
 }
 
-// makeRoom ends the connection that has rested the longest if there are more than max.
+// makeRoom ends the longest idle connection if there are more than max.
 func (c *callerConns) makeRoom() {
 	if c.max == 0 || len(c.conns) <= c.max {
 		return
 	}
-	for e := c.resting.Front(); e != nil; e = e.Next() {
-		if resting := e.Value.(*callerConn); !resting.ending {
-			resting.end()
+	for e := c.idle.Front(); e != nil; e = e.Next() {
+		if conn := e.Value.(*callerConn); !conn.ending {
+			conn.end()
 			return
 		}
 	}
 }
 
-// endResting ends the connections that have rested for longer than timeout.
-func (c *callerConns) endResting(now time.Time, timeout time.Duration) {
+// endIdle ends the connections that have been idle for longer than timeout.
+func (c *callerConns) endIdle(now time.Time, timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for e := c.resting.Front(); e != nil; e = e.Next() {
-		resting := e.Value.(*callerConn)
-		if now.Sub(resting.since) < timeout {
+	for e := c.idle.Front(); e != nil; e = e.Next() {
+		conn := e.Value.(*callerConn)
+		if now.Sub(conn.idleSince) < timeout {
 			return
 		}
-		resting.end()
+		conn.end()
 	}
 }
 
@@ -125,10 +126,10 @@
 func (c *callerConns) unanswered() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.conns) - c.resting.Len()
+	return len(c.conns) - c.idle.Len()
 }
 
-// runIdleChecks ends connections of callers that rest for longer than the operator allows, until
+// runIdleChecks ends connections of callers that are idle for longer than the operator allows, until
 // the context is done.
 func (g *gateway) runIdleChecks(ctx context.Context) {
 	ticker := time.NewTicker(idleCheckInterval)
@@ -142,7 +143,7 @@
 			if config := g.syncer.View().Config; config != nil && config.Limits.IdleTimeout > 0 {
 				timeout = config.Limits.IdleTimeout
 			}
-			g.callerConns.endResting(now, timeout)
+			g.callerConns.endIdle(now, timeout)
 		}
 	}
 }
--- a/io/daemon/gateway.go
+++ b/io/daemon/gateway.go
@@ -322,7 +322,7 @@
 		g.callerConns.track(c, state)
 	}
 	g.callerServer.ConnContext = callerConnContext
-	// runIdleChecks ends connections that rest.
+	// runIdleChecks ends idle connections.
 	g.callerServer.IdleTimeout = 0
 	return g
 }
--- a/io/ending/ending.go
+++ b/io/ending/ending.go
@@ -27,8 +27,11 @@
 	return errors.Annotate(setLinger(r, 0), "make a connection end with a reset")
 }
 
-// InOrder makes the connection of a request end in order, after all bytes that were flushed.
-func InOrder(r *http.Request) error {
+// InOrder flushes the answer to a request and makes its connection end in order.
+func InOrder(r *http.Request, control *http.ResponseController) error {
+	if err := control.Flush(); err != nil {
+		return errors.Annotate(err, "flush a whole answer")
+	}
 	return errors.Annotate(setLinger(r, -1), "make a connection end in order")
 }
 
--- a/io/ending/ending_test.go
+++ b/io/ending/ending_test.go
@@ -42,7 +42,7 @@
 				_, _ = io.WriteString(w, "part")
 				_ = http.NewResponseController(w).Flush()
 				if r.URL.Path == "/in-order" {
-					if err := ending.InOrder(r); err != nil {
+					if err := ending.InOrder(r, http.NewResponseController(w)); err != nil {
 						t.Error(err)
 					}
 					return
--- a/io/entry/answer.go
+++ b/io/entry/answer.go
@@ -155,10 +155,7 @@
 	if !s.endsWithConn {
 		return nil
 	}
-	if err := s.controller.Flush(); err != nil {
-		return errors.Trace(err)
-	}
-	return errors.Trace(ending.InOrder(s.request))
+	return errors.Trace(ending.InOrder(s.request, s.controller))
 }
 
 // fail ends a request that was not answered in whole. Before the status line it sends an
--- a/io/proxy/sink.go
+++ b/io/proxy/sink.go
@@ -81,10 +81,7 @@
 	if s.framing != http1.FramedByClose {
 		return nil
 	}
-	if err := s.control.Flush(); err != nil {
-		return errors.Trace(err)
-	}
-	return errors.Trace(ending.InOrder(s.request))
+	return errors.Trace(ending.InOrder(s.request, s.control))
 }
 
 // Write writes a part of the body and flushes it.
