Don't take the end of a killed upstream for the end of its answer

Cause: checkUnprovedEnd let an end in order count as whole if no other upstream was reached, if the upstream had said that it leaves, or if it took a connection for 20 ms.

Fix: while such answers are under way, the HTTP client keeps one more connection to the upstream, on which nothing is sent. A killed process loses it together with the answer. It doesn't depend on other upstreams, the list, leaving, or who takes the port next.

The other side, whole answers that stay whole while nothing takes new connections: TestUpstreamEndsWithAnswer, TestEndWithConnection (9 cases).

Tests changed: 'stream, upstream leaves' of TestUpstreamEndsWithAnswer asked for a whole answer after the listener was closed, which a replica taken away at short notice shows too; it is two cases now, one that keeps its connections (whole) and one that ends (cut). TestAnswers counts connections with a request, as the client opens one without. A plain answer that is cut is 502 now.

--- a/io/http1/framing.go
+++ b/io/http1/framing.go
@@ -14,7 +14,7 @@
 //	framing  whole if                             cut off if
 //	length   that many bytes have arrived         the connection ends before
 //	chunks   the last chunk has arrived           the connection ends before
-//	close    never proved                         the connection is reset
+//	close    the upstream outlasts it (endWatch)  the connection is reset, or the upstream ends with it
 //
 // A stream of events that ends inside an event is cut off whatever its framing, and so is
 // one that ends with its connection before its first event.
@@ -59,6 +59,10 @@
 	}
 }
 
+// ErrUpstreamEnded means that the process of an upstream has ended together with an answer that ends
+// with its connection, as it does when it is killed.
+var ErrUpstreamEnded = errors.Annotate(io.ErrUnexpectedEOF, "upstream ended with the answer, whose end proves nothing")
+
 var (
 	errInsideEvent = errors.Annotate(io.ErrUnexpectedEOF, "stream ended inside an event")
 	errNoEvent     = errors.Annotate(io.ErrUnexpectedEOF, "connection ended before the first event")
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -42,12 +42,17 @@
 	// DialCount counts the connections that were dialed.
 	DialCount atomic.Int64
 
-	conns connPool
+	conns     connPool
+	sentinels sentinels
 }
 
 // NewClient returns a client without connections.
 func NewClient(codec Codec, c clock.Clock, dialTimeout time.Duration) *Client {
-	return &Client{Codec: codec, DialTimeout: dialTimeout, conns: connPool{clock: c}}
+	client := &Client{Codec: codec, DialTimeout: dialTimeout, conns: connPool{clock: c}}
+	client.sentinels = sentinels{clock: c, open: func(ctx context.Context, k connKey) (net.Conn, error) {
+		return client.open(ctx, k)
+	}}
+	return client
 }
 
 // WatchIdleConns makes the client call a function, in a goroutine of its own, when the last idle
@@ -93,8 +98,12 @@
 	answer, failure := x.run(ctx)
 	if failure != nil {
 		x.discard()
+		return nil, failure
 	}
-	return answer, failure
+	if answer.Framing == FramedByClose {
+		answer.Body.(*body).end = x.watchEnd(ctx)
+	}
+	return answer, nil
 }
 
 // idleConn returns an idle connection for an attempt, or nil.
@@ -344,7 +353,9 @@
 	exchange *exchange
 	framing  Framing
 	// events is nil if the body is no stream of events.
-	events   *event.Scanner
+	events *event.Scanner
+	// end is the watch of a body that ends with its connection; nil for others.
+	end      *endWatch
 	idleTime time.Duration
 	// read is the number of bytes that were read.
 	read   int64
@@ -354,7 +365,10 @@
 
 // Read marks the body as whole at its proper end.
 func (b *body) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
+	if b.whole {
+		return 0, io.EOF
+	}
+	n, err := b.end.read(b.ReadCloser, p)
 	b.read += int64(n)
 	if b.read > maxBodyBytes {
 		return n, ErrTooLarge
@@ -370,6 +384,9 @@
 			return n, err
 		}
 	}
+	if !b.end.outlasted() {
+		return n, ErrUpstreamEnded
+	}
 	b.whole = true
 	return n, io.EOF
 }
@@ -380,6 +397,7 @@
 		return nil
 	}
 	b.closed = true
+	b.end.release()
 	if b.whole && b.idleTime > 0 {
 		b.exchange.release(b.idleTime)
 		return nil
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -40,6 +40,8 @@
 	address netip.AddrPort
 
 	mu sync.Mutex
+	// connections counts the connections on which a request has arrived.
+	connections int
 	// arrivals holds "CONNECTION/ID" of each request.
 	arrivals []string
 }
@@ -55,20 +57,21 @@
 	t.Cleanup(func() { _ = l.Close() })
 	u := &upstream{address: l.Addr().(*net.TCPAddr).AddrPort()}
 	go func() {
-		for n := 0; ; n++ {
+		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go u.serve(c.(*net.TCPConn), n, serve)
+			go u.serve(c.(*net.TCPConn), serve)
 		}
 	}()
 	return u
 }
 
-func (u *upstream) serve(c *net.TCPConn, n int, serve func(*net.TCPConn, *http.Request, string) bool) {
+func (u *upstream) serve(c *net.TCPConn, serve func(*net.TCPConn, *http.Request, string) bool) {
 	defer func() { _ = c.Close() }()
 	reader := bufio.NewReader(c)
+	n := -1
 	for {
 		r, err := http.ReadRequest(reader)
 		if err != nil {
@@ -76,6 +79,10 @@
 		}
 		id := r.Header.Get("Id")
 		u.mu.Lock()
+		if n < 0 {
+			n = u.connections
+			u.connections++
+		}
 		u.arrivals = append(u.arrivals, fmt.Sprintf("%d/%s", n, id))
 		u.mu.Unlock()
 		if !serve(c, r, id) {
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/singleflight"
 
@@ -175,8 +176,8 @@
 		watch.partReceived()
 		lease.ResponseReceived(p.Clock.Now())
 	})
-	if failure == nil && answer.Framing == http1.FramedByClose {
-		failure = p.checkUnprovedEnd(ctx, lease)
+	if failure != nil && errors.Is(failure.Cause, http1.ErrUpstreamEnded) {
+		p.Metrics.Events.Add("answers-ended-with-upstream", 1)
 	}
 	p.recordCache(call, lease)
 	p.endLease(lease, answerOutcome(answer, failure))
--- a/io/proxy/ended_with_answer_test.go
+++ b/io/proxy/ended_with_answer_test.go
@@ -7,23 +7,30 @@
 )
 
 // TestUpstreamEndsWithAnswer guards against an answer that looks whole since its upstream, a process
-// that was killed, closed the connection in order: no connection to it opens any more, and it didn't
-// say that it leaves.
+// that was killed, closed the connection in order: alone, with all others of the region, or while
+// it left. It guards as well against a whole answer that looks cut off since its upstream takes no
+// new connections.
 func TestUpstreamEndsWithAnswer(t *testing.T) {
 	const first, rest = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
 	for _, c := range []struct {
 		name, path string
-		ends       bool
+		end        func(inst *testInstance, conn net.Conn)
 		head       string
 		whole      bool
 		body       string
 	}{
-		{"stream", "/stream/", true, "", false, first},
-		{"resumable stream", "/resume/", true, "", true, first + rest},
-		{"plain answer", "/once/", true, "", false, first},
-		{"stream, upstream lives", "/stream/", false, "", true, first},
-		{"plain answer, upstream lives", "/once/", false, "", true, first},
-		{"stream, upstream leaves", "/stream/", true, "Leaving: 1\r\n", true, first},
+		{"stream", "/stream/", endUpstream, "", false, first},
+		{"stream, all upstreams end", "/stream/", endAllUpstreams, "", false, first},
+		{"resumable stream", "/resume/", endUpstream, "", true, first + rest},
+		{"plain answer", "/once/", endUpstream, "", false, first},
+		{"plain answer, all upstreams end", "/once/", endAllUpstreams, "", false, first},
+		{"stream, upstream lives", "/stream/", nil, "", true, first},
+		{"plain answer, upstream lives", "/once/", nil, "", true, first},
+		{"stream, upstream leaves and ends", "/stream/", endUpstream, "Leaving: 1\r\n", false, first},
+		{"stream, upstream leaves", "/stream/", nil, "Leaving: 1\r\n", true, first},
+		{"stream, upstream leaves and takes no new connections", "/stream/", closeListener, "Leaving: 1\r\n", true, first},
+		{"stream, no upstream takes new connections", "/stream/", closeAllListeners, "", true, first},
+		{"plain answer, no upstream takes new connections", "/once/", closeAllListeners, "", true, first},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -33,14 +40,15 @@
 					closing(rest)(conn, r)
 					return
 				}
-				if c.ends {
-					inst.closeListener(conn)
-				}
 				untilCloseWith(c.head, first)(conn, r)
+				if c.end != nil {
+					c.end(inst, conn)
+				}
 			})
 			inst.ready(t)
-			_, body, err := inst.send(t, c.path, "", nil)
-			if (err == nil) != c.whole || err == nil && body != c.body {
+			response, body, err := inst.send(t, c.path, "", nil)
+			whole := err == nil && response.StatusCode == http.StatusOK
+			if whole != c.whole || whole && body != c.body {
 				t.Errorf("%q, error %v", body, err)
 			}
 		})
@@ -57,11 +65,44 @@
 	}
 }
 
-// closeListener makes the upstream that has accepted a connection accept no further ones.
-func (inst *testInstance) closeListener(c net.Conn) {
+// upstreamOf returns the upstream that has accepted a connection.
+func (inst *testInstance) upstreamOf(c net.Conn) *upstream {
 	for _, u := range inst.upstreams {
 		if u.listener.Addr().String() == c.LocalAddr().String() {
-			_ = u.listener.Close()
+			return u
 		}
 	}
+	return nil
+}
+
+// closeListener makes the upstream that has accepted a connection accept no further ones.
+func closeListener(inst *testInstance, c net.Conn) {
+	_ = inst.upstreamOf(c).listener.Close()
+}
+
+func closeAllListeners(inst *testInstance, _ net.Conn) {
+	for _, u := range inst.upstreams {
+		_ = u.listener.Close()
+	}
+}
+
+// endUpstream closes all sockets of the upstream that has accepted a connection, as the kernel
+// does for a process that is killed.
+func endUpstream(inst *testInstance, c net.Conn) {
+	inst.upstreamOf(c).end()
+}
+
+func endAllUpstreams(inst *testInstance, _ net.Conn) {
+	for _, u := range inst.upstreams {
+		u.end()
+	}
+}
+
+func (u *upstream) end() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, c := range u.conns {
+		_ = c.Close()
+	}
+	_ = u.listener.Close()
 }
--- a/io/proxy/instance_test.go
+++ b/io/proxy/instance_test.go
@@ -100,6 +100,8 @@
 	listener net.Listener
 
 	mu sync.Mutex
+	// conns holds all connections that were accepted.
+	conns []net.Conn
 	// runs holds the id of each request that arrived, followed by its last event id.
 	runs []string
 	// override replaces the initial reply function.
@@ -130,6 +132,9 @@
 		if err != nil {
 			return
 		}
+		u.mu.Lock()
+		u.conns = append(u.conns, c)
+		u.mu.Unlock()
 		go func() {
 			defer func() { _ = c.Close() }()
 			r, err := http.ReadRequest(bufio.NewReader(c))
--- a/io/proxy/lost.go
+++ b/io/proxy/lost.go
@@ -58,24 +58,6 @@
 		Msg("request lost: its upstream ended before its answer began")
 }
 
-// checkUnprovedEnd checks the end of an answer that has ended in order with its connection, which
-// is also how the kernel ends the connections of an upstream that is killed. The answer was cut off
-// if its upstream, which was not leaving, has ended.
-func (p *Proxy) checkUnprovedEnd(ctx context.Context, lease *pool.Lease) *result.Failure {
-	id, address := lease.Upstream.ID, lease.Upstream.Address
-	if !p.Pool.ExpectsRequests(id, address) || !p.refusesConnections(ctx, id, address) || !p.reachesOthers(ctx, id) {
-		return nil
-	}
-	p.Metrics.Events.Add("answers-ended-with-upstream", 1)
-	return &result.Failure{
-		Outcome: result.Unknown,
-		Step:    result.StepStream,
-		Reason:  result.AnswerCut,
-		Peer:    string(id),
-		Cause:   errors.New("the upstream ended with the answer, whose end proves nothing"),
-	}
-}
-
 // mayHaveEnded reports whether a failure leaves it open whether its upstream has ended by the
 // request. One that wasn't sent can't have ended it.
 func mayHaveEnded(f *result.Failure) bool {
