Count the loss of answers that had just begun as evidence against their requests

Cause: the first byte of an answer acquitted the parts of its request, and an answer that had begun was no loss.

Fix: each attempt's answer is followed to 1.5 s after its first event. A loss before the first whole event weighs 1, one in that time 1/2, one later nothing; only an answer that is whole or outlasts it acquits.

--- a/core/gossip/evidence.go
+++ b/core/gossip/evidence.go
@@ -41,22 +41,26 @@
 // LossEvidence is what an instance knows of traits of requests that may end upstreams.
 type LossEvidence struct {
 	Lost  []LostRequest
-	Begun []BegunTrait
+	Sound []SoundTrait
 }
 
-// LostRequest is a request that ended with its upstream before its answer began.
+// LostRequest is a request that ended with its upstream before its answer had outlasted its
+// beginning.
 type LostRequest struct {
 	// ID identifies the request and its upstream. All instances use the same.
-	ID     uint64
+	ID uint64
+	// Traits holds its fingerprint and some of its parts: others may follow in a later report.
 	Traits Traits
+	// Begun is set if a whole event of the answer had arrived.
+	Begun bool
 	// Age is the time since the request was lost.
 	Age time.Duration
 }
 
-// BegunTrait is a trait of a request whose answer has begun.
-type BegunTrait struct {
+// SoundTrait is a trait of a request whose answer has outlasted its beginning.
+type SoundTrait struct {
 	Trait TraitKey
-	// Age is the time since the last answer to a request with the trait began.
+	// Age is the time since the last such answer to a request with the trait.
 	Age time.Duration
 }
 
@@ -68,9 +72,9 @@
 		l.Age += elapsed
 		e.Lost = append(e.Lost, l)
 	}
-	for _, b := range m.LossEvidence.Begun {
+	for _, b := range m.LossEvidence.Sound {
 		b.Age += elapsed
-		e.Begun = append(e.Begun, b)
+		e.Sound = append(e.Sound, b)
 	}
 	return e
 }
--- a/core/poison/check.go
+++ b/core/poison/check.go
@@ -51,18 +51,28 @@
 	return Finding{}, false
 }
 
-// Suspects reports whether another request was lost with a trait of this one on which no
-// answer is known to have begun. id is the LossID of this one's last loss. Such a request
-// shouldn't be tried again once it was lost itself.
+// Suspects reports whether other requests were lost with a trait of this one on which no
+// answer is known. id is the LossID of this one's last loss. Such a request shouldn't be tried
+// again once it was lost itself.
 func (d *Detector) Suspects(id uint64, traits gossip.Traits) bool {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	for _, l := range d.lost {
+	own := map[gossip.TraitKey]int{}
+	for trait := range traits.All() {
+		own[trait] = 0
+	}
+	for i := range d.lost {
+		l := &d.lost[i]
 		if l.id == id {
 			continue
 		}
 		for trait := range l.traits.All() {
-			if d.begun[trait].at.IsZero() && traits.Has(trait) {
+			sum, found := own[trait]
+			if !found || !d.sound[trait].at.IsZero() {
+				continue
+			}
+			own[trait] = sum + l.weight()
+			if own[trait] >= weightWaiting {
 				return true
 			}
 		}
--- a/core/poison/convict.go
+++ b/core/poison/convict.go
@@ -9,6 +9,7 @@
 
 // conviction is the evidence against a convicted trait.
 type conviction struct {
+	// losses counts the moments in which requests were lost, those that had just begun half.
 	losses   int
 	required int
 	lastAt   time.Time
@@ -17,7 +18,7 @@
 	companions []gossip.TraitKey
 }
 
-// Change is a conviction that has begun or ended.
+// Change is the beginning or end of a conviction.
 type Change struct {
 	Trait     gossip.TraitKey
 	Convicted bool
@@ -33,7 +34,7 @@
 	before := d.convicted
 	d.convictAll(losses)
 	d.dropSurplus(losses)
-	d.dropBegun(now)
+	d.dropSound(now)
 	d.dropProbes()
 	return changes(before, d.convicted)
 }
@@ -60,9 +61,9 @@
 
 // convict returns the conviction of a trait by the requests that were lost with it.
 func (d *Detector) convict(trait gossip.TraitKey, list []*lostRequest) (conviction, bool) {
-	c := conviction{losses: moments(list), required: requiredLosses, lastAt: list[len(list)-1].at}
-	if !d.begun[trait].at.IsZero() {
-		c.required = requiredLossesBegun
+	c := conviction{losses: weight(list) / weightWaiting, required: requiredLosses, lastAt: list[len(list)-1].at}
+	if !d.sound[trait].at.IsZero() {
+		c.required = requiredLossesSound
 	}
 	return c, c.losses >= c.required
 }
@@ -90,6 +91,29 @@
 	return count
 }
 
+// weight returns what lost requests weigh together. Those of one moment weigh as much as the
+// heaviest of them.
+func weight(list []*lostRequest) int {
+	sum, heaviest := 0, 0
+	var last time.Time
+	for i, l := range list {
+		if i == 0 || l.at.Sub(last) > sameMoment {
+			sum += heaviest
+			heaviest = 0
+			last = l.at
+		}
+		heaviest = max(heaviest, l.weight())
+	}
+	return sum + heaviest
+}
+
+func (l *lostRequest) weight() int {
+	if l.begun {
+		return weightBegun
+	}
+	return weightWaiting
+}
+
 // companions returns the convicted traits that all lost requests of a trait hold.
 func (d *Detector) companions(trait gossip.TraitKey, c conviction, list []*lostRequest) []gossip.TraitKey {
 	var companions []gossip.TraitKey
@@ -121,9 +145,9 @@
 }
 
 // counts reports whether a lost request counts against a trait: no answer on the trait has
-// begun since.
+// outlasted its beginning since.
 func (d *Detector) counts(l *lostRequest, trait gossip.TraitKey) bool {
-	return l.at.After(d.begun[trait].at)
+	return l.at.After(d.sound[trait].at)
 }
 
 func latest(a, b time.Time) time.Time {
--- a/core/poison/fleet_test.go
+++ b/core/poison/fleet_test.go
@@ -22,8 +22,15 @@
 	// repeated makes one request that ends upstreams come again and again, about once a
 	// second, from second 4 on.
 	repeated bool
-	// outages makes upstreams end for other reasons.
-	outages bool
+	// crashAfter is the time from the first event of a deadly request until its upstream ends,
+	// and inEvent is set if that is before the event is whole.
+	crashAfter float64
+	inEvent    bool
+	// outages makes upstreams end for other reasons, and restarts one after the other.
+	outages  bool
+	restarts bool
+	// streams makes answers take some seconds; callers take up again those that break off.
+	streams bool
 	// retries makes lost requests be sent to up to three upstreams.
 	retries bool
 
@@ -32,6 +39,8 @@
 	refusedSound int
 	sound        int
 	nextID       uint64
+	// restarted is the number of upstreams that were restarted.
+	restarted int
 }
 
 type upstreamState struct {
@@ -46,6 +55,9 @@
 	deadly   bool
 	tries    int
 	beginsAt float64
+	endsAt   float64
+	// outlasted is set once its answer has outlasted its beginning.
+	outlasted bool
 }
 
 type event struct {
@@ -57,6 +69,8 @@
 	deadlyTrait   = "deadly"
 	deadlyRequest = 7
 	step          = 0.02
+	// beginningTime is how long after its first event an answer counts as just begun.
+	beginningTime = 1.5
 )
 
 func newFleet(seed uint64, instances, upstreams int) *fleet {
@@ -81,6 +95,9 @@
 		if f.outages {
 			f.outage()
 		}
+		if f.restarts {
+			f.restart()
+		}
 		f.gossip()
 		for len(f.events) > 0 && f.events[0].at <= f.now {
 			f.events[0].do()
@@ -140,6 +157,11 @@
 	u := &f.upstreams[f.random.IntN(len(f.upstreams))]
 	if f.now >= u.downUntil {
 		r.beginsAt = f.now + 0.05 + f.random.ExpFloat64()*0.3
+		r.endsAt = r.beginsAt + f.random.ExpFloat64()*0.3
+		if f.streams {
+			r.endsAt = r.beginsAt + 2 + f.random.ExpFloat64()*4
+		}
+		r.outlasted = false
 		u.waiting = append(u.waiting, r)
 	}
 	return true
@@ -161,13 +183,15 @@
 		ended := false
 		for _, r := range u.waiting {
 			switch {
-			case f.now < r.beginsAt:
-				kept = append(kept, r)
-			case r.deadly:
-				kept = append(kept, r)
+			case r.deadly && f.now >= r.beginsAt+f.crashAfter:
 				ended = true
-			default:
-				f.detectors[r.instance].AnswerBegun(at(f.now), r.traits)
+			case r.deadly || f.now < r.beginsAt:
+			case !r.outlasted && f.now >= min(r.beginsAt+beginningTime, r.endsAt):
+				r.outlasted = true
+				f.detectors[r.instance].AnswerSound(at(f.now), r.traits)
+			}
+			if r.deadly || f.now < r.endsAt {
+				kept = append(kept, r)
 			}
 		}
 		u.waiting = kept
@@ -187,13 +211,27 @@
 	for _, r := range lost {
 		d := f.detectors[r.instance]
 		id := LossID(fmt.Sprint(r.id), ident.Upstream(fmt.Sprint(upstream)))
-		d.RequestLost(at(f.now), id, r.traits)
+		d.RequestLost(at(f.now), id, r.traits, f.progressOf(r))
 		if f.retries && r.tries < 3 && !d.Suspects(id, r.traits) {
 			f.after(0.1, func() { f.try(r) })
+		} else if f.streams && !r.deadly {
+			f.after(0.2, func() { f.send(r) })
 		}
 	}
 }
 
+// progressOf returns how far the answer to a request has come.
+func (f *fleet) progressOf(r waitingRequest) Progress {
+	switch {
+	case f.now < r.beginsAt, r.deadly && f.inEvent:
+		return Waiting
+	case f.now < r.beginsAt+beginningTime:
+		return JustBegun
+	default:
+		return Running
+	}
+}
+
 // outage ends single upstreams, and now and then a third of them at once.
 func (f *fleet) outage() {
 	if f.random.Float64() < step/1.5 {
@@ -207,6 +245,16 @@
 	}
 }
 
+// restart ends the upstreams one after the other, a second apart, and all of them again in the next
+// pass, at least ten seconds later.
+func (f *fleet) restart() {
+	pass, i := f.restarted/len(f.upstreams), f.restarted%len(f.upstreams)
+	if f.now > 4+float64(pass*max(len(f.upstreams), 10)+i) {
+		f.end(i)
+		f.restarted++
+	}
+}
+
 // gossip sends the evidence of each instance to a few others, which get it some time
 // later.
 func (f *fleet) gossip() {
@@ -241,6 +289,8 @@
 		for _, outages := range []bool{false, true} {
 			f := newFleet(seed, []int{9, 30}[seed%2], []int{12, 60}[seed%2])
 			f.tainted, f.outages = true, outages
+			// Before its answer, inside the first event, and between events.
+			f.crashAfter, f.inEvent = []float64{0, 0.02, 0.2}[seed/2%3], seed/2%3 == 1
 			f.run(40)
 			if len(f.crashes) < 3 {
 				t.Errorf("seed %d, outages %v: the trait ended %d upstreams only", seed, outages, len(f.crashes))
@@ -277,6 +327,20 @@
 	}
 }
 
+// TestNoStreamConvictedByRestarts guards against sessions that are refused since their streams, which
+// last for seconds and are taken up again each time, lose their upstreams to restarts one after the
+// other.
+func TestNoStreamConvictedByRestarts(t *testing.T) {
+	for seed := range uint64(12) {
+		f := newFleet(seed, []int{3, 9, 30}[seed%3], []int{3, 12, 60}[seed%3])
+		f.streams, f.restarts = true, true
+		f.run(40)
+		if f.refusedSound*200 > f.sound || f.restarted < 9 {
+			t.Errorf("seed %d: %d of %d sound requests refused, %d restarts", seed, f.refusedSound, f.sound, f.restarted)
+		}
+	}
+}
+
 // TestNoTraitConvictedByOutages guards against upstreams that end for other reasons making
 // their requests suspects that are refused.
 func TestNoTraitConvictedByOutages(t *testing.T) {
--- a/core/poison/memory.go
+++ b/core/poison/memory.go
@@ -98,36 +98,36 @@
 	return list
 }
 
-// dropBegun drops the begun answers of traits that aren't suspected any more, once peers
+// dropSound drops the answers on traits that aren't suspected any more, once peers
 // have had time to learn of them.
-func (d *Detector) dropBegun(now time.Time) {
+func (d *Detector) dropSound(now time.Time) {
 	suspected := map[gossip.TraitKey]struct{}{}
 	for _, l := range d.lost {
 		for trait := range l.traits.All() {
 			suspected[trait] = struct{}{}
 		}
 	}
-	for trait, b := range d.begun {
+	for trait, b := range d.sound {
 		if _, found := suspected[trait]; !found && now.After(b.reportUntil) {
-			delete(d.begun, trait)
+			delete(d.sound, trait)
 		}
 	}
-	for len(d.begun) > maxBegun+len(suspected) {
-		d.dropOldestBegun(suspected)
+	for len(d.sound) > maxSound+len(suspected) {
+		d.dropOldestSound(suspected)
 	}
 }
 
-// dropOldestBegun drops the answer that would be reported for the shortest time, of those on
+// dropOldestSound drops the answer that would be reported for the shortest time, of those on
 // traits that aren't suspected.
-func (d *Detector) dropOldestBegun(suspected map[gossip.TraitKey]struct{}) {
+func (d *Detector) dropOldestSound(suspected map[gossip.TraitKey]struct{}) {
 	var oldest gossip.TraitKey
 	var until time.Time
-	for trait, b := range d.begun {
+	for trait, b := range d.sound {
 		if _, found := suspected[trait]; !found && (until.IsZero() || b.reportUntil.Before(until)) {
 			oldest, until = trait, b.reportUntil
 		}
 	}
-	delete(d.begun, oldest)
+	delete(d.sound, oldest)
 }
 
 func (d *Detector) dropProbes() {
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -4,10 +4,10 @@
 // package holds the evidence of one instance and of its peers, and decides which requests
 // may not be sent.
 //
-// An upstream that ends takes all requests down with it. Only those whose answer had not
-// begun can be the cause, and a trait with which any answer begins is sound. So a trait is
-// convicted once enough requests that hold it were lost in a row, in different moments,
-// without an answer on it having begun anywhere since the first of them.
+// An upstream that ends takes all requests down with it. Only those whose answer had not begun,
+// or only just, can be the cause, and a trait on which any answer has outlasted its beginning
+// is sound. So a trait is convicted once enough requests that hold it were lost in a row, in
+// different moments, without such an answer anywhere since the first of them.
 package poison
 
 import (
@@ -23,11 +23,16 @@
 
 const (
 	// requiredLosses is the number of losses in a row that convict a trait on which no
-	// answer is known to have begun. Two may be a coincidence: a request that is unlucky
-	// and the next one of its session.
+	// answer is known. Two may be a coincidence: a request that is unlucky and the next one
+	// of its session.
 	requiredLosses = 3
-	// requiredLossesBegun is that number for a trait on which answers have begun before.
-	requiredLossesBegun = 8
+	// requiredLossesSound is that number for a trait that was sound before.
+	requiredLossesSound = 8
+	// weightWaiting and weightBegun are those of the loss of a request of whose answer no whole
+	// event had arrived, and of one whose answer had just begun: a sound request is about as
+	// likely to be caught in its first events as before them, but a stream that goes on
+	// elsewhere is caught again and again while upstreams are restarted in turn.
+	weightWaiting, weightBegun = 2, 1
 	// sameMoment is the time within which several losses count as one: upstreams that share
 	// a zone or a switch end together. Losses that peers report seem later by the time under
 	// way, so that a longer time would make instances count differently.
@@ -45,13 +50,13 @@
 	// heartbeats. An instance may lose as many at once as an upstream has slots.
 	maxRepeated = 8
 	maxReported = 64
-	// maxBegun bounds the traits with begun answers that are reported.
-	maxBegun = 64
+	// maxSound bounds the sound traits that are reported.
+	maxSound = 64
 	// maxLossesPerTrait bounds the lost requests that are kept for one convicted trait. It
-	// exceeds requiredLossesBegun.
+	// exceeds requiredLossesSound.
 	maxLossesPerTrait = 12
 	// reportTime is how long what an instance has seen itself is reported, so that peers hear
-	// of it several times. A begun answer is reported longer while a loss with its trait is.
+	// of it several times. A sound trait is reported longer while a loss with it is.
 	reportTime = 5 * time.Second
 	// firstProbe is the time after the last loss at which a request with a convicted trait
 	// may be sent again, to learn whether the trait still ends upstreams. It doubles with
@@ -87,19 +92,22 @@
 	held map[uint64]struct{}
 	// lost holds the requests for which some of their traits are suspected, oldest first.
 	lost []lostRequest
-	// begun holds the last answer on each trait that is or was suspected.
-	begun     map[gossip.TraitKey]begunAnswer
+	// sound holds the last answer on each trait that is or was suspected.
+	sound     map[gossip.TraitKey]soundAnswer
 	history   history
 	convicted map[gossip.TraitKey]conviction
 	// probes holds when this instance last sent a request with a convicted trait.
 	probes map[gossip.TraitKey]time.Time
 }
 
-// lostRequest is a request that ended with its upstream before its answer began.
+// lostRequest is a request that ended with its upstream before its answer had outlasted its
+// beginning.
 type lostRequest struct {
 	id     uint64
 	traits gossip.Traits
-	at     time.Time
+	// begun is set if a whole event of the answer had arrived.
+	begun bool
+	at    time.Time
 	// told is set if this instance tells peers of the request for a while: it sent it, or
 	// others of its region may not have heard of it.
 	told bool
@@ -107,8 +115,9 @@
 	reported bool
 }
 
-// begunAnswer is when the last answer on a trait began, and until when that is reported.
-type begunAnswer struct {
+// soundAnswer is when an answer on a trait last outlasted its beginning, and until when that is
+// reported.
+type soundAnswer struct {
 	at          time.Time
 	reportUntil time.Time
 }
@@ -120,26 +129,39 @@
 	d.instances = instances
 }
 
-// RequestLost records a request that ended with its upstream before its answer began. id
-// is its LossID.
-func (d *Detector) RequestLost(now time.Time, id uint64, traits gossip.Traits) []Change {
+// Progress is how far an answer had come when its upstream ended.
+type Progress uint8
+
+const (
+	// Waiting means that no whole event of it had arrived, or, if it is no stream of events, that
+	// its head had arrived a moment before at most.
+	Waiting Progress = iota
+	// JustBegun means that its first whole event had arrived a moment before.
+	JustBegun
+	// Running means that it had outlasted its beginning: its request isn't the cause.
+	Running
+)
+
+// RequestLost records a request that ended with its upstream. id is its LossID.
+func (d *Detector) RequestLost(now time.Time, id uint64, traits gossip.Traits, progress Progress) []Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.holds(id) {
+	if d.holds(id) || progress == Running {
 		return nil
 	}
-	d.addLost(lostRequest{id: id, traits: traits, at: now, told: true})
+	d.addLost(lostRequest{id: id, traits: traits, begun: progress == JustBegun, at: now, told: true})
 	return d.update(now)
 }
 
-// AnswerBegun records that an answer to a request with the traits has begun.
-func (d *Detector) AnswerBegun(now time.Time, traits gossip.Traits) []Change {
+// AnswerSound records that an answer to a request with the traits has outlasted its beginning, or
+// is whole.
+func (d *Detector) AnswerSound(now time.Time, traits gossip.Traits) []Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	changed := false
 	for trait := range traits.All() {
 		d.history.add(now, trait)
-		if d.recordBegun(now, trait, now) {
+		if d.recordSound(now, trait, now) {
 			changed = true
 		}
 	}
@@ -152,7 +174,7 @@
 // Merge takes over what a peer knows. Ages are as of now. passOn is set if the peer doesn't
 // tell all instances of this region.
 func (d *Detector) Merge(now time.Time, evidence gossip.LossEvidence, passOn bool) []Change {
-	if len(evidence.Lost) == 0 && len(evidence.Begun) == 0 {
+	if len(evidence.Lost) == 0 && len(evidence.Sound) == 0 {
 		return nil
 	}
 	d.mu.Lock()
@@ -160,12 +182,12 @@
 	changed := false
 	for _, l := range evidence.Lost {
 		if l.Age < evidenceMemory/2 && !d.holds(l.ID) {
-			d.addLost(lostRequest{id: l.ID, traits: l.Traits, at: now.Add(-l.Age), told: passOn})
+			d.addLost(lostRequest{id: l.ID, traits: l.Traits, begun: l.Begun, at: now.Add(-l.Age), told: passOn})
 			changed = true
 		}
 	}
-	for _, b := range evidence.Begun {
-		if d.recordBegun(now, b.Trait, now.Add(-b.Age)) {
+	for _, b := range evidence.Sound {
+		if d.recordSound(now, b.Trait, now.Add(-b.Age)) {
 			changed = true
 		}
 	}
@@ -183,15 +205,15 @@
 	var evidence gossip.LossEvidence
 	reported := map[gossip.TraitKey]struct{}{}
 	for _, l := range d.reportedLosses(now) {
-		evidence.Lost = append(evidence.Lost, gossip.LostRequest{ID: l.id, Traits: l.traits, Age: now.Sub(l.at)})
+		evidence.Lost = append(evidence.Lost, gossip.LostRequest{ID: l.id, Traits: l.traits, Begun: l.begun, Age: now.Sub(l.at)})
 		for trait := range l.traits.All() {
 			reported[trait] = struct{}{}
 		}
 	}
-	for trait, b := range d.begun {
+	for trait, b := range d.sound {
 		_, found := reported[trait]
 		if !b.at.IsZero() && (found || now.Before(b.reportUntil)) {
-			evidence.Begun = append(evidence.Begun, gossip.BegunTrait{Trait: trait, Age: now.Sub(b.at)})
+			evidence.Sound = append(evidence.Sound, gossip.SoundTrait{Trait: trait, Age: now.Sub(b.at)})
 		}
 	}
 	return evidence
@@ -216,26 +238,26 @@
 	}
 	d.lost = slices.Insert(d.lost, i, l)
 	for trait := range l.traits.All() {
-		if _, found := d.begun[trait]; !found {
-			d.setBegun(l.at, trait, d.history.last(trait))
+		if _, found := d.sound[trait]; !found {
+			d.setSound(l.at, trait, d.history.last(trait))
 		}
 	}
 }
 
-// recordBegun records an answer on a trait if the trait is or was suspected. It reports
+// recordSound records an answer on a trait if the trait is or was suspected. It reports
 // whether the answer may acquit the trait of a loss.
-func (d *Detector) recordBegun(now time.Time, trait gossip.TraitKey, at time.Time) bool {
-	held, found := d.begun[trait]
+func (d *Detector) recordSound(now time.Time, trait gossip.TraitKey, at time.Time) bool {
+	held, found := d.sound[trait]
 	if !found || !at.After(held.at) {
 		return false
 	}
-	d.setBegun(now, trait, at)
+	d.setSound(now, trait, at)
 	return len(d.lost) > 0 && held.at.Before(d.lost[len(d.lost)-1].at)
 }
 
-func (d *Detector) setBegun(now time.Time, trait gossip.TraitKey, at time.Time) {
-	if d.begun == nil {
-		d.begun = map[gossip.TraitKey]begunAnswer{}
+func (d *Detector) setSound(now time.Time, trait gossip.TraitKey, at time.Time) {
+	if d.sound == nil {
+		d.sound = map[gossip.TraitKey]soundAnswer{}
 	}
-	d.begun[trait] = begunAnswer{at: at, reportUntil: now.Add(reportTime)}
+	d.sound[trait] = soundAnswer{at: at, reportUntil: now.Add(reportTime)}
 }
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -34,7 +34,14 @@
 // lose records a loss of one request at each of the given times, in seconds.
 func lose(d *Detector, traits gossip.Traits, seconds ...float64) {
 	for _, s := range seconds {
-		d.RequestLost(at(s), uint64(s*1000)+1, traits)
+		d.RequestLost(at(s), uint64(s*1000)+1, traits, Waiting)
+	}
+}
+
+// loseBegun is like lose, for requests whose answer had just begun.
+func loseBegun(d *Detector, traits gossip.Traits, seconds ...float64) {
+	for _, s := range seconds {
+		d.RequestLost(at(s), uint64(s*1000)+1, traits, JustBegun)
 	}
 }
 
@@ -53,26 +60,45 @@
 		{"two losses", func(d *Detector) { lose(d, keys("p"), 1, 2) }, false},
 		{"three losses", func(d *Detector) { lose(d, keys("p"), 1, 2, 3) }, true},
 		{"three losses at once", func(d *Detector) { lose(d, keys("p"), 1, 1.05, 1.1) }, false},
+		{"five losses of answers that had just begun", func(d *Detector) { loseBegun(d, keys("p"), 1, 2, 3, 4, 5) }, false},
+		{"six losses of answers that had just begun", func(d *Detector) { loseBegun(d, keys("p"), 1, 2, 3, 4, 5, 6) }, true},
+		{"two losses before the answer, two after its beginning", func(d *Detector) {
+			lose(d, keys("p"), 1, 2)
+			loseBegun(d, keys("p"), 3, 4)
+		}, true},
+		{"losses of both kinds in three moments", func(d *Detector) {
+			lose(d, keys("p"), 1, 2, 3)
+			loseBegun(d, keys("p"), 1.05, 2.05, 3.05)
+		}, true},
+		{"losses of both kinds in two moments", func(d *Detector) {
+			lose(d, keys("p"), 1, 2)
+			loseBegun(d, keys("p"), 1.05, 2.05)
+		}, false},
+		{"answers that had outlasted their beginning", func(d *Detector) {
+			for i := range 9 {
+				d.RequestLost(at(float64(i)), uint64(i), keys("p"), Running)
+			}
+		}, false},
 		{"one request lost three times", func(d *Detector) {
 			for i := range 3 {
-				d.RequestLost(at(float64(i)), 7, keys("p"))
+				d.RequestLost(at(float64(i)), 7, keys("p"), Waiting)
 			}
 		}, false},
 		{"an answer in between", func(d *Detector) {
 			lose(d, keys("p"), 1, 2)
-			d.AnswerBegun(at(2.5), keys("p"))
+			d.AnswerSound(at(2.5), keys("p"))
 			lose(d, keys("p"), 3)
 		}, false},
 		{"an answer afterwards", func(d *Detector) {
 			lose(d, keys("p"), 1, 2, 3)
-			d.AnswerBegun(at(4), keys("p"))
+			d.AnswerSound(at(4), keys("p"))
 		}, false},
 		{"an answer long before, seven losses", func(d *Detector) {
-			d.AnswerBegun(at(0), keys("p"))
+			d.AnswerSound(at(0), keys("p"))
 			lose(d, keys("p"), 1, 2, 3, 4, 5, 6, 7)
 		}, false},
 		{"an answer long before, eight losses", func(d *Detector) {
-			d.AnswerBegun(at(0), keys("p"))
+			d.AnswerSound(at(0), keys("p"))
 			lose(d, keys("p"), 1, 2, 3, 4, 5, 6, 7, 8)
 		}, true},
 		{"a part of one request that came again", func(d *Detector) { lose(d, request(7, "p"), 1, 2, 3) }, false},
@@ -117,7 +143,7 @@
 	if !refused(a, 4, "p") || !refused(b, 4, "p") {
 		t.Fatal("not refused after three losses")
 	}
-	a.AnswerBegun(at(5), keys("p"))
+	a.AnswerSound(at(5), keys("p"))
 	exchange(5.5)
 	exchange(6)
 	if refused(a, 7, "p") || refused(b, 7, "p") {
@@ -164,7 +190,7 @@
 	if _, found := d.AdmitSend(at(5), keys("victim")); !found {
 		t.Fatal("a second probe at once")
 	}
-	d.AnswerBegun(at(6), keys("victim"))
+	d.AnswerSound(at(6), keys("victim"))
 	if refused(d, 7, "victim") || !refused(d, 7, "deadly") {
 		t.Fatal("the companion isn't acquitted, or the cause is")
 	}
@@ -173,8 +199,8 @@
 // TestSuspects checks which lost requests aren't tried again.
 func TestSuspects(t *testing.T) {
 	d := &Detector{Self: "a"}
-	d.AnswerBegun(at(0), keys("common"))
-	d.RequestLost(at(1), 1, keys("common", "p"))
+	d.AnswerSound(at(0), keys("common"))
+	d.RequestLost(at(1), 1, keys("common", "p"), Waiting)
 	if d.Suspects(1, keys("common", "p")) {
 		t.Error("a request is suspected by its own loss")
 	}
@@ -185,11 +211,11 @@
 		t.Error("a trait with answers is suspected")
 	}
 	first, second := LossID("request", "upstream-1"), LossID("request", "upstream-2")
-	d.RequestLost(at(2), first, request(7))
+	d.RequestLost(at(2), first, request(7), Waiting)
 	if d.Suspects(first, request(7)) {
 		t.Error("a request that was lost once isn't tried again")
 	}
-	d.RequestLost(at(3), second, request(7))
+	d.RequestLost(at(3), second, request(7), Waiting)
 	if !d.Suspects(second, request(7)) {
 		t.Error("a request that was lost twice is tried again")
 	}
@@ -203,21 +229,21 @@
 	for i := range 5000 {
 		now := at(4 + float64(i)/100)
 		trait := fmt.Sprintf("trait-%d", i)
-		d.RequestLost(now, uint64(100_000+i), keys(trait))
-		d.AnswerBegun(now, keys(trait+"-begun"))
+		d.RequestLost(now, uint64(100_000+i), keys(trait), Waiting)
+		d.AnswerSound(now, keys(trait+"-begun"))
 		// A request whose trait is answered before and after it was lost.
-		d.AnswerBegun(now, keys(trait+"-sound"))
-		d.RequestLost(now, uint64(200_000+i), keys(trait+"-sound"))
-		d.AnswerBegun(now.Add(time.Millisecond), keys(trait+"-sound"))
+		d.AnswerSound(now, keys(trait+"-sound"))
+		d.RequestLost(now, uint64(200_000+i), keys(trait+"-sound"), Waiting)
+		d.AnswerSound(now.Add(time.Millisecond), keys(trait+"-sound"))
 	}
 	if !refused(d, 55, "p") {
 		t.Error("the conviction is lost")
 	}
-	if e := d.Evidence(at(55)); len(e.Lost) > maxRepeated+maxReported+maxLossesPerTrait || len(e.Begun) > 2*maxBegun {
-		t.Errorf("%d lost requests, %d begun traits", len(e.Lost), len(e.Begun))
+	if e := d.Evidence(at(55)); len(e.Lost) > maxRepeated+maxReported+maxLossesPerTrait || len(e.Sound) > 2*maxSound {
+		t.Errorf("%d lost requests, %d begun traits", len(e.Lost), len(e.Sound))
 	}
-	if e := d.Evidence(at(60)); len(e.Lost) > maxRepeated+maxLossesPerTrait || len(e.Begun) > maxRepeated+maxLossesPerTrait {
-		t.Errorf("%d lost requests, %d begun traits some seconds later", len(e.Lost), len(e.Begun))
+	if e := d.Evidence(at(60)); len(e.Lost) > maxRepeated+maxLossesPerTrait || len(e.Sound) > maxRepeated+maxLossesPerTrait {
+		t.Errorf("%d lost requests, %d begun traits some seconds later", len(e.Lost), len(e.Sound))
 	}
 	if len(d.lost) > maxRepeated+maxLost+maxLossesPerTrait {
 		t.Errorf("%d lost requests held", len(d.lost))
@@ -241,8 +267,8 @@
 		}
 	}
 	for _, d := range detectors {
-		d.Merge(at(1001), gossip.LossEvidence{Begun: []gossip.BegunTrait{{Trait: PartKey("other")}}}, false)
-		d.RequestLost(at(1001), 99, keys("q"))
+		d.Merge(at(1001), gossip.LossEvidence{Sound: []gossip.SoundTrait{{Trait: PartKey("other")}}}, false)
+		d.RequestLost(at(1001), 99, keys("q"), Waiting)
 		if e := d.Evidence(at(1001)); len(e.Lost) != 1 {
 			t.Errorf("%s holds %d lost requests", d.Self, len(e.Lost))
 		}
@@ -274,11 +300,11 @@
 	for i := range others + 1 {
 		if i == position {
 			id := LossID("deadly", ident.Upstream(fmt.Sprint(index)))
-			detectors[index].RequestLost(now, id, request(deadlyRequest))
+			detectors[index].RequestLost(now, id, request(deadlyRequest), Waiting)
 			continue
 		}
 		id := uint64(1000*index + i)
-		detectors[i%len(detectors)].RequestLost(now, id, request(gossip.TraitKey(1_000_000+id), fmt.Sprint(id)))
+		detectors[i%len(detectors)].RequestLost(now, id, request(gossip.TraitKey(1_000_000+id), fmt.Sprint(id)), Waiting)
 	}
 	for _, from := range detectors {
 		evidence := from.Evidence(now.Add(time.Second))
--- a/io/http1/attempt.go
+++ b/io/http1/attempt.go
@@ -102,3 +102,16 @@
 func (a *Answer) InsideEvent() bool {
 	return a.events != nil && a.events.Inside()
 }
+
+// HasEvents reports whether the body is a stream of events that is followed here.
+func (a *Answer) HasEvents() bool {
+	return a.events != nil
+}
+
+// Events returns the number of whole events that were read.
+func (a *Answer) Events() int {
+	if a.events == nil {
+		return 0
+	}
+	return a.events.Count()
+}
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -158,7 +158,7 @@
 	if failure != nil {
 		p.endEvidence(call, evidence, failure)
 		p.endLease(lease, outcomeOf(failure))
-		p.recordLoss(ctx, call, lease, evidence, failure, false)
+		p.recordLoss(ctx, call, lease, evidence, failure, poison.Waiting)
 		call.uncountSend(failure)
 		return failure
 	}
@@ -166,11 +166,12 @@
 	defer func() { _ = answer.Body.Close() }()
 	evidence.Received(p.Clock.Now())
 	begun := false
+	start := p.beginAnswer(call, answer)
 	failure = pass(answer, func() {
 		evidence.Received(p.Clock.Now())
+		start.partArrived()
 		if !begun {
 			begun = true
-			p.recordBegun(call, answer)
 			defer p.madeRoom(call.Service, halfRequest)
 		}
 		watch.partReceived()
@@ -179,9 +180,12 @@
 	if failure != nil && errors.Is(failure.Cause, http1.ErrUpstreamEnded) {
 		p.Metrics.Events.Add("answers-ended-with-upstream", 1)
 	}
+	if failure == nil {
+		start.whole()
+	}
 	p.recordCache(call, lease)
 	p.endLease(lease, answerOutcome(answer, failure))
-	p.recordLoss(ctx, call, lease, evidence, failure, begun)
+	p.recordLoss(ctx, call, lease, evidence, failure, start.progress())
 	return failure
 }
 
@@ -322,13 +326,12 @@
 		return failure
 	}
 	call.upstreamVersion = answer.Meta.Version
-	begun := false
-	return p.passAnswer(ctx, cancel, call, answer, sink, func() {
-		if !begun {
-			begun = true
-			p.recordBegun(call, answer)
-		}
-	})
+	start := p.beginAnswer(call, answer)
+	failure = p.passAnswer(ctx, cancel, call, answer, sink, start.partArrived)
+	if failure == nil {
+		start.whole()
+	}
+	return failure
 }
 
 // pickInstance picks a random instance of the region among those with an open link that aren't
--- a/io/proxy/lost.go
+++ b/io/proxy/lost.go
@@ -13,7 +13,6 @@
 	"arbutustrestle/core/pool"
 	"arbutustrestle/core/reach"
 	"arbutustrestle/core/result"
-	"arbutustrestle/io/http1"
 	"arbutustrestle/io/syncer"
 )
 
@@ -31,9 +30,9 @@
 )
 
 // recordLoss checks after a failed attempt whether its upstream has ended, and whether the request
-// was lost with it before its answer began. An upstream that can't be reached any more because
+// may have been the cause, by how far its answer had come. An upstream that can't be reached any more because
 // this instance was cut off looks the same, so that another one must be reached.
-func (p *Proxy) recordLoss(ctx context.Context, call *Call, lease *pool.Lease, attempt *reach.Attempt, f *result.Failure, begun bool) {
+func (p *Proxy) recordLoss(ctx context.Context, call *Call, lease *pool.Lease, attempt *reach.Attempt, f *result.Failure, progress poison.Progress) {
 	if f == nil || !mayHaveEnded(f) || !p.hasEnded(ctx, lease, f) {
 		return
 	}
@@ -42,10 +41,10 @@
 		return
 	}
 	lease.MarkEnded(p.Clock.Now())
-	if begun {
+	if progress == poison.Running {
 		return
 	}
-	changes := p.Poison.RequestLost(p.Clock.Now(), poison.LossID(call.ID, lease.Upstream.ID), call.traits())
+	changes := p.Poison.RequestLost(p.Clock.Now(), poison.LossID(call.ID, lease.Upstream.ID), call.traits(), progress)
 	syncer.RecordConvictions(p.Log, p.Metrics, changes)
 	p.Metrics.Events.Add("requests-lost-before-answer", 1)
 	p.Log.Warn().
@@ -53,9 +52,10 @@
 		Str("peer", string(lease.Upstream.ID)).
 		Int64("waited-ms", p.Clock.Now().Sub(call.Arrived).Milliseconds()).
 		Int("in-flight-there", lease.InFlight).
+		Bool("begun", progress == poison.JustBegun).
 		Str("fingerprint", call.loggedFingerprint()).
 		Strs("shared-parts", call.loggedParts()).
-		Msg("request lost: its upstream ended before its answer began")
+		Msg("request lost: its upstream ended before its answer had outlasted its beginning")
 }
 
 // mayHaveEnded reports whether a failure leaves it open whether its upstream has ended by the
@@ -126,16 +126,6 @@
 	return reached == true
 }
 
-// recordBegun records that an answer has begun, which shows that the traits of its request
-// don't end upstreams.
-func (p *Proxy) recordBegun(call *Call, a *http1.Answer) {
-	if a.Status < 200 || a.Status >= 300 {
-		return
-	}
-	changes := p.Poison.AnswerBegun(p.Clock.Now(), call.traits())
-	syncer.RecordConvictions(p.Log, p.Metrics, changes)
-}
-
 // refusePoisoned refuses a request that ends upstreams, or with a prompt part that does.
 func (p *Proxy) refusePoisoned(call *Call) *result.Failure {
 	finding, refused := p.Poison.Check(p.Clock.Now(), call.traits())
--- a/io/wire/records.go
+++ b/io/wire/records.go
@@ -214,29 +214,40 @@
 		for _, part := range l.Traits.Parts {
 			lost.Parts = append(lost.Parts, uint64(part))
 		}
+		if l.Begun {
+			m.LostBegun = append(m.LostBegun, lost)
+			continue
+		}
 		m.Lost = append(m.Lost, lost)
 	}
-	for _, b := range e.Begun {
-		m.Begun = append(m.Begun, &BegunTrait{Trait: uint64(b.Trait), AgeMs: milliseconds(b.Age)})
+	for _, b := range e.Sound {
+		m.Sound = append(m.Sound, &SoundTrait{Trait: uint64(b.Trait), AgeMs: milliseconds(b.Age)})
 	}
 }
 
 func evidenceFromWire(m *BeatRecord) gossip.LossEvidence {
 	var e gossip.LossEvidence
 	for _, lost := range m.GetLost() {
-		l := gossip.LostRequest{ID: lost.GetId(), Age: time.Duration(lost.GetAgeMs()) * time.Millisecond}
-		l.Traits.Fingerprint = gossip.TraitKey(lost.GetFingerprint())
-		for _, part := range lost.GetParts() {
-			l.Traits.Parts = append(l.Traits.Parts, gossip.TraitKey(part))
-		}
-		e.Lost = append(e.Lost, l)
+		e.Lost = append(e.Lost, lostFromWire(lost, false))
 	}
-	for _, b := range m.GetBegun() {
-		e.Begun = append(e.Begun, gossip.BegunTrait{Trait: gossip.TraitKey(b.GetTrait()), Age: time.Duration(b.GetAgeMs()) * time.Millisecond})
+	for _, lost := range m.GetLostBegun() {
+		e.Lost = append(e.Lost, lostFromWire(lost, true))
+	}
+	for _, b := range m.GetSound() {
+		e.Sound = append(e.Sound, gossip.SoundTrait{Trait: gossip.TraitKey(b.GetTrait()), Age: time.Duration(b.GetAgeMs()) * time.Millisecond})
 	}
 	return e
 }
 
+func lostFromWire(m *LostRequest, begun bool) gossip.LostRequest {
+	l := gossip.LostRequest{ID: m.GetId(), Begun: begun, Age: time.Duration(m.GetAgeMs()) * time.Millisecond}
+	l.Traits.Fingerprint = gossip.TraitKey(m.GetFingerprint())
+	for _, part := range m.GetParts() {
+		l.Traits.Parts = append(l.Traits.Parts, gossip.TraitKey(part))
+	}
+	return l
+}
+
 func limitToWire(l gossip.UpstreamLimit) *UpstreamLimit {
 	return &UpstreamLimit{
 		Upstream:  string(l.Upstream),
