Count all parts of a prompt as evidence, and report them in turn

Cause: the first 32 shared parts were evidence; a part behind them was neither counted nor asked for.

Fix: an instance holds all parts of its own losses. A heartbeat has room for 512 over all of them: first those lost again, then those not told yet, without an answer first; parts that answers acquit are dropped. Bounds of the same kind: 64 losses in a report (others each time), 128 held (512), 8,192 traits remembered (65,536), 64 answers told (256). dropOldestSound was quadratic; it sorts once.

TestBoundedMemory's bound of sound traits follows the new constant (256, was 128).

--- a/core/poison/fleet_test.go
+++ b/core/poison/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"arbutustrestle/core/gossip"
@@ -22,6 +23,9 @@
 	// repeated makes one request that ends upstreams come again and again, about once a
 	// second, from second 4 on.
 	repeated bool
+	// parts is the number of further parts that the prompts of a session share; the deadly part
+	// stands anywhere among them.
+	parts int
 	// crashAfter is the time from the first event of a deadly request until its upstream ends,
 	// and inEvent is set if that is before the event is whole.
 	crashAfter float64
@@ -114,8 +118,11 @@
 		session := fmt.Sprintf("session-%d", f.random.IntN(60))
 		deadly := f.tainted && f.now > 4 && f.random.Float64() < 0.08
 		traits := request(gossip.TraitKey(f.random.Uint64()), "first", session)
+		for part := range f.parts {
+			traits.Parts = append(traits.Parts, PartKey(fmt.Sprint(session, part)))
+		}
 		if deadly {
-			traits.Parts = append(traits.Parts, PartKey(deadlyTrait))
+			traits.Parts = slices.Insert(traits.Parts, f.random.IntN(len(traits.Parts)), PartKey(deadlyTrait))
 		}
 		f.send(waitingRequest{traits: traits, deadly: deadly})
 	}
@@ -305,6 +312,23 @@
 	}
 }
 
+// TestFleetStopsTraitOfLongPrompts is like TestFleetStopsTraitThatEndsUpstreams, for a part behind very
+// many others.
+func TestFleetStopsTraitOfLongPrompts(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(6) {
+		f := newFleet(seed, []int{2, 9, 30}[seed%3], []int{4, 12, 60}[seed%3])
+		f.tainted, f.parts = true, []int{50, 300}[seed%2]
+		f.run(25)
+		if f.lateSends > 3 || len(f.crashes) < 3 {
+			t.Errorf("seed %d: %d requests sent, %d upstreams ended", seed, f.lateSends, len(f.crashes))
+		}
+		if f.refusedSound*200 > f.sound {
+			t.Errorf("seed %d: %d of %d sound requests refused", seed, f.refusedSound, f.sound)
+		}
+	}
+}
+
 // TestFleetStopsRequestThatEndsUpstreams guards against one request that comes again and
 // again, at any instance, and ends one upstream after the other: hardly any may be sent some
 // seconds after the third ending, by all instances together, also while upstreams end for
@@ -331,6 +355,7 @@
 // last for seconds and are taken up again each time, lose their upstreams to restarts one after the
 // other.
 func TestNoStreamConvictedByRestarts(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(12) {
 		f := newFleet(seed, []int{3, 9, 30}[seed%3], []int{3, 12, 60}[seed%3])
 		f.streams, f.restarts = true, true
--- a/core/poison/memory.go
+++ b/core/poison/memory.go
@@ -7,11 +7,20 @@
 	"arbutustrestle/core/gossip"
 )
 
-// dropOld drops the lost requests that count against no trait or are old.
+// dropOld drops the lost requests that count against no trait or are old, and the parts against
+// which those that are left don't count.
 func (d *Detector) dropOld(now time.Time) {
 	d.lost = slices.DeleteFunc(d.lost, func(l lostRequest) bool {
 		return now.Sub(l.at) > evidenceMemory || !d.countsAtAll(&l)
 	})
+	for i := range d.lost {
+		l := &d.lost[i]
+		noLongerCounts := func(part gossip.TraitKey) bool { return !d.counts(l, part) }
+		l.traits.Parts = slices.DeleteFunc(l.traits.Parts, noLongerCounts)
+		l.untold = slices.DeleteFunc(l.untold, noLongerCounts)
+		// It may hold parts that were removed.
+		l.index = nil
+	}
 }
 
 // countsAtAll reports whether a lost request counts against a trait.
@@ -27,12 +36,12 @@
 // dropSurplus drops the oldest lost requests beyond what can be held, and marks those that
 // all instances report. losses holds those that count against each trait.
 func (d *Detector) dropSurplus(losses map[gossip.TraitKey][]*lostRequest) {
-	again := lostAgain(losses)
+	d.again = lostAgain(losses)
 	newer := map[gossip.TraitKey]int{}
 	repeated, others := 0, 0
 	kept := make([]lostRequest, 0, len(d.lost))
 	for _, l := range slices.Backward(d.lost) {
-		convicts, repeats := d.convictsOrRepeats(&l, again, newer)
+		convicts, repeats := d.convictsOrRepeats(&l, newer)
 		l.reported = convicts || repeats && repeated < maxRepeated
 		switch {
 		case l.reported && !convicts:
@@ -64,9 +73,9 @@
 }
 
 // convictsOrRepeats reports whether a lost request is one of the newest maxLossesPerTrait
-// with a convicted trait, and whether it has one of the traits in again. newer counts the
+// with a convicted trait, and whether it has one that was lost again. newer counts the
 // later ones with each convicted trait.
-func (d *Detector) convictsOrRepeats(l *lostRequest, again map[gossip.TraitKey]struct{}, newer map[gossip.TraitKey]int) (convicts, repeats bool) {
+func (d *Detector) convictsOrRepeats(l *lostRequest, newer map[gossip.TraitKey]int) (convicts, repeats bool) {
 	for trait := range l.traits.All() {
 		if !d.counts(l, trait) {
 			continue
@@ -76,28 +85,12 @@
 			newer[trait]++
 			continue
 		}
-		_, found := again[trait]
+		_, found := d.again[trait]
 		repeats = repeats || found
 	}
 	return convicts, repeats
 }
 
-// reportedLosses returns the lost requests that this instance reports.
-func (d *Detector) reportedLosses(now time.Time) []lostRequest {
-	var list []lostRequest
-	told := 0
-	for _, l := range slices.Backward(d.lost) {
-		if !l.reported && l.told && now.Sub(l.at) < reportTime && told < maxReported {
-			told++
-			l.reported = true
-		}
-		if l.reported {
-			list = append(list, l)
-		}
-	}
-	return list
-}
-
 // dropSound drops the answers on traits that aren't suspected any more, once peers
 // have had time to learn of them.
 func (d *Detector) dropSound(now time.Time) {
@@ -107,27 +100,25 @@
 			suspected[trait] = struct{}{}
 		}
 	}
-	for trait, b := range d.sound {
-		if _, found := suspected[trait]; !found && now.After(b.reportUntil) {
+	var others []gossip.TraitKey
+	for trait, s := range d.sound {
+		if _, found := suspected[trait]; found {
+			continue
+		}
+		if now.After(s.reportUntil) {
 			delete(d.sound, trait)
+			continue
 		}
+		others = append(others, trait)
 	}
-	for len(d.sound) > maxSound+len(suspected) {
-		d.dropOldestSound(suspected)
+	if len(others) <= maxSound {
+		return
 	}
-}
-
-// dropOldestSound drops the answer that would be reported for the shortest time, of those on
-// traits that aren't suspected.
-func (d *Detector) dropOldestSound(suspected map[gossip.TraitKey]struct{}) {
-	var oldest gossip.TraitKey
-	var until time.Time
-	for trait, b := range d.sound {
-		if _, found := suspected[trait]; !found && (until.IsZero() || b.reportUntil.Before(until)) {
-			oldest, until = trait, b.reportUntil
-		}
+	// Those go that would be reported for the shortest time.
+	slices.SortFunc(others, func(a, b gossip.TraitKey) int { return d.sound[a].reportUntil.Compare(d.sound[b].reportUntil) })
+	for _, trait := range others[:len(others)-maxSound] {
+		delete(d.sound, trait)
 	}
-	delete(d.sound, oldest)
 }
 
 func (d *Detector) dropProbes() {
@@ -152,7 +143,7 @@
 const (
 	historyMemory = 2 * time.Minute
 	// maxHistory bounds each half of a history.
-	maxHistory = 8192
+	maxHistory = 65536
 )
 
 func (h *history) add(now time.Time, trait gossip.TraitKey) {
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -42,16 +42,27 @@
 	// the time under way.
 	evidenceMemory = 10 * time.Minute
 	// maxLost bounds the lost requests that are held beside those with a trait that was lost
-	// in several moments. One that ends upstreams must not be displaced by those that are
-	// lost with it before it comes again.
-	maxLost = 128
+	// in several moments: twice as many as one upstream serves and queues. One that ends
+	// upstreams must not be displaced by those that are lost with it before it comes again.
+	maxLost = 512
 	// maxRepeated bounds those with such a trait, which all instances report, and maxReported
-	// those that an instance reports of its own, for reportTime. Both bound the size of
-	// heartbeats. An instance may lose as many at once as an upstream has slots.
+	// those that one report of an instance holds of its own. Each report has others if there
+	// are more.
 	maxRepeated = 8
 	maxReported = 64
-	// maxSound bounds the sound traits that are reported.
-	maxSound = 64
+	// maxReportedParts bounds the prompt parts in one report, over all of its losses, and
+	// minPartsOfLoss and maxPartsOfLoss those of one loss. Further reports have the others.
+	maxReportedParts = 512
+	minPartsOfLoss   = 4
+	maxPartsOfLoss   = 32
+	// maxPartsHeld bounds the parts of a lost request that peers report.
+	maxPartsHeld = 16384
+	// tellTime bounds the time for which a loss is reported that has parts which weren't yet.
+	tellTime = time.Minute
+	// maxReportedSound bounds the sound traits in one report.
+	maxReportedSound = 256
+	// maxSound bounds the sound traits that are held beside those that are suspected.
+	maxSound = 1024
 	// maxLossesPerTrait bounds the lost requests that are kept for one convicted trait. It
 	// exceeds requiredLossesSound.
 	maxLossesPerTrait = 12
@@ -93,8 +104,10 @@
 	// lost holds the requests for which some of their traits are suspected, oldest first.
 	lost []lostRequest
 	// sound holds the last answer on each trait that is or was suspected.
-	sound     map[gossip.TraitKey]soundAnswer
-	history   history
+	sound   map[gossip.TraitKey]soundAnswer
+	history history
+	// again holds the traits that were lost in several moments.
+	again     map[gossip.TraitKey]struct{}
 	convicted map[gossip.TraitKey]conviction
 	// probes holds when this instance last sent a request with a convicted trait.
 	probes map[gossip.TraitKey]time.Time
@@ -111,10 +124,41 @@
 	// told is set if this instance tells peers of the request for a while: it sent it, or
 	// others of its region may not have heard of it.
 	told bool
+	// untold holds the parts that no report of this instance has held since they were known.
+	untold []gossip.TraitKey
+	// index holds the parts if there are many; nil until it is needed.
+	index map[gossip.TraitKey]struct{}
 	// reported is set if all instances report the request, whoever sent it.
 	reported bool
 }
 
+// indexedParts is the number of parts from which on a lost request has an index of them.
+const indexedParts = 64
+
+// holds reports whether a part is among those of the request.
+func (l *lostRequest) holds(part gossip.TraitKey) bool {
+	if len(l.traits.Parts) < indexedParts {
+		return slices.Contains(l.traits.Parts, part)
+	}
+	if l.index == nil {
+		l.index = make(map[gossip.TraitKey]struct{}, len(l.traits.Parts))
+		for _, held := range l.traits.Parts {
+			l.index[held] = struct{}{}
+		}
+	}
+	_, found := l.index[part]
+	return found
+}
+
+// add adds a part that the request doesn't hold.
+func (l *lostRequest) add(part gossip.TraitKey) {
+	l.traits.Parts = append(l.traits.Parts, part)
+	l.untold = append(l.untold, part)
+	if l.index != nil {
+		l.index[part] = struct{}{}
+	}
+}
+
 // soundAnswer is when an answer on a trait last outlasted its beginning, and until when that is
 // reported.
 type soundAnswer struct {
@@ -181,10 +225,15 @@
 	defer d.mu.Unlock()
 	changed := false
 	for _, l := range evidence.Lost {
-		if l.Age < evidenceMemory/2 && !d.holds(l.ID) {
-			d.addLost(lostRequest{id: l.ID, traits: l.Traits, begun: l.Begun, at: now.Add(-l.Age), told: passOn})
-			changed = true
+		if l.Age >= evidenceMemory/2 {
+			continue
 		}
+		if d.holds(l.ID) {
+			changed = d.addParts(l.ID, l.Traits.Parts) || changed
+			continue
+		}
+		d.addLost(lostRequest{id: l.ID, traits: l.Traits, begun: l.Begun, at: now.Add(-l.Age), told: passOn})
+		changed = true
 	}
 	for _, b := range evidence.Sound {
 		if d.recordSound(now, b.Trait, now.Add(-b.Age)) {
@@ -197,28 +246,6 @@
 	return d.update(now)
 }
 
-// Evidence returns what this instance reports: its own losses for a while, and those that
-// are evidence against a trait, from its own requests and from peers.
-func (d *Detector) Evidence(now time.Time) gossip.LossEvidence {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	var evidence gossip.LossEvidence
-	reported := map[gossip.TraitKey]struct{}{}
-	for _, l := range d.reportedLosses(now) {
-		evidence.Lost = append(evidence.Lost, gossip.LostRequest{ID: l.id, Traits: l.traits, Begun: l.begun, Age: now.Sub(l.at)})
-		for trait := range l.traits.All() {
-			reported[trait] = struct{}{}
-		}
-	}
-	for trait, b := range d.sound {
-		_, found := reported[trait]
-		if !b.at.IsZero() && (found || now.Before(b.reportUntil)) {
-			evidence.Sound = append(evidence.Sound, gossip.SoundTrait{Trait: trait, Age: now.Sub(b.at)})
-		}
-	}
-	return evidence
-}
-
 func (d *Detector) holds(id uint64) bool {
 	_, found := d.held[id]
 	return found
@@ -236,12 +263,39 @@
 	for i > 0 && d.lost[i-1].at.After(l.at) {
 		i--
 	}
-	d.lost = slices.Insert(d.lost, i, l)
 	for trait := range l.traits.All() {
-		if _, found := d.sound[trait]; !found {
-			d.setSound(l.at, trait, d.history.last(trait))
+		d.suspect(l.at, trait)
+	}
+	l.traits.Parts = slices.Clone(l.traits.Parts)
+	l.untold = slices.Clone(l.traits.Parts)
+	d.lost = slices.Insert(d.lost, i, l)
+}
+
+// suspect makes answers on a trait count from now on.
+func (d *Detector) suspect(now time.Time, trait gossip.TraitKey) {
+	if _, found := d.sound[trait]; !found {
+		d.setSound(now, trait, d.history.last(trait))
+	}
+}
+
+// addParts adds parts to a lost request that is held: a peer reports those of long prompts one after
+// the other. It reports whether there are new ones that count.
+func (d *Detector) addParts(id uint64, parts []gossip.TraitKey) bool {
+	i := slices.IndexFunc(d.lost, func(l lostRequest) bool { return l.id == id })
+	if i < 0 {
+		return false
+	}
+	l := &d.lost[i]
+	added := false
+	for _, part := range parts {
+		d.suspect(l.at, part)
+		if !d.counts(l, part) || l.holds(part) || len(l.traits.Parts) >= maxPartsHeld {
+			continue
 		}
+		l.add(part)
+		added = true
 	}
+	return added
 }
 
 // recordSound records an answer on a trait if the trait is or was suspected. It reports
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -239,7 +239,7 @@
 	if !refused(d, 55, "p") {
 		t.Error("the conviction is lost")
 	}
-	if e := d.Evidence(at(55)); len(e.Lost) > maxRepeated+maxReported+maxLossesPerTrait || len(e.Sound) > 2*maxSound {
+	if e := d.Evidence(at(55)); len(e.Lost) > maxRepeated+maxReported+maxLossesPerTrait || len(e.Sound) > maxReportedSound {
 		t.Errorf("%d lost requests, %d begun traits", len(e.Lost), len(e.Sound))
 	}
 	if e := d.Evidence(at(60)); len(e.Lost) > maxRepeated+maxLossesPerTrait || len(e.Sound) > maxRepeated+maxLossesPerTrait {
@@ -253,6 +253,58 @@
 	}
 }
 
+// TestReportOfLongPrompts guards against reports that grow with the parts of prompts, which callers
+// choose, and against parts that no report holds because of that.
+func TestReportOfLongPrompts(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct{ losses, parts int }{{1, 10}, {1, 100}, {1, 1000}, {64, 100}, {64, 1000}} {
+		d, peer := &Detector{Self: "a"}, &Detector{Self: "b"}
+		for i := range c.losses {
+			var traits gossip.Traits
+			for part := range c.parts {
+				traits.Parts = append(traits.Parts, gossip.TraitKey(1+i*c.parts+part))
+			}
+			d.RequestLost(at(0), uint64(i+1), traits, Waiting)
+		}
+		largest := 0
+		for s := 0.4; s < tellTime.Seconds(); s += 0.4 {
+			evidence := d.Evidence(at(s))
+			parts := 0
+			for _, l := range evidence.Lost {
+				parts += len(l.Traits.Parts)
+			}
+			largest = max(largest, parts)
+			peer.Merge(at(s), evidence, false)
+		}
+		if largest > maxReportedParts {
+			t.Errorf("%d losses of %d parts: a report has %d parts", c.losses, c.parts, largest)
+		}
+		known := 0
+		for _, l := range peer.lost {
+			known += len(l.traits.Parts)
+		}
+		if c.losses == 1 && known != c.parts || c.parts == 100 && known != c.losses*c.parts {
+			t.Errorf("%d losses of %d parts: a peer knows %d parts", c.losses, c.parts, known)
+		}
+	}
+}
+
+// TestManyLostAtOnce guards against a loss that no report holds since very many requests were lost with
+// it.
+func TestManyLostAtOnce(t *testing.T) {
+	d, peer := &Detector{Self: "a"}, &Detector{Self: "b"}
+	const lost = 256
+	for i := range lost {
+		d.RequestLost(at(0), uint64(i+1), request(gossip.TraitKey(i+1)), Waiting)
+	}
+	for s := 0.4; s < reportTime.Seconds(); s += 0.4 {
+		peer.Merge(at(s), d.Evidence(at(s)), false)
+	}
+	if len(peer.lost) < lost*9/10 {
+		t.Errorf("a peer knows %d of %d lost requests", len(peer.lost), lost)
+	}
+}
+
 // TestEvidenceEnds checks that evidence which instances exchange all the while ends.
 func TestEvidenceEnds(t *testing.T) {
 	detectors := []*Detector{{Self: "a"}, {Self: "b"}, {Self: "c"}}
--- /dev/null
+++ b/core/poison/report.go
@@ -0,0 +1,90 @@
+package poison
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"arbutustrestle/core/gossip"
+)
+
+// Evidence returns what this instance reports: its own losses for a while, and those that
+// are evidence against a trait, from its own requests and from peers. A report has a bounded
+// size, however many parts the prompts have: what has no room in one is in a later one.
+func (d *Detector) Evidence(now time.Time) gossip.LossEvidence {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var evidence gossip.LossEvidence
+	losses := d.reportedLosses(now)
+	if len(losses) > 0 {
+		room := max(minPartsOfLoss, min(maxPartsOfLoss, maxReportedParts/len(losses)))
+		for _, l := range losses {
+			traits := gossip.Traits{Fingerprint: l.traits.Fingerprint, Parts: d.partsToTell(l, room)}
+			evidence.Lost = append(evidence.Lost, gossip.LostRequest{ID: l.id, Traits: traits, Begun: l.begun, Age: now.Sub(l.at)})
+		}
+	}
+	evidence.Sound = d.soundToTell(now, evidence.Lost)
+	return evidence
+}
+
+// reportedLosses returns the lost requests of this report. Of more than maxReported own ones it
+// takes others each time.
+func (d *Detector) reportedLosses(now time.Time) []*lostRequest {
+	var list, own []*lostRequest
+	for i := range d.lost {
+		l := &d.lost[i]
+		age := now.Sub(l.at)
+		switch {
+		case l.reported:
+			list = append(list, l)
+		case l.told && (age < reportTime || age < tellTime && len(l.traits.Parts) > maxPartsOfLoss && len(l.untold) > 0):
+			own = append(own, l)
+		}
+	}
+	if len(own) > maxReported {
+		rand.Shuffle(len(own), func(i, j int) { own[i], own[j] = own[j], own[i] })
+		own = own[:maxReported]
+	}
+	return append(list, own...)
+}
+
+// partsToTell returns the parts of a lost request for this report: those that are convicted or were
+// lost again, then others that weren't told, those without an answer first.
+func (d *Detector) partsToTell(l *lostRequest, room int) []gossip.TraitKey {
+	if len(l.traits.Parts) <= room {
+		l.untold = nil
+		return slices.Clone(l.traits.Parts)
+	}
+	var parts []gossip.TraitKey
+	for _, part := range l.traits.Parts {
+		_, convicted := d.convicted[part]
+		_, repeated := d.again[part]
+		if (convicted || repeated) && len(parts) < room {
+			parts = append(parts, part)
+		}
+	}
+	slices.SortStableFunc(l.untold, func(a, b gossip.TraitKey) int { return d.sound[a].at.Compare(d.sound[b].at) })
+	n := min(len(l.untold), room-len(parts))
+	parts = append(parts, l.untold[:n]...)
+	l.untold = l.untold[n:]
+	return parts
+}
+
+// soundToTell returns the sound traits for this report: those that were found lately, and those of
+// losses in it.
+func (d *Detector) soundToTell(now time.Time, lost []gossip.LostRequest) []gossip.SoundTrait {
+	reported := map[gossip.TraitKey]struct{}{}
+	for _, l := range lost {
+		for trait := range l.Traits.All() {
+			reported[trait] = struct{}{}
+		}
+	}
+	var list []gossip.SoundTrait
+	for trait, s := range d.sound {
+		_, found := reported[trait]
+		if len(list) < maxReportedSound && !s.at.IsZero() && (found || now.Before(s.reportUntil)) {
+			list = append(list, gossip.SoundTrait{Trait: trait, Age: now.Sub(s.at)})
+		}
+	}
+	return list
+}
--- a/io/proxy/lost.go
+++ b/io/proxy/lost.go
@@ -24,9 +24,6 @@
 	// choose them.
 	maxLoggedParts     = 16
 	maxLoggedPartBytes = 64
-	// maxEvidenceParts bounds the prompt parts of a request that are evidence, which
-	// heartbeats carry. Further ones are ignored.
-	maxEvidenceParts = 32
 )
 
 // recordLoss checks after a failed attempt whether its upstream has ended, and whether the request
@@ -154,15 +151,13 @@
 	return ""
 }
 
-// traits returns the keys of the request itself and of the shared parts of its prompt,
-// maxEvidenceParts at most.
+// traits returns the keys of the request itself and of the shared parts of its prompt.
 func (c *Call) traits() gossip.Traits {
 	if c.evidenceTraits.Fingerprint != 0 {
 		return c.evidenceTraits
 	}
 	c.evidenceTraits.Fingerprint = gossip.TraitKey(c.fingerprint())
-	shared := c.sharedParts()
-	for _, part := range shared[:min(len(shared), maxEvidenceParts)] {
+	for _, part := range c.sharedParts() {
 		c.evidenceTraits.Parts = append(c.evidenceTraits.Parts, poison.PartKey(part.ID))
 	}
 	return c.evidenceTraits
--- a/io/proxy/poison_test.go
+++ b/io/proxy/poison_test.go
@@ -206,14 +206,14 @@
 	}
 }
 
-// TestManyParts guards against a caller whose prompt has very many parts filling the
-// heartbeats of all instances.
+// TestManyParts guards against a part of a prompt that is no evidence since very many others stand
+// before it.
 func TestManyParts(t *testing.T) {
 	call := &Call{}
 	for i := range 10_000 {
 		call.Parts = append(call.Parts, pool.PromptPart{ID: fmt.Sprint(i)})
 	}
-	if keys := call.traits(); len(keys.Parts) != maxEvidenceParts {
+	if keys := call.traits(); len(keys.Parts) != len(call.Parts)-1 {
 		t.Errorf("%d parts are evidence", len(keys.Parts))
 	}
 	if keys := (&Call{}).traits(); len(keys.Parts) != 0 {
--- a/io/wire/evidence_test.go
+++ b/io/wire/evidence_test.go
@@ -6,7 +6,10 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"arbutustrestle/core/gossip"
+	"arbutustrestle/core/poison"
 )
 
 // TestLossEvidenceOnWire checks that what an instance knows of lost requests arrives as it
@@ -27,3 +30,30 @@
 		t.Errorf("%+v, error %v", got, err)
 	}
 }
+
+// TestEvidenceBytes guards against heartbeats that grow with the parts of prompts, which callers choose.
+func TestEvidenceBytes(t *testing.T) {
+	const maxBytes = 12 << 10
+	address := netip.MustParseAddrPort("10.0.0.1:7000")
+	size := func(e gossip.LossEvidence) int {
+		return proto.Size(GossipRecordsToWire([]gossip.Record{{ID: "entry-1", PeerAddress: address, CallerAddress: address, LossEvidence: e}}))
+	}
+	now := time.Unix(1_000_000, 0)
+	for _, losses := range []int{1, 64} {
+		for _, parts := range []int{10, 100, 1000} {
+			d := &poison.Detector{Self: "entry-1"}
+			for i := range losses {
+				traits := gossip.Traits{Fingerprint: gossip.TraitKey(1<<60 + i)}
+				for part := range parts {
+					traits.Parts = append(traits.Parts, gossip.TraitKey(1<<61+i*parts+part))
+				}
+				d.RequestLost(now, 1<<62+uint64(i), traits, poison.Waiting)
+			}
+			bytes := size(d.Evidence(now.Add(time.Second))) - size(gossip.LossEvidence{})
+			t.Logf("%d lost requests of %d parts: %d bytes", losses, parts, bytes)
+			if bytes > maxBytes {
+				t.Errorf("%d lost requests of %d parts: %d bytes", losses, parts, bytes)
+			}
+		}
+	}
+}
