Name streams in heartbeats for as long as they are under way

Cause: heartbeats named a stream for 3 s from its beginning, and only of services for which peers can't tell where it began. While one version is in use they can; when a second comes, older streams were never named.

Fix: a stream is named while it is under way or, for 30 s, if it broke off, whatever versions are in use; one that was whole only as before. A report holds 512, those that were not named for the longest time first (it dropped the oldest of 256).

TestReportOnlyAmbiguous asked that streams cost nothing while one version is in use, which is the fault; TestReportWhileUnderWay and TestStreamsOfPeers take its place and ask that whole ones cost nothing.

--- a/core/resume/resume.go
+++ b/core/resume/resume.go
@@ -3,6 +3,8 @@
 package resume
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -19,14 +21,18 @@
 	memory = 30 * time.Second
 	// maxStreams bounds each half of the streams that are remembered.
 	maxStreams = 16384
-	// reportTime is how long an instance reports a stream that began there, so that peers
-	// hear of it several times.
-	reportTime = 3 * time.Second
+	// lifeTime bounds the time for which an instance reports a stream that is under way there.
+	// No caller returns later than that after its beginning.
+	lifeTime = time.Minute
+	// endedTime is how long it reports one that was whole: the last part may not have reached the
+	// caller.
+	endedTime = 3 * time.Second
 	// passOnTime is how long an instance reports a stream that a peer has told it of, so that
 	// others hear of it sooner than from that peer, which may end.
 	passOnTime = 800 * time.Millisecond
-	// maxReported bounds the streams in one report, and so the size of heartbeats.
-	maxReported = 256
+	// maxReported bounds the streams in one report, and so the size of heartbeats. Of more, each
+	// report has those that were not reported for the longest time.
+	maxReported = 512
 )
 
 // KeyOf returns the key of the stream whose first event came in answer to a request.
@@ -70,14 +76,19 @@
 	older  map[gossip.StreamKey]gossip.StreamOrigin
 	// changed is when recent became empty.
 	changed time.Time
-	// reported holds the streams that are reported, oldest first.
-	reported []reportedStream
+	// reported holds the streams that are reported: those under way here, those that broke off
+	// here, and those that a peer told of a moment ago.
+	reported map[gossip.StreamKey]*reportedStream
 }
 
 type reportedStream struct {
 	key    gossip.StreamKey
 	origin gossip.StreamOrigin
 	until  time.Time
+	// whole is set once the whole stream was passed on.
+	whole bool
+	// reportedAt is when it was last reported; zero before.
+	reportedAt time.Time
 }
 
 // Begun records a stream that began, or was taken up, at this instance.
@@ -85,7 +96,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.add(now, key, origin)
-	t.report(key, origin, now.Add(reportTime))
+	t.report(key, origin, now.Add(lifeTime))
 }
 
 // BegunIn records a stream that began, or was resumed, at this instance for a workspace, and
@@ -99,10 +110,25 @@
 		t.add(now, ownedKey(requestID), origin)
 	}
 	t.add(now, key, origin)
-	t.report(key, origin, now.Add(reportTime))
+	t.report(key, origin, now.Add(lifeTime))
 	return key
 }
 
+// End records that a stream is no longer under way here. Hardly anybody takes up one that was whole;
+// one that broke off is reported for as long as its caller may return.
+func (t *Table) End(now time.Time, key gossip.StreamKey, whole bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.reported[key]
+	switch {
+	case s == nil:
+	case whole:
+		s.whole, s.until = true, now.Add(endedTime)
+	default:
+		s.until = now.Add(memory)
+	}
+}
+
 // LookupIn returns where a stream began that is to be resumed for a workspace. The origin is zero
 // unless the stream is its own.
 func (t *Table) LookupIn(workspace ident.Workspace, requestID string) (gossip.StreamOrigin, Ownership) {
@@ -160,14 +186,34 @@
 	return origin, found
 }
 
-// Report returns the streams that lately began or were passed on here, of the services for which
-// peers can't tell by themselves where a stream began.
+// Report returns the streams that are under way or broke off here, or were passed on lately. They
+// are reported whether or not peers could tell by themselves where they began: when that changes,
+// it is too late to tell if this instance ends. Those that were whole are reported only for the
+// services for which peers can't tell.
 func (t *Table) Report(now time.Time, ambiguous func(ident.Service) bool) []gossip.BegunStreams {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.reported = slices.DeleteFunc(t.reported, func(s reportedStream) bool { return now.After(s.until) })
-	var groups []gossip.BegunStreams
+	maps.DeleteFunc(t.reported, func(_ gossip.StreamKey, s *reportedStream) bool { return now.After(s.until) })
+	unclear := map[ident.Service]bool{}
+	var list []*reportedStream
 	for _, s := range t.reported {
+		service := s.origin.Service
+		if _, found := unclear[service]; !found {
+			unclear[service] = ambiguous(service)
+		}
+		if !s.whole || unclear[service] {
+			list = append(list, s)
+		}
+	}
+	if len(list) > maxReported {
+		slices.SortFunc(list, func(a, b *reportedStream) int {
+			return cmp.Or(a.reportedAt.Compare(b.reportedAt), cmp.Compare(a.key, b.key))
+		})
+		list = list[:maxReported]
+	}
+	var groups []gossip.BegunStreams
+	for _, s := range list {
+		s.reportedAt = now
 		i := slices.IndexFunc(groups, func(g gossip.BegunStreams) bool { return g.Origin == s.origin })
 		if i < 0 {
 			i = len(groups)
@@ -175,14 +221,16 @@
 		}
 		groups[i].Keys = append(groups[i].Keys, s.key)
 	}
-	return slices.DeleteFunc(groups, func(g gossip.BegunStreams) bool { return !ambiguous(g.Origin.Service) })
+	return groups
 }
 
-// report adds a stream to the reports, and drops the oldest beyond maxReported.
+// report adds a stream to the reports.
 func (t *Table) report(key gossip.StreamKey, origin gossip.StreamOrigin, until time.Time) {
-	t.reported = append(t.reported, reportedStream{key, origin, until})
-	if len(t.reported) > maxReported {
-		t.reported = slices.Delete(t.reported, 0, len(t.reported)-maxReported)
+	if t.reported == nil {
+		t.reported = map[gossip.StreamKey]*reportedStream{}
+	}
+	if len(t.reported) < maxStreams {
+		t.reported[key] = &reportedStream{key: key, origin: origin, until: until}
 	}
 }
 
--- a/core/resume/resume_test.go
+++ b/core/resume/resume_test.go
@@ -17,6 +17,8 @@
 
 func always(ident.Service) bool { return true }
 
+func never(ident.Service) bool { return false }
+
 // TestStreamsOfPeers checks that a stream which began at one instance is known at another
 // one, from a report, for as long as a caller may return, and no longer reported then.
 func TestStreamsOfPeers(t *testing.T) {
@@ -36,7 +38,18 @@
 	if _, found := b.Lookup(KeyOf("three")); found {
 		t.Error("a stream that never began is known")
 	}
-	if report := a.Report(start.Add(reportTime+time.Second), always); len(report) != 0 {
+	a.End(start.Add(time.Second), KeyOf("one"), true)
+	a.End(start.Add(time.Second), KeyOf("two"), false)
+	if report := a.Report(start.Add(2*time.Second), always); len(report) != 2 {
+		t.Errorf("a moment later: reported %v", report)
+	}
+	if report := a.Report(start.Add(2*time.Second), never); len(report) != 1 || report[0].Origin != second {
+		t.Errorf("while peers can tell: reported %v", report)
+	}
+	if report := a.Report(start.Add(memory), always); len(report) != 1 || report[0].Origin != second {
+		t.Errorf("one is whole, two has broken off: reported %v", report)
+	}
+	if report := a.Report(start.Add(memory+2*time.Second), always); len(report) != 0 {
 		t.Errorf("still reported: %v", report)
 	}
 	b.Begun(start.Add(memory), KeyOf("late"), first)
@@ -67,20 +80,24 @@
 	}
 }
 
-// TestReportOnlyAmbiguous checks that streams cost nothing in heartbeats while every instance
-// can tell where they began.
-func TestReportOnlyAmbiguous(t *testing.T) {
+// TestReportWhileUnderWay guards against streams that nobody knows of any more since they were reported
+// only for a while after their beginning: what peers can tell by themselves may end at any moment.
+func TestReportWhileUnderWay(t *testing.T) {
 	var table Table
 	table.Begun(start, KeyOf("one"), first)
-	table.Begun(start, KeyOf("two"), gossip.StreamOrigin{Service: "mixed", Version: "v1"})
-	report := table.Report(start, func(s ident.Service) bool { return s == "mixed" })
-	if len(report) != 1 || report[0].Origin.Service != "mixed" {
-		t.Errorf("reported %v", report)
+	for age := time.Duration(0); age < lifeTime; age += 5 * time.Second {
+		if report := table.Report(start.Add(age), never); len(report) != 1 {
+			t.Errorf("after %s: reported %v", age, report)
+		}
+	}
+	table.End(start.Add(lifeTime), KeyOf("one"), true)
+	if report := table.Report(start.Add(lifeTime), never); len(report) != 0 {
+		t.Errorf("whole, and reported: %v", report)
 	}
 }
 
 // TestBounds checks that the memory and the reports stay bounded, however many streams begin,
-// and that the newest ones are kept.
+// that the newest ones are kept, and that each is in some report.
 func TestBounds(t *testing.T) {
 	var table Table
 	const streams = 5 * maxStreams
@@ -90,9 +107,18 @@
 	if held := len(table.recent) + len(table.older); held > 2*maxStreams {
 		t.Errorf("%d streams held", held)
 	}
-	report := table.Report(start, always)
-	if len(report) != 1 || len(report[0].Keys) != maxReported {
-		t.Errorf("%d groups reported", len(report))
+	told := map[gossip.StreamKey]struct{}{}
+	for n := range maxStreams / maxReported {
+		report := table.Report(start.Add(time.Duration(n)*time.Second), always)
+		if len(report) != 1 || len(report[0].Keys) != maxReported {
+			t.Fatalf("%d groups reported", len(report))
+		}
+		for _, key := range report[0].Keys {
+			told[key] = struct{}{}
+		}
+	}
+	if len(told) != maxStreams {
+		t.Errorf("%d of %d streams reported", len(told), maxStreams)
 	}
 	if _, found := table.Lookup(KeyOf(fmt.Sprint(streams - 1))); !found {
 		t.Error("the newest stream is forgotten")
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -104,6 +104,8 @@
 	// resumedAfter is the id of the event after which the caller takes up a stream; empty for
 	// a new one.
 	resumedAfter string
+	// streams holds the keys of the streams that are recorded as under way in this request.
+	streams []gossip.StreamKey
 	// versionBound is set once a part of a stream was passed on, here or in an earlier answer
 	// to the caller: it may go on only at upstreams with that version of their software.
 	versionBound pool.VersionBound
--- a/io/proxy/record.go
+++ b/io/proxy/record.go
@@ -12,6 +12,7 @@
 
 // recordEnd counts and logs the end of a request.
 func (p *Proxy) recordEnd(call *Call, f *result.Failure) {
+	p.endStreams(call, f == nil)
 	now := p.Clock.Now()
 	p.Metrics.CountRequest(f)
 	elapsed := now.Sub(call.Arrived)
--- a/io/proxy/resume.go
+++ b/io/proxy/resume.go
@@ -44,11 +44,20 @@
 // can determine it themselves.
 func (p *Proxy) recordOrigin(call *Call, requestID string, origin gossip.StreamOrigin) {
 	key := p.Streams.BegunIn(p.Clock.Now(), call.workspaceName(), requestID, origin)
+	call.streams = append(call.streams, key)
 	if p.Loop.Ambiguous(origin.Service) {
 		p.Loop.AnnounceStream(key, origin)
 	}
 }
 
+// endStreams records the end of the streams that a request has begun or taken up. One whose caller
+// hasn't received all of it may be taken up elsewhere.
+func (p *Proxy) endStreams(call *Call, whole bool) {
+	for _, key := range call.streams {
+		p.Streams.End(p.Clock.Now(), key, whole)
+	}
+}
+
 // bindResumed binds a stream that a caller takes up to the service and version that began it.
 // It refuses one whose beginning isn't known, was for another workspace, or was at a service
 // that the route no longer leads to.
