Prove the version of an upstream that has ended by the list, not by time

Cause: the version that the list names counted again 5 s after the end of its run, though the list could show no new run.

Fix: the 5 s count while the list is followed without a gap, up to its last word; not before an answer has shown that the upstream is back (for 15 s at most).

TestVersionProvedByList (six ways of being away). TestVersionBound asked for the version 5 s after an end without an answer or a word of the list; it gives both now.

--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -121,7 +121,7 @@
 	upstreams := p.eligible(now, req.Service)
 	sampler := p.sampler(prompt, p.unreportedCost(now, req.Service, upstreams))
 	for _, r := range upstreams {
-		if slices.Contains(req.Excluded, r.ID) || !req.VersionBound.allows(now, r) {
+		if slices.Contains(req.Excluded, r.ID) || !p.allowsVersion(now, req.VersionBound, r) {
 			continue
 		}
 		c := p.estimate(now, req, r, prompt)
--- a/core/pool/pace.go
+++ b/core/pool/pace.go
@@ -169,7 +169,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := l.replica
-	if !l.versionBound.allows(now, r) {
+	if !l.pool.allowsVersion(now, l.versionBound, r) {
 		return nil, false
 	}
 	if p.replicas[r.ID] != r || p.isClosed(r) || r.refuses(now) || p.isHeld(now) {
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -55,6 +55,9 @@
 	// endNews is set until peers are told that an upstream has ended or returned.
 	endNews  bool
 	versions versions
+	// listHeardAt is the time up to which all changes of the list are held, and listHeardSince that
+	// since which there was no gap; zero before the list was heard of.
+	listHeardAt, listHeardSince time.Time
 	// meanLoadAge is the mean age of the load reports of peers. sendRates holds the rate
 	// at which this instance sends requests for each service.
 	meanLoadAge time.Duration
--- a/core/pool/room.go
+++ b/core/pool/room.go
@@ -23,7 +23,7 @@
 	defer p.mu.Unlock()
 	var room Room
 	for _, r := range p.eligible(now, req.Service) {
-		if slices.Contains(req.Excluded, r.ID) || !req.VersionBound.allows(now, r) {
+		if slices.Contains(req.Excluded, r.ID) || !p.allowsVersion(now, req.VersionBound, r) {
 			continue
 		}
 		if p.estimate(now, req, r, nil).Wait <= limit {
--- a/core/pool/version.go
+++ b/core/pool/version.go
@@ -13,9 +13,9 @@
 	// versionMemory is how long a version counts as in use after its last upstream has left
 	// the list: streams that began there may be taken up for so long.
 	versionMemory = time.Minute
-	// unprovenTime is how long the listed version of an upstream doesn't count after the
-	// upstream has ended: it may have come back with other software, which the list shows by
-	// then.
+	// unprovenTime is how long the list must have been followed after an upstream has ended, or
+	// has come back, until the listed version counts again: it may have other software, which
+	// the list shows by then.
 	unprovenTime = 5 * time.Second
 	// maxUnseen is how long the list may have gone unread without a version having come and
 	// gone unseen: an upstream's entry stays in the list for longer.
@@ -35,18 +35,39 @@
 	Unknown bool
 }
 
-// allows reports whether the bound allows an upstream.
-func (b VersionBound) allows(now time.Time, r *replica) bool {
+// allowsVersion reports whether a bound allows an upstream.
+func (p *Pool) allowsVersion(now time.Time, b VersionBound, r *replica) bool {
 	if b.Unknown || b.Bound && r.Version != b.Version {
 		return false
 	}
-	return !b.Bound && !b.Proved || r.versionProved(now)
+	return !b.Bound && !b.Proved || p.versionProved(now, r)
 }
 
 // versionProved reports whether the listed version is that of the software at the address: the
-// run that the list describes is not known to have ended, here or by a peer.
-func (r *replica) versionProved(now time.Time) bool {
-	return now.Sub(r.endedAt) >= unprovenTime && now.Sub(r.end.at) >= unprovenTime
+// run that the list describes is not known to have ended, here or by a peer, or the list would
+// show a run that has followed. While the list isn't heard of it shows nothing.
+func (p *Pool) versionProved(now time.Time, r *replica) bool {
+	ended := latest(r.endedAt, r.end.at)
+	if ended.IsZero() {
+		return true
+	}
+	if r.end.isOpen(now) {
+		return false
+	}
+	return p.listHeardAt.Sub(latest(ended, p.listHeardSince)) >= unprovenTime
+}
+
+// MarkListHeard records that all changes of the list up to a time are held.
+func (p *Pool) MarkListHeard(at time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !at.After(p.listHeardAt) {
+		return
+	}
+	if at.Sub(p.listHeardAt) > maxUnseen {
+		p.listHeardSince = at
+	}
+	p.listHeardAt = at
 }
 
 // versions holds which versions of each service are in use, in all regions. Its zero value
@@ -228,14 +249,14 @@
 	l.pool.mu.Lock()
 	defer l.pool.mu.Unlock()
 	current := l.pool.replicas[l.replica.ID]
-	return l.replica.versionProved(now) && (current == nil || current.Version == l.replica.Version)
+	return l.pool.versionProved(now, l.replica) && (current == nil || current.Version == l.replica.Version)
 }
 
 // mayHaveNewVersion reports whether an upstream of a service has come back, maybe with other
 // software than the list shows.
 func (p *Pool) mayHaveNewVersion(now time.Time, service ident.Service) bool {
 	for _, r := range p.replicas {
-		if r.Service == service && r.end.returned && !r.versionProved(now) {
+		if r.Service == service && r.end.returned && !p.versionProved(now, r) {
 			return true
 		}
 	}
--- a/core/pool/version_test.go
+++ b/core/pool/version_test.go
@@ -47,8 +47,16 @@
 	if !found {
 		t.Fatal("a new request is bound too")
 	}
+	now = now.Add(time.Second)
+	unbound.started = now
+	unbound.ResponseReceived(now)
 	unbound.End(now, Answered)
-	now = now.Add(unprovenTime)
+	for range unprovenTime / time.Second {
+		now = now.Add(time.Second)
+		p.MarkListHeard(now)
+	}
+	now = now.Add(time.Second)
+	p.MarkListHeard(now)
 	if _, found := pick("v2"); !found {
 		t.Error("never again at an upstream that had ended")
 	}
@@ -58,6 +66,51 @@
 	}
 }
 
+// TestVersionProvedByList guards against a stream that goes on at other software, since the listed
+// version of an upstream that has ended counts again though nobody has heard of the list: a store that
+// is away, or has just come back, shows no new run. It guards as well against an upstream that never
+// counts again.
+func TestVersionProvedByList(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	second := func(n int) time.Time { return start.Add(time.Duration(n) * time.Second) }
+	for _, c := range []struct {
+		name string
+		// returns is the second of the first answer after the end, and away are the first and last
+		// second without word of the list.
+		returns, awayFrom, awayTo int
+		// proved is the second from which on the version is proved again.
+		proved int
+	}{
+		{"the list is followed", 2, 0, 0, 7},
+		{"back after some time", 8, 0, 0, 13},
+		{"the store is away from before the end", 2, -1, 8, 14},
+		{"the store is away from after the return", 2, 4, 12, 18},
+		{"the store is away for a moment", 2, 4, 4, 7},
+		{"the store is away for good", 2, 1, 99, 99},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := New(Settings{Self: "entry-1", Region: "near", PromptRate: 60})
+			p.SetUpstream(second(-10), versioned("u", "v1"))
+			for n := -10; n < 30; n++ {
+				now := second(n)
+				if n < c.awayFrom || n > c.awayTo || c.awayTo == 0 {
+					p.MarkListHeard(now)
+				}
+				r := p.replicas["u"]
+				switch n {
+				case 0:
+					p.markEnded(now, r)
+				case c.returns:
+					p.recordReturn(now, now, r)
+				}
+				if proved, want := p.versionProved(now, r), n < 0 || n >= c.proved; proved != want {
+					t.Errorf("at %d s: proved is %v", n, proved)
+				}
+			}
+		})
+	}
+}
+
 // TestVersionUnprovenAtSend guards against a stream that goes on at other software under the
 // same id: its upstream ended after it was chosen, while the request waited for a connection.
 func TestVersionUnprovenAtSend(t *testing.T) {
--- a/io/syncer/syncer.go
+++ b/io/syncer/syncer.go
@@ -285,6 +285,7 @@
 func (l *Loop) tick(ctx context.Context, now time.Time) {
 	l.refreshAfterPause(ctx, now)
 	l.activatePending(now)
+	l.opts.Pool.MarkListHeard(l.health[mirror.UpstreamsGroup].heardAt)
 	l.updateWatching(now)
 	l.heartbeat(ctx, now)
 	l.sendTransfers(now, l.opts.Quota.DueTransfers(now))
