Don't take answers of an upstream's next run for proof that the one before lives

Only answers that began before the sentinel ended speak for its run. TestEndWithConnection has that case; it failed before ('killed and started again, another answer there goes on, the end is read late').

--- a/io/http1/sentinel.go
+++ b/io/http1/sentinel.go
@@ -158,11 +158,12 @@
 	close(c.done)
 }
 
-// heard records that a part of an answer has arrived which the upstream sent after a time.
-func (s *sentinel) heard(after time.Time) {
+// heard records that a part of an answer has arrived which the upstream sent after a time. One
+// that began after a sentinel had ended may come from the next run.
+func (s *sentinel) heard(begun, after time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if after.After(s.heardAt) {
+	if after.After(s.heardAt) && (s.endedAt.IsZero() || begun.Before(s.endedAt)) {
 		s.heardAt = after
 	}
 }
@@ -227,17 +228,20 @@
 	sentinel *sentinel
 	// done is closed when the exchange is given up.
 	done <-chan struct{}
-	// openAt is the last time at which the connection was known to be open.
-	openAt time.Time
+	// begun is when the head of the answer arrived, and openAt the last time at which the
+	// connection was known to be open.
+	begun, openAt time.Time
 }
 
 // watchEnd begins to watch, when the head of the answer has arrived.
 func (x *exchange) watchEnd(ctx context.Context) *endWatch {
+	now := x.client.conns.clock.Now()
 	return &endWatch{
 		exchange: x,
 		sentinel: x.client.sentinels.use(x.conn.key),
 		done:     ctx.Done(),
-		openAt:   x.client.conns.clock.Now(),
+		begun:    now,
+		openAt:   now,
 	}
 }
 
@@ -249,14 +253,14 @@
 	now := w.exchange.client.conns.clock.Now
 	// What arrives from now on was sent from now on. What arrived before may be read late.
 	waits := w.exchange.conn.reader.Buffered() == 0 && isIdle(w.exchange.conn.Conn)
-	began := now()
+	readAt := now()
 	n, err := body.Read(p)
 	if !waits {
 		return n, err
 	}
 	w.openAt = now()
 	if n > 0 {
-		w.sentinel.heard(began)
+		w.sentinel.heard(w.begun, readAt)
 	}
 	return n, err
 }
--- a/io/http1/sentinel_test.go
+++ b/io/http1/sentinel_test.go
@@ -116,12 +116,12 @@
 		name string
 		// late is set if the end of the first answer is read some time after it has come.
 		late  bool
-		end   func(s *socketsOf)
+		end   func(s *socketsOf, begin func(id string) *Answer)
 		whole bool
 	}{
-		{"the upstream lives", false, func(s *socketsOf) { _ = s.takeAnswer(0).Close() }, true},
-		{"killed", false, func(s *socketsOf) { s.end() }, false},
-		{"killed, the listener closes late", false, func(s *socketsOf) {
+		{"the upstream lives", false, func(s *socketsOf, _ func(string) *Answer) { _ = s.takeAnswer(0).Close() }, true},
+		{"killed", false, func(s *socketsOf, _ func(string) *Answer) { s.end() }, false},
+		{"killed, the listener closes late", false, func(s *socketsOf, _ func(string) *Answer) {
 			for _, c := range []net.Conn{s.takeAnswer(0), s.takeAnswer(1)} {
 				_ = c.Close()
 			}
@@ -129,27 +129,39 @@
 			time.Sleep(processEndTime / 2)
 			s.end()
 		}, false},
-		{"killed, the port is taken again at once", false, func(s *socketsOf) {
+		{"killed, the port is taken again at once", false, func(s *socketsOf, _ func(string) *Answer) {
 			address := s.address.String()
 			s.end()
 			s.listen(address)
 		}, false},
-		{"killed and started again, the end is read late", true, func(s *socketsOf) {
+		{"killed and started again, the end is read late", true, func(s *socketsOf, _ func(string) *Answer) {
 			address := s.address.String()
 			s.end()
 			s.listen(address)
 			time.Sleep(2 * moment)
 		}, false},
-		{"takes no new connections, keeps those it has", false, func(s *socketsOf) {
+		{"killed and started again, another answer there goes on, the end is read late", true, func(s *socketsOf, begin func(string) *Answer) {
+			address := s.address.String()
+			s.end()
+			s.listen(address)
+			time.Sleep(moment)
+			next := begin("q-3")
+			go func() { _, _ = io.Copy(io.Discard, next.Body) }()
+			for range 3 {
+				time.Sleep(moment)
+				_, _ = io.WriteString(s.takeAnswer(0), "more")
+			}
+		}, false},
+		{"takes no new connections, keeps those it has", false, func(s *socketsOf, _ func(string) *Answer) {
 			s.closeListener()
 			_ = s.takeAnswer(0).Close()
 		}, true},
-		{"closes idle connections", false, func(s *socketsOf) {
+		{"closes idle connections", false, func(s *socketsOf, _ func(string) *Answer) {
 			s.closeOthers()
 			time.Sleep(moment)
 			_ = s.takeAnswer(0).Close()
 		}, true},
-		{"takes no new connections, closes idle ones, sends more of another answer", false, func(s *socketsOf) {
+		{"takes no new connections, closes idle ones, sends more of another answer", false, func(s *socketsOf, _ func(string) *Answer) {
 			s.closeListener()
 			s.closeOthers()
 			time.Sleep(moment)
@@ -159,7 +171,7 @@
 				time.Sleep(processEndTime / 8)
 			}
 		}, true},
-		{"takes no new connections, closes idle ones, killed", false, func(s *socketsOf) {
+		{"takes no new connections, closes idle ones, killed", false, func(s *socketsOf, _ func(string) *Answer) {
 			s.closeListener()
 			s.closeOthers()
 			time.Sleep(moment)
@@ -186,11 +198,11 @@
 			waitForSentinel(t, s)
 			ended := make(chan struct{})
 			if c.late {
-				c.end(s)
+				c.end(s, begin)
 				close(ended)
 			} else {
 				go func() {
-					c.end(s)
+					c.end(s, begin)
 					close(ended)
 				}()
 			}
