Bound the parts of lost requests that are held together

Callers choose how many parts a prompt has: 512 losses of 4,096 parts would be 33 MB and more, and each change of the evidence walks through all of them. The newest 32,768 parts are held (TestManyPartsHeld).

--- a/core/poison/memory.go
+++ b/core/poison/memory.go
@@ -38,7 +38,7 @@
 func (d *Detector) dropSurplus(losses map[gossip.TraitKey][]*lostRequest) {
 	d.again = lostAgain(losses)
 	newer := map[gossip.TraitKey]int{}
-	repeated, others := 0, 0
+	repeated, others, parts := 0, 0, 0
 	kept := make([]lostRequest, 0, len(d.lost))
 	for _, l := range slices.Backward(d.lost) {
 		convicts, repeats := d.convictsOrRepeats(&l, newer)
@@ -48,8 +48,9 @@
 			repeated++
 		case !l.reported:
 			others++
+			parts += len(l.traits.Parts)
 		}
-		if l.reported || others <= maxLost {
+		if l.reported || others <= maxLost && parts <= maxHeldParts {
 			kept = append(kept, l)
 		}
 	}
@@ -111,10 +112,10 @@
 		}
 		others = append(others, trait)
 	}
-	if len(others) <= maxSound {
+	if len(others) <= 2*maxSound {
 		return
 	}
-	// Those go that would be reported for the shortest time.
+	// Those go that would be reported for the shortest time, many at once.
 	slices.SortFunc(others, func(a, b gossip.TraitKey) int { return d.sound[a].reportUntil.Compare(d.sound[b].reportUntil) })
 	for _, trait := range others[:len(others)-maxSound] {
 		delete(d.sound, trait)
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -45,6 +45,8 @@
 	// in several moments: twice as many as one upstream serves and queues. One that ends
 	// upstreams must not be displaced by those that are lost with it before it comes again.
 	maxLost = 512
+	// maxHeldParts bounds the parts of these together: callers choose their number.
+	maxHeldParts = 1 << 15
 	// maxRepeated bounds those with such a trait, which all instances report, and maxReported
 	// those that one report of an instance holds of its own. Each report has others if there
 	// are more.
@@ -61,7 +63,8 @@
 	tellTime = time.Minute
 	// maxReportedSound bounds the sound traits in one report.
 	maxReportedSound = 256
-	// maxSound bounds the sound traits that are held beside those that are suspected.
+	// maxSound, and twice as many for a while, bounds the sound traits that are held beside those
+	// that are suspected.
 	maxSound = 1024
 	// maxLossesPerTrait bounds the lost requests that are kept for one convicted trait. It
 	// exceeds requiredLossesSound.
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -289,6 +289,26 @@
 	}
 }
 
+// TestManyPartsHeld guards against a process whose memory is filled with the parts of lost requests.
+func TestManyPartsHeld(t *testing.T) {
+	d := &Detector{Self: "a"}
+	const parts = 2048
+	for i := range 2 * maxHeldParts / parts {
+		var traits gossip.Traits
+		for part := range parts {
+			traits.Parts = append(traits.Parts, gossip.TraitKey(1+i*parts+part))
+		}
+		d.RequestLost(at(float64(i)/100), uint64(i+1), traits, Waiting)
+	}
+	held := 0
+	for _, l := range d.lost {
+		held += len(l.traits.Parts)
+	}
+	if held > maxHeldParts || held < maxHeldParts/2 {
+		t.Errorf("%d parts held", held)
+	}
+}
+
 // TestManyLostAtOnce guards against a loss that no report holds since very many requests were lost with
 // it.
 func TestManyLostAtOnce(t *testing.T) {
