Tell other regions of streams when a second version comes, not all the while

Heartbeats name them within the region only, as most callers come back there; when peers become unable to tell where streams began, the instance announces all of its own at once, with the change of the list that makes it so, and names them everywhere from then on.

--- a/core/gossip/evidence_test.go
+++ b/core/gossip/evidence_test.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"testing"
 	"time"
+
+	"arbutustrestle/core/ident"
 )
 
 // TestLossEvidence checks that evidence reaches instances of all regions, that it grows
@@ -37,3 +39,31 @@
 		t.Error("no evidence sent to another region")
 	}
 }
+
+// TestRegionStreams checks that the streams that only the region needs to hear of stay there.
+func TestRegionStreams(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := New(Record{ID: "self", Incarnation: 1, Region: "r-1", PeerAddress: netip.MustParseAddrPort("10.0.0.1:1")}, nil, rand.New(rand.NewPCG(1, 2)))
+	s.UpdateSelf(func(r *Record) {
+		r.BegunStreams = []BegunStreams{{Keys: []StreamKey{1}}}
+		r.RegionStreams = []BegunStreams{{Keys: []StreamKey{2}}}
+	})
+	for i, region := range []string{"r-1", "r-2"} {
+		address := netip.AddrPortFrom(netip.MustParseAddr("10.0.0.2"), uint16(i+1))
+		s.Receive(now, []Record{{ID: ident.Instance(region), Incarnation: 1, Sequence: 1, Region: ident.Region(region), PeerAddress: address}})
+	}
+	most := map[ident.Instance]int{}
+	for range 20 {
+		now = now.Add(TickInterval)
+		for _, hb := range s.DueHeartbeats(now) {
+			own := hb.Records[0]
+			most[hb.To] = max(most[hb.To], len(own.BegunStreams))
+			if len(own.RegionStreams) > 0 {
+				t.Errorf("to %s: %v", hb.To, own.RegionStreams)
+			}
+		}
+	}
+	if most["r-1"] != 2 || most["r-2"] != 1 {
+		t.Errorf("groups of streams told: %v", most)
+	}
+}
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -68,6 +68,9 @@
 	LossEvidence LossEvidence
 	// BegunStreams are sent with LossEvidence.
 	BegunStreams []BegunStreams
+	// RegionStreams are sent along with BegunStreams within the region; nil in records of
+	// others.
+	RegionStreams []BegunStreams
 	// VersionHistory is sent along with the records of third instances, and so to each
 	// instance that has just started.
 	VersionHistory VersionHistory
--- a/core/gossip/heartbeat.go
+++ b/core/gossip/heartbeat.go
@@ -64,6 +64,7 @@
 	own.LeavingUpstreams = nil
 	own.EndedUpstreams = nil
 	own.BrittleUpstreams = nil
+	own.RegionStreams = nil
 	heartbeats := s.membershipHeartbeats(now, regional, contacts, own)
 	own.VersionHistory = VersionHistory{}
 	heartbeats = append(heartbeats, s.regionHeartbeats(now, regional, own)...)
@@ -113,6 +114,8 @@
 	withLoads := s.self
 	withLoads.VersionHistory = VersionHistory{}
 	withLoads.Heard = s.heardInstances(now)
+	withLoads.BegunStreams = slices.Concat(s.self.BegunStreams, s.self.RegionStreams)
+	withLoads.RegionStreams = nil
 	passedOn := s.passedOn(now)
 	records := append([]Record{withLoads}, passedOn...)
 	reported := min(reportFanout, len(chosen))
--- a/core/resume/fleet_test.go
+++ b/core/resume/fleet_test.go
@@ -96,7 +96,7 @@
 		if !f.alive[from] {
 			continue
 		}
-		groups := f.tables[from].Report(f.now, always)
+		groups := f.tables[from].Report(f.now, always).Everywhere
 		for to := range f.tables {
 			since := (f.now.Sub(start) + f.phase[from][to]) % f.heartbeatInterval
 			if to != from && since < simTick && len(groups) > 0 {
--- a/core/resume/resume.go
+++ b/core/resume/resume.go
@@ -87,6 +87,8 @@
 	until  time.Time
 	// whole is set once the whole stream was passed on.
 	whole bool
+	// announced is set once peers were told at once, apart from the reports.
+	announced bool
 	// reportedAt is when it was last reported; zero before.
 	reportedAt time.Time
 }
@@ -99,10 +101,18 @@
 	t.report(key, origin, now.Add(lifeTime))
 }
 
+// Report is what an instance reports of streams. Its zero value reports nothing.
+type Report struct {
+	// Everywhere and InRegion go with heartbeats, to all instances and to those of the region.
+	Everywhere, InRegion []gossip.BegunStreams
+	// AtOnce is to be announced now: peers have become unable to tell where these began.
+	AtOnce []gossip.BegunStreams
+}
+
 // BegunIn records a stream that began, or was resumed, at this instance for a workspace, and
-// returns its key. That it is of a workspace is forgotten no later than where it began: a
+// returns its key. announced is set if peers are told at once. That it is of a workspace is forgotten no later than where it began: a
 // stream of the same workspace would count as foreign otherwise.
-func (t *Table) BegunIn(now time.Time, workspace ident.Workspace, requestID string, origin gossip.StreamOrigin) gossip.StreamKey {
+func (t *Table) BegunIn(now time.Time, workspace ident.Workspace, requestID string, origin gossip.StreamOrigin, announced bool) gossip.StreamKey {
 	key := KeyIn(workspace, requestID)
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -111,6 +121,7 @@
 	}
 	t.add(now, key, origin)
 	t.report(key, origin, now.Add(lifeTime))
+	t.markAnnounced(key, announced)
 	return key
 }
 
@@ -154,6 +165,7 @@
 		for _, key := range g.Keys {
 			if _, known := t.lookup(key); !known {
 				t.report(key, g.Origin, now.Add(passOnTime))
+				t.markAnnounced(key, true)
 			}
 			t.add(now, key, g.Origin)
 		}
@@ -187,10 +199,10 @@
 }
 
 // Report returns the streams that are under way or broke off here, or were passed on lately. They
-// are reported whether or not peers could tell by themselves where they began: when that changes,
-// it is too late to tell if this instance ends. Those that were whole are reported only for the
-// services for which peers can't tell.
-func (t *Table) Report(now time.Time, ambiguous func(ident.Service) bool) []gossip.BegunStreams {
+// are reported in the region whether or not peers could tell by themselves where they began: when
+// that changes, it is too late to tell if this instance ends. Those of services for which peers
+// can't tell are reported everywhere, and for a while also if they were whole.
+func (t *Table) Report(now time.Time, ambiguous func(ident.Service) bool) Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	maps.DeleteFunc(t.reported, func(_ gossip.StreamKey, s *reportedStream) bool { return now.After(s.until) })
@@ -211,16 +223,30 @@
 		})
 		list = list[:maxReported]
 	}
-	var groups []gossip.BegunStreams
+	var r Report
 	for _, s := range list {
 		s.reportedAt = now
-		i := slices.IndexFunc(groups, func(g gossip.BegunStreams) bool { return g.Origin == s.origin })
-		if i < 0 {
-			i = len(groups)
-			groups = append(groups, gossip.BegunStreams{Origin: s.origin})
+		switch {
+		case !unclear[s.origin.Service]:
+			r.InRegion = appendStream(r.InRegion, s)
+		case s.announced || s.whole:
+			r.Everywhere = appendStream(r.Everywhere, s)
+		default:
+			s.announced = true
+			r.Everywhere = appendStream(r.Everywhere, s)
+			r.AtOnce = appendStream(r.AtOnce, s)
 		}
-		groups[i].Keys = append(groups[i].Keys, s.key)
 	}
+	return r
+}
+
+func appendStream(groups []gossip.BegunStreams, s *reportedStream) []gossip.BegunStreams {
+	i := slices.IndexFunc(groups, func(g gossip.BegunStreams) bool { return g.Origin == s.origin })
+	if i < 0 {
+		i = len(groups)
+		groups = append(groups, gossip.BegunStreams{Origin: s.origin})
+	}
+	groups[i].Keys = append(groups[i].Keys, s.key)
 	return groups
 }
 
@@ -229,8 +255,15 @@
 	if t.reported == nil {
 		t.reported = map[gossip.StreamKey]*reportedStream{}
 	}
-	if len(t.reported) < maxStreams {
-		t.reported[key] = &reportedStream{key: key, origin: origin, until: until}
+	if len(t.reported) >= maxStreams {
+		return
+	}
+	t.reported[key] = &reportedStream{key: key, origin: origin, until: until}
+}
+
+func (t *Table) markAnnounced(key gossip.StreamKey, announced bool) {
+	if s := t.reported[key]; s != nil {
+		s.announced = announced
 	}
 }
 
--- a/core/resume/resume_test.go
+++ b/core/resume/resume_test.go
@@ -25,7 +25,7 @@
 	var a, b Table
 	a.Begun(start, KeyOf("one"), first)
 	a.Begun(start, KeyOf("two"), second)
-	report := a.Report(start.Add(time.Second), always)
+	report := a.Report(start.Add(time.Second), always).Everywhere
 	if len(report) != 2 {
 		t.Fatalf("reported %v", report)
 	}
@@ -40,16 +40,16 @@
 	}
 	a.End(start.Add(time.Second), KeyOf("one"), true)
 	a.End(start.Add(time.Second), KeyOf("two"), false)
-	if report := a.Report(start.Add(2*time.Second), always); len(report) != 2 {
+	if report := a.Report(start.Add(2*time.Second), always).Everywhere; len(report) != 2 {
 		t.Errorf("a moment later: reported %v", report)
 	}
-	if report := a.Report(start.Add(2*time.Second), never); len(report) != 1 || report[0].Origin != second {
+	if report := a.Report(start.Add(2*time.Second), never).InRegion; len(report) != 1 || report[0].Origin != second {
 		t.Errorf("while peers can tell: reported %v", report)
 	}
-	if report := a.Report(start.Add(memory), always); len(report) != 1 || report[0].Origin != second {
+	if report := a.Report(start.Add(memory), always).Everywhere; len(report) != 1 || report[0].Origin != second {
 		t.Errorf("one is whole, two has broken off: reported %v", report)
 	}
-	if report := a.Report(start.Add(memory+2*time.Second), always); len(report) != 0 {
+	if report := a.Report(start.Add(memory+2*time.Second), always).Everywhere; len(report) != 0 {
 		t.Errorf("still reported: %v", report)
 	}
 	b.Begun(start.Add(memory), KeyOf("late"), first)
@@ -63,19 +63,19 @@
 func TestPassOn(t *testing.T) {
 	var told, other Table
 	told.PassOn(start, []gossip.BegunStreams{{Origin: first, Keys: []gossip.StreamKey{KeyOf("one")}}})
-	other.Learn(start, told.Report(start.Add(passOnTime/2), always))
+	other.Learn(start, told.Report(start.Add(passOnTime/2), always).Everywhere)
 	if origin, found := other.Lookup(KeyOf("one")); !found || origin != first {
 		t.Errorf("began at %v, found %v", origin, found)
 	}
-	if report := told.Report(start.Add(passOnTime+time.Millisecond), always); len(report) != 0 {
+	if report := told.Report(start.Add(passOnTime+time.Millisecond), always).Everywhere; len(report) != 0 {
 		t.Errorf("still reported: %v", report)
 	}
-	if report := other.Report(start, always); len(report) != 0 {
+	if report := other.Report(start, always).Everywhere; len(report) != 0 {
 		t.Errorf("passed on again: %v", report)
 	}
 	again := start.Add(passOnTime + time.Millisecond)
 	told.PassOn(again, []gossip.BegunStreams{{Origin: first, Keys: []gossip.StreamKey{KeyOf("one")}}})
-	if report := told.Report(again, always); len(report) != 0 {
+	if report := told.Report(again, always).Everywhere; len(report) != 0 {
 		t.Errorf("a known stream is passed on: %v", report)
 	}
 }
@@ -86,12 +86,12 @@
 	var table Table
 	table.Begun(start, KeyOf("one"), first)
 	for age := time.Duration(0); age < lifeTime; age += 5 * time.Second {
-		if report := table.Report(start.Add(age), never); len(report) != 1 {
+		if report := table.Report(start.Add(age), never).InRegion; len(report) != 1 {
 			t.Errorf("after %s: reported %v", age, report)
 		}
 	}
 	table.End(start.Add(lifeTime), KeyOf("one"), true)
-	if report := table.Report(start.Add(lifeTime), never); len(report) != 0 {
+	if report := table.Report(start.Add(lifeTime), never).InRegion; len(report) != 0 {
 		t.Errorf("whole, and reported: %v", report)
 	}
 }
@@ -109,7 +109,7 @@
 	}
 	told := map[gossip.StreamKey]struct{}{}
 	for n := range maxStreams / maxReported {
-		report := table.Report(start.Add(time.Duration(n)*time.Second), always)
+		report := table.Report(start.Add(time.Duration(n)*time.Second), always).Everywhere
 		if len(report) != 1 || len(report[0].Keys) != maxReported {
 			t.Fatalf("%d groups reported", len(report))
 		}
@@ -124,3 +124,24 @@
 		t.Error("the newest stream is forgotten")
 	}
 }
+
+// TestAnnouncedOnce guards against streams that peers are told of too late, when they become unable to
+// tell by themselves where they began, and against telling at once again and again.
+func TestAnnouncedOnce(t *testing.T) {
+	var table Table
+	table.BegunIn(start, "", "before", first, false)
+	if r := table.Report(start, never); len(r.InRegion) != 1 || len(r.Everywhere)+len(r.AtOnce) != 0 {
+		t.Errorf("while peers can tell: %+v", r)
+	}
+	table.BegunIn(start, "", "after", first, true)
+	r := table.Report(start, always)
+	if len(r.AtOnce) != 1 || len(r.AtOnce[0].Keys) != 1 || r.AtOnce[0].Keys[0] != KeyOf("before") {
+		t.Errorf("announced: %v", r.AtOnce)
+	}
+	if len(r.Everywhere) != 1 || len(r.Everywhere[0].Keys) != 2 || len(r.InRegion) != 0 {
+		t.Errorf("reported everywhere: %v, in the region: %v", r.Everywhere, r.InRegion)
+	}
+	if again := table.Report(start, always); len(again.AtOnce) != 0 {
+		t.Errorf("announced again: %v", again.AtOnce)
+	}
+}
--- a/core/resume/workspace_test.go
+++ b/core/resume/workspace_test.go
@@ -14,9 +14,9 @@
 // streams without a workspace that nobody can resume.
 func TestStreamOfWorkspace(t *testing.T) {
 	var began, told Table
-	began.BegunIn(start, "a", "one", first)
-	began.BegunIn(start, "", "two", second)
-	told.Learn(start, began.Report(start, always))
+	began.BegunIn(start, "a", "one", first, true)
+	began.BegunIn(start, "", "two", second, true)
+	told.Learn(start, began.Report(start, always).Everywhere)
 	for _, c := range []struct {
 		name     string
 		table    *Table
@@ -46,8 +46,8 @@
 // their callers chose the same request id.
 func TestSameIDInWorkspaces(t *testing.T) {
 	var table Table
-	table.BegunIn(start, "a", "one", first)
-	table.BegunIn(start, "b", "one", second)
+	table.BegunIn(start, "a", "one", first, true)
+	table.BegunIn(start, "b", "one", second, true)
 	if origin, _ := table.LookupIn("a", "one"); origin != first {
 		t.Errorf("a's stream began at %v", origin)
 	}
@@ -67,7 +67,7 @@
 		}
 		const streams = maxStreams*3/2 + 1
 		for i := range streams {
-			table.BegunIn(start.Add(time.Duration(i)), "a", fmt.Sprint(i), first)
+			table.BegunIn(start.Add(time.Duration(i)), "a", fmt.Sprint(i), first, true)
 		}
 		for i := range streams {
 			if _, ownership := table.LookupIn("a", fmt.Sprint(i)); ownership == ForeignStream {
--- a/io/proxy/resume.go
+++ b/io/proxy/resume.go
@@ -43,9 +43,10 @@
 // brought the first event. Peers are notified at once, since this instance may end, unless they
 // can determine it themselves.
 func (p *Proxy) recordOrigin(call *Call, requestID string, origin gossip.StreamOrigin) {
-	key := p.Streams.BegunIn(p.Clock.Now(), call.workspaceName(), requestID, origin)
+	ambiguous := p.Loop.Ambiguous(origin.Service)
+	key := p.Streams.BegunIn(p.Clock.Now(), call.workspaceName(), requestID, origin, ambiguous)
 	call.streams = append(call.streams, key)
-	if p.Loop.Ambiguous(origin.Service) {
+	if ambiguous {
 		p.Loop.AnnounceStream(key, origin)
 	}
 }
--- a/io/syncer/streams.go
+++ b/io/syncer/streams.go
@@ -45,12 +45,27 @@
 	}
 }
 
+// reportStreams updates the streams in the instance's own record, and announces those of which peers
+// have just become unable to tell where they began.
+func (l *Loop) reportStreams(now time.Time) {
+	report := l.opts.Streams.Report(now, l.Ambiguous)
+	l.membership.UpdateSelf(func(r *gossip.Record) {
+		r.BegunStreams = report.Everywhere
+		r.RegionStreams = report.InRegion
+	})
+	l.sendStreams(now, report.AtOnce)
+}
+
 // announceStreams sends the collected streams to peers.
 func (l *Loop) announceStreams(now time.Time) {
 	l.announceMu.Lock()
 	streams := l.announced
 	l.announced = nil
 	l.announceMu.Unlock()
+	l.sendStreams(now, streams)
+}
+
+func (l *Loop) sendStreams(now time.Time, streams []gossip.BegunStreams) {
 	if len(streams) == 0 {
 		return
 	}
--- a/io/syncer/syncer.go
+++ b/io/syncer/syncer.go
@@ -337,6 +337,7 @@
 // heartbeat updates the instance's own record, sends the heartbeats that are due, and
 // publishes the view.
 func (l *Loop) heartbeat(ctx context.Context, now time.Time) {
+	l.reportStreams(now)
 	l.membership.UpdateSelf(func(r *gossip.Record) {
 		r.OperatorRevision = l.mirrors[mirror.OperatorGroup].LastChange()
 		r.UpstreamsRevision = l.mirrors[mirror.UpstreamsGroup].LastChange()
@@ -349,7 +350,6 @@
 		r.Reach = l.opts.Reach.Report(now)
 		r.ServiceLoads = l.opts.Pool.ServiceLoads(now)
 		r.LossEvidence = l.opts.Poison.Evidence(now)
-		r.BegunStreams = l.opts.Streams.Report(now, l.Ambiguous)
 		r.VersionHistory = l.opts.Pool.VersionHistory(now)
 	})
 	if l.opts.Pool.TakeEndNews() {
--- a/io/syncer/values.go
+++ b/io/syncer/values.go
@@ -142,6 +142,7 @@
 	}
 	if len(changes) > 0 {
 		l.publish(now)
+		l.reportStreams(now)
 	}
 	l.becomeReady(ctx, now)
 }
