--- a/io/http1/sentinel_test.go
+++ b/io/http1/sentinel_test.go
@@ -152,6 +152,12 @@
 				_, _ = io.WriteString(s.takeAnswer(0), "more")
 			}
 		}, false},
+		// Past processEndTime, the end of the process is taken for another matter.
+		{"its other connections end later than processEndTime", false, func(s *socketsOf, _ func(string) *Answer) {
+			_ = s.takeAnswer(0).Close()
+			time.Sleep(2 * processEndTime)
+			s.end()
+		}, true},
 		{"takes no new connections, keeps those it has", false, func(s *socketsOf, _ func(string) *Answer) {
 			s.closeListener()
 			_ = s.takeAnswer(0).Close()
