Keep a sentinel while no new connection to its upstream opens

Found by reading the change once more. A sentinel was dropped when it was 2 s old, also if the next one didn't open. To an instance that is cut off from its upstreams for longer than that, while its connections live on, whole answers without a length or chunks would have looked cut off: nothing showed any more that the upstream outlasted them, which docs/design/ends.md says it does.

TestEndWithConnection, 'takes no new connections for longer than a sentinel's age, keeps those it has', failed before and passes now.

--- a/io/http1/sentinel.go
+++ b/io/http1/sentinel.go
@@ -101,30 +101,41 @@
 	return true
 }
 
-// run keeps a connection open for as long as answers use the sentinel.
+// run keeps a connection open for as long as answers use the sentinel. One that is old stays until
+// the next one is open: to an instance that is cut off none opens, while those it has live on.
 func (s *sentinel) run() {
+	var held *sentinelConn
 	for {
-		if c := s.connect(); c == nil || s.lost(c) {
+		next := s.connect()
+		if next != nil {
+			held.closeSoon()
+			held = next
+		}
+		if next == nil || s.lost(next) {
 			time.Sleep(sentinelRetry)
-		} else {
-			// An answer that has just ended may still depend on it.
-			time.AfterFunc(2*processEndTime, func() { _ = c.Close() })
 		}
 		if s.sentinels.removeUnused(s) {
+			held.closeSoon()
 			return
 		}
 	}
 }
 
+// closeSoon closes a connection, if there is one, once no answer that has just ended depends on it.
+func (c *sentinelConn) closeSoon() {
+	if c != nil {
+		time.AfterFunc(2*processEndTime, func() { _ = c.Close() })
+	}
+}
+
 // connect opens a connection, which replaces the one before. It returns nil if that fails.
 func (s *sentinel) connect() *sentinelConn {
 	opened, err := s.sentinels.open(context.Background(), s.key)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.conn = nil
 	if err != nil {
 		return nil
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.conn = &sentinelConn{Conn: opened, done: make(chan struct{})}
 	go s.watch(s.conn)
 	return s.conn
--- a/io/http1/sentinel_test.go
+++ b/io/http1/sentinel_test.go
@@ -162,6 +162,11 @@
 			s.closeListener()
 			_ = s.takeAnswer(0).Close()
 		}, true},
+		{"takes no new connections for longer than a sentinel's age, keeps those it has", false, func(s *socketsOf, _ func(string) *Answer) {
+			s.closeListener()
+			time.Sleep(sentinelAge + moment)
+			_ = s.takeAnswer(0).Close()
+		}, true},
 		{"closes idle connections", false, func(s *socketsOf, _ func(string) *Answer) {
 			s.closeOthers()
 			time.Sleep(moment)
