Report the same parts of a long prompt for as long as all peers need to get a report

An instance makes a report each 0.1 s and sends it to some peers only, each of which gets one in up to 1.6 s.

Fix: parts without an answer go first in every report, and what has no room takes its turn by time, 2 s each. The list of untold parts is gone.

--- a/core/poison/memory.go
+++ b/core/poison/memory.go
@@ -17,7 +17,6 @@
 		l := &d.lost[i]
 		noLongerCounts := func(part gossip.TraitKey) bool { return !d.counts(l, part) }
 		l.traits.Parts = slices.DeleteFunc(l.traits.Parts, noLongerCounts)
-		l.untold = slices.DeleteFunc(l.untold, noLongerCounts)
 		// It may hold parts that were removed.
 		l.index = nil
 	}
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -57,10 +57,13 @@
 	maxReportedParts = 512
 	minPartsOfLoss   = 4
 	maxPartsOfLoss   = 32
-	// maxPartsHeld bounds the parts of a lost request that peers report.
-	maxPartsHeld = 16384
-	// tellTime bounds the time for which a loss is reported that has parts which weren't yet.
-	tellTime = time.Minute
+	// maxMergedParts bounds the parts of a lost request that peers report.
+	maxMergedParts = 16384
+	// windowTime is how long a report holds the same parts of a long prompt. It is longer than the
+	// time between two heartbeats to the same peer.
+	windowTime = 2 * time.Second
+	// tellTime is how long a loss is reported whose parts have no room in one report.
+	tellTime = 2 * time.Minute
 	// maxReportedSound bounds the sound traits in one report.
 	maxReportedSound = 256
 	// maxSound, and twice as many for a while, bounds the sound traits that are held beside those
@@ -127,8 +130,6 @@
 	// told is set if this instance tells peers of the request for a while: it sent it, or
 	// others of its region may not have heard of it.
 	told bool
-	// untold holds the parts that no report of this instance has held since they were known.
-	untold []gossip.TraitKey
 	// index holds the parts if there are many; nil until it is needed.
 	index map[gossip.TraitKey]struct{}
 	// reported is set if all instances report the request, whoever sent it.
@@ -156,7 +157,6 @@
 // add adds a part that the request doesn't hold.
 func (l *lostRequest) add(part gossip.TraitKey) {
 	l.traits.Parts = append(l.traits.Parts, part)
-	l.untold = append(l.untold, part)
 	if l.index != nil {
 		l.index[part] = struct{}{}
 	}
@@ -270,7 +270,6 @@
 		d.suspect(l.at, trait)
 	}
 	l.traits.Parts = slices.Clone(l.traits.Parts)
-	l.untold = slices.Clone(l.traits.Parts)
 	d.lost = slices.Insert(d.lost, i, l)
 }
 
@@ -292,7 +291,7 @@
 	added := false
 	for _, part := range parts {
 		d.suspect(l.at, part)
-		if !d.counts(l, part) || l.holds(part) || len(l.traits.Parts) >= maxPartsHeld {
+		if !d.counts(l, part) || l.holds(part) || len(l.traits.Parts) >= maxMergedParts {
 			continue
 		}
 		l.add(part)
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -267,14 +268,19 @@
 			d.RequestLost(at(0), uint64(i+1), traits, Waiting)
 		}
 		largest := 0
-		for s := 0.4; s < tellTime.Seconds(); s += 0.4 {
-			evidence := d.Evidence(at(s))
+		// The instance makes a report each 0.1 s, of which the peer gets one in 1.6 s.
+		seconds := int(tellTime/time.Second) / min(c.losses, 3)
+		for n := range 10 * seconds {
+			now := at(float64(n) / 10)
+			evidence := d.Evidence(now)
 			parts := 0
 			for _, l := range evidence.Lost {
 				parts += len(l.Traits.Parts)
 			}
 			largest = max(largest, parts)
-			peer.Merge(at(s), evidence, false)
+			if n%16 == 15 {
+				peer.Merge(now, evidence, false)
+			}
 		}
 		if largest > maxReportedParts {
 			t.Errorf("%d losses of %d parts: a report has %d parts", c.losses, c.parts, largest)
@@ -289,6 +295,24 @@
 	}
 }
 
+// TestUnansweredPartInEachReport guards against the part that crashes upstreams being in the one report
+// that a peer doesn't get, since the sound parts of the same prompt take the room in the others.
+func TestUnansweredPartInEachReport(t *testing.T) {
+	d := &Detector{Self: "a"}
+	sound := keys("deadly")
+	for i := range 500 {
+		sound.Parts = append(sound.Parts, PartKey(fmt.Sprint(i)))
+	}
+	d.AnswerSound(at(0), gossip.Traits{Parts: sound.Parts[1:]})
+	d.RequestLost(at(1), 1, sound, Waiting)
+	for n := range 40 {
+		parts := d.Evidence(at(1 + float64(n)/10)).Lost[0].Traits.Parts
+		if !slices.Contains(parts, PartKey("deadly")) {
+			t.Fatalf("report %d has other parts only", n)
+		}
+	}
+}
+
 // TestManyPartsHeld guards against a process whose memory is filled with the parts of lost requests.
 func TestManyPartsHeld(t *testing.T) {
 	d := &Detector{Self: "a"}
--- a/core/poison/report.go
+++ b/core/poison/report.go
@@ -10,7 +10,7 @@
 
 // Evidence returns what this instance reports: its own losses for a while, and those that
 // are evidence against a trait, from its own requests and from peers. A report has a bounded
-// size, however many parts the prompts have: what has no room in one is in a later one.
+// size, however many parts the prompts have: what has no room has it later.
 func (d *Detector) Evidence(now time.Time) gossip.LossEvidence {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -19,7 +19,7 @@
 	if len(losses) > 0 {
 		room := max(minPartsOfLoss, min(maxPartsOfLoss, maxReportedParts/len(losses)))
 		for _, l := range losses {
-			traits := gossip.Traits{Fingerprint: l.traits.Fingerprint, Parts: d.partsToTell(l, room)}
+			traits := gossip.Traits{Fingerprint: l.traits.Fingerprint, Parts: d.partsToTell(now, l, room)}
 			evidence.Lost = append(evidence.Lost, gossip.LostRequest{ID: l.id, Traits: traits, Begun: l.begun, Age: now.Sub(l.at)})
 		}
 	}
@@ -37,7 +37,7 @@
 		switch {
 		case l.reported:
 			list = append(list, l)
-		case l.told && (age < reportTime || age < tellTime && len(l.traits.Parts) > maxPartsOfLoss && len(l.untold) > 0):
+		case l.told && (age < reportTime || age < tellTime && len(l.traits.Parts) > maxPartsOfLoss):
 			own = append(own, l)
 		}
 	}
@@ -48,28 +48,44 @@
 	return append(list, own...)
 }
 
-// partsToTell returns the parts of a lost request for this report: those that are convicted or were
-// lost again, then others that weren't told, those without an answer first.
-func (d *Detector) partsToTell(l *lostRequest, room int) []gossip.TraitKey {
+// partsToTell returns the parts of a lost request for the reports of a while: those that are
+// convicted or were lost again, then those without an answer, then the others. Those that have no
+// room have it in turn. What is chosen stays for windowTime, as each peer gets only some of the
+// reports.
+func (d *Detector) partsToTell(now time.Time, l *lostRequest, room int) []gossip.TraitKey {
 	if len(l.traits.Parts) <= room {
-		l.untold = nil
 		return slices.Clone(l.traits.Parts)
 	}
-	var parts []gossip.TraitKey
+	var suspected, unanswered, others []gossip.TraitKey
 	for _, part := range l.traits.Parts {
 		_, convicted := d.convicted[part]
 		_, repeated := d.again[part]
-		if (convicted || repeated) && len(parts) < room {
-			parts = append(parts, part)
+		switch {
+		case convicted || repeated:
+			suspected = append(suspected, part)
+		case d.sound[part].at.IsZero():
+			unanswered = append(unanswered, part)
+		default:
+			others = append(others, part)
 		}
 	}
-	slices.SortStableFunc(l.untold, func(a, b gossip.TraitKey) int { return d.sound[a].at.Compare(d.sound[b].at) })
-	n := min(len(l.untold), room-len(parts))
-	parts = append(parts, l.untold[:n]...)
-	l.untold = l.untold[n:]
+	window := int(now.Sub(l.at) / windowTime)
+	var parts []gossip.TraitKey
+	for _, list := range [][]gossip.TraitKey{suspected, unanswered, others} {
+		parts = append(parts, inTurn(list, window, room-len(parts))...)
+	}
 	return parts
 }
 
+// inTurn returns as many elements of a list as there is room for, others in each window.
+func inTurn(list []gossip.TraitKey, window, room int) []gossip.TraitKey {
+	if len(list) <= room {
+		return list
+	}
+	first := window * room % len(list)
+	return slices.Concat(list[first:], list[:first])[:room]
+}
+
 // soundToTell returns the sound traits for this report: those that were found lately, and those of
 // losses in it.
 func (d *Detector) soundToTell(now time.Time, lost []gossip.LostRequest) []gossip.SoundTrait {
