Give streams that have no room in a report their turn by time

The same fault as in the reports of lost requests: with more than 512 streams under way at an instance, each report held those that were not in the one before. A peer that gets one report in 16 heard of 1,024 streams again and again, and of no others (TestBounds with such a peer, before). The chosen ones stay for 2 s now. One comment said that no caller returns after a minute; it is how long a version counts as in use.

--- a/core/resume/resume.go
+++ b/core/resume/resume.go
@@ -21,8 +21,8 @@
 	memory = 30 * time.Second
 	// maxStreams bounds each half of the streams that are remembered.
 	maxStreams = 16384
-	// lifeTime bounds the time for which an instance reports a stream that is under way there.
-	// No caller returns later than that after its beginning.
+	// lifeTime bounds the time for which an instance reports a stream that is under way there, as
+	// long as a version counts as in use.
 	lifeTime = time.Minute
 	// endedTime is how long it reports one that was whole: the last part may not have reached the
 	// caller.
@@ -30,9 +30,12 @@
 	// passOnTime is how long an instance reports a stream that a peer has told it of, so that
 	// others hear of it sooner than from that peer, which may end.
 	passOnTime = 800 * time.Millisecond
-	// maxReported bounds the streams in one report, and so the size of heartbeats. Of more, each
-	// report has those that were not reported for the longest time.
+	// maxReported bounds the streams in one report, and so the size of heartbeats. Of more, those
+	// have their turn for windowTime that had none for the longest time.
 	maxReported = 512
+	// windowTime is longer than the time between two heartbeats to the same peer, each of which
+	// gets only some of the reports.
+	windowTime = 2 * time.Second
 )
 
 // KeyOf returns the key of the stream whose first event came in answer to a request.
@@ -79,6 +82,8 @@
 	// reported holds the streams that are reported: those under way here, those that broke off
 	// here, and those that a peer told of a moment ago.
 	reported map[gossip.StreamKey]*reportedStream
+	// windowAt is when the streams of the current reports had their turn.
+	windowAt time.Time
 }
 
 type reportedStream struct {
@@ -89,8 +94,8 @@
 	whole bool
 	// announced is set once peers were told at once, apart from the reports.
 	announced bool
-	// reportedAt is when it was last reported; zero before.
-	reportedAt time.Time
+	// windowAt is when it last had its turn; zero before.
+	windowAt time.Time
 }
 
 // Begun records a stream that began, or was taken up, at this instance.
@@ -110,8 +115,9 @@
 }
 
 // BegunIn records a stream that began, or was resumed, at this instance for a workspace, and
-// returns its key. announced is set if peers are told at once. That it is of a workspace is forgotten no later than where it began: a
-// stream of the same workspace would count as foreign otherwise.
+// returns its key. announced is set if peers are told at once. That it is of a workspace is
+// forgotten no later than where it began: a stream of the same workspace would count as foreign
+// otherwise.
 func (t *Table) BegunIn(now time.Time, workspace ident.Workspace, requestID string, origin gossip.StreamOrigin, announced bool) gossip.StreamKey {
 	key := KeyIn(workspace, requestID)
 	t.mu.Lock()
@@ -217,15 +223,8 @@
 			list = append(list, s)
 		}
 	}
-	if len(list) > maxReported {
-		slices.SortFunc(list, func(a, b *reportedStream) int {
-			return cmp.Or(a.reportedAt.Compare(b.reportedAt), cmp.Compare(a.key, b.key))
-		})
-		list = list[:maxReported]
-	}
 	var r Report
-	for _, s := range list {
-		s.reportedAt = now
+	for _, s := range t.choose(now, list) {
 		switch {
 		case !unclear[s.origin.Service]:
 			r.InRegion = appendStream(r.InRegion, s)
@@ -240,6 +239,32 @@
 	return r
 }
 
+// choose returns those of the streams that have room in a report.
+func (t *Table) choose(now time.Time, list []*reportedStream) []*reportedStream {
+	if now.Sub(t.windowAt) >= windowTime {
+		t.windowAt = now
+	}
+	if len(list) > maxReported {
+		slices.SortFunc(list, func(a, b *reportedStream) int {
+			return cmp.Or(t.turn(a).Compare(t.turn(b)), cmp.Compare(a.key, b.key))
+		})
+		list = list[:maxReported]
+	}
+	for _, s := range list {
+		s.windowAt = t.windowAt
+	}
+	return list
+}
+
+// turn returns a time by which streams are chosen: first those that have their turn, then those that
+// had none for the longest time.
+func (t *Table) turn(s *reportedStream) time.Time {
+	if s.windowAt.Equal(t.windowAt) {
+		return time.Time{}
+	}
+	return s.windowAt.Add(1)
+}
+
 func appendStream(groups []gossip.BegunStreams, s *reportedStream) []gossip.BegunStreams {
 	i := slices.IndexFunc(groups, func(g gossip.BegunStreams) bool { return g.Origin == s.origin })
 	if i < 0 {
--- a/core/resume/resume_test.go
+++ b/core/resume/resume_test.go
@@ -107,18 +107,22 @@
 	if held := len(table.recent) + len(table.older); held > 2*maxStreams {
 		t.Errorf("%d streams held", held)
 	}
+	// A peer gets one report in 1.6 s of those that are made each 0.1 s.
 	told := map[gossip.StreamKey]struct{}{}
-	for n := range maxStreams / maxReported {
-		report := table.Report(start.Add(time.Duration(n)*time.Second), always).Everywhere
+	const turns = 10
+	for n := range int(turns * windowTime / (100 * time.Millisecond)) {
+		report := table.Report(start.Add(time.Duration(n)*100*time.Millisecond), always).Everywhere
 		if len(report) != 1 || len(report[0].Keys) != maxReported {
 			t.Fatalf("%d groups reported", len(report))
 		}
 		for _, key := range report[0].Keys {
-			told[key] = struct{}{}
+			if n%16 == 15 {
+				told[key] = struct{}{}
+			}
 		}
 	}
-	if len(told) != maxStreams {
-		t.Errorf("%d of %d streams reported", len(told), maxStreams)
+	if least := turns * maxReported * 9 / 10; len(told) < least {
+		t.Errorf("%d streams told in %d turns", len(told), turns)
 	}
 	if _, found := table.Lookup(KeyOf(fmt.Sprint(streams - 1))); !found {
 		t.Error("the newest stream is forgotten")
