--- a/io/http1/attempt.go
+++ b/io/http1/attempt.go
@@ -96,6 +96,17 @@
 
 	// events scans what was read of a stream of events; nil for other answers.
 	events *event.Scanner
+	// fault returns the error of Fault; nil if the connection isn't known here.
+	fault func() error
+}
+
+// Fault returns the first error that a call on the answer's connection has reported, with the name
+// of the call; nil if there is none so far.
+func (a *Answer) Fault() error {
+	if a.fault == nil {
+		return nil
+	}
+	return a.fault()
 }
 
 // InsideEvent reports whether what was read of a stream of events ends inside an event.
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -55,6 +55,8 @@
 	// closed is set before if the upstream has closed the connection.
 	watched chan struct{}
 	closed  bool
+	// faults holds what the calls on the connection have reported.
+	faults faults
 	// refused holds the ids of the last requests that the upstream refused on the connection,
 	// maxRefused at most.
 	refused []string
@@ -70,6 +72,14 @@
 	return len(c.refused) <= maxRefused
 }
 
+// newConn returns an open connection on which nothing was sent.
+func newConn(c net.Conn, k connKey) *conn {
+	opened := &conn{Conn: c, key: k}
+	opened.bounded = &boundedConn{Conn: opened}
+	opened.reader = bufio.NewReaderSize(opened.bounded, readBufferBytes)
+	return opened
+}
+
 // connKey identifies a run of an upstream by its id and address.
 type connKey struct {
 	upstream ident.Upstream
@@ -98,7 +108,7 @@
 			return nil
 		}
 		c.stopWatch()
-		if p.clock.Now().Before(c.idleUntil) && c.reader.Buffered() == 0 && isIdle(c.Conn) {
+		if p.clock.Now().Before(c.idleUntil) && c.reader.Buffered() == 0 && c.isIdle() {
 			return c
 		}
 		_ = c.Close()
@@ -144,7 +154,7 @@
 // watch waits until something arrives on an idle connection, the upstream closes it, or stopWatch
 // is called.
 func (p *connPool) watch(c *conn, done chan struct{}) {
-	closed := waitForEnd(c.Conn)
+	closed := c.waitForEnd()
 	c.closed = closed
 	close(done)
 	if closed && p.removeClosed(c) {
@@ -211,9 +221,9 @@
 	}
 }
 
-// isIdle reports whether a connection is open and no data has arrived on it.
-func isIdle(c net.Conn) bool {
-	raw, ok := c.(syscall.Conn)
+// isIdle reports whether the connection is open and no data has arrived on it.
+func (c *conn) isIdle() bool {
+	raw, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
@@ -223,18 +233,18 @@
 	}
 	open := false
 	err = control.Read(func(fd uintptr) bool {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = n < 0 && isTemporary(err)
+		_, err := peek(fd)
+		c.faults.record("look", err)
+		open = isTemporary(err)
 		return true
 	})
 	return err == nil && open
 }
 
-// waitForEnd blocks until the other end closes a connection, and reports true then. It reports
+// waitForEnd blocks until the other end closes the connection, and reports true then. It reports
 // false if data arrives, which it doesn't read, and when the read deadline passes.
-func waitForEnd(c net.Conn) bool {
-	raw, ok := c.(syscall.Conn)
+func (c *conn) waitForEnd() bool {
+	raw, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return false
 	}
@@ -244,14 +254,22 @@
 	}
 	closed := false
 	err = control.Read(func(fd uintptr) bool {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		closed = n == 0 || n < 0 && !isTemporary(err)
-		return closed || n > 0
+		n, err := peek(fd)
+		c.faults.record("look", err)
+		closed = n == 0 || err != nil && !isTemporary(err)
+		return closed || err == nil
 	})
 	return err == nil && closed
 }
 
+// peek looks at the next byte of a socket without reading it or waiting for it. It returns 0 at the
+// end. Like a read, it takes the error that the socket holds.
+func peek(fd uintptr) (int, error) {
+	var b [1]byte
+	n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return n, err
+}
+
 func isTemporary(err error) bool {
 	return errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR)
 }
@@ -278,6 +296,5 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "dial %s", k.upstream)
 	}
-	bounded := &boundedConn{Conn: c}
-	return &conn{Conn: c, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferBytes), key: k}, nil
+	return newConn(c, k), nil
 }
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -289,8 +289,7 @@
 	}
 	// A long body isn't copied.
 	parts := net.Buffers{b.Bytes(), a.Body}
-	_, err := parts.WriteTo(x.conn.Conn)
-	x.writeResult <- err
+	x.writeResult <- x.conn.writeBuffers(parts)
 }
 
 func (x *exchange) readHead() (*Answer, error) {
@@ -319,6 +318,7 @@
 		events:     answer.events,
 		idleTime:   idleTime(response),
 	}
+	answer.fault = x.conn.faults.get
 	return answer, nil
 }
 
--- a/io/http1/sentinel.go
+++ b/io/http1/sentinel.go
@@ -263,7 +263,7 @@
 	}
 	now := w.exchange.client.conns.clock.Now
 	// What arrives from now on was sent from now on. What arrived before may be read late.
-	waits := w.exchange.conn.reader.Buffered() == 0 && isIdle(w.exchange.conn.Conn)
+	waits := w.exchange.conn.reader.Buffered() == 0 && w.exchange.conn.isIdle()
 	readAt := now()
 	n, err := body.Read(p)
 	if !waits {
--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -52,6 +52,9 @@
 	if a.InsideEvent() {
 		p.Metrics.Events.Add("streams-ended-inside-event", 1)
 	}
+	if a.Fault() != nil {
+		p.Metrics.Events.Add("answers-with-connection-fault", 1)
+	}
 }
 
 func (p *Proxy) answerFailure(ctx context.Context, call *Call, reason result.Reason, err error) *result.Failure {
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -155,6 +155,9 @@
 	// whether that answer, a stream, ended inside an event.
 	framing     http1.Framing
 	insideEvent bool
+	// connectionFault is the first error of a call on the connection of the last answer; nil if
+	// there was none.
+	connectionFault error
 	// bodyBytes is the number of body bytes that were passed on.
 	bodyBytes int
 	// projection is the estimate that the request was sent or refused on, and
@@ -195,6 +198,7 @@
 func (c *Call) recordFraming(a *http1.Answer) {
 	c.framing = a.Framing
 	c.insideEvent = a.InsideEvent()
+	c.connectionFault = a.Fault()
 }
 
 // recordLease copies the values of a lease that are logged.
--- a/io/proxy/record.go
+++ b/io/proxy/record.go
@@ -42,7 +42,7 @@
 		line = line.Int("status", call.status).Int64("first-ms", call.firstByteAt.Sub(call.Arrived).Milliseconds()).Int("bytes", call.bodyBytes).Int64("longest-pause-ms", call.longestPause.Milliseconds())
 	}
 	if call.framing != http1.FramingUnknown {
-		line = line.Str("framing", call.framing.String()).Bool("inside-event", call.insideEvent)
+		line = line.Str("framing", call.framing.String()).Bool("inside-event", call.insideEvent).AnErr("connection-fault", call.connectionFault)
 	}
 	if call.callerFraming != http1.FramingUnknown {
 		line = line.Str("caller-framing", call.callerFraming.String())
