--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -40,6 +40,9 @@
 	maxIdleConns = 64
 )
 
+// pastDeadline is a deadline that has passed.
+var pastDeadline = time.Unix(1, 0)
+
 // conn is a connection to an upstream. It carries one request at a time.
 type conn struct {
 	net.Conn
@@ -193,7 +196,7 @@
 	if c.watched == nil {
 		return
 	}
-	_ = c.SetReadDeadline(time.Unix(1, 0))
+	_ = c.SetReadDeadline(pastDeadline)
 	<-c.watched
 	c.watched = nil
 	_ = c.SetReadDeadline(time.Time{})
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -174,8 +174,11 @@
 	attempt    *Attempt
 	conn       *conn
 	stopCancel func() bool
-	// writeResult receives the result of writing the request.
+	// writeResult receives the result of writing the request. writeEnded is set once it was received,
+	// and writeErr is what was received.
 	writeResult chan error
+	writeEnded  bool
+	writeErr    error
 	// notReusable prevents the reuse of the connection even if the answer is whole.
 	notReusable bool
 	// released is set once the connection was returned to the pool or closed.
@@ -384,8 +387,8 @@
 			return n, err
 		}
 	}
-	if !b.end.outlasted() {
-		return n, ErrUpstreamEnded
+	if err := b.end.check(); err != nil {
+		return n, err
 	}
 	b.whole = true
 	return n, io.EOF
@@ -412,11 +415,11 @@
 func (x *exchange) release(idleTime time.Duration) {
 	x.released = true
 	select {
-	case err := <-x.writeResult:
-		x.notReusable = x.notReusable || err != nil
+	case x.writeErr = <-x.writeResult:
+		x.writeEnded = true
 	default:
-		x.notReusable = true
 	}
+	x.notReusable = x.notReusable || !x.writeEnded || x.writeErr != nil
 	if !x.stopCancel() || x.notReusable || x.conn.reader.Buffered() > 0 {
 		_ = x.conn.Close()
 		return
@@ -424,6 +427,17 @@
 	x.client.conns.put(x.conn, idleTime)
 }
 
+// stopWrite ends the write of the request if it goes on, and returns when it has ended. What it has
+// met is kept by the connection.
+func (x *exchange) stopWrite() {
+	if x.writeEnded {
+		return
+	}
+	_ = x.conn.SetWriteDeadline(pastDeadline)
+	x.writeErr = <-x.writeResult
+	x.writeEnded = true
+}
+
 func (x *exchange) discard() {
 	if x.released {
 		return
--- a/io/http1/sentinel.go
+++ b/io/http1/sentinel.go
@@ -276,11 +276,23 @@
 	return n, err
 }
 
-// outlasted reports whether the upstream has outlasted the end of the answer.
-func (w *endWatch) outlasted() bool {
+// check returns nil if the end that a read has returned is that of the answer, and else why it isn't.
+// What speaks against it is asked for first: a write that goes on may still get the error of a reset
+// that the read, or a look, didn't get.
+func (w *endWatch) check() error {
 	if w == nil {
-		return true
+		return nil
+	}
+	w.exchange.stopWrite()
+	state := endState{}.next(endRead{}).next(writeEnded{})
+	if w.exchange.conn.faults.get() != nil {
+		return state.next(callFailed{}).check()
 	}
+	return state.next(upstreamChecked{lives: w.outlasted()}).check()
+}
+
+// outlasted reports whether the upstream has outlasted the end of the answer.
+func (w *endWatch) outlasted() bool {
 	return w.sentinel.survives(w.done, w.openAt, func() bool {
 		ctx, cancel := context.WithTimeout(context.Background(), w.exchange.client.DialTimeout)
 		defer cancel()
