--- a/io/http1/reset_test.go
+++ b/io/http1/reset_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"arbutustrestle/core/clock"
 )
 
@@ -26,10 +28,11 @@
 type earlyUpstream struct {
 	address netip.AddrPort
 	answer  string
-	end     func(c *net.TCPConn)
+	// end is called with the connection, and the reader of what it still holds.
+	end func(c *net.TCPConn, rest io.Reader)
 }
 
-func startEarlyUpstream(t *testing.T, answer string, end func(c *net.TCPConn)) *earlyUpstream {
+func startEarlyUpstream(t *testing.T, answer string, end func(c *net.TCPConn, rest io.Reader)) *earlyUpstream {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -57,13 +60,44 @@
 		return
 	}
 	_, _ = io.WriteString(c, strings.ReplaceAll(u.answer, "ID", r.Header.Get("Id")))
-	u.end(c)
+	u.end(c, r.Body)
 }
 
 // discard reads a number of bytes, or fewer if the other side ends its side before.
-func discard(c *net.TCPConn, n int64) {
+func discard(c *net.TCPConn, rest io.Reader, n int64) {
 	_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
-	_, _ = io.CopyN(io.Discard, c, n)
+	_, _ = io.CopyN(io.Discard, rest, n)
+}
+
+// finWait2 is the state of a TCP connection whose other side has acknowledged the end of this side.
+const finWait2 = 5
+
+// endSide ends this side of a connection and waits until the other side's system has acknowledged that.
+// Until then a reset may overtake the end: a system that is short of memory for its connections sends
+// the end only with the next retransmission.
+func endSide(t *testing.T, c *net.TCPConn) {
+	began := time.Now()
+	_ = c.CloseWrite()
+	raw, err := c.SyscallConn()
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	for time.Since(began) < 5*time.Second {
+		acknowledged := true
+		_ = raw.Control(func(fd uintptr) {
+			info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+			acknowledged = err != nil || info.State == finWait2
+		})
+		if acknowledged {
+			if took := time.Since(began); took > 100*time.Millisecond {
+				t.Logf("the end took %s to be acknowledged", took)
+			}
+			return
+		}
+		time.Sleep(100 * time.Microsecond)
+	}
+	t.Error("the end of a connection was not acknowledged")
 }
 
 const (
@@ -84,14 +118,17 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	text, err := io.ReadAll(answer.Body)
+	if err != nil {
+		t.Logf("fault of the connection: %v", answer.Fault())
+	}
 	return string(text), err
 }
 
 // TestResetTakenForEnd guards against a reset that counts as the end of an answer with neither a
 // length nor chunks, since the write of the request, or a look at the connection, got its error.
 func TestResetTakenForEnd(t *testing.T) {
-	moment := func(d time.Duration) func(*net.TCPConn) {
-		return func(c *net.TCPConn) {
+	moment := func(d time.Duration) func(*net.TCPConn, io.Reader) {
+		return func(c *net.TCPConn, _ io.Reader) {
 			time.Sleep(d)
 			_ = c.SetLinger(0)
 		}
@@ -101,7 +138,7 @@
 		body   int
 		answer string
 		stream bool
-		end    func(c *net.TCPConn)
+		end    func(c *net.TCPConn, rest io.Reader)
 	}{
 		{"short_body", 100, partOfPlain, false, moment(0)},
 		{"short_body_late_reset", 100, partOfPlain, false, moment(20 * time.Millisecond)},
@@ -111,9 +148,9 @@
 		{"long_body_late_reset", longBodyBytes, partOfPlain, false, moment(20 * time.Millisecond)},
 		{"long_body_stream", longBodyBytes, partOfStream, true, moment(0)},
 		{"long_body_stream_late_reset", longBodyBytes, partOfStream, true, moment(20 * time.Millisecond)},
-		{"long_body_unread", longBodyBytes, partOfPlain, false, func(*net.TCPConn) {}},
-		{"long_body_half_read", longBodyBytes, partOfPlain, false, func(c *net.TCPConn) {
-			discard(c, longBodyBytes/2)
+		{"long_body_unread", longBodyBytes, partOfPlain, false, func(*net.TCPConn, io.Reader) {}},
+		{"long_body_half_read", longBodyBytes, partOfPlain, false, func(c *net.TCPConn, rest io.Reader) {
+			discard(c, rest, longBodyBytes/2)
 			_ = c.SetLinger(0)
 		}},
 	} {
@@ -144,22 +181,22 @@
 		body   int
 		answer string
 		stream bool
-		end    func(c *net.TCPConn)
+		end    func(c *net.TCPConn, rest io.Reader)
 	}{
-		{"short_body", 100, partOfPlain, false, func(c *net.TCPConn) { discard(c, 100) }},
-		{"short_body_stream", 100, partOfStream, true, func(c *net.TCPConn) { discard(c, 100) }},
-		{"rest_is_read", longBodyBytes, partOfPlain, false, func(c *net.TCPConn) {
+		{"short_body", 100, partOfPlain, false, func(c *net.TCPConn, rest io.Reader) { discard(c, rest, 100) }},
+		{"short_body_stream", 100, partOfStream, true, func(c *net.TCPConn, rest io.Reader) { discard(c, rest, 100) }},
+		{"rest_is_read", longBodyBytes, partOfPlain, false, func(c *net.TCPConn, rest io.Reader) {
 			_ = c.CloseWrite()
-			discard(c, longBodyBytes)
+			discard(c, rest, longBodyBytes)
 		}},
-		{"rest_is_read_first", longBodyBytes, partOfPlain, false, func(c *net.TCPConn) { discard(c, longBodyBytes) }},
-		{"rest_is_left", longBodyBytes, partOfPlain, false, func(c *net.TCPConn) {
-			_ = c.CloseWrite()
+		{"rest_is_read_first", longBodyBytes, partOfPlain, false, func(c *net.TCPConn, rest io.Reader) { discard(c, rest, longBodyBytes) }},
+		{"rest_is_left", longBodyBytes, partOfPlain, false, func(c *net.TCPConn, _ io.Reader) {
+			endSide(t, c)
 			time.Sleep(150 * time.Millisecond)
 		}},
-		{"reset_after_the_end", longBodyBytes, partOfPlain, false, func(c *net.TCPConn) { _ = c.CloseWrite() }},
-		{"reset_after_the_end_of_a_stream", longBodyBytes, partOfStream, true, func(c *net.TCPConn) {
-			_ = c.CloseWrite()
+		{"reset_after_the_end", longBodyBytes, partOfPlain, false, func(c *net.TCPConn, _ io.Reader) { endSide(t, c) }},
+		{"reset_after_the_end_of_a_stream", longBodyBytes, partOfStream, true, func(c *net.TCPConn, _ io.Reader) {
+			endSide(t, c)
 			time.Sleep(time.Millisecond)
 		}},
 	} {
