--- a/io/http1/bounds.go
+++ b/io/http1/bounds.go
@@ -4,7 +4,7 @@
 	"math"
 	"net"
 
-	"github.com/juju/errors"
+	"arbutustrestle/io/syntax"
 )
 
 const (
@@ -20,7 +20,7 @@
 )
 
 // ErrTooLarge means that an answer has more bytes than any that is passed on.
-var ErrTooLarge = errors.New("answer too large")
+var ErrTooLarge = syntax.ErrTooLarge
 
 // boundedConn is a connection of which a bounded number of bytes is read.
 type boundedConn struct {
--- a/io/http1/framing.go
+++ b/io/http1/framing.go
@@ -2,11 +2,11 @@
 
 import (
 	"io"
-	"net/http"
 
 	"github.com/juju/errors"
 
 	"arbutustrestle/core/event"
+	"arbutustrestle/io/syntax"
 )
 
 // Framing is how the sender of an answer marks the end of its body. What it proves:
@@ -48,12 +48,12 @@
 	}
 }
 
-func framingOf(r *http.Response) Framing {
+func framingOf(f syntax.Frame) Framing {
 	switch {
-	case r.ContentLength >= 0:
-		return FramedByLength
-	case len(r.TransferEncoding) > 0:
+	case f.Chunked:
 		return FramedByChunks
+	case f.Length >= 0:
+		return FramedByLength
 	default:
 		return FramedByClose
 	}
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -23,6 +23,7 @@
 	"arbutustrestle/core/event"
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/result"
+	"arbutustrestle/io/syntax"
 )
 
 // Codec writes the headers of attempts and parses the headers of their answers.
@@ -294,30 +295,29 @@
 }
 
 func (x *exchange) readHead() (*Answer, error) {
-	//nolint:bodyclose // the body is part of the answer, which the caller closes
-	response, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.attempt.Method})
+	h, err := syntax.ReadHead(x.conn.reader, x.attempt.Method, maxHeadBytes)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 	answer := &Answer{
-		Status:  response.StatusCode,
-		Header:  response.Header,
-		Meta:    x.client.Codec.ParseResponse(response.StatusCode, response.Header),
-		Length:  response.ContentLength,
-		Framing: framingOf(response),
+		Status:  h.Status,
+		Header:  h.Header,
+		Meta:    x.client.Codec.ParseResponse(h.Status, h.Header),
+		Length:  h.Frame.Length,
+		Framing: framingOf(h.Frame),
 	}
-	if response.StatusCode == http.StatusServiceUnavailable {
-		answer.Meta.PauseFor, answer.Meta.PauseError = parseRetryAfter(response.Header)
+	if answer.Status == http.StatusServiceUnavailable {
+		answer.Meta.PauseFor, answer.Meta.PauseError = parseRetryAfter(answer.Header)
 	}
 	if x.attempt.EventStream && isSuccess(answer.Status) {
 		answer.events = &event.Scanner{}
 	}
 	answer.Body = &body{
-		ReadCloser: response.Body,
+		ReadCloser: io.NopCloser(h.Frame.Body(x.conn.reader)),
 		exchange:   x,
 		framing:    answer.Framing,
 		events:     answer.events,
-		idleTime:   idleTime(response),
+		idleTime:   idleTime(h),
 	}
 	return answer, nil
 }
@@ -328,11 +328,11 @@
 
 // idleTime returns how long the connection may be idle before it is reused; zero if it
 // must be closed.
-func idleTime(r *http.Response) time.Duration {
-	if r.Close {
+func idleTime(h *syntax.Head) time.Duration {
+	if h.Closes {
 		return 0
 	}
-	for _, field := range strings.Split(r.Header.Get("Keep-Alive"), ",") {
+	for _, field := range strings.Split(h.Header.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
 		if !strings.EqualFold(name, "timeout") {
 			continue
--- /dev/null
+++ b/io/syntax/head.go
@@ -0,0 +1,111 @@
+package syntax
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"net/textproto"
+	"strings"
+
+	"github.com/juju/errors"
+)
+
+// Head is the head of an answer that keeps the grammar.
+type Head struct {
+	Status int
+	Header http.Header
+	Frame  Frame
+	// Closes is set if the answer is the last one on its connection.
+	Closes bool
+}
+
+// ErrTooLarge means that an answer, or a part of one, has more bytes than are read.
+var ErrTooLarge = errors.New("answer too large")
+
+// ReadHead reads the head of an answer to a request with a method, of at most maxBytes. A head that
+// ends early gives io.ErrUnexpectedEOF.
+func ReadHead(r *bufio.Reader, method string, maxBytes int) (*Head, error) {
+	lines := &lineReader{reader: r, left: maxBytes}
+	text, err := lines.next()
+	if err != nil {
+		return nil, errors.Annotate(err, "read the status line")
+	}
+	line, err := parseStatusLine(text)
+	if err != nil {
+		return nil, err
+	}
+	h := &Head{Status: line.status, Header: http.Header{}}
+	err = lines.readFields(func(name, value string) {
+		name = textproto.CanonicalMIMEHeaderKey(name)
+		h.Header[name] = append(h.Header[name], value)
+	})
+	if err != nil {
+		return nil, errors.Annotate(err, "read the fields")
+	}
+	if h.Frame, err = parseFrame(line, method, h.Header); err != nil {
+		return nil, err
+	}
+	h.Closes = h.Frame.endsWithConnection() || closes(line, h.Header["Connection"])
+	return h, nil
+}
+
+// closes reports whether connection options end the connection (RFC 9112, section 9.3).
+func closes(line statusLine, values []string) bool {
+	return hasOption(values, "close") || line.minorVersion == 0 && !hasOption(values, "keep-alive")
+}
+
+func hasOption(values []string, option string) bool {
+	for _, value := range values {
+		for name := range strings.SplitSeq(value, ",") {
+			if strings.EqualFold(strings.Trim(name, " \t"), option) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// lineReader reads lines that end with CRLF, or with LF alone (RFC 9112, section 2.2).
+type lineReader struct {
+	reader *bufio.Reader
+	// left is the number of bytes that the lines may still have together.
+	left int
+}
+
+// next returns the next line without its end.
+func (l *lineReader) next() (string, error) {
+	var line strings.Builder
+	for {
+		part, err := l.reader.ReadSlice('\n')
+		l.left -= len(part)
+		if l.left < 0 {
+			return "", ErrTooLarge
+		}
+		line.Write(part)
+		switch {
+		case err == nil:
+			return strings.TrimSuffix(strings.TrimSuffix(line.String(), "\n"), "\r"), nil
+		case errors.Is(err, bufio.ErrBufferFull):
+			// The line goes on.
+		case errors.Is(err, io.EOF):
+			return "", io.ErrUnexpectedEOF
+		default:
+			return "", errors.Trace(err)
+		}
+	}
+}
+
+// readFields reads field lines and the empty line that ends them.
+func (l *lineReader) readFields(add func(name, value string)) error {
+	for {
+		line, err := l.next()
+		if err != nil || line == "" {
+			return err
+		}
+		name, value, err := parseField(line)
+		if err != nil {
+			return err
+		}
+		add(name, value)
+	}
+}
