--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -16,6 +16,7 @@
 	"arbutustrestle/core/spec"
 	"arbutustrestle/io/http1"
 	"arbutustrestle/io/link"
+	"arbutustrestle/io/syntax"
 	"arbutustrestle/io/wire"
 )
 
@@ -135,9 +136,13 @@
 	if head == nil {
 		return nil, newFailure(result.Unknown, result.AnswerMismatch, a.address, errUnexpectedFrame)
 	}
+	status, header := int(head.GetStatus()), wire.HeadersFromWire(head.GetHeaders())
+	if err := syntax.CheckHead(status, header); err != nil {
+		return nil, newFailure(result.Unknown, result.AnswerMismatch, a.address, err)
+	}
 	return &http1.Answer{
-		Status:  int(head.GetStatus()),
-		Header:  wire.HeadersFromWire(head.GetHeaders()),
+		Status:  status,
+		Header:  header,
 		Meta:    http1.AnswerMeta{RequestID: a.id, Signed: head.GetSigned(), Version: head.GetVersion()},
 		Length:  -1,
 		Framing: http1.Framing(min(head.GetFraming(), uint32(http1.FramedByClose))),
