--- a/core/memory/memory_test.go
+++ b/core/memory/memory_test.go
@@ -41,3 +41,25 @@
 	}
 	none.Release()
 }
+
+// TestFreeBytes guards against small shares that depend on what others hold, and against free bytes
+// that are given back to the budget.
+func TestFreeBytes(t *testing.T) {
+	b := &Budget{Limit: 100, Free: 10}
+	large, small := b.NewShare(), b.NewShare()
+	if !large.Add(110) || large.Add(1) || b.Refused() != 1 {
+		t.Error("the limit isn't kept")
+	}
+	if !small.Add(6) || !small.Add(4) || small.Add(1) {
+		t.Error("a small share depends on a large one, or a free byte too many")
+	}
+	large.Sub(105)
+	if b.Used() != 0 || !small.Add(100) || !large.Add(5) || large.Add(1) {
+		t.Error("what was given back can't be used, or free bytes were given back")
+	}
+	large.Release()
+	small.Release()
+	if b.Used() != 0 {
+		t.Errorf("%d bytes are never given back", b.Used())
+	}
+}
--- a/core/result/result.go
+++ b/core/result/result.go
@@ -148,6 +148,8 @@
 	RetryBudget
 	UpstreamStatus
 	UpstreamChanged
+	// AnswerMemory means that there was no memory for an answer while others held it.
+	AnswerMemory
 
 	// InternalError is a fault of this program, at any step.
 	InternalError
@@ -165,7 +167,7 @@
 	"no-upstream", "stream-unknown", "hop-limit", "older-table", "peer-unreachable", "peer-refused",
 	"connect-failed", "upstream-refused", "upstream-failed", "upstream-leaving", "first-byte-timeout", "idle-timeout",
 	"answer-too-large", "answer-cut", "answer-mismatch", "retry-budget", "upstream-status",
-	"upstream-changed",
+	"upstream-changed", "answer-memory",
 	"internal-error",
 }
 
--- a/io/daemon/gateway.go
+++ b/io/daemon/gateway.go
@@ -110,6 +110,10 @@
 	// instance itself needs, what the kernel holds of bodies that haven't been read, and
 	// garbage that isn't collected yet take the rest.
 	bodyMemoryPart = 4
+	// answerMemoryPart is the part that answers may take beside what each may always hold,
+	// freeAnswerBytes: the head and the body of an ordinary answer.
+	answerMemoryPart = 8
+	freeAnswerBytes  = 16 << 10
 	// heapMemoryShare is the share of the memory from which on garbage is collected sooner. The
 	// rest is for stacks, the kernel's buffers and what grows while a collection runs.
 	heapMemoryShare = 0.65
@@ -235,6 +239,7 @@
 		Links:          p.Links,
 		Latencies:      p.Latencies,
 		Memory:         &memory.Budget{Limit: p.Settings.MemoryBytes / bodyMemoryPart},
+		AnswerMemory:   &memory.Budget{Limit: p.Settings.MemoryBytes / answerMemoryPart, Free: freeAnswerBytes},
 		QueueRequests:  p.Settings.QueueRequests,
 	}
 	p.UpstreamClient.WatchIdleConns(requests.ConnsClosed)
@@ -293,6 +298,8 @@
 	p.Latencies.Register(p.Metrics)
 	p.Proxy.RegisterQueue(p.Metrics)
 	p.Metrics.Func("upstream-dials", func() any { return p.UpstreamClient.DialCount.Load() })
+	p.Metrics.Func("answer-memory-bytes", func() any { return p.Proxy.AnswerMemory.Used() })
+	p.Metrics.Func("answer-memory-refused", func() any { return p.Proxy.AnswerMemory.Refused() })
 	p.Metrics.Func("close-ended-answers", func() any { return p.Proxy.CloseEnded() })
 	p.Metrics.Func("quotas", func() any { return p.Proxy.Quota.Counts() })
 	p.Metrics.Func("convicted-traits", func() any { return p.Proxy.Poison.ConvictedTraits() })
--- a/io/http1/attempt.go
+++ b/io/http1/attempt.go
@@ -9,6 +9,7 @@
 	"arbutustrestle/core/event"
 	"arbutustrestle/core/gossip"
 	"arbutustrestle/core/ident"
+	"arbutustrestle/core/memory"
 )
 
 // AnswerMeta holds the values that a Codec parses from the head of an answer.
@@ -93,6 +94,8 @@
 	// Body returns another error than io.EOF if the body is known to be cut off; what
 	// io.EOF proves depends on Framing. It must be closed.
 	Body io.ReadCloser
+	// Memory is what the answer holds. Who has the answer releases it.
+	Memory memory.Share
 
 	// events scans what was read of a stream of events; nil for other answers.
 	events *event.Scanner
--- a/io/http1/bounds.go
+++ b/io/http1/bounds.go
@@ -22,6 +22,9 @@
 // ErrTooLarge means that an answer has more bytes than any that is passed on.
 var ErrTooLarge = errors.New("answer too large")
 
+// ErrNoMemory means that there was no memory for more of an answer while others held it.
+var ErrNoMemory = errors.New("no memory for the answer")
+
 // boundedConn is a connection of which a bounded number of bytes is read.
 type boundedConn struct {
 	net.Conn
--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"arbutustrestle/core/event"
+	"arbutustrestle/core/memory"
 	"arbutustrestle/core/result"
 	"arbutustrestle/core/spec"
 	"arbutustrestle/io/http1"
@@ -19,6 +20,8 @@
 	// maxHeldBytes bounds the answers that are read whole before they are passed on, so
 	// that a truncated answer can be told from a whole one.
 	maxHeldBytes = 128 << 10
+	// initialHeldBytes is the first buffer for such an answer, or for an event that is held.
+	initialHeldBytes = 2 << 10
 	// readBufferBytes is the size of the buffer that a stream is read into.
 	readBufferBytes = 8 << 10
 	// maxEventBytes bounds one event of a resumable stream, which is held until it is whole.
@@ -59,8 +62,11 @@
 	if errors.As(err, &inner) {
 		return inner
 	}
-	if errors.Is(err, http1.ErrTooLarge) {
+	switch {
+	case errors.Is(err, http1.ErrTooLarge):
 		reason = result.AnswerTooLarge
+	case errors.Is(err, http1.ErrNoMemory):
+		reason = result.AnswerMemory
 	}
 	if ctx.Err() != nil {
 		reason = http1.CancelReason(ctx)
@@ -69,9 +75,9 @@
 }
 
 // passBody reads an answer whole and passes it on. A longer answer is streamed once
-// maxHeldBytes of it have arrived.
+// maxHeldBytes of it have arrived, or there is no memory for more.
 func (p *Proxy) passBody(ctx context.Context, call *Call, a *http1.Answer, sink Sink, onPart func()) *result.Failure {
-	data, err := io.ReadAll(io.LimitReader(a.Body, maxHeldBytes))
+	data, whole, err := readHeld(a)
 	if err == nil || len(data) > 0 {
 		onPart()
 	}
@@ -79,20 +85,39 @@
 		return p.answerFailure(ctx, call, result.AnswerCut, err)
 	}
 	answer := &wholeAnswer{status: a.Status, header: a.Header, framing: a.Framing, body: data}
-	if len(data) == maxHeldBytes {
-		return p.passLong(ctx, call, answer, a.Body, sink)
-	}
-	// The end of the body must be read for the answer to count as whole.
-	if n, err := a.Body.Read(make([]byte, 1)); n > 0 || !errors.Is(err, io.EOF) {
-		return p.answerFailure(ctx, call, result.AnswerCut, err)
+	if !whole {
+		return p.passLong(ctx, call, answer, a, sink)
 	}
 	if a.Status >= 500 && call.Route.Repeatable() && call.sends < call.Route.MaxAttempts {
-		call.heldAnswer = answer
+		call.keepAnswer(answer, &a.Memory)
 		return &result.Failure{Outcome: result.Unknown, Step: result.StepAttempt, Reason: result.UpstreamStatus, Peer: call.peer}
 	}
 	return p.passWhole(call, sink, answer)
 }
 
+// readHeld reads the body of an answer to its end, to maxHeldBytes, or as far as there is memory for
+// it. While its buffer grows, the old one is held as well.
+func readHeld(a *http1.Answer) (data []byte, whole bool, err error) {
+	for {
+		if len(data) == cap(data) {
+			size := min(max(2*cap(data), initialHeldBytes), maxHeldBytes)
+			if len(data) == maxHeldBytes || !a.Memory.Add(int64(size)) {
+				return data, false, nil
+			}
+			a.Memory.Sub(int64(cap(data)))
+			data = append(make([]byte, 0, size), data...)
+		}
+		n, err := a.Body.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			return data, true, nil
+		}
+		if err != nil {
+			return data, false, errors.Trace(err)
+		}
+	}
+}
+
 func (p *Proxy) passWhole(call *Call, sink Sink, w *wholeAnswer) *result.Failure {
 	p.markHeadSent(call, w.status)
 	if err := sink.WriteHead(w.head()); err != nil {
@@ -113,7 +138,7 @@
 	call.firstByteAt = p.Clock.Now()
 }
 
-func (p *Proxy) passLong(ctx context.Context, call *Call, w *wholeAnswer, rest io.Reader, sink Sink) *result.Failure {
+func (p *Proxy) passLong(ctx context.Context, call *Call, w *wholeAnswer, a *http1.Answer, sink Sink) *result.Failure {
 	p.markHeadSent(call, w.status)
 	head := w.head()
 	head.Length = -1
@@ -123,7 +148,9 @@
 	if _, err := sink.Write(w.body); err != nil {
 		return callerGone(call, err)
 	}
-	return p.eachPart(ctx, call, rest, func(part []byte) *result.Failure {
+	a.Memory.Sub(int64(cap(w.body)))
+	w.body = nil
+	return p.eachPart(ctx, call, a.Body, func(part []byte) *result.Failure {
 		if _, err := sink.Write(part); err != nil {
 			return callerGone(call, err)
 		}
@@ -161,7 +188,7 @@
 	goesOn := call.headSent
 	stall := p.startStallTimer(call, cancel)
 	defer stall.stop()
-	splitter := &eventSplitter{wholeOnly: call.Route.Resumable}
+	splitter := &eventSplitter{wholeOnly: call.Route.Resumable, memory: &a.Memory}
 	failure := p.eachPart(ctx, call, a.Body, func(part []byte) *result.Failure {
 		// A caller that reads slowly doesn't make the upstream stalled.
 		stall.stop()
@@ -186,9 +213,9 @@
 }
 
 func (p *Proxy) passEvents(ctx context.Context, call *Call, a *http1.Answer, e *eventSplitter, part []byte, sink Sink) *result.Failure {
-	ready := e.add(part)
-	if len(e.partial) > maxEventBytes {
-		return p.answerFailure(ctx, call, result.AnswerTooLarge, http1.ErrTooLarge)
+	ready, err := e.add(part)
+	if err != nil {
+		return p.answerFailure(ctx, call, result.AnswerTooLarge, err)
 	}
 	if len(ready) == 0 {
 		return nil
@@ -205,6 +232,9 @@
 		call.LastEventID = e.lastID
 		p.bindVersion(call)
 	}
+	if err := e.passed(); err != nil {
+		return p.answerFailure(ctx, call, result.AnswerTooLarge, err)
+	}
 	return nil
 }
 
@@ -243,34 +273,69 @@
 	// wholeOnly makes add hold back an incomplete event.
 	wholeOnly bool
 	events    event.Scanner
-	partial   []byte
+	// memory counts the capacity of partial.
+	memory  *memory.Share
+	partial []byte
+	// rest is what follows the events that add has returned, until passed.
+	rest []byte
 	// lastID is the id of the last whole event.
 	lastID string
 }
 
-// add appends p and returns the bytes that can be passed on.
-func (e *eventSplitter) add(p []byte) []byte {
+// add appends p and returns the bytes that can be passed on. They are valid until passed is called
+// or p changes.
+func (e *eventSplitter) add(p []byte) ([]byte, error) {
 	if !e.wholeOnly {
-		return p
+		return p, nil
 	}
-	held := len(e.partial)
-	e.partial = append(e.partial, p...)
 	end := e.events.Add(p)
 	if end == 0 {
-		return nil
+		if len(e.partial)+len(p) > maxEventBytes {
+			return nil, http1.ErrTooLarge
+		}
+		return nil, e.hold(p)
 	}
-	ready := bytes.Clone(e.partial[:held+end])
-	e.partial = e.partial[held+end:]
+	ready := p[:end]
+	if len(e.partial) > 0 {
+		if err := e.hold(ready); err != nil {
+			return nil, err
+		}
+		ready = e.partial
+	}
+	e.rest = p[end:]
 	e.lastID = lastEventID(ready, e.lastID)
-	return ready
+	return ready, nil
+}
+
+// passed is called when the events that add has returned are passed on.
+func (e *eventSplitter) passed() error {
+	rest := e.rest
+	e.rest = nil
+	e.memory.Sub(int64(cap(e.partial)))
+	e.partial = nil
+	return e.hold(rest)
+}
+
+// hold appends to the incomplete event. While its buffer grows, the old one is held as well.
+func (e *eventSplitter) hold(p []byte) error {
+	if size := len(e.partial) + len(p); size > cap(e.partial) {
+		grown := max(size, min(2*cap(e.partial), maxEventBytes), initialHeldBytes)
+		if !e.memory.Add(int64(grown)) {
+			return http1.ErrNoMemory
+		}
+		e.memory.Sub(int64(cap(e.partial)))
+		e.partial = append(make([]byte, 0, grown), e.partial...)
+	}
+	e.partial = append(e.partial, p...)
+	return nil
 }
 
 // lastEventID returns the id of the last event in block that has one, or else previous.
 func lastEventID(block []byte, previous string) string {
 	isLineEnd := func(r rune) bool { return r == '\r' || r == '\n' }
-	for line := range strings.FieldsFuncSeq(string(block), isLineEnd) {
-		if value, found := strings.CutPrefix(line, "id:"); found {
-			previous = strings.TrimSpace(value)
+	for line := range bytes.FieldsFuncSeq(block, isLineEnd) {
+		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
+			previous = string(bytes.TrimSpace(value))
 		}
 	}
 	return previous
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -51,6 +51,8 @@
 	Latencies      *Latencies
 	// Memory bounds the bodies of all requests together; nil if nothing does.
 	Memory *memory.Budget
+	// AnswerMemory bounds what is held of all answers together; nil if nothing does.
+	AnswerMemory *memory.Budget
 	// QueueRequests is set if requests wait here while upstreams have no capacity for them; it
 	// is the settings key queue.enabled.
 	QueueRequests bool
@@ -163,6 +165,8 @@
 		return failure
 	}
 	answer.Meta.Version = lease.Upstream.Version
+	answer.Memory = p.AnswerMemory.NewShare()
+	defer answer.Memory.Release()
 	defer func() { _ = answer.Body.Close() }()
 	evidence.Received(p.Clock.Now())
 	begun := false
@@ -253,7 +257,7 @@
 
 func outcomeOf(f *result.Failure) pool.Outcome {
 	switch f.Reason {
-	case result.CallerGone, result.DeadlinePassed, result.UpstreamChanged:
+	case result.CallerGone, result.DeadlinePassed, result.UpstreamChanged, result.AnswerMemory:
 		return pool.Cancelled
 	case result.ConnectFailed:
 		return pool.Unreachable
@@ -325,6 +329,8 @@
 		call.uncountSend(failure)
 		return failure
 	}
+	answer.Memory = p.AnswerMemory.NewShare()
+	defer answer.Memory.Release()
 	call.upstreamVersion = answer.Meta.Version
 	start := p.beginAnswer(call, answer)
 	failure = p.passAnswer(ctx, cancel, call, answer, sink, start.partArrived)
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -176,6 +176,8 @@
 	header  http.Header
 	framing http1.Framing
 	body    []byte
+	// memory is what the answer holds if it is kept.
+	memory memory.Share
 }
 
 // head returns the head that the answer is passed on with.
@@ -183,6 +185,21 @@
 	return AnswerHead{Status: w.status, Header: w.header, Framing: w.framing, Length: int64(len(w.body))}
 }
 
+// keepAnswer keeps an upstream's own error answer, and the memory that it holds, in place of an
+// earlier one.
+func (c *Call) keepAnswer(w *wholeAnswer, held *memory.Share) {
+	c.releaseAnswer()
+	w.memory, *held = *held, memory.Share{}
+	c.heldAnswer = w
+}
+
+// releaseAnswer gives back the memory of the answer that is kept.
+func (c *Call) releaseAnswer() {
+	if c.heldAnswer != nil {
+		c.heldAnswer.memory.Release()
+	}
+}
+
 // recordPart records the arrival of a part of the answer.
 func (c *Call) recordPart(now time.Time) {
 	if !c.lastPartAt.IsZero() {
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -79,6 +79,7 @@
 	}
 	call := &Call{Arrived: p.Clock.Now(), memory: p.Memory.NewShare()}
 	defer call.memory.Release()
+	defer call.releaseAnswer()
 	sink := &httpSink{writer: w, request: r, control: http.NewResponseController(w), closeEnded: &p.activity.closeEnded}
 	defer sink.release()
 	defer p.endPanicked(codec, w, call, sink)
