--- a/io/invoke/invoke.go
+++ b/io/invoke/invoke.go
@@ -19,6 +19,7 @@
 
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/result"
+	"arbutustrestle/io/syntax"
 )
 
 // The headers that upstreams and this system exchange with each attempt.
@@ -97,9 +98,9 @@
 	MaxAnswerBytes int64
 
 	// shared reuses connections, for calls that are repeatable.
-	shared *http.Transport
+	shared syntax.Transport
 	// single opens a new connection for each call.
-	single *http.Transport
+	single syntax.Transport
 }
 
 const (
@@ -131,8 +132,8 @@
 	return c
 }
 
-func newTransport(disableKeepAlives bool) *http.Transport {
-	return &http.Transport{
+func newTransport(disableKeepAlives bool) syntax.Transport {
+	return syntax.Transport{Transport: &http.Transport{
 		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		DisableKeepAlives:      disableKeepAlives,
 		DisableCompression:     true,
@@ -140,7 +141,7 @@
 		IdleConnTimeout:        idleConnTimeout,
 		MaxResponseHeaderBytes: maxAnswerHeadBytes,
 		ReadBufferSize:         transportReadBuffer,
-	}
+	}}
 }
 
 // Close closes the idle connections.
--- a/io/source/source.go
+++ b/io/source/source.go
@@ -15,6 +15,7 @@
 	"github.com/juju/errors"
 
 	"arbutustrestle/core/ident"
+	"arbutustrestle/io/syntax"
 )
 
 const (
@@ -67,11 +68,11 @@
 
 // NewClient returns a client of the platform's service at the address.
 func NewClient(address netip.AddrPort) *Client {
-	transport := &http.Transport{
+	transport := syntax.Transport{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 8,
-	}
+	}}
 	return &Client{address: address, client: http.Client{Transport: transport}}
 }
 
