--- a/io/entry/peer_test.go
+++ b/io/entry/peer_test.go
@@ -112,7 +112,7 @@
 	end := &wire.End{Length: w.length}
 	switch verb {
 	case "head":
-		f.Kind = &wire.Frame_Head{Head: &wire.Head{Status: 200, Headers: []*wire.Header{{Name: "Content-Type", Value: "text/event-stream"}}}}
+		f.Kind = &wire.Frame_Head{Head: &wire.Head{Status: 200, Headers: []*wire.Header{{Name: "Content-Type", Value: []byte("text/event-stream")}}}}
 	case "data", "repeat", "ahead", "foreign":
 		f.Kind = &wire.Frame_Data{Data: []byte(argument)}
 		w.length += uint64(len(argument))
--- a/io/proxy/no_answer_test.go
+++ b/io/proxy/no_answer_test.go
@@ -105,3 +105,21 @@
 		}
 	}
 }
+
+// TestRelayedObsText guards against refusing an answer to a caller in another region for a value that isn't
+// UTF-8, which the grammar allows.
+func TestRelayedObsText(t *testing.T) {
+	do := answer("200 OK\r\nSigned: 1\r\nX: a\tb\xe9\xff", "fine")
+	inst := newTestInstance(t, do, do).ready(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	answer, failure := sendRelayed(ctx, t, inst, "/once/", spec.Unsafe)
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	body, err := io.ReadAll(answer.Body)
+	_ = answer.Body.Close()
+	if string(body) != "fine" || answer.Header.Get("X") != "a\tb\xe9\xff" || err != nil {
+		t.Errorf("X %q, %q, error %v", answer.Header.Get("X"), body, err)
+	}
+}
--- a/io/relay/no_answer_test.go
+++ b/io/relay/no_answer_test.go
@@ -15,13 +15,13 @@
 // TestNoAnswerFromPeer guards against the head of an answer that reaches the caller although it breaks the
 // grammar, since another instance, perhaps of an earlier build, has let it through.
 func TestNoAnswerFromPeer(t *testing.T) {
-	field := func(name, value string) []*wire.Header { return []*wire.Header{{Name: name, Value: value}} }
+	field := func(name, value string) []*wire.Header { return []*wire.Header{{Name: name, Value: []byte(value)}} }
 	for name, c := range map[string]struct {
 		status  uint32
 		headers []*wire.Header
 		good    bool
 	}{
-		"sound":                  {200, field("X", "a\tb\xc3\xa9"), true},
+		"sound":                  {200, field("X", "a\tb\xe9\xff"), true},
 		"name in odd case":       {503, field("x-oDD", ""), true},
 		"status 0":               {0, nil, false},
 		"status 99":              {99, nil, false},
--- a/io/wire/answer.go
+++ b/io/wire/answer.go
@@ -12,7 +12,7 @@
 	var list []*Header
 	for name, values := range h {
 		for _, v := range values {
-			list = append(list, &Header{Name: name, Value: v})
+			list = append(list, &Header{Name: name, Value: []byte(v)})
 		}
 	}
 	return list
@@ -22,7 +22,7 @@
 func HeadersFromWire(list []*Header) http.Header {
 	h := make(http.Header, len(list))
 	for _, f := range list {
-		h.Add(f.GetName(), f.GetValue())
+		h.Add(f.GetName(), string(f.GetValue()))
 	}
 	return h
 }
--- a/io/wire/handover.go
+++ b/io/wire/handover.go
@@ -83,7 +83,7 @@
 		Body:    a.Body,
 	}
 	for _, f := range a.Header {
-		message.Headers = append(message.Headers, &Header{Name: f.Name, Value: f.Value})
+		message.Headers = append(message.Headers, &Header{Name: f.Name, Value: []byte(f.Value)})
 	}
 	return message
 }
@@ -101,7 +101,7 @@
 		Body:    m.GetBody(),
 	}
 	for _, f := range m.GetHeaders() {
-		a.Header = append(a.Header, dedup.HeaderField{Name: f.GetName(), Value: f.GetValue()})
+		a.Header = append(a.Header, dedup.HeaderField{Name: f.GetName(), Value: string(f.GetValue())})
 	}
 	return a
 }
