--- a/core/fetch/state.go
+++ b/core/fetch/state.go
@@ -1,13 +1,13 @@
 package fetch
 
 import (
-	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/member"
+	"arbutustrestle/core/random"
 	"arbutustrestle/core/rank"
 	"arbutustrestle/core/table"
 )
@@ -107,9 +107,7 @@
 // New returns the state of an instance that holds no values.
 func New(options Options) *State {
 	if options.Random == nil {
-		hash := fnv.New64a()
-		_, _ = hash.Write([]byte(options.Instance))
-		options.Random = rand.New(rand.NewPCG(hash.Sum64(), 0))
+		options.Random = random.ForInstance(options.Instance)
 	}
 	s := &State{options: options, alone: true}
 	s.watches[watchManifest].key = ManifestKey
--- a/core/poison/fleet_test.go
+++ b/core/poison/fleet_test.go
@@ -83,8 +83,8 @@
 	for i := range instances {
 		names = append(names, ident.Instance(fmt.Sprintf("entry-%d", i)))
 	}
-	for _, name := range names {
-		d := &Detector{Self: name}
+	for i, name := range names {
+		d := &Detector{Self: name, Random: rand.New(rand.NewPCG(seed, uint64(100+i)))}
 		d.SetInstances(names)
 		f.detectors = append(f.detectors, d)
 	}
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -11,6 +11,7 @@
 package poison
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -19,6 +20,7 @@
 
 	"arbutustrestle/core/gossip"
 	"arbutustrestle/core/ident"
+	"arbutustrestle/core/random"
 )
 
 const (
@@ -98,10 +100,13 @@
 }
 
 // Detector holds the evidence and the convictions of one instance. It is safe for
-// concurrent use. Self is set before the first use; the other fields have zero values that
+// concurrent use. Self and Random are set before the first use; all but Self have zero values that
 // work.
 type Detector struct {
 	Self ident.Instance
+	// Random chooses what has no room in a report; nil means a generator seeded with the name of
+	// the instance. Nothing else may use it.
+	Random *rand.Rand
 
 	mu        sync.RWMutex
 	instances []ident.Instance
@@ -119,6 +124,14 @@
 	probes map[gossip.TraitKey]time.Time
 }
 
+// source returns the source of the choices. It is called with the lock held.
+func (d *Detector) source() *rand.Rand {
+	if d.Random == nil {
+		d.Random = random.ForInstance(d.Self)
+	}
+	return d.Random
+}
+
 // lostRequest is a request that ended with its upstream before its answer had outlasted its
 // beginning.
 type lostRequest struct {
--- a/core/poison/report.go
+++ b/core/poison/report.go
@@ -1,7 +1,7 @@
 package poison
 
 import (
-	"math/rand/v2"
+	"cmp"
 	"slices"
 	"time"
 
@@ -42,7 +42,7 @@
 		}
 	}
 	if len(own) > maxReported {
-		rand.Shuffle(len(own), func(i, j int) { own[i], own[j] = own[j], own[i] })
+		d.source().Shuffle(len(own), func(i, j int) { own[i], own[j] = own[j], own[i] })
 		own = own[:maxReported]
 	}
 	return append(list, own...)
@@ -87,7 +87,7 @@
 }
 
 // soundToTell returns the sound traits for this report: those that were found lately, and those of
-// losses in it.
+// losses in it. Of more than maxReportedSound it takes others each time.
 func (d *Detector) soundToTell(now time.Time, lost []gossip.LostRequest) []gossip.SoundTrait {
 	reported := map[gossip.TraitKey]struct{}{}
 	for _, l := range lost {
@@ -98,9 +98,14 @@
 	var list []gossip.SoundTrait
 	for trait, s := range d.sound {
 		_, found := reported[trait]
-		if len(list) < maxReportedSound && !s.at.IsZero() && (found || now.Before(s.reportUntil)) {
+		if !s.at.IsZero() && (found || now.Before(s.reportUntil)) {
 			list = append(list, gossip.SoundTrait{Trait: trait, Age: now.Sub(s.at)})
 		}
 	}
+	slices.SortFunc(list, func(a, b gossip.SoundTrait) int { return cmp.Compare(a.Trait, b.Trait) })
+	if len(list) > maxReportedSound {
+		d.source().Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+		list = list[:maxReportedSound]
+	}
 	return list
 }
--- a/core/pool/brittle.go
+++ b/core/pool/brittle.go
@@ -187,7 +187,7 @@
 		if len(r.holders) == 0 {
 			continue
 		}
-		if id := r.holders[p.intN(len(r.holders))]; id != p.settings.Self {
+		if id := r.holders[p.settings.Random.IntN(len(r.holders))]; id != p.settings.Self {
 			list = append(list, id)
 		}
 		if len(list) == maxHolders {
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -13,6 +13,7 @@
 	"arbutustrestle/core/gossip"
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/prefix"
+	"arbutustrestle/core/random"
 	"arbutustrestle/core/spec"
 )
 
@@ -26,8 +27,8 @@
 	// PromptRate is the initial estimate of the prompt tokens that an engine reads in a
 	// millisecond. Measured responses adjust it.
 	PromptRate float64
-	// Random is the source of the pool's draws, which nothing else may use; nil selects a global
-	// one.
+	// Random is the source of the pool's draws, which nothing else may use; nil means a generator
+	// seeded with the name of the instance.
 	Random *rand.Rand
 }
 
@@ -80,6 +81,9 @@
 
 // New returns an empty pool.
 func New(s Settings) *Pool {
+	if s.Random == nil {
+		s.Random = random.ForInstance(s.Self)
+	}
 	return &Pool{
 		settings:   s,
 		replicas:   map[ident.Upstream]*replica{},
@@ -90,21 +94,13 @@
 	}
 }
 
-// intN returns a random number below n. It is called with the lock held.
-func (p *Pool) intN(n int) int {
-	if p.settings.Random != nil {
-		return p.settings.Random.IntN(n)
-	}
-	return rand.IntN(n)
-}
-
 // sample returns up to count random elements of a list, whose order doesn't matter, in random
 // order. It is called with the lock held.
 func sample[T any](p *Pool, list []T, count int, compare func(a, b T) int) []T {
 	slices.SortFunc(list, compare)
 	count = min(count, len(list))
 	for i := range count {
-		j := i + p.intN(len(list)-i)
+		j := i + p.settings.Random.IntN(len(list)-i)
 		list[i], list[j] = list[j], list[i]
 	}
 	return list[:count]
--- a/io/daemon/gateway.go
+++ b/io/daemon/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -72,7 +73,7 @@
 		newGateway,
 		metric.NewSet,
 		func() *spill.Table { return &spill.Table{} },
-		func(s config.Gateway) *poison.Detector { return &poison.Detector{Self: s.ID} },
+		newGatewayDetector,
 		func() *reach.Detector { return &reach.Detector{} },
 		func() *resume.Table { return &resume.Table{} },
 		func() *quota.Ledger { return &quota.Ledger{} },
@@ -126,8 +127,23 @@
 	return &link.Pool{Self: self, KeepAlive: linkKeepAlive}
 }
 
-func newGatewayPool(s config.Gateway) *pool.Pool {
-	return pool.New(pool.Settings{Self: s.ID, Region: s.Region, PromptRate: s.PromptRate})
+// The seeds of an instance's generators are its start and one of these numbers.
+const (
+	poolSeed = iota
+	detectorSeed
+)
+
+func newGatewayPool(s config.Gateway, self link.Identity) *pool.Pool {
+	return pool.New(pool.Settings{
+		Self:       s.ID,
+		Region:     s.Region,
+		PromptRate: s.PromptRate,
+		Random:     rand.New(rand.NewPCG(self.Incarnation.Start, poolSeed)),
+	})
+}
+
+func newGatewayDetector(s config.Gateway, self link.Identity) *poison.Detector {
+	return &poison.Detector{Self: s.ID, Random: rand.New(rand.NewPCG(self.Incarnation.Start, detectorSeed))}
 }
 
 func newGatewayBudget(s config.Gateway) *budget.Budget {
