--- a/core/pool/prefix_baseline_test.go
+++ b/core/pool/prefix_baseline_test.go
@@ -1,6 +1,9 @@
 package pool
 
 import (
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"arbutustrestle/core/ident"
@@ -64,7 +67,7 @@
 }
 
 // sent records that the request was sent to an upstream.
-func (a *constantAffinity) sent(now time.Time, _ *Pool, _ Request, chosen candidate) {
+func (a *constantAffinity) sent(now time.Time, p *Pool, _ Request, chosen candidate) {
 	c := a.caches[chosen.replica.ID]
 	if c == nil {
 		c = &constantCache{parts: map[string]cachedPart{}}
@@ -77,7 +80,7 @@
 		c.parts[part.ID] = cachedPart{part.Tokens, now}
 	}
 	if c.total > 300_000 {
-		c.evict(225_000)
+		c.evict(225_000, p.settings.Random)
 	}
 }
 
@@ -93,15 +96,16 @@
 	return tokens
 }
 
-func (c *constantCache) evict(limit int) {
-	for c.total > limit {
-		oldest := ""
-		for id, part := range c.parts {
-			if oldest == "" || part.lastUsed.Before(c.parts[oldest].lastUsed) {
-				oldest = id
-			}
+// evict removes the least recently used parts, in random order those that were used together.
+func (c *constantCache) evict(limit int, random *rand.Rand) {
+	ids := slices.Sorted(maps.Keys(c.parts))
+	random.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	slices.SortStableFunc(ids, func(a, b string) int { return c.parts[a].lastUsed.Compare(c.parts[b].lastUsed) })
+	for _, id := range ids {
+		if c.total <= limit {
+			return
 		}
-		c.total -= c.parts[oldest].tokens
-		delete(c.parts, oldest)
+		c.total -= c.parts[id].tokens
+		delete(c.parts, id)
 	}
 }
--- a/core/pool/prefix_sim_test.go
+++ b/core/pool/prefix_sim_test.go
@@ -193,8 +193,9 @@
 			k.weights[n] = total
 		}
 	}
-	for _, id := range s.ids {
+	for i, id := range s.ids {
 		p := newPool(id, 0)
+		p.settings.Random = rand.New(rand.NewPCG(seed, uint64(100+i)))
 		p.settings.PromptRate, p.promptRate = 64, 64
 		p.SetServices(map[ident.Service]spec.Service{"chat": {Name: "chat", Engine: true, Slots: 48, Memory: load.memory}})
 		for n := range load.engines {
