--- a/io/link/link.go
+++ b/io/link/link.go
@@ -49,6 +49,8 @@
 	Incarnation ident.Incarnation
 	Zone        ident.Zone
 	Region      ident.Region
+	// BodyParts is set in what a peer has sent if it reads bodies of relayed requests in parts.
+	BodyParts bool
 }
 
 // Stream carries one exchange with a peer. At most one goroutine may read and one may
@@ -198,6 +200,7 @@
 		Incarnation: self.Incarnation.String(),
 		Zone:        string(self.Zone),
 		Region:      string(self.Region),
+		BodyParts:   true,
 	}
 }
 
@@ -217,5 +220,6 @@
 		Incarnation: incarnation,
 		Zone:        ident.Zone(h.GetZone()),
 		Region:      ident.Region(h.GetRegion()),
+		BodyParts:   h.GetBodyParts(),
 	}, nil
 }
--- a/io/link/pool.go
+++ b/io/link/pool.go
@@ -205,6 +205,13 @@
 	return s != nil && !s.mux.IsClosed()
 }
 
+// TakesBodyParts reports whether there is a link to an address whose instance reads bodies of relayed
+// requests in parts.
+func (p *Pool) TakesBodyParts(address netip.AddrPort) bool {
+	s := p.peer(address).openSession.Load()
+	return s != nil && !s.mux.IsClosed() && s.peer.BodyParts
+}
+
 // Disconnect closes the link to an address. The next use dials again.
 func (p *Pool) Disconnect(address netip.AddrPort) {
 	if s := p.peer(address).openSession.Load(); s != nil {
@@ -213,8 +220,8 @@
 }
 
 // Relay opens a stream for a relayed request on an existing link. It returns NotFound
-// when there is no link. The first message holds the whole request, so that after any
-// other error the request may have run at the peer.
+// when there is no link. The first message holds the whole request, but for a body in parts, so
+// that after any other error a request without parts may have run at the peer.
 func (p *Pool) Relay(address netip.AddrPort, r *wire.Relay) (*Stream, error) {
 	s := p.peer(address).openSession.Load()
 	if s == nil || s.mux.IsClosed() {
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -286,7 +286,7 @@
 // attemptRemote relays the request to an instance in another region.
 func (p *Proxy) attemptRemote(ctx context.Context, call *Call, to spill.Choice, sink Sink) *result.Failure {
 	call.visited = append(call.visited, to.Region.Name)
-	address, found := p.pickInstance(to, call.Service)
+	address, found := p.pickInstance(call, to)
 	if !found {
 		return refuse(result.StepForward, result.PeerUnreachable, 0)
 	}
@@ -340,15 +340,15 @@
 	return failure
 }
 
-// pickInstance picks a random instance of the region among those with an open link that aren't
-// cut off from the upstreams of the service.
-func (p *Proxy) pickInstance(to spill.Choice, s ident.Service) (netip.AddrPort, bool) {
+// pickInstance picks a random instance of the region among those that the request may be relayed to
+// and that aren't cut off from the upstreams of its service.
+func (p *Proxy) pickInstance(call *Call, to spill.Choice) (netip.AddrPort, bool) {
 	instances := to.Region.Instances
 	first := rand.IntN(len(instances))
 	for i := range instances {
 		instance := &instances[(first+i)%len(instances)]
 		address := instance.PeerAddress
-		if !instance.CutOffFrom(s) && p.Links.Connected(address) {
+		if !instance.CutOffFrom(call.Service) && p.mayRelayTo(call, address) {
 			return address, true
 		}
 	}
--- a/io/proxy/body.go
+++ b/io/proxy/body.go
@@ -24,9 +24,7 @@
 // readBody reads the body of a request into memory that it takes from the budget. A request for
 // which there is none is refused: it has not run.
 func readBody(call *Call, r *http.Request, limit int64) *result.Failure {
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
+	limit = bodyLimit(limit)
 	if r.ContentLength > limit {
 		return badRequest(result.BodyTooLarge, errors.Errorf("body of %d bytes exceeds the limit of %d", r.ContentLength, limit))
 	}
@@ -36,6 +34,15 @@
 	return readUnsizedBody(call, r.Body, limit)
 }
 
+// bodyLimit returns the longest body that is taken where operators set a limit, which is none if it isn't
+// positive.
+func bodyLimit(limit int64) int64 {
+	if limit <= 0 {
+		return defaultBodyBytes
+	}
+	return limit
+}
+
 func readSizedBody(call *Call, body io.Reader, size int64) *result.Failure {
 	if !call.memory.Grow(size) {
 		return outOfMemory(call)
--- a/io/proxy/choose.go
+++ b/io/proxy/choose.go
@@ -10,7 +10,6 @@
 	"arbutustrestle/core/pool"
 	"arbutustrestle/core/result"
 	"arbutustrestle/core/spill"
-	"arbutustrestle/io/relay"
 )
 
 // choose returns the destination with the earliest projected first byte, or the reason
@@ -75,9 +74,6 @@
 // chooseRemote returns another region that would serve the request sooner, if there is
 // one.
 func (p *Proxy) chooseRemote(now time.Time, call *Call, local pool.Projection, localFound bool) (spill.Choice, bool) {
-	if len(call.Body) > relay.MaxBodyBytes {
-		return spill.Choice{}, false
-	}
 	return p.Spill.Pick(now, spill.Request{
 		Service:        call.Service,
 		UncachedTokens: call.PromptTokens,
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"time"
+
+	"github.com/juju/errors"
 
 	"arbutustrestle/core/result"
 	"arbutustrestle/core/spec"
@@ -54,8 +57,14 @@
 	defer call.memory.Release()
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
-	go relay.CancelOnClose(s, cancel)
-	failure := p.relayOnce(ctx, call, reply)
+	failure := p.admitRelayed(call)
+	if failure == nil {
+		failure = p.readParts(call, s, m.GetPartsBytes())
+	}
+	if failure == nil {
+		go relay.CancelOnClose(s, cancel)
+		failure = p.relayOnce(ctx, call, reply)
+	}
 	p.recordEnd(call, failure)
 	if err := reply.End(failure); err != nil {
 		p.Log.Debug().Err(err).Str("request-id", call.ID).Str("peer", string(s.Peer.Incarnation.Instance)).Msg("reply not sent")
@@ -71,8 +80,8 @@
 	return &spec.Workspace{Name: r.Attempt.Workspace, HomeRegions: r.WorkspaceHomes}
 }
 
-func (p *Proxy) relayOnce(ctx context.Context, call *Call, reply *relay.Reply) *result.Failure {
-	now := p.Clock.Now()
+// admitRelayed refuses a relayed request that may not be served here, before its body is read.
+func (p *Proxy) admitRelayed(call *Call) *result.Failure {
 	if !call.Allows(p.Region) {
 		return refuse(result.StepResidency, result.PlaceForbidden, 0)
 	}
@@ -82,6 +91,37 @@
 	if !call.memory.Grow(int64(len(call.Body))) {
 		return refuse(result.StepAdmit, result.Overloaded, 0)
 	}
+	return nil
+}
+
+// readParts reads the body of a relayed request that is sent in parts. The request has not run if
+// that fails.
+func (p *Proxy) readParts(call *Call, s *link.Stream, size uint64) *result.Failure {
+	if size == 0 {
+		return nil
+	}
+	limit := int64(0)
+	if config := p.Loop.View().Config; config != nil {
+		limit = config.Limits.BodyBytes
+	}
+	if size > uint64(bodyLimit(limit)) {
+		return badRequest(result.BodyTooLarge, errors.Errorf("relayed body of %d bytes", size))
+	}
+	s.SetReadDeadline(time.Now().Add(call.Deadline.Sub(p.Clock.Now())))
+	defer s.SetReadDeadline(time.Time{})
+	body, err := relay.ReadParts(s, size, call.memory.Grow)
+	if errors.Is(err, relay.ErrNoRoom) {
+		return refuse(result.StepAdmit, result.Overloaded, 0)
+	}
+	if err != nil {
+		return &result.Failure{Outcome: result.NotRun, Step: result.StepAdmit, Reason: result.CallerGone, Cause: err}
+	}
+	call.Body = body
+	return nil
+}
+
+func (p *Proxy) relayOnce(ctx context.Context, call *Call, reply *relay.Reply) *result.Failure {
+	now := p.Clock.Now()
 	if refusal := p.refusePoisoned(call); refusal != nil {
 		return refusal
 	}
--- a/io/proxy/reach.go
+++ b/io/proxy/reach.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -84,7 +85,7 @@
 // mayHandOver reports whether a request may be handed to a peer of the region, as far as
 // the request itself is concerned.
 func (p *Proxy) mayHandOver(call *Call) bool {
-	return call.Allows(p.Region) && len(call.Body) <= relay.MaxBodyBytes
+	return call.Allows(p.Region)
 }
 
 // mayProbe reports whether a request may find out whether upstreams are reached: it may run
@@ -104,13 +105,22 @@
 	for i := range ids {
 		id := ids[(first+i)%len(ids)]
 		m, found := members[id]
-		if found && !slices.Contains(call.peersTried, id) && p.Links.Connected(m.PeerAddress) {
+		if found && !slices.Contains(call.peersTried, id) && p.mayRelayTo(call, m.PeerAddress) {
 			return destination{peer: &m}, true
 		}
 	}
 	return destination{}, false
 }
 
+// mayRelayTo reports whether a link to an instance is open, and the instance takes the body of the
+// request: one of an earlier build takes no body that is sent in parts.
+func (p *Proxy) mayRelayTo(call *Call, address netip.AddrPort) bool {
+	if len(call.Body) > relay.MaxBodyBytes {
+		return p.Links.TakesBodyParts(address)
+	}
+	return p.Links.Connected(address)
+}
+
 // attemptPeer hands the request to another instance of the region, which makes the attempt.
 func (p *Proxy) attemptPeer(ctx context.Context, call *Call, to *gossip.Record, sink Sink) *result.Failure {
 	call.peersTried = append(call.peersTried, to.ID)
--- a/io/relay/blocked_test.go
+++ b/io/relay/blocked_test.go
@@ -52,7 +52,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	t.Cleanup(func() { blocked.Store(false) })
-	server := &link.Server{Handler: &testPeer{reply: func(*link.Stream, *Reply) {}}, Log: zerolog.Nop(), Self: identity("far")}
+	server := &link.Server{Handler: &testPeer{reply: func(*link.Stream, *wire.Relay, *Reply) {}}, Log: zerolog.Nop(), Self: identity("far")}
 	go func() { _ = server.Serve(ctx, blockingListener{listener, &blocked}) }()
 	address := listener.Addr().(*net.TCPAddr).AddrPort()
 	links := &link.Pool{Self: identity("near")}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -21,8 +21,8 @@
 )
 
 const (
-	// MaxBodyBytes is the longest body that is relayed. With the other fields of the
-	// request it fits one message of a link.
+	// MaxBodyBytes is the longest body that is relayed in one message of a link, with the other
+	// fields of the request. A longer one follows in parts, to an instance that takes them.
 	MaxBodyBytes = 900 << 10
 	// frameBytes bounds the data in one frame.
 	frameBytes = 16 << 10
@@ -67,9 +67,14 @@
 	stream.SetDeadline(time.Time{})
 	stop := context.AfterFunc(ctx, stream.Abort)
 	a := &answer{stream: stream, stopCancel: stop, id: r.Attempt.RequestID, address: address}
+	parts := sendParts(stream, r)
 	head, failure := a.readHead()
 	if failure != nil {
 		_ = a.Close()
+		if !parts.sent() {
+			// The other instance doesn't begin before it has the whole body.
+			failure.Outcome = result.NotRun
+		}
 		if ctx.Err() != nil && failure.Outcome == result.Unknown {
 			failure.Reason = http1.CancelReason(ctx)
 		}
@@ -231,7 +236,7 @@
 		Target:       r.Attempt.Target,
 		Host:         r.Attempt.Host,
 		Headers:      wire.HeadersToWire(r.Attempt.Header),
-		Body:         r.Attempt.Body,
+		Body:         inlineBody(r),
 		RemainingMs:  uint64(max(0, r.Attempt.Remaining.Milliseconds())),
 		Kind:         uint32(r.Kind),
 		Priority:     uint32(max(0, r.Attempt.Priority)),
@@ -239,6 +244,7 @@
 		PromptTokens: uint32(max(0, r.PromptTokens)),
 		OutputTokens: uint32(max(0, r.OutputTokens)),
 		LastEvent:    r.Attempt.LastEventID,
+		PartsBytes:   partsBytes(r),
 		ObjectiveMs:  uint64(max(0, r.LatencyObjective.Milliseconds())),
 		Resumable:    r.Resumable,
 		VersionBound: r.VersionBound.Bound,
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -24,17 +24,23 @@
 // sets.
 type testPeer struct {
 	link.Handler
-	reply func(s *link.Stream, r *Reply)
+	reply func(s *link.Stream, m *wire.Relay, r *Reply)
 }
 
 func (p *testPeer) Notify(link.Identity, *wire.Notice) {}
 
 func (p *testPeer) Relay(_ context.Context, s *link.Stream, m *wire.Relay) {
-	p.reply(s, &Reply{Stream: s, RequestID: m.GetRequestId()})
+	p.reply(s, m, &Reply{Stream: s, RequestID: m.GetRequestId()})
 }
 
 // startPeer starts a peer and returns a pool with an open link to it.
 func startPeer(t *testing.T, reply func(s *link.Stream, r *Reply)) (*link.Pool, netip.AddrPort) {
+	t.Helper()
+	return startRelayPeer(t, func(s *link.Stream, _ *wire.Relay, r *Reply) { reply(s, r) })
+}
+
+// startRelayPeer does the same with a function that gets the relayed request, too.
+func startRelayPeer(t *testing.T, reply func(s *link.Stream, m *wire.Relay, r *Reply)) (*link.Pool, netip.AddrPort) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
