--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -12,6 +12,7 @@
 	"arbutustrestle/core/result"
 	"arbutustrestle/io/invoke"
 	"arbutustrestle/io/link"
+	"arbutustrestle/io/syntax"
 	"arbutustrestle/io/wire"
 )
 
@@ -118,8 +119,11 @@
 		}
 		switch kind := frame.GetKind().(type) {
 		case *wire.Frame_Head:
-			c.HeadSent = true
 			h := invoke.ResponseHead{Status: int(kind.Head.GetStatus()), Header: wire.HeadersFromWire(kind.Head.GetHeaders()), Peer: string(t.instance)}
+			if err := syntax.CheckHead(h.Status, h.Header); err != nil {
+				return f.newFailure(result.Unknown, result.AnswerMismatch, t, err)
+			}
+			c.HeadSent = true
 			err = c.Sink.Begin(h)
 		case *wire.Frame_Data:
 			c.Tokens++
--- a/io/entry/peer_test.go
+++ b/io/entry/peer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -113,6 +114,11 @@
 	switch verb {
 	case "head":
 		f.Kind = &wire.Frame_Head{Head: &wire.Head{Status: 200, Headers: []*wire.Header{{Name: "Content-Type", Value: []byte("text/event-stream")}}}}
+	case "status":
+		status, _ := strconv.Atoi(argument)
+		f.Kind = &wire.Frame_Head{Head: &wire.Head{Status: uint32(status)}}
+	case "name":
+		f.Kind = &wire.Frame_Head{Head: &wire.Head{Status: 200, Headers: []*wire.Header{{Name: argument, Value: []byte("x")}}}}
 	case "data", "repeat", "ahead", "foreign":
 		f.Kind = &wire.Frame_Data{Data: []byte(argument)}
 		w.length += uint64(len(argument))
