--- a/io/link/link.go
+++ b/io/link/link.go
@@ -42,6 +42,9 @@
 	// closed at the end that accepted it. It may be paused, and still wait for its requests.
 	silenceTimeout  = 10 * time.Second
 	readBufferBytes = 4 << 10
+	// discardTimeout is how long what arrives on a closed stream is dropped. The other end closes its
+	// own as soon as it has learned of the close.
+	discardTimeout = 10 * time.Second
 )
 
 // Identity identifies one end of a link to the other. It is sent in the hello.
@@ -80,12 +83,21 @@
 func (s *Stream) Receive(m proto.Message) error {
 	options := protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}
 	err := options.UnmarshalFrom(s.reader, m)
+	s.shrink()
 	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
 		return io.EOF
 	}
 	return errors.Annotatef(err, "receive from %s", s.Peer.Incarnation)
 }
 
+// shrink releases the buffer of the session for the stream if nothing is in it. It keeps the size of
+// the most that was ever unread otherwise, hundreds of KiB for a stream that had to wait once.
+func (s *Stream) shrink() {
+	if mux, ok := s.conn.(*yamux.Stream); ok && s.reader.Buffered() == 0 {
+		mux.Shrink()
+	}
+}
+
 // SetDeadline sets the deadline of all later reads and writes.
 func (s *Stream) SetDeadline(at time.Time) {
 	_ = s.conn.SetDeadline(at)
@@ -111,6 +123,19 @@
 	_ = s.conn.Close()
 }
 
+// Discard closes this end of the stream and drops what the other end still sends until it closes its
+// own: the session would keep it until then. The stream must not be read any more.
+func (s *Stream) Discard() {
+	_ = s.conn.Close()
+	s.openStreams.allowReads(s, time.Now().Add(discardTimeout))
+	go func() {
+		defer s.openStreams.remove(s)
+		_, _ = io.Copy(io.Discard, s.conn)
+		s.reader.Reset(s.conn)
+		s.shrink()
+	}()
+}
+
 // Abort closes the stream and makes a blocked reader return at once.
 func (s *Stream) Abort() {
 	_ = s.conn.SetReadDeadline(pastDeadline)
--- a/io/link/streams.go
+++ b/io/link/streams.go
@@ -43,6 +43,24 @@
 	delete(s.open, stream)
 }
 
+// allowReads sets the read deadline of a stream, which may have been removed, unless interruptReads was
+// called.
+func (s *streamSet) allowReads(stream *Stream, until time.Time) {
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return
+	}
+	if s.open == nil {
+		s.open = map[*Stream]struct{}{}
+	}
+	s.open[stream] = struct{}{}
+	_ = stream.conn.SetReadDeadline(until)
+}
+
 func (s *streamSet) count() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -121,6 +121,7 @@
 	// unread is data that has been received but not returned by Read.
 	unread []byte
 	done   bool
+	closed bool
 }
 
 func (a *answer) readHead() (*http1.Answer, *result.Failure) {
@@ -213,8 +214,16 @@
 
 // Close ends the exchange.
 func (a *answer) Close() error {
+	if a.closed {
+		return nil
+	}
+	a.closed = true
 	a.stopCancel()
-	a.stream.Close()
+	if a.done {
+		a.stream.Close()
+		return nil
+	}
+	a.stream.Discard()
 	return nil
 }
 
