--- a/io/link/link.go
+++ b/io/link/link.go
@@ -42,6 +42,11 @@
 	// closed at the end that accepted it. It may be paused, and still wait for its requests.
 	silenceTimeout  = 10 * time.Second
 	readBufferBytes = 4 << 10
+	// windowBytes is how much a peer may send on a stream before it is read. Peers take it as given
+	// when a stream opens, so that it can't be smaller.
+	windowBytes = 256 << 10
+	// MaxBufferBytes is what a session holds at most of a stream that isn't read: its buffer doubles.
+	MaxBufferBytes = 2 * windowBytes
 	// discardTimeout is how long what arrives on a closed stream is dropped. The other end closes its
 	// own as soon as it has learned of the close.
 	discardTimeout = 10 * time.Second
@@ -179,6 +184,7 @@
 	// A stream that is not taken up in time must not end the others; see endIfSilent.
 	c.StreamOpenTimeout = 0
 	c.LogOutput = io.Discard
+	c.MaxStreamWindowSize = windowBytes
 	return c
 }
 
--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -178,8 +178,13 @@
 	}
 }
 
+// callerGone returns the failure of a write to the caller.
 func callerGone(call *Call, err error) *result.Failure {
-	return &result.Failure{Outcome: result.Unknown, Step: result.StepStream, Reason: result.CallerGone, Peer: call.peer, Cause: err}
+	reason := result.CallerGone
+	if errors.Is(err, http1.ErrNoMemory) {
+		reason = result.AnswerMemory
+	}
+	return &result.Failure{Outcome: result.Unknown, Step: result.StepStream, Reason: reason, Peer: call.peer, Cause: err}
 }
 
 // passStream passes events on as they arrive. If the stream is resumable, only whole
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -333,7 +333,7 @@
 	defer answer.Memory.Release()
 	call.upstreamVersion = answer.Meta.Version
 	start := p.beginAnswer(call, answer)
-	failure = p.passAnswer(ctx, cancel, call, answer, sink, start.partArrived)
+	failure = p.passAnswer(ctx, cancel, call, answer, &relaySink{Sink: sink, budget: p.AnswerMemory}, start.partArrived)
 	if failure == nil {
 		start.whole()
 	}
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -333,4 +333,7 @@
 	WriteHead(h AnswerHead) error
 	// Write receives a part of the body, which is passed on immediately.
 	Write(p []byte) (int, error)
+	// Abort makes a write that waits for the caller fail, and later ones. It may be called while
+	// another method runs.
+	Abort()
 }
--- a/io/proxy/sink.go
+++ b/io/proxy/sink.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -84,6 +85,11 @@
 	return errors.Trace(ending.InOrder(s.request, s.control))
 }
 
+// Abort makes writes fail.
+func (s *httpSink) Abort() {
+	_ = s.control.SetWriteDeadline(time.Unix(1, 0))
+}
+
 // Write writes a part of the body and flushes it.
 func (s *httpSink) Write(p []byte) (int, error) {
 	n, err := s.writer.Write(p)
