--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -194,6 +194,9 @@
 	stall := p.startStallTimer(call, cancel)
 	defer stall.stop()
 	splitter := &eventSplitter{wholeOnly: call.Route.Resumable, memory: &a.Memory}
+	if err := splitter.holdID(call.LastEventID); err != nil {
+		return p.answerFailure(ctx, call, result.AnswerMemory, err)
+	}
 	failure := p.eachPart(ctx, call, a.Body, func(part []byte) *result.Failure {
 		// A caller that reads slowly doesn't make the upstream stalled.
 		stall.stop()
@@ -278,13 +281,15 @@
 	// wholeOnly makes add hold back an incomplete event.
 	wholeOnly bool
 	events    event.Scanner
-	// memory counts the capacity of partial.
+	// memory counts the capacity of partial and idBytes.
 	memory  *memory.Share
 	partial []byte
 	// rest is what follows the events that add has returned, until passed.
 	rest []byte
 	// lastID is the id of the last whole event.
 	lastID string
+	// idBytes is the length of the id that the stream may go on after elsewhere.
+	idBytes int64
 }
 
 // add appends p and returns the bytes that can be passed on. They are valid until passed is called
@@ -308,10 +313,23 @@
 		ready = e.partial
 	}
 	e.rest = p[end:]
-	e.lastID = lastEventID(ready, e.lastID)
+	if id := lastEventID(ready, e.lastID); id != e.lastID {
+		e.lastID = id
+		return ready, e.holdID(id)
+	}
 	return ready, nil
 }
 
+// holdID takes memory for the id that the stream may go on after elsewhere, in place of the one before.
+func (e *eventSplitter) holdID(id string) error {
+	if !e.memory.Add(int64(len(id))) {
+		return http1.ErrNoMemory
+	}
+	e.memory.Sub(e.idBytes)
+	e.idBytes = int64(len(id))
+	return nil
+}
+
 // passed is called when the events that add has returned are passed on.
 func (e *eventSplitter) passed() error {
 	rest := e.rest
--- a/io/proxy/answer_memory_test.go
+++ b/io/proxy/answer_memory_test.go
@@ -70,9 +70,15 @@
 // TestEventWithoutMemory guards against events that are held without a bound for all answers
 // together. The failure names the memory and not the upstream, which keeps its requests.
 func TestEventWithoutMemory(t *testing.T) {
+	t.Run("event", func(t *testing.T) { testEventWithoutMemory(t, "data: ") })
+	t.Run("id", func(t *testing.T) { testEventWithoutMemory(t, "data: x\nid: ") })
+}
+
+func testEventWithoutMemory(t *testing.T, start string) {
+	t.Helper()
 	part := strings.Repeat("x", 8<<10)
 	inst, budget := newFullInstance(t, func(c net.Conn, r *http.Request) {
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\n\r\ndata: ", r.Header.Get("Id"))
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\n\r\n%s", r.Header.Get("Id"), start)
 		for range 8 {
 			_, _ = io.WriteString(c, part)
 		}
