--- a/io/http1/sentinel_test.go
+++ b/io/http1/sentinel_test.go
@@ -206,7 +206,7 @@
 			}
 			first, second := begin("q-1"), begin("q-2")
 			go func() { _, _ = io.Copy(io.Discard, second.Body) }()
-			waitForSentinel(t, s)
+			waitForSentinel(t, s, client)
 			ended := make(chan struct{})
 			if c.late {
 				c.end(s, begin)
@@ -229,14 +229,14 @@
 	}
 }
 
-// waitForSentinel waits until a connection without a request has come.
-func waitForSentinel(t *testing.T, s *socketsOf) {
+// waitForSentinel waits until a connection without a request has come, and the client holds it.
+func waitForSentinel(t *testing.T, s *socketsOf, client *Client) {
 	t.Helper()
 	for range 100 {
 		s.mu.Lock()
 		n := len(s.others)
 		s.mu.Unlock()
-		if n > 0 {
+		if n > 0 && client.holdsSentinel() {
 			return
 		}
 		time.Sleep(5 * time.Millisecond)
@@ -244,6 +244,21 @@
 	t.Fatal("no connection without a request")
 }
 
+// holdsSentinel reports whether a sentinel's connection is known to be open.
+func (c *Client) holdsSentinel() bool {
+	c.sentinels.mu.Lock()
+	defer c.sentinels.mu.Unlock()
+	for _, held := range c.sentinels.byUpstream {
+		held.mu.Lock()
+		open := held.conn != nil
+		held.mu.Unlock()
+		if open {
+			return true
+		}
+	}
+	return false
+}
+
 // TestSentinelsEnd guards against connections that are kept to upstreams without need.
 func TestSentinelsEnd(t *testing.T) {
 	s := startSockets(t)
@@ -252,7 +267,7 @@
 	if failure != nil {
 		t.Fatal(failure)
 	}
-	waitForSentinel(t, s)
+	waitForSentinel(t, s, client)
 	_ = answer.Body.Close()
 	time.Sleep(sentinelAge + 500*time.Millisecond)
 	client.sentinels.mu.Lock()
