--- a/io/http1/sentinel.go
+++ b/io/http1/sentinel.go
@@ -283,12 +283,14 @@
 	if w == nil {
 		return nil
 	}
+	// Until the check is done, the write may go on: an upstream may read on after an early end.
+	lives := w.exchange.conn.faults.get() == nil && w.outlasted()
 	w.exchange.stopWrite()
 	state := endState{}.next(endRead{}).next(writeEnded{})
 	if w.exchange.conn.faults.get() != nil {
 		return state.next(callFailed{}).check()
 	}
-	return state.next(upstreamChecked{lives: w.outlasted()}).check()
+	return state.next(upstreamChecked{lives: lives}).check()
 }
 
 // outlasted reports whether the upstream has outlasted the end of the answer.
