--- a/io/invoke/receive.go
+++ b/io/invoke/receive.go
@@ -34,7 +34,12 @@
 	return r.receivePlain(ctx, response, *buffer, idle)
 }
 
-// receivePlain forwards a body that is delimited by its length or its chunks.
+// errUnprovedEnd means that an answer has neither a length nor chunks. Its end is that of its
+// connection, which a reset or the kill of an upstream may look like.
+var errUnprovedEnd = errors.New("the end of the answer proves nothing")
+
+// receivePlain forwards a body that is delimited by its length or its chunks. One with neither counts
+// as cut off when its connection ends.
 func (r *runner) receivePlain(ctx context.Context, response *http.Response, buffer []byte, idle *idleTimer) *result.Failure {
 	if response.ContentLength > r.client.MaxAnswerBytes {
 		return r.failure(result.AnswerTooLarge, nil)
@@ -53,15 +58,22 @@
 		if failure := r.write(buffer[:n]); failure != nil {
 			return failure
 		}
-		if errors.Is(err, io.EOF) {
+		switch {
+		case errors.Is(err, io.EOF) && provesEnd(response):
 			return nil
-		}
-		if err != nil {
+		case errors.Is(err, io.EOF):
+			return r.failure(result.AnswerCut, errUnprovedEnd)
+		case err != nil:
 			return r.withContextReason(ctx, r.failure(result.AnswerCut, err))
 		}
 	}
 }
 
+// provesEnd reports whether an answer marks the end of its body itself.
+func provesEnd(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
+
 // receiveFrames forwards an event stream, only whole frames, until the closing frame. A
 // stream that ends before the closing frame counts as cut, however cleanly it ends. The
 // head is withheld until the first valid frame, so that an attempt that fails before it
