--- a/io/syntax/head.go
+++ b/io/syntax/head.go
@@ -46,9 +46,24 @@
 		return nil, err
 	}
 	h.Closes = h.Frame.endsWithConnection() || closes(line, h.Header["Connection"])
+	removeOptions(h.Header)
 	return h, nil
 }
 
+// removeOptions removes the fields that Connection names. They belong to the connection and aren't
+// passed on (RFC 9110, section 7.6.1), so that nothing may count as said by them. Keep-Alive is left to
+// who keeps the connection.
+func removeOptions(h http.Header) {
+	for _, value := range h["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			name = strings.Trim(name, " \t")
+			if !strings.EqualFold(name, "keep-alive") && !strings.EqualFold(name, "connection") {
+				h.Del(name)
+			}
+		}
+	}
+}
+
 // closes reports whether connection options end the connection (RFC 9112, section 9.3).
 func closes(line statusLine, values []string) bool {
 	return hasOption(values, "close") || line.minorVersion == 0 && !hasOption(values, "keep-alive")
