--- a/core/memory/memory.go
+++ b/core/memory/memory.go
@@ -75,7 +75,8 @@
 func (s *Share) resize(bytes int64) bool {
 	if s.budget != nil {
 		free := s.budget.Free
-		if !s.budget.take(max(0, bytes-free) - max(0, s.held-free)) {
+		more := max(0, bytes-free) - max(0, s.held-free)
+		if more != 0 && !s.budget.take(more) {
 			return false
 		}
 	}
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -22,6 +22,7 @@
 	"arbutustrestle/core/clock"
 	"arbutustrestle/core/event"
 	"arbutustrestle/core/ident"
+	"arbutustrestle/core/memory"
 	"arbutustrestle/core/result"
 	"arbutustrestle/io/syntax"
 )
@@ -38,6 +39,8 @@
 // Client makes attempts. Its fields are set before the first use.
 type Client struct {
 	Codec Codec
+	// Memory bounds what is held of all answers together; nil if nothing does.
+	Memory *memory.Budget
 	// DialTimeout bounds the time to open a connection.
 	DialTimeout time.Duration
 	// DialCount counts the connections that were dialed.
@@ -95,12 +98,14 @@
 		return nil, c.failure(ctx, a, result.NotRun, result.UpstreamChanged, nil)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
-	x := &exchange{client: c, attempt: a, conn: connection, stopCancel: stop, writeResult: make(chan error, 1)}
+	x := &exchange{client: c, attempt: a, memory: c.Memory.NewShare(), conn: connection, stopCancel: stop, writeResult: make(chan error, 1)}
 	answer, failure := x.run(ctx)
 	if failure != nil {
+		x.memory.Release()
 		x.discard()
 		return nil, failure
 	}
+	answer.Memory = x.memory
 	if answer.Framing == FramedByClose {
 		answer.Body.(*body).end = x.watchEnd(ctx)
 	}
@@ -182,6 +187,8 @@
 	writeErr    error
 	// notReusable prevents the reuse of the connection even if the answer is whole.
 	notReusable bool
+	// memory is what the head takes.
+	memory memory.Share
 	// released is set once the connection was returned to the pool or closed.
 	released bool
 }
@@ -207,6 +214,7 @@
 		}
 		left = x.conn.bounded.left
 		if answer.Status < http.StatusOK {
+			x.memory.Release()
 			continue
 		}
 		x.conn.bounded.unbounded()
@@ -227,9 +235,18 @@
 		if _, err := io.Copy(io.Discard, answer.Body); err != nil {
 			return nil, x.readFailure(ctx, err)
 		}
+		x.memory.Release()
 	}
 }
 
+// hold takes memory for a part of a head.
+func (x *exchange) hold(bytes int) error {
+	if !x.memory.Add(int64(bytes)) {
+		return ErrNoMemory
+	}
+	return nil
+}
+
 func (x *exchange) readFailure(ctx context.Context, err error) *result.Failure {
 	return x.client.failure(ctx, x.attempt, result.Unknown, readReason(err), shortError{err})
 }
@@ -239,6 +256,8 @@
 	switch {
 	case errors.Is(err, ErrTooLarge):
 		return result.AnswerTooLarge
+	case errors.Is(err, ErrNoMemory):
+		return result.AnswerMemory
 	case errors.As(err, &op), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		return result.AnswerCut
 	default:
@@ -297,7 +316,7 @@
 }
 
 func (x *exchange) readHead() (*Answer, error) {
-	h, err := syntax.ReadHead(x.conn.reader, x.attempt.Method, maxHeadBytes)
+	h, err := syntax.ReadHeldHead(x.conn.reader, x.attempt.Method, maxHeadBytes, x.hold)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/io/proxy/answer_memory_test.go
+++ b/io/proxy/answer_memory_test.go
@@ -19,7 +19,7 @@
 	const limit, free = 64 << 10, 16 << 10
 	inst := newTestInstance(t, do, do)
 	budget := &memory.Budget{Limit: limit, Free: free}
-	inst.proxy.AnswerMemory = budget
+	inst.proxy.AnswerMemory, inst.proxy.UpstreamClient.Memory = budget, budget
 	others := budget.NewShare()
 	if !others.Add(limit + free) {
 		t.Fatal("the memory can't be taken")
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -28,6 +28,7 @@
 	"arbutustrestle/io/metric"
 	"arbutustrestle/io/relay"
 	"arbutustrestle/io/syncer"
+	"arbutustrestle/io/syntax"
 )
 
 // Proxy serves callers' requests and relayed requests. Its fields are set before the
@@ -165,7 +166,6 @@
 		return failure
 	}
 	answer.Meta.Version = lease.Upstream.Version
-	answer.Memory = p.AnswerMemory.NewShare()
 	defer answer.Memory.Release()
 	defer func() { _ = answer.Body.Close() }()
 	evidence.Received(p.Clock.Now())
@@ -331,6 +331,10 @@
 	}
 	answer.Memory = p.AnswerMemory.NewShare()
 	defer answer.Memory.Release()
+	if !answer.Memory.Add(int64(syntax.HeldBytes(answer.Header))) {
+		_ = answer.Body.Close()
+		return p.answerFailure(ctx, call, result.AnswerMemory, http1.ErrNoMemory)
+	}
 	call.upstreamVersion = answer.Meta.Version
 	start := p.beginAnswer(call, answer)
 	failure = p.passAnswer(ctx, cancel, call, answer, &relaySink{Sink: sink, budget: p.AnswerMemory}, start.partArrived)
--- a/io/syntax/head.go
+++ b/io/syntax/head.go
@@ -22,10 +22,35 @@
 // ErrTooLarge means that an answer, or a part of one, has more bytes than are read.
 var ErrTooLarge = errors.New("answer too large")
 
+const (
+	// FieldBytes is what a field of a head takes beside its text, in the map that it is parsed into
+	// and in the two that net/http makes when the head is passed on.
+	FieldBytes = 400
+	// textFactor is how often the text of a head is held: a line is copied when its buffer grows.
+	textFactor = 2
+)
+
+// HeldBytes estimates what the head of an answer takes.
+func HeldBytes(h http.Header) int {
+	bytes := 0
+	for name, values := range h {
+		for _, value := range values {
+			bytes += FieldBytes + textFactor*(len(name)+len(value))
+		}
+	}
+	return bytes
+}
+
 // ReadHead reads the head of an answer to a request with a method, of at most maxBytes. A head that
 // ends early gives io.ErrUnexpectedEOF.
 func ReadHead(r *bufio.Reader, method string, maxBytes int) (*Head, error) {
-	lines := &lineReader{reader: r, left: maxBytes}
+	return ReadHeldHead(r, method, maxBytes, nil)
+}
+
+// ReadHeldHead is ReadHead for who counts what is held: hold is called before further bytes are. An
+// error of it ends the head.
+func ReadHeldHead(r *bufio.Reader, method string, maxBytes int, hold func(bytes int) error) (*Head, error) {
+	lines := &lineReader{reader: r, left: maxBytes, hold: hold}
 	text, err := lines.next()
 	if err != nil {
 		return nil, errors.Annotate(err, "read the status line")
@@ -70,6 +95,15 @@
 	reader *bufio.Reader
 	// left is the number of bytes that the lines may still have together.
 	left int
+	// hold is called before further bytes are held; nil if nobody counts them.
+	hold func(bytes int) error
+}
+
+func (l *lineReader) take(bytes int) error {
+	if l.hold == nil {
+		return nil
+	}
+	return l.hold(bytes)
 }
 
 // next returns the next line without its end.
@@ -81,6 +115,9 @@
 		if l.left < 0 {
 			return "", ErrTooLarge
 		}
+		if err := l.take(textFactor * len(part)); err != nil {
+			return "", err
+		}
 		line.Write(part)
 		switch {
 		case err == nil:
@@ -103,6 +140,9 @@
 			return err
 		}
 		name, value, err := parseField(line)
+		if err == nil {
+			err = l.take(FieldBytes)
+		}
 		if err != nil {
 			return err
 		}
