--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -185,6 +185,8 @@
 	writeResult chan error
 	writeEnded  bool
 	writeErr    error
+	// partsWritten counts the parts of a long body that were written.
+	partsWritten atomic.Int64
 	// notReusable prevents the reuse of the connection even if the answer is whole.
 	notReusable bool
 	// memory is what the head takes.
@@ -310,9 +312,23 @@
 		x.writeResult <- err
 		return
 	}
-	// A long body isn't copied.
-	parts := net.Buffers{b.Bytes(), a.Body}
-	x.writeResult <- x.conn.writeBuffers(parts)
+	x.writeResult <- x.writeLong(b.Bytes(), a.Body)
+}
+
+// writePartBytes is how much of a long body is written at a time.
+const writePartBytes = 32 << 10
+
+// writeLong writes a head and a long body, which isn't copied.
+func (x *exchange) writeLong(head, body []byte) error {
+	part := body[:min(writePartBytes, len(body))]
+	err := x.conn.writeBuffers(net.Buffers{head, part})
+	for err == nil && len(body) > len(part) {
+		x.partsWritten.Add(1)
+		body = body[len(part):]
+		part = body[:min(writePartBytes, len(body))]
+		_, err = x.conn.Write(part)
+	}
+	return err
 }
 
 func (x *exchange) readHead() (*Answer, error) {
@@ -446,9 +462,22 @@
 	x.client.conns.put(x.conn, idleTime)
 }
 
+// maxUploadTime bounds how long an answer that has ended waits for the rest of its request to be read.
+const maxUploadTime = time.Second
+
 // stopWrite ends the write of the request if it goes on, and returns when it has ended. What it has
-// met is kept by the connection.
-func (x *exchange) stopWrite() {
+// met is kept by the connection. An upstream that has ended its side early may read on: the write
+// isn't ended while it makes progress, for maxUploadTime at most. before is
+// the number of parts that were written when the end was read.
+func (x *exchange) stopWrite(before int64) {
+	for began := time.Now(); !x.writeEnded && x.partsWritten.Load() > before && time.Since(began) < maxUploadTime; {
+		before = x.partsWritten.Load()
+		select {
+		case x.writeErr = <-x.writeResult:
+			x.writeEnded = true
+		case <-time.After(processEndTime):
+		}
+	}
 	if x.writeEnded {
 		return
 	}
--- a/io/http1/sentinel.go
+++ b/io/http1/sentinel.go
@@ -284,8 +284,9 @@
 		return nil
 	}
 	// Until the check is done, the write may go on: an upstream may read on after an early end.
+	written := w.exchange.partsWritten.Load()
 	lives := w.exchange.conn.faults.get() == nil && w.outlasted()
-	w.exchange.stopWrite()
+	w.exchange.stopWrite(written)
 	state := endState{}.next(endRead{}).next(writeEnded{})
 	if w.exchange.conn.faults.get() != nil {
 		return state.next(callFailed{}).check()
