--- a/core/memory/memory.go
+++ b/core/memory/memory.go
@@ -2,53 +2,240 @@
 // each by itself.
 package memory
 
-import "sync/atomic"
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// roomTimeout bounds the wait for bytes that revoked shares still hold. Their requests only have to
+// notice, which takes longer while the processors are busy.
+const roomTimeout = time.Second
 
 // Budget is a number of bytes that requests share. Its zero value has no bound. It is safe for
-// concurrent use; Limit is set before.
+// concurrent use; Limit and MakeRoom are set before.
 type Budget struct {
 	// Limit is in bytes; zero means none.
 	Limit int64
+	// MakeRoom revokes shares of others that hold a number of bytes, for a share that will hold a
+	// number of bytes in all. It reports false, and revokes nothing, if too few may be revoked. A nil
+	// one revokes none.
+	MakeRoom func(needed, held int64) bool
 
 	used atomic.Int64
+	// revoked is the part of used that revoked shares still hold.
+	revoked atomic.Int64
+
+	// waiting is the number of waiters.
+	waiting atomic.Int64
+	mu      sync.Mutex
+	waiters []*waiter
+}
+
+// waiter waits for bytes.
+type waiter struct {
+	bytes int64
+	// done is closed when the wait ends; granted is set before if the bytes were taken.
+	done    chan struct{}
+	granted bool
 }
 
 // Used returns the bytes that are held.
 func (b *Budget) Used() int64 {
+	if b == nil {
+		return 0
+	}
 	return b.used.Load()
 }
 
-// Share is the part of a budget that one request holds. It is used by one goroutine at a time;
-// its zero value holds nothing and has no budget.
+// take takes bytes from the budget if it has them.
+func (b *Budget) take(bytes int64) bool {
+	if used := b.used.Add(bytes); b.Limit > 0 && used > b.Limit {
+		b.used.Add(-bytes)
+		return false
+	}
+	return true
+}
+
+// give gives bytes back, to those who wait if there are any.
+func (b *Budget) give(bytes int64) {
+	b.used.Add(-bytes)
+	if b.waiting.Load() == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.grant()
+}
+
+// grant serves the waiters whose bytes there are, in their order. Small ones don't wait for large ones.
+func (b *Budget) grant() {
+	b.waiters = slices.DeleteFunc(b.waiters, func(w *waiter) bool {
+		if !b.take(w.bytes) {
+			return false
+		}
+		w.granted = true
+		close(w.done)
+		return true
+	})
+	b.waiting.Store(int64(len(b.waiters)))
+}
+
+// enqueue adds a waiter and returns the bytes that must be revoked for all of them.
+func (b *Budget) enqueue(w *waiter) int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.waiters = append(b.waiters, w)
+	// Bytes that are given back from here on wait for the lock.
+	b.waiting.Store(int64(len(b.waiters)))
+	b.grant()
+	wanted := int64(0)
+	for _, other := range b.waiters {
+		wanted += other.bytes
+	}
+	return wanted - max(0, b.Limit-b.used.Load()) - b.revoked.Load()
+}
+
+// dequeue ends a wait and reports whether the bytes were taken.
+func (b *Budget) dequeue(w *waiter) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.waiters = slices.DeleteFunc(b.waiters, func(other *waiter) bool { return other == w })
+	b.waiting.Store(int64(len(b.waiters)))
+	return w.granted
+}
+
+// fail ends a wait without the bytes.
+func (b *Budget) fail(w *waiter) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	before := len(b.waiters)
+	b.waiters = slices.DeleteFunc(b.waiters, func(other *waiter) bool { return other == w })
+	if len(b.waiters) < before {
+		close(w.done)
+	}
+	b.waiting.Store(int64(len(b.waiters)))
+}
+
+// Share is the part of a budget that one request holds. A nil or zero share holds nothing and has no
+// budget. It is safe for concurrent use, but for Grow, which is called by one goroutine at a time.
 type Share struct {
 	budget *Budget
-	held   int64
+
+	mu   sync.Mutex
+	held int64
+	// revoked is set if the bytes are to be given to another request.
+	revoked bool
+	// waiter is set while Grow waits.
+	waiter *waiter
 }
 
 // NewShare returns a share that holds nothing yet. A nil budget has no bound.
-func (b *Budget) NewShare() Share {
-	return Share{budget: b}
+func (b *Budget) NewShare() *Share {
+	return &Share{budget: b}
 }
 
-// Grow makes the share hold a number of bytes, if it holds less. It reports false, and changes
-// nothing, if the budget doesn't have them.
+// Grow makes the share hold a number of bytes, if it holds less. It waits for those who give way. It
+// reports false, and changes nothing, if the budget doesn't have the bytes and nobody gives way, or if this
+// share was revoked.
 func (s *Share) Grow(bytes int64) bool {
+	if s == nil || s.budget == nil {
+		return true
+	}
+	s.mu.Lock()
 	more := bytes - s.held
-	if s.budget == nil || more <= 0 {
+	if s.revoked || more <= 0 {
+		defer s.mu.Unlock()
+		return !s.revoked
+	}
+	if s.budget.take(more) {
+		defer s.mu.Unlock()
+		s.held = bytes
 		return true
 	}
-	if used := s.budget.used.Add(more); s.budget.Limit > 0 && used > s.budget.Limit {
-		s.budget.used.Add(-more)
+	if s.budget.MakeRoom == nil || more > s.budget.Limit {
+		defer s.mu.Unlock()
 		return false
 	}
-	s.held = bytes
-	return true
+	w := &waiter{bytes: more, done: make(chan struct{})}
+	s.waiter = w
+	s.mu.Unlock()
+	return s.keep(s.await(w, bytes), bytes)
+}
+
+// await waits for bytes, and reports whether they were taken.
+func (s *Share) await(w *waiter, bytes int64) bool {
+	b := s.budget
+	if needed := b.enqueue(w); needed > 0 && !b.MakeRoom(needed, bytes) {
+		return b.dequeue(w)
+	}
+	timer := time.NewTimer(roomTimeout)
+	defer timer.Stop()
+	select {
+	case <-w.done:
+	case <-timer.C:
+	}
+	return b.dequeue(w)
+}
+
+// keep ends Grow after a wait. Bytes that come after the share was revoked go back.
+func (s *Share) keep(taken bool, bytes int64) bool {
+	s.mu.Lock()
+	more := bytes - s.held
+	s.waiter = nil
+	kept := taken && !s.revoked
+	if kept {
+		s.held = bytes
+	}
+	s.mu.Unlock()
+	if taken && !kept {
+		s.budget.give(more)
+	}
+	return kept
+}
+
+// Held returns the bytes that the share holds.
+func (s *Share) Held() int64 {
+	if s == nil {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.held
+}
+
+// Revoke makes Grow fail until Release, which is due at once. The bytes are held until then.
+func (s *Share) Revoke() {
+	if s == nil || s.budget == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.revoked {
+		return
+	}
+	s.revoked = true
+	s.budget.revoked.Add(s.held)
+	if s.waiter != nil {
+		s.budget.fail(s.waiter)
+	}
 }
 
-// Release gives all bytes back.
+// Release gives all bytes back. The share can be used again.
 func (s *Share) Release() {
-	if s.budget != nil {
-		s.budget.used.Add(-s.held)
+	if s == nil || s.budget == nil {
+		return
+	}
+	s.mu.Lock()
+	held := s.held
+	if s.revoked {
+		s.budget.revoked.Add(-held)
 	}
 	s.held = 0
+	s.revoked = false
+	s.mu.Unlock()
+	if held > 0 {
+		s.budget.give(held)
+	}
 }
--- a/core/memory/memory_test.go
+++ b/core/memory/memory_test.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"testing"
+	"time"
 )
 
 // TestBudget guards against a bound that a burst exceeds, and against bytes that are never given
@@ -41,3 +42,49 @@
 	}
 	none.Release()
 }
+
+// TestRevokedBytesAreAwaited guards against bytes that are held twice: by a request that was told to give
+// way, until it notices, and by the one they are for.
+func TestRevokedBytesAreAwaited(t *testing.T) {
+	b := &Budget{Limit: 100}
+	victim := b.NewShare()
+	b.MakeRoom = func(needed, held int64) bool {
+		if needed != 30 || held != 50 {
+			t.Errorf("room for %d of %d", needed, held)
+		}
+		victim.Revoke()
+		return true
+	}
+	if !victim.Grow(80) {
+		t.Fatal("no bytes")
+	}
+	done := make(chan bool)
+	next := b.NewShare()
+	go func() { done <- next.Grow(50) }()
+	select {
+	case <-done:
+		t.Fatal("granted before the bytes were given back")
+	case <-time.After(50 * time.Millisecond):
+	}
+	if victim.Grow(81) {
+		t.Error("a revoked share grows")
+	}
+	victim.Release()
+	if !<-done || b.Used() != 50 {
+		t.Errorf("%d bytes held", b.Used())
+	}
+	b.MakeRoom = func(int64, int64) bool { return false }
+	if victim.Grow(51) || !victim.Grow(50) {
+		t.Error("the limit isn't kept")
+	}
+	// A share that waits is revoked.
+	b.MakeRoom = func(int64, int64) bool { victim.Revoke(); return true }
+	if victim.Grow(60) {
+		t.Error("a share grows by revoking itself")
+	}
+	victim.Release()
+	next.Release()
+	if b.Used() != 0 || b.revoked.Load() != 0 || b.waiting.Load() != 0 {
+		t.Errorf("%d bytes held, %d revoked, %d wait", b.Used(), b.revoked.Load(), b.waiting.Load())
+	}
+}
--- a/io/daemon/callers.go
+++ b/io/daemon/callers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"arbutustrestle/io/ending"
+	"arbutustrestle/io/intake"
 	"arbutustrestle/io/strict"
 )
 
@@ -28,6 +29,12 @@
 	return strict.ConnContext(ending.ConnContext(ctx, c), c)
 }
 
+// callerConnState is the ConnState hook of the servers of callers.
+func callerConnState(c net.Conn, state http.ConnState) {
+	strict.ConnState(c, state)
+	intake.ConnState(c, state, strict.AtHead(c))
+}
+
 // callerConns tracks the open connections of callers and closes those that are idle for too long. Its
 // zero value is ready to use and bounds nothing.
 type callerConns struct {
--- a/io/daemon/gateway.go
+++ b/io/daemon/gateway.go
@@ -32,6 +32,7 @@
 	"arbutustrestle/core/spill"
 	"arbutustrestle/io/config"
 	"arbutustrestle/io/http1"
+	"arbutustrestle/io/intake"
 	"arbutustrestle/io/link"
 	"arbutustrestle/io/logs"
 	"arbutustrestle/io/metric"
@@ -257,6 +258,8 @@
 	// callers is the listener of callerServer, and callerConns its connections.
 	callers     *stopListener
 	callerConns callerConns
+	// intake bounds the connections of callerServer and of auxServers.
+	intake intake.Gate
 	// auxServers holds the servers for readiness, directory and metrics, by address.
 	auxServers map[netip.AddrPort]*http.Server
 
@@ -274,6 +277,7 @@
 	Settings       config.Gateway
 	Adapter        Adapter
 	Self           link.Identity
+	Clock          clock.Clock
 	Log            zerolog.Logger
 	Loop           *syncer.Loop
 	Proxy          *proxy.Proxy
@@ -285,8 +289,9 @@
 	LogWriter      *logs.AsyncWriter
 }
 
-// headerTimeout limits the time to read the header of a request.
-const headerTimeout = 10 * time.Second
+// auxReadTimeout limits the time to read a request for readiness, directory or metrics, with a body
+// that nobody reads. The head has a shorter limit, that of intake.
+const auxReadTimeout = 30 * time.Second
 
 func newGateway(p gatewayParams) *gateway {
 	limitHeap(p.Settings)
@@ -308,27 +313,58 @@
 		peerServer:   &link.Server{Self: p.Self, Handler: handler, Log: p.Log, KeepAlive: linkKeepAlive, Events: p.Metrics.Events},
 		callerServer: newHTTPServer(p.Proxy.Handler(p.Adapter.CallerCodec())),
 		auxServers: map[netip.AddrPort]*http.Server{
-			p.Settings.ReadyAddress:     newHTTPServer(p.Adapter.ReadyHandler(p.Directory)),
-			p.Settings.DirectoryAddress: newHTTPServer(p.Adapter.DirectoryHandler(p.Directory, p.Settings.Bounds.DirectoryHold)),
-			p.Settings.MetricsAddress:   newHTTPServer(p.Metrics),
+			p.Settings.ReadyAddress:     newAuxServer(p.Adapter.ReadyHandler(p.Directory)),
+			p.Settings.DirectoryAddress: newAuxServer(p.Adapter.DirectoryHandler(p.Directory, p.Settings.Bounds.DirectoryHold)),
+			p.Settings.MetricsAddress:   newAuxServer(p.Metrics),
+		},
+		intake: intake.Gate{
+			Clock:  p.Clock,
+			Memory: p.Proxy.Memory,
+			Limits: func() intake.Limits { return headLimits(p.Loop) },
+			Log:    p.Log,
+			Events: p.Metrics.Events,
 		},
 	}
+	g.intake.Start()
+	p.Metrics.Func("caller-connections", func() any { return g.intake.Conns() })
+	p.Metrics.Func("caller-memory-bytes", func() any { return p.Proxy.Memory.Used() })
 	g.requests, g.endRequests = context.WithCancelCause(context.Background())
 	handler.RelayFunc = g.relay
 	g.callerConns.max = int(callerDescriptorShare * float64(p.Settings.Descriptors))
 	g.callerServer.BaseContext = func(net.Listener) context.Context { return g.requests }
 	g.callerServer.ConnState = func(c net.Conn, state http.ConnState) {
-		strict.ConnState(c, state)
+		callerConnState(c, state)
 		g.callerConns.track(c, state)
 	}
-	g.callerServer.ConnContext = callerConnContext
-	// runIdleChecks ends idle connections.
-	g.callerServer.IdleTimeout = 0
 	return g
 }
 
+// newHTTPServer returns a server without timeouts: runIdleChecks ends idle connections, and intake those
+// of which the head takes too long.
 func newHTTPServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout}
+	return &http.Server{ //nolint:gosec // intake bounds the time of heads
+		Handler:        h,
+		MaxHeaderBytes: intake.ServerHeadBytes,
+		ConnContext:    callerConnContext,
+		ConnState:      callerConnState,
+	}
+}
+
+// newAuxServer returns a server for requests without bodies.
+func newAuxServer(h http.Handler) *http.Server {
+	s := newHTTPServer(h)
+	s.ReadTimeout = auxReadTimeout
+	s.IdleTimeout = callerIdleTimeout
+	return s
+}
+
+// headLimits returns the limits of heads that the operator has set.
+func headLimits(l *syncer.Loop) intake.Limits {
+	config := l.View().Config
+	if config == nil {
+		return intake.Limits{}
+	}
+	return intake.Limits{HeadBytes: config.Limits.HeaderBytes, HeadTimeout: config.Limits.HeaderTimeout}
 }
 
 // relay serves a request that another instance has sent, until endRequests is called.
@@ -405,13 +441,15 @@
 		if err != nil {
 			return errors.Trace(err)
 		}
-		g.work.Go(func() { logServeError(g.log, s.Serve(l)) })
+		g.work.Go(func() { logServeError(g.log, s.Serve(strict.Listener{Listener: g.intake.Listen(l)})) })
 	}
 	g.work.Go(func() { g.syncer.Run(ctx) })
 	g.work.Go(func() { g.proxy.RunReachChecks(ctx) })
 	g.work.Go(func() { g.runIdleChecks(ctx) })
 	g.work.Go(func() { logServeError(g.log, g.peerServer.Serve(ctx, peers)) })
-	g.work.Go(func() { logServeError(g.log, g.callerServer.Serve(strict.Listener{Listener: g.callers})) })
+	g.work.Go(func() {
+		logServeError(g.log, g.callerServer.Serve(strict.Listener{Listener: g.intake.Listen(g.callers)}))
+	})
 	g.log.Info().
 		Str("caller-address", g.settings.CallerAddress.String()).
 		Str("peer-address", g.settings.PeerAddress.String()).
--- /dev/null
+++ b/io/intake/conn.go
@@ -0,0 +1,357 @@
+package intake
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"arbutustrestle/core/memory"
+	"arbutustrestle/core/yield"
+)
+
+// conn is a connection of a caller. Its server reads it, and any goroutine may end it.
+type conn struct {
+	net.Conn
+	gate *Gate
+	// head is the memory of the head of the current request.
+	head *memory.Share
+
+	mu    sync.Mutex
+	phase yield.Phase
+	// ended is set once the connection gives way; it is taken back for an idle one on which a
+	// request has come.
+	ended bool
+	// lastByte and progress are those of yield.Claim.
+	lastByte, progress time.Time
+	scan               headScan
+	tail               tailScan
+	// tailCost is the cost of a pipelined head of which the beginning may have been read with the
+	// request before, and unsure is set until that is known.
+	tailCost int64
+	unsure   bool
+	// idleDeadlines counts the read deadlines that were set since the connection is idle.
+	idleDeadlines int
+
+	// serverDeadline is the read deadline that the server has set, headDeadline that for the current
+	// head, and setDeadline the one in force.
+	serverDeadline, headDeadline, setDeadline time.Time
+
+	// answered is set once a refusal was written, by the goroutine of the server.
+	answered bool
+	// closed is set by Close, and lingers if linger closes the connection itself.
+	closed, lingers bool
+}
+
+// past is a deadline that makes reads fail at once.
+var past = time.Unix(1, 0)
+
+// NetConn returns the connection itself.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
+// CloseWrite closes the sending side.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// Close closes the connection, or leaves that to linger.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	closed, lingers := c.closed, c.lingers
+	c.closed = true
+	c.mu.Unlock()
+	if closed {
+		return net.ErrClosed
+	}
+	c.gate.remove(c)
+	c.head.Release()
+	if lingers {
+		return nil
+	}
+	return c.Conn.Close()
+}
+
+// startLinger reports false if the connection is closed already.
+func (c *conn) startLinger() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lingers = !c.closed
+	return c.lingers
+}
+
+// Read reads bytes for the server and accounts for them before it gets them. The error for a refused
+// caller is a timeout, upon which the server closes the connection without an answer of its own.
+func (c *conn) Read(p []byte) (int, error) {
+	c.learnStart()
+	if c.hasEnded() {
+		return 0, c.endRead()
+	}
+	n, err := c.Conn.Read(p)
+	cost, refused := c.arrived(p[:n], len(p), err)
+	if refused == refusedNone && cost > 0 && !c.head.Grow(cost) {
+		refused = refusedMemory
+		if c.gate.Memory.Limit < cost {
+			refused = refusedHead
+		}
+	}
+	switch {
+	case refused != refusedNone:
+		c.refuse(refused)
+		return 0, os.ErrDeadlineExceeded
+	case err != nil && c.hasEnded():
+		return n, c.endRead()
+	default:
+		return n, err
+	}
+}
+
+// hasEnded reports whether the connection has given way.
+func (c *conn) hasEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended
+}
+
+// endRead answers a caller that has given way, unless the handler does that or there is no request.
+func (c *conn) endRead() error {
+	c.mu.Lock()
+	phase := c.phase
+	c.mu.Unlock()
+	if phase == yield.Head {
+		c.refuse(refusedStopped)
+	}
+	return os.ErrDeadlineExceeded
+}
+
+// arrived accounts for bytes that were read into a buffer of a given size, and for the error of the
+// read. It returns the cost of the head so far if that has changed.
+func (c *conn) arrived(p []byte, buffer int, err error) (cost int64, refused refusal) {
+	now := c.gate.Clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(p) == 0 {
+		if c.phase == yield.Head && !c.ended && errors.Is(err, os.ErrDeadlineExceeded) && !c.headDeadline.IsZero() && !now.Before(c.headDeadline) {
+			return 0, refusedSlow
+		}
+		return 0, refusedNone
+	}
+	c.lastByte = now
+	switch c.phase {
+	case yield.Busy, yield.Body:
+		c.progress = yield.Advance(c.progress, now, len(p))
+		c.tail.add(p, buffer)
+		return 0, refusedNone
+	case yield.Idle, yield.Silent:
+		c.beginHead(now)
+	default:
+		if c.ended {
+			return 0, refusedStopped
+		}
+		c.progress = yield.Advance(c.progress, now, len(p))
+	}
+	rest := c.scan.add(p)
+	if c.scan.bytes > c.gate.limits().HeadBytes {
+		return 0, refusedHead
+	}
+	if c.scan.done {
+		c.endHead()
+		c.tail.add(rest, buffer)
+	} else {
+		_ = c.applyDeadline()
+	}
+	return c.tailCost + c.scan.cost(), refusedNone
+}
+
+// beginHead is called with the first bytes of a head.
+func (c *conn) beginHead(now time.Time) {
+	if c.ended {
+		c.ended = false
+		c.head.Release()
+	}
+	c.phase = yield.Head
+	c.progress = now
+	c.headDeadline = now.Add(c.gate.limits().HeadTimeout)
+}
+
+// endHead is called after the last byte of a head.
+func (c *conn) endHead() {
+	c.phase = yield.Busy
+	c.headDeadline = time.Time{}
+	_ = c.applyDeadline()
+}
+
+// headRead is called after the server has parsed a head, also one of which no byte was read since the
+// request before.
+func (c *conn) headRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	refused := c.ended && c.phase == yield.Head
+	if c.phase == yield.Busy || refused {
+		return
+	}
+	c.ended = false
+	c.endHead()
+}
+
+// requestEnded is called after the answer to a request.
+func (c *conn) requestEnded(atHead bool) {
+	c.head.Release()
+	c.mu.Lock()
+	c.phase = yield.Idle
+	c.lastByte = c.gate.Clock.Now()
+	c.scan = headScan{}
+	c.unsure = !atHead
+	c.idleDeadlines = 0
+	if atHead {
+		c.tail = tailScan{}
+	}
+	cost := c.tail.cost()
+	c.tailCost = cost
+	c.mu.Unlock()
+	if cost > 0 && !c.head.Grow(cost) {
+		// The server may have the whole head already, and would parse it.
+		c.gate.count(refusedMemory)
+		_ = c.Conn.Close()
+	}
+}
+
+// learnStart finds out where the next head begins, if that isn't known, from the order in which net/http
+// works after a request: it sets a deadline and reads until it has 4 bytes, sets another one, and then
+// reads what it lacks of the head.
+func (c *conn) learnStart() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.unsure || c.phase != yield.Idle || c.ended {
+		return
+	}
+	c.unsure = false
+	if c.idleDeadlines <= 1 {
+		c.tail, c.tailCost = tailScan{}, 0
+		c.head.Release()
+		return
+	}
+	c.beginHead(c.lastByte)
+	_ = c.applyDeadline()
+}
+
+// startWait bounds the time to the first byte.
+func (c *conn) startWait(deadline time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.headDeadline = deadline
+	_ = c.applyDeadline()
+}
+
+// SetReadDeadline sets the deadline of the server. That of a head stays in force.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.serverDeadline = t
+	c.idleDeadlines++
+	return c.applyDeadline()
+}
+
+// SetDeadline sets the deadlines of reads and writes.
+func (c *conn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
+// applyDeadline puts the earlier one of the deadlines into force.
+func (c *conn) applyDeadline() error {
+	deadline := c.serverDeadline
+	if !c.headDeadline.IsZero() && (deadline.IsZero() || c.headDeadline.Before(deadline)) {
+		deadline = c.headDeadline
+	}
+	if c.ended {
+		deadline = past
+	}
+	if deadline.Equal(c.setDeadline) {
+		return nil
+	}
+	c.setDeadline = deadline
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// claim returns what the connection holds; it reports false if it has been ended.
+func (c *conn) claim() (yield.Claim, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended || c.phase == yield.Busy {
+		return yield.Claim{}, false
+	}
+	return yield.Claim{Phase: c.phase, Held: c.head.Held(), LastByte: c.lastByte, Progress: c.progress}, true
+}
+
+// end makes the connection give way. It reports false if its request has been read meanwhile, or if
+// something has arrived that its server had no processor to read.
+func (c *conn) end(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended || c.phase == yield.Busy {
+		return false
+	}
+	stopped := c.phase == yield.Idle || now.Sub(c.lastByte) >= yield.Moment
+	if stopped && hasUnread(c.Conn) {
+		c.lastByte = now
+		return false
+	}
+	c.ended = true
+	_ = c.applyDeadline()
+	if c.phase == yield.Idle || c.phase == yield.Silent || c.phase == yield.Body {
+		c.gate.count(endReasons[c.phase])
+	}
+	c.head.Revoke()
+	return true
+}
+
+const (
+	// refuseWriteTimeout bounds the write of a refusal, which fits into the kernel's buffer.
+	refuseWriteTimeout = 100 * time.Millisecond
+	// lingerTime and lingerBytes bound what is read after a refusal. Unread bytes would reset the
+	// connection, and the caller may not see the refusal.
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 256 << 10
+)
+
+// refuse answers a caller whose request wasn't read whole. It is called by the goroutine of the server
+// while it reads a head, so that no other answer is under way.
+func (c *conn) refuse(r refusal) {
+	c.gate.count(r)
+	c.mu.Lock()
+	c.ended = true
+	c.mu.Unlock()
+	// Others wait for the memory until the server has let go of it.
+	c.head.Revoke()
+	if c.answered || r.answer() == "" {
+		return
+	}
+	c.answered = true
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(refuseWriteTimeout))
+	if _, err := io.WriteString(c.Conn, r.answer()); err != nil {
+		return
+	}
+	_ = c.CloseWrite()
+	select {
+	case c.gate.lingering <- struct{}{}:
+		if !c.startLinger() {
+			<-c.gate.lingering
+			return
+		}
+		go c.linger()
+	default:
+	}
+}
+
+// linger reads and discards what the caller still sends, and closes the connection. The server's
+// goroutine doesn't wait for it, since it holds what was parsed of the head.
+func (c *conn) linger() {
+	defer func() { <-c.gate.lingering }()
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, lingerBytes))
+	_ = c.Conn.Close()
+}
--- /dev/null
+++ b/io/intake/scan.go
@@ -0,0 +1,94 @@
+package intake
+
+import "bytes"
+
+// Cost of a head in memory. A parsed line is a key and a list of one value in a map, which is cloned for
+// the request that is passed on and once more for each attempt; the bytes are held by the parser, by
+// the buffer of the sender and by the values.
+const (
+	lineCost = 512
+	byteCost = 3
+)
+
+// serverBufferBytes is the size of the buffer through which net/http reads.
+const serverBufferBytes = 4 << 10
+
+// headScan follows a head that arrives in any number of parts. Its zero value is ready to use.
+type headScan struct {
+	bytes int
+	lines int
+	// lineBytes is the length of the line so far, and blank is set while it has at most a carriage
+	// return.
+	lineBytes int
+	blankLine bool
+	// begun is set after the first line that isn't blank, done after the blank line that ends the head.
+	begun, done bool
+}
+
+// add counts the bytes up to the end of the head and returns the rest.
+func (s *headScan) add(p []byte) []byte {
+	for len(p) > 0 && !s.done {
+		end := bytes.IndexByte(p, '\n')
+		if end < 0 {
+			s.addLinePart(p)
+			s.bytes += len(p)
+			return nil
+		}
+		s.addLinePart(p[:end])
+		s.endLine()
+		s.bytes += end + 1
+		p = p[end+1:]
+	}
+	return p
+}
+
+func (s *headScan) addLinePart(p []byte) {
+	if len(p) == 0 {
+		return
+	}
+	s.blankLine = s.lineBytes == 0 && len(p) == 1 && p[0] == '\r'
+	s.lineBytes += len(p)
+}
+
+func (s *headScan) endLine() {
+	s.lines++
+	blank := s.lineBytes == 0 || s.blankLine
+	s.lineBytes, s.blankLine = 0, false
+	if blank {
+		s.done = s.begun
+		return
+	}
+	s.begun = true
+}
+
+// cost estimates the memory of the head once it is parsed.
+func (s *headScan) cost() int64 {
+	return int64(s.bytes)*byteCost + int64(s.lines)*lineCost
+}
+
+// tailScan bounds the lines among the bytes that the server has read but not used yet: a pipelined
+// head. Those are at most the last serverBufferBytes.
+type tailScan struct {
+	// last and before are the counts of two consecutive stretches of at least that many bytes each,
+	// but for last, which is under way.
+	last, before struct{ bytes, lines int }
+}
+
+// add counts bytes that were read into a buffer of the given size. What is read into a larger one
+// than the server's isn't kept by the server.
+func (t *tailScan) add(p []byte, buffer int) {
+	if len(p) == 0 || buffer > serverBufferBytes {
+		return
+	}
+	t.last.bytes += len(p)
+	t.last.lines += bytes.Count(p, []byte("\n"))
+	if t.last.bytes >= serverBufferBytes {
+		t.before, t.last = t.last, struct{ bytes, lines int }{}
+	}
+}
+
+// cost estimates the memory of a head of which the counted bytes are the beginning.
+func (t *tailScan) cost() int64 {
+	held := min(t.last.bytes+t.before.bytes, serverBufferBytes)
+	return int64(held)*byteCost + int64(min(t.last.lines+t.before.lines, held))*lineCost
+}
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -114,7 +114,7 @@
 	headSent bool
 	status   int
 	// memory holds the bytes of the body.
-	memory memory.Share
+	memory *memory.Share
 	// bodyUnread is set if the request is answered without its body having been read.
 	bodyUnread bool
 	// evidenceTraits is set by traits.
--- a/io/strict/strict.go
+++ b/io/strict/strict.go
@@ -85,6 +85,18 @@
 	}
 }
 
+// AtHead reports whether the next byte of an idle connection is known to be the first one of a head.
+// It is valid after ConnState.
+func AtHead(c net.Conn) bool {
+	known, ok := c.(*conn)
+	if !ok {
+		return false
+	}
+	known.mu.Lock()
+	defer known.mu.Unlock()
+	return known.atHead
+}
+
 type connKey struct{}
 
 // ConnContext is the hook of that name for servers with a Listener.
