--- a/io/daemon/callers.go
+++ b/io/daemon/callers.go
@@ -26,7 +26,7 @@
 
 // callerConnContext is the ConnContext hook of the servers of callers.
 func callerConnContext(ctx context.Context, c net.Conn) context.Context {
-	return strict.ConnContext(ending.ConnContext(ctx, c), c)
+	return intake.ConnContext(strict.ConnContext(ending.ConnContext(ctx, c), c), c)
 }
 
 // callerConnState is the ConnState hook of the servers of callers.
--- a/io/intake/bench_test.go
+++ b/io/intake/bench_test.go
@@ -30,6 +30,7 @@
 			server.ConnState, server.ConnContext = strict.ConnState, strict.ConnContext
 			if gated {
 				l = g.Listen(l)
+				server.ConnContext = ConnContext
 				server.ConnState = func(c net.Conn, state http.ConnState) {
 					strict.ConnState(c, state)
 					ConnState(c, state, strict.AtHead(c))
--- a/io/intake/conn.go
+++ b/io/intake/conn.go
@@ -24,6 +24,8 @@
 	// ended is set once the connection gives way; it is taken back for an idle one on which a
 	// request has come.
 	ended bool
+	// body is the memory of the body that is being read; nil if there is none.
+	body *memory.Share
 	// lastByte and progress are those of yield.Claim.
 	lastByte, progress time.Time
 	scan               headScan
@@ -284,7 +286,7 @@
 	if c.ended || c.phase == yield.Busy {
 		return yield.Claim{}, false
 	}
-	return yield.Claim{Phase: c.phase, Held: c.head.Held(), LastByte: c.lastByte, Progress: c.progress}, true
+	return yield.Claim{Phase: c.phase, Held: c.head.Held() + c.body.Held(), LastByte: c.lastByte, Progress: c.progress}, true
 }
 
 // end makes the connection give way. It reports false if its request has been read meanwhile, or if
@@ -306,6 +308,27 @@
 		c.gate.count(endReasons[c.phase])
 	}
 	c.head.Revoke()
+	c.body.Revoke()
+	return true
+}
+
+func (c *conn) startBody(share *memory.Share) {
+	now := c.gate.Clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase = yield.Body
+	c.body = share
+	c.lastByte, c.progress = now, now
+}
+
+func (c *conn) endBody() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.body = nil
+	if c.ended {
+		return false
+	}
+	c.phase = yield.Busy
 	return true
 }
 
--- a/io/intake/gate.go
+++ b/io/intake/gate.go
@@ -5,6 +5,7 @@
 package intake
 
 import (
+	"context"
 	"iter"
 	"net"
 	"net/http"
@@ -74,7 +75,8 @@
 	}
 }
 
-// Listen returns a listener with the connections of l. Servers on it must have the hook ConnState.
+// Listen returns a listener with the connections of l. Servers on it must have the hooks ConnState and
+// ConnContext.
 func (g *Gate) Listen(l net.Listener) net.Listener {
 	return &listener{Listener: l, gate: g}
 }
@@ -233,3 +235,35 @@
 		known.requestEnded(atHead)
 	}
 }
+
+type connKey struct{}
+
+// ConnContext is the hook of that name.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, find(c))
+}
+
+// Body is the body of a request that is being read. A nil one is that of a connection without a Gate.
+type Body struct{ conn *conn }
+
+// StartBody marks the begin of the reading of a body, during which the connection may give way, with
+// the share of memory that the body takes.
+func StartBody(r *http.Request, share *memory.Share) *Body {
+	c, _ := r.Context().Value(connKey{}).(*conn)
+	if c == nil {
+		return nil
+	}
+	c.startBody(share)
+	return &Body{c}
+}
+
+// GaveWay reports whether the connection has given way.
+func (b *Body) GaveWay() bool {
+	return b != nil && b.conn.hasEnded()
+}
+
+// End marks the end of the reading. It reports false if the connection has given way: the request must
+// not be passed on.
+func (b *Body) End() bool {
+	return b == nil || b.conn.endBody()
+}
--- a/io/intake/gate_test.go
+++ b/io/intake/gate_test.go
@@ -56,6 +56,7 @@
 	server := &http.Server{
 		Handler:        handler,
 		MaxHeaderBytes: ServerHeadBytes,
+		ConnContext:    ConnContext,
 		ConnState: func(c net.Conn, state http.ConnState) {
 			strict.ConnState(c, state)
 			ConnState(c, state, strict.AtHead(c))
@@ -71,11 +72,12 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		share := g.Memory.NewShare()
 		defer share.Release()
+		body := StartBody(r, share)
 		total, buffer := 0, make([]byte, 1<<10)
 		for {
 			n, err := r.Body.Read(buffer)
 			total += n
-			if !share.Grow(int64(total)) {
+			if !share.Grow(int64(total)) || body.GaveWay() {
 				w.Header().Set("Connection", "close")
 				w.Header().Set("Retry-After", "1")
 				w.WriteHeader(http.StatusServiceUnavailable)
@@ -88,6 +90,10 @@
 				panic(http.ErrAbortHandler)
 			}
 		}
+		if !body.End() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		_, _ = fmt.Fprintf(w, "%s %s %d %d", r.Method, r.URL.Path, len(r.Header), total)
 	}
 }
@@ -284,6 +290,38 @@
 	until(t, "memory is given back", func() bool { return budget.Used() == 0 })
 }
 
+// TestStoppedBodiesGiveWay guards against bodies that stop short of their end and keep out everybody else
+// until their deadline.
+func TestStoppedBodiesGiveWay(t *testing.T) {
+	t.Parallel()
+	const size = 100_000
+	budget := &memory.Budget{Limit: 1 << 20}
+	r := startRig(t, &Gate{Memory: budget}, nil)
+	var crowd []*caller
+	for range 12 {
+		c := r.dial()
+		c.send(fmt.Sprintf("POST /c HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", size) + strings.Repeat("x", size-1))
+		crowd = append(crowd, c)
+	}
+	until(t, "the crowd holds memory", func() bool { return budget.Used() > budget.Limit/2 })
+	time.Sleep(2 * yield.Moment)
+	for range 5 {
+		c := r.dial()
+		c.send(fmt.Sprintf("POST /o HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", size) + strings.Repeat("x", size))
+		c.expect(http.StatusOK, fmt.Sprintf("POST /o 1 %d", size))
+		_ = c.Close()
+	}
+	until(t, "some gave way", func() bool { return r.events.count(closedBody) > 0 })
+	for _, c := range crowd {
+		c.send("x")
+		if status, text := c.answer(); status != http.StatusOK && status != http.StatusServiceUnavailable {
+			t.Errorf("status %d, %q", status, text)
+		}
+		_ = c.Close()
+	}
+	until(t, "memory is given back", func() bool { return budget.Used() == 0 })
+}
+
 // TestPipelinedHeadsCount guards against heads that aren't counted since they arrive with the request
 // before, and against requests that are lost or counted twice on one connection.
 func TestPipelinedHeadsCount(t *testing.T) {
--- a/io/proxy/body.go
+++ b/io/proxy/body.go
@@ -14,66 +14,75 @@
 const (
 	// defaultBodyBytes bounds request bodies if operators set no limit.
 	defaultBodyBytes = 8 << 20
-	// initialBodyBytes is the first buffer for a body whose length isn't known.
-	initialBodyBytes = 4 << 10
 	// memoryRetryAfter is the Retry-After value while the memory for bodies is used up: the time
 	// that a body takes to arrive and be passed on.
 	memoryRetryAfter = time.Second
 )
 
 // readBody reads the body of a request into memory that it takes from the budget. A request for
-// which there is none is refused: it has not run.
+// which there is none, or that has given its own to others, is refused: it has not run.
 func readBody(call *Call, r *http.Request, limit int64) *result.Failure {
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
+	if r.ContentLength == 0 {
+		return nil
+	}
 	if r.ContentLength > limit {
 		return badRequest(result.BodyTooLarge, errors.Errorf("body of %d bytes exceeds the limit of %d", r.ContentLength, limit))
 	}
-	if r.ContentLength >= 0 {
-		return readSizedBody(call, r.Body, r.ContentLength)
+	buffer := &bodyBuffer{share: call.memory, most: r.ContentLength}
+	defer buffer.free()
+	if r.ContentLength < 0 {
+		// One byte more than the limit shows a body that exceeds it.
+		buffer.most = limit + 1
 	}
-	return readUnsizedBody(call, r.Body, limit)
-}
-
-func readSizedBody(call *Call, body io.Reader, size int64) *result.Failure {
-	if !call.memory.Grow(size) {
+	failure := fillBuffer(call, buffer, r)
+	// Trailers aren't passed on.
+	r.Trailer = nil
+	switch {
+	case call.reading.GaveWay():
+		return outOfMemory(call)
+	case failure != nil:
+		return failure
+	case buffer.size() > limit:
+		return badRequest(result.BodyTooLarge, errors.Errorf("body exceeds the limit of %d bytes", limit))
+	case !call.reading.End():
 		return outOfMemory(call)
 	}
-	data := make([]byte, size)
-	if _, err := io.ReadFull(body, data); err != nil {
-		return bodyFailure(err)
-	}
-	// The end must be read, so that the server sees the request as read.
-	if _, err := body.Read(make([]byte, 1)); err != nil && !errors.Is(err, io.EOF) {
-		return bodyFailure(err)
-	}
-	call.Body = data
+	call.Body = buffer.join()
 	return nil
 }
 
-// readUnsizedBody reads a body in chunks. While its buffer grows, the old one is held as well.
-func readUnsizedBody(call *Call, body io.Reader, limit int64) *result.Failure {
-	var data []byte
+// fillBuffer reads a body to its end, or until the buffer is full. The end must be read, so that the server
+// sees the request as read.
+func fillBuffer(call *Call, buffer *bodyBuffer, r *http.Request) *result.Failure {
+	sized := r.ContentLength >= 0
 	for {
-		if len(data) == cap(data) {
-			size := max(2*cap(data), initialBodyBytes)
-			if !call.memory.Grow(int64(size + cap(data))) {
-				return outOfMemory(call)
-			}
-			data = append(make([]byte, 0, size), data...)
+		space, ok := buffer.space()
+		if !ok {
+			return outOfMemory(call)
 		}
-		n, err := body.Read(data[len(data):cap(data)])
-		data = data[:len(data)+n]
-		if int64(len(data)) > limit {
-			return badRequest(result.BodyTooLarge, errors.Errorf("body exceeds the limit of %d bytes", limit))
-		}
-		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
-			call.Body = data
+		full := len(space) == 0
+		if full && !sized {
 			return nil
 		}
-		if err != nil {
+		if full {
+			space = make([]byte, 1)
+		}
+		n, err := r.Body.Read(space)
+		if !full {
+			buffer.add(n)
+		}
+		switch {
+		case errors.Is(err, io.EOF) && sized && buffer.size() < buffer.most:
+			return bodyFailure(io.ErrUnexpectedEOF)
+		case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
+			return nil
+		case err != nil:
 			return bodyFailure(err)
+		case full:
+			return nil
 		}
 	}
 }
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -16,6 +16,7 @@
 	"arbutustrestle/core/result"
 	"arbutustrestle/core/spec"
 	"arbutustrestle/io/http1"
+	"arbutustrestle/io/intake"
 )
 
 // CallerCodec parses and writes the headers that are exchanged with callers.
@@ -115,6 +116,8 @@
 	status   int
 	// memory holds the bytes of the body.
 	memory *memory.Share
+	// reading is the body while it is read; nil for a request without one.
+	reading *intake.Body
 	// bodyUnread is set if the request is answered without its body having been read.
 	bodyUnread bool
 	// evidenceTraits is set by traits.
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -15,6 +15,7 @@
 	"arbutustrestle/core/result"
 	"arbutustrestle/core/spec"
 	"arbutustrestle/io/guard"
+	"arbutustrestle/io/intake"
 	"arbutustrestle/io/strict"
 	"arbutustrestle/io/syncer"
 )
@@ -25,6 +26,9 @@
 	defaultTimeout = 30 * time.Second
 	// notReadyRetryAfter is the Retry-After value of an instance that has no config yet.
 	notReadyRetryAfter = 400 * time.Millisecond
+	// unreadBodyTimeout bounds the time to read a body of a request that is refused before its
+	// deadline is known.
+	unreadBodyTimeout = 10 * time.Second
 )
 
 // activity tracks the requests that are being served.
@@ -61,7 +65,8 @@
 
 // Handler returns the handler for callers' requests. It matches no paths itself: the
 // routes do. Its server must have the hook ending.ConnContext, and the listener
-// and hooks of package strict, or each body in chunks ends its connection.
+// and hooks of package strict, or each body in chunks ends its connection, and those of package intake,
+// or bodies that have stopped keep their memory until their deadline.
 func (p *Proxy) Handler(codec CallerCodec) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		p.serve(codec, w, r)
@@ -79,6 +84,9 @@
 	}
 	call := &Call{Arrived: p.Clock.Now(), memory: p.Memory.NewShare()}
 	defer call.memory.Release()
+	if r.ContentLength != 0 {
+		call.reading = intake.StartBody(r, call.memory)
+	}
 	sink := &httpSink{writer: w, request: r, control: http.NewResponseController(w), closeEnded: &p.activity.closeEnded}
 	defer sink.release()
 	defer p.endPanicked(codec, w, call, sink)
@@ -142,6 +150,12 @@
 	call.Host = r.Host
 	call.Method = r.Method
 	call.Target = r.RequestURI
+	if r.ContentLength != 0 {
+		// The server reads a body that a refusal leaves unread.
+		if err := control.SetReadDeadline(call.Arrived.Add(unreadBodyTimeout)); err != nil {
+			p.Log.Error().Err(err).Str("request-id", call.ID).Msg("time to read a body not bounded")
+		}
+	}
 	if err != nil {
 		return badRequest(result.BadRequest, err)
 	}
