--- a/io/daemon/callers.go
+++ b/io/daemon/callers.go
@@ -19,9 +19,11 @@
 	callerIdleTimeout = 2 * time.Minute
 	// idleCheckInterval is the time between two checks of the idle connections.
 	idleCheckInterval = time.Second
-	// callerDescriptorShare is the share of the descriptors that connections of callers may take
-	// while some of them are idle. Connections to upstreams and instances, and files, have the rest.
+	// callerDescriptorShare is the share of the descriptors that connections of callers may take.
+	// Connections to upstreams and instances, and files, have the rest.
 	callerDescriptorShare = 0.75
+	// callerMemoryPart is the part of the memory that connections of callers may take by themselves.
+	callerMemoryPart = 4
 )
 
 // callerConnContext is the ConnContext hook of the servers of callers.
@@ -35,13 +37,24 @@
 	intake.ConnState(c, state, strict.AtHead(c))
 }
 
+// maxCallerConns returns the number of connections of callers that the descriptors and the memory of
+// the process allow; zero for any.
+func maxCallerConns(descriptors int, memoryBytes int64) int {
+	byDescriptors := int(callerDescriptorShare * float64(descriptors))
+	byMemory := int(memoryBytes / callerMemoryPart / intake.ConnBytes)
+	switch {
+	case byDescriptors == 0:
+		return byMemory
+	case byMemory == 0:
+		return byDescriptors
+	default:
+		return min(byDescriptors, byMemory)
+	}
+}
+
 // callerConns tracks the open connections of callers and closes those that are idle for too long. Its
-// zero value is ready to use and bounds nothing.
+// zero value is ready to use.
 type callerConns struct {
-	// max is the number of connections above which the longest idle one is closed; zero is none.
-	// It is set before the first use.
-	max int
-
 	mu    sync.Mutex
 	conns map[net.Conn]*callerConn
 	// idle holds the *callerConn of the connections between two requests, the longest idle one
@@ -77,8 +90,6 @@
 		known.place = nil
 	}
 	switch state {
-	case http.StateNew:
-		c.makeRoom()
 	case http.StateActive:
 		known.keep()
 	case http.StateIdle:
@@ -89,19 +100,6 @@
 	}
 }
 
-// makeRoom ends the longest idle connection if there are more than max.
-func (c *callerConns) makeRoom() {
-	if c.max == 0 || len(c.conns) <= c.max {
-		return
-	}
-	for e := c.idle.Front(); e != nil; e = e.Next() {
-		if conn := e.Value.(*callerConn); !conn.ending {
-			conn.end()
-			return
-		}
-	}
-}
-
 // endIdle ends the connections that have been idle for longer than timeout.
 func (c *callerConns) endIdle(now time.Time, timeout time.Duration) {
 	c.mu.Lock()
--- a/io/daemon/gateway.go
+++ b/io/daemon/gateway.go
@@ -318,11 +318,12 @@
 			p.Settings.MetricsAddress:   newAuxServer(p.Metrics),
 		},
 		intake: intake.Gate{
-			Clock:  p.Clock,
-			Memory: p.Proxy.Memory,
-			Limits: func() intake.Limits { return headLimits(p.Loop) },
-			Log:    p.Log,
-			Events: p.Metrics.Events,
+			Clock:    p.Clock,
+			Memory:   p.Proxy.Memory,
+			MaxConns: maxCallerConns(p.Settings.Descriptors, p.Settings.MemoryBytes),
+			Limits:   func() intake.Limits { return headLimits(p.Loop) },
+			Log:      p.Log,
+			Events:   p.Metrics.Events,
 		},
 	}
 	g.intake.Start()
@@ -330,7 +331,6 @@
 	p.Metrics.Func("caller-memory-bytes", func() any { return p.Proxy.Memory.Used() })
 	g.requests, g.endRequests = context.WithCancelCause(context.Background())
 	handler.RelayFunc = g.relay
-	g.callerConns.max = int(callerDescriptorShare * float64(p.Settings.Descriptors))
 	g.callerServer.BaseContext = func(net.Listener) context.Context { return g.requests }
 	g.callerServer.ConnState = func(c net.Conn, state http.ConnState) {
 		callerConnState(c, state)
--- a/io/intake/bench_test.go
+++ b/io/intake/bench_test.go
@@ -19,7 +19,7 @@
 			name = "gated"
 		}
 		b.Run(name, func(b *testing.B) {
-			g := &Gate{Clock: clock.System{}, Memory: &memory.Budget{Limit: 46 << 20}}
+			g := &Gate{Clock: clock.System{}, Memory: &memory.Budget{Limit: 46 << 20}, MaxConns: 3000}
 			g.Start()
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
--- a/io/intake/gate.go
+++ b/io/intake/gate.go
@@ -29,6 +29,11 @@
 	// endAttempts is how often others are chosen in place of connections that turn out not to have
 	// stopped.
 	endAttempts = 8
+	// ConnBytes is the memory that a connection takes by itself: its goroutines' stacks, the buffers
+	// of its server and its timers.
+	ConnBytes = 24 << 10
+	// endedPart is the part of MaxConns that connections may take beyond it while they are ended.
+	endedPart = 8
 	// logInterval is the time between two log lines about refusals.
 	logInterval = time.Second
 	// maxLingering is the number of refused connections that are kept until the caller has read
@@ -48,10 +53,12 @@
 }
 
 // Gate bounds the connections of the listeners of a process, all together. Its exported fields are
-// set before the first use; a nil Memory bounds nothing.
+// set before the first use; the zero values of Memory and MaxConns bound nothing.
 type Gate struct {
 	Clock  clock.Clock
 	Memory *memory.Budget
+	// MaxConns is the number of connections above which one gives way.
+	MaxConns int
 	// Limits returns the limits in force; nil means the defaults.
 	Limits func() Limits
 	Log    zerolog.Logger
@@ -103,6 +110,11 @@
 func (g *Gate) admit(raw net.Conn) *conn {
 	now := g.Clock.Now()
 	c := &conn{Conn: raw, gate: g, phase: yield.Silent, lastByte: now, progress: now, head: g.Memory.NewShare()}
+	if !g.makeConnRoom(now) {
+		c.refuse(refusedFull)
+		_ = c.Close()
+		return nil
+	}
 	c.startWait(now.Add(g.limits().HeadTimeout))
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -125,6 +137,29 @@
 	return l
 }
 
+// makeConnRoom closes a connection if there are MaxConns. It reports false if none may be closed.
+func (g *Gate) makeConnRoom(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.MaxConns == 0 || len(g.conns) < g.MaxConns {
+		return true
+	}
+	// Connections that were ended still have a descriptor until their servers notice.
+	if len(g.conns) >= g.MaxConns+g.MaxConns/endedPart+1 {
+		return false
+	}
+	for range endAttempts {
+		c, found := yield.ForConn(now, g.claims())
+		if !found {
+			return false
+		}
+		if c.end(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // makeRoom is the MakeRoom hook of the budget.
 func (g *Gate) makeRoom(needed, held int64) bool {
 	now := g.Clock.Now()
--- a/io/intake/gate_test.go
+++ b/io/intake/gate_test.go
@@ -322,6 +322,78 @@
 	until(t, "memory is given back", func() bool { return budget.Used() == 0 })
 }
 
+// TestConnsGiveWay guards against connections that send nothing, or a part of a request, and take all
+// places; and against ending a request that is under way.
+func TestConnsGiveWay(t *testing.T) {
+	t.Parallel()
+	entered, leave := make(chan struct{}), make(chan struct{})
+	r := startRig(t, &Gate{MaxConns: 10}, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/busy" {
+			entered <- struct{}{}
+			<-leave
+		}
+		_, _ = io.WriteString(w, "done")
+	})
+	busy := r.dial()
+	busy.send("GET /busy HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-entered
+	for i := range 30 {
+		c := r.dial()
+		if i%2 == 1 {
+			c.send("GET /part HTTP/1.1\r\n")
+		}
+		until(t, "room", func() bool { return r.gate.Conns() <= 10 })
+	}
+	time.Sleep(2 * yield.Moment)
+	for range 30 {
+		c := r.dial()
+		c.send("GET /o HTTP/1.1\r\nHost: h\r\n\r\n")
+		c.expect(http.StatusOK, "done")
+	}
+	leave <- struct{}{}
+	busy.expect(http.StatusOK, "done")
+}
+
+// pair returns a connection of a gate and its caller's end.
+func pair(t *testing.T) (*conn, net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	far, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	near, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = far.Close(); _ = near.Close() })
+	g := &Gate{Clock: clock.System{}}
+	g.Start()
+	return g.admit(near), far
+}
+
+// TestUnreadIsNotSilence guards against ending a connection whose request has arrived while its server had
+// no processor to read it.
+func TestUnreadIsNotSilence(t *testing.T) {
+	c, far := pair(t)
+	later := time.Now().Add(time.Minute)
+	_, _ = io.WriteString(far, "GET / HTTP/1.1\r\n")
+	until(t, "the bytes arrive", func() bool { return hasUnread(c.Conn) })
+	if c.end(later) {
+		t.Error("ended")
+	}
+	if _, err := c.Read(make([]byte, 100)); err != nil {
+		t.Fatal(err)
+	}
+	if !c.end(later.Add(time.Minute)) {
+		t.Error("not ended after it has stopped")
+	}
+}
+
 // TestPipelinedHeadsCount guards against heads that aren't counted since they arrive with the request
 // before, and against requests that are lost or counted twice on one connection.
 func TestPipelinedHeadsCount(t *testing.T) {
@@ -374,7 +446,7 @@
 // TestExpectContinueAndOldVersion guards against a gate that changes how requests are read.
 func TestExpectContinueAndOldVersion(t *testing.T) {
 	t.Parallel()
-	r := startRig(t, &Gate{Memory: &memory.Budget{Limit: 1 << 20}}, nil)
+	r := startRig(t, &Gate{Memory: &memory.Budget{Limit: 1 << 20}, MaxConns: 5}, nil)
 	c := r.dial()
 	c.send("POST /e HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n")
 	c.expect(http.StatusContinue, "")
