--- a/io/intake/conn.go
+++ b/io/intake/conn.go
@@ -41,6 +41,8 @@
 	// head, and setDeadline the one in force.
 	serverDeadline, headDeadline, setDeadline time.Time
 
+	writes writeState
+
 	// answered is set once a refusal was written, by the goroutine of the server.
 	answered bool
 	// closed is set by Close, and lingers if linger closes the connection itself.
--- /dev/null
+++ b/io/intake/write.go
@@ -0,0 +1,99 @@
+package intake
+
+import (
+	"errors"
+	"math"
+	"net"
+	"os"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// writeCheckTime is the time after which a write that hasn't ended is looked at, and
+	// maxStalledChecks the number of looks in a row without progress at which it fails. A reader's
+	// kernel tells of free space only once a sixteenth of its buffer is free.
+	writeCheckTime   = 15 * time.Second
+	maxStalledChecks = 4
+	// writeDeadlineStep is the least time between two extensions of the deadline, far below
+	// writeCheckTime.
+	writeDeadlineStep = time.Second
+)
+
+// writeState follows the writes of an answer, which come from one goroutine at a time.
+type writeState struct {
+	// checkTime is writeCheckTime if it is zero.
+	checkTime time.Duration
+	// serverDeadline is set if the server bounds writes itself.
+	serverDeadline bool
+	extendedAt     time.Time
+	// checks counts the looks without progress, and unsent is what the kernel held at the last one.
+	checks int
+	unsent int
+}
+
+// SetWriteDeadline sets the deadline of the server. Without one, a write fails if the caller reads nothing
+// for a time.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	if t.IsZero() && !c.writes.serverDeadline {
+		return nil
+	}
+	c.writes.serverDeadline = !t.IsZero()
+	c.writes.extendedAt = time.Time{}
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// Write writes a part of an answer. A caller who reads slowly gets all of it.
+func (c *conn) Write(p []byte) (int, error) {
+	if c.writes.serverDeadline {
+		return c.Conn.Write(p)
+	}
+	c.writes.checks, c.writes.unsent = 0, math.MaxInt
+	written := 0
+	for {
+		c.extendWriteDeadline()
+		n, err := c.Conn.Write(p[written:])
+		written += n
+		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) || !c.readerProgresses(n) {
+			return written, err
+		}
+		c.writes.extendedAt = time.Time{}
+	}
+}
+
+func (c *conn) extendWriteDeadline() {
+	now := c.gate.Clock.Now()
+	if now.Sub(c.writes.extendedAt) < writeDeadlineStep {
+		return
+	}
+	c.writes.extendedAt = now
+	checkTime := c.writes.checkTime
+	if checkTime == 0 {
+		checkTime = writeCheckTime
+	}
+	_ = c.Conn.SetWriteDeadline(now.Add(checkTime))
+}
+
+// readerProgresses reports whether the caller has read something lately. A write proceeds only once a
+// good part of the kernel's buffer is free, which takes a slow reader longer than any deadline, so that
+// what the buffer holds is looked at.
+func (c *conn) readerProgresses(written int) bool {
+	unsent := unsentBytes(c.Conn)
+	if written > 0 || unsent < c.writes.unsent {
+		c.writes.checks = 0
+	} else {
+		c.writes.checks++
+	}
+	c.writes.unsent = unsent
+	return c.writes.checks < maxStalledChecks
+}
+
+// unsentBytes returns the bytes in the kernel's buffer that the caller hasn't acknowledged; the largest
+// number if that can't be known.
+func unsentBytes(c net.Conn) int {
+	if unsent, ok := queuedBytes(c, unix.SIOCOUTQ); ok {
+		return unsent
+	}
+	return math.MaxInt
+}
