--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -92,7 +92,7 @@
 		}
 		p.Metrics.CountRetry(failure)
 		p.Log.Info().
-			Str("request-id", call.ID).
+			Str("request-id", loggedID(call.ID)).
 			Str("step", failure.Step.String()).
 			Str("reason", failure.Reason.String()).
 			Str("outcome", failure.Outcome.String()).
@@ -200,7 +200,7 @@
 		return admitted
 	}
 	line := p.Log.Info().
-		Str("request-id", call.ID).
+		Str("request-id", loggedID(call.ID)).
 		Str("peer", string(lease.Upstream.ID)).
 		Int64("since-last-ms", send.SinceLast.Milliseconds()).
 		Int("region-instances", send.Instances)
--- a/io/proxy/lost.go
+++ b/io/proxy/lost.go
@@ -45,7 +45,7 @@
 	syncer.RecordConvictions(p.Log, p.Metrics, changes)
 	p.Metrics.Events.Add("requests-lost-before-answer", 1)
 	p.Log.Warn().
-		Str("request-id", call.ID).
+		Str("request-id", loggedID(call.ID)).
 		Str("peer", string(lease.Upstream.ID)).
 		Int64("waited-ms", p.Clock.Now().Sub(call.Arrived).Milliseconds()).
 		Int("in-flight-there", lease.InFlight).
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -58,7 +58,7 @@
 	failure := p.relayOnce(ctx, call, reply)
 	p.recordEnd(call, failure)
 	if err := reply.End(failure); err != nil {
-		p.Log.Debug().Err(err).Str("request-id", call.ID).Str("peer", string(s.Peer.Incarnation.Instance)).Msg("reply not sent")
+		p.Log.Debug().Err(err).Str("request-id", loggedID(call.ID)).Str("peer", string(s.Peer.Incarnation.Instance)).Msg("reply not sent")
 	}
 }
 
--- a/io/proxy/record.go
+++ b/io/proxy/record.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
 	"arbutustrestle/core/pool"
@@ -21,7 +22,7 @@
 		line = p.Log.Warn()
 	}
 	p.waiting.recordTail(now, call, f)
-	line = line.Str("request-id", call.ID).Int64("took-ms", elapsed.Milliseconds()).Str("peer", call.peer)
+	line = line.Str("request-id", loggedID(call.ID)).Int64("took-ms", elapsed.Milliseconds()).Str("peer", call.peer)
 	if call.upstreamVersion != "" {
 		line = line.Str("upstream-version", call.upstreamVersion)
 	}
@@ -56,7 +57,7 @@
 		Str("reason", f.Reason.String()).
 		Int64("retry-after-ms", f.RetryAfter.Milliseconds()).
 		Bool("begun", call.headSent).
-		AnErr("cause", f.Cause).
+		AnErr("cause", loggedCause(f.Cause)).
 		Msg("request not answered")
 }
 
@@ -82,7 +83,18 @@
 	return id[:min(len(id), maxLoggedIDBytes)]
 }
 
-const maxLoggedIDBytes = 64
+// loggedCause shortens an error that may quote what a caller or an upstream sent.
+func loggedCause(err error) error {
+	if err == nil || len(err.Error()) <= maxLoggedCauseBytes {
+		return err
+	}
+	return errors.New(err.Error()[:maxLoggedCauseBytes])
+}
+
+const (
+	maxLoggedIDBytes    = 64
+	maxLoggedCauseBytes = 256
+)
 
 // recordLatencies records the latencies of a request that matched a route.
 func (p *Proxy) recordLatencies(call *Call, took time.Duration) {
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -109,7 +109,7 @@
 	if cause == http.ErrAbortHandler { //nolint:errorlint // It is passed to panic as it is.
 		panic(cause)
 	}
-	guard.Report(p.Log, p.Metrics.Events, "request "+call.ID, cause)
+	guard.Report(p.Log, p.Metrics.Events, "request "+loggedID(call.ID), cause)
 	p.conclude(codec, w, call, sink, &result.Failure{Outcome: result.Unknown, Step: result.StepStream, Reason: result.InternalError})
 }
 
@@ -119,7 +119,7 @@
 	p.recordEnd(call, failure)
 	if failure == nil {
 		if err := sink.finish(); err != nil {
-			p.Log.Warn().Err(err).Str("request-id", call.ID).Msg("a whole answer ends with a reset of its connection")
+			p.Log.Warn().Err(err).Str("request-id", loggedID(call.ID)).Msg("a whole answer ends with a reset of its connection")
 		}
 		return
 	}
@@ -153,7 +153,7 @@
 	if r.ContentLength != 0 {
 		// The server reads a body that a refusal leaves unread.
 		if err := control.SetReadDeadline(call.Arrived.Add(unreadBodyTimeout)); err != nil {
-			p.Log.Error().Err(err).Str("request-id", call.ID).Msg("time to read a body not bounded")
+			p.Log.Error().Err(err).Str("request-id", loggedID(call.ID)).Msg("time to read a body not bounded")
 		}
 	}
 	if err != nil {
@@ -187,7 +187,7 @@
 		call.LastEventID = ""
 	}
 	if err := control.SetReadDeadline(call.Deadline); err != nil {
-		p.Log.Error().Err(err).Str("request-id", call.ID).Msg("time to read a body not bounded")
+		p.Log.Error().Err(err).Str("request-id", loggedID(call.ID)).Msg("time to read a body not bounded")
 	}
 	if failure := readBody(call, r, view.Config.Limits.BodyBytes); failure != nil {
 		return failure
@@ -228,7 +228,7 @@
 		deadline = call.Arrived
 	}
 	if err := control.SetReadDeadline(deadline); err != nil {
-		p.Log.Error().Err(err).Str("request-id", call.ID).Msg("time to read a body not bounded")
+		p.Log.Error().Err(err).Str("request-id", loggedID(call.ID)).Msg("time to read a body not bounded")
 	}
 }
 
@@ -264,7 +264,7 @@
 		Step    string `json:"step"`
 	}{f.Reason.String(), f.Outcome.String(), f.Step.String()})
 	if err != nil {
-		p.Log.Error().Err(err).Str("request-id", call.ID).Msg("error answer not encoded")
+		p.Log.Error().Err(err).Str("request-id", loggedID(call.ID)).Msg("error answer not encoded")
 	}
 	if status == http.StatusUnauthorized {
 		h.Set("WWW-Authenticate", "Bearer")
