--- a/core/memory/memory.go
+++ b/core/memory/memory.go
@@ -1,5 +1,5 @@
-// Package memory bounds the bytes that an instance holds for others: all requests together, not
-// each by itself.
+// Package memory bounds the bytes that an instance holds for others: those of all requests, or of
+// all answers, together, not of each by itself.
 package memory
 
 import (
@@ -13,17 +13,21 @@
 // notice, which takes longer while the processors are busy.
 const roomTimeout = time.Second
 
-// Budget is a number of bytes that requests share. Its zero value has no bound. It is safe for
-// concurrent use; Limit and MakeRoom are set before.
+// Budget is a number of bytes that requests or answers share. Its zero value has no bound. It is
+// safe for concurrent use; Limit, Free and MakeRoom are set before.
 type Budget struct {
 	// Limit is in bytes; zero means none.
 	Limit int64
+	// Free is the number of bytes that each share holds beside the budget, so that what is small
+	// doesn't depend on what others hold.
+	Free int64
 	// MakeRoom revokes shares of others that hold a number of bytes, for a share that will hold a
 	// number of bytes in all. It reports false, and revokes nothing, if too few may be revoked. A nil
 	// one revokes none.
 	MakeRoom func(needed, held int64) bool
 
-	used atomic.Int64
+	used    atomic.Int64
+	refused atomic.Int64
 	// revoked is the part of used that revoked shares still hold.
 	revoked atomic.Int64
 
@@ -41,7 +45,7 @@
 	granted bool
 }
 
-// Used returns the bytes that are held.
+// Used returns the bytes that are held, without the free ones.
 func (b *Budget) Used() int64 {
 	if b == nil {
 		return 0
@@ -49,6 +53,16 @@
 	return b.used.Load()
 }
 
+// Refused returns how often a share couldn't grow.
+func (b *Budget) Refused() int64 {
+	return b.refused.Load()
+}
+
+// charged returns the part of a share's bytes that it takes from the budget.
+func (b *Budget) charged(bytes int64) int64 {
+	return max(0, bytes-b.Free)
+}
+
 // take takes bytes from the budget if it has them.
 func (b *Budget) take(bytes int64) bool {
 	if used := b.used.Add(bytes); b.Limit > 0 && used > b.Limit {
@@ -118,8 +132,8 @@
 	b.waiting.Store(int64(len(b.waiters)))
 }
 
-// Share is the part of a budget that one request holds. A nil or zero share holds nothing and has no
-// budget. It is safe for concurrent use, but for Grow, which is called by one goroutine at a time.
+// Share is the part of a budget that one request or answer holds. A nil or zero share has no budget. It
+// is safe for concurrent use, but for Grow and Add, which are called by one goroutine at a time.
 type Share struct {
 	budget *Budget
 
@@ -143,12 +157,41 @@
 	if s == nil || s.budget == nil {
 		return true
 	}
+	if !s.grow(bytes) {
+		s.budget.refused.Add(1)
+		return false
+	}
+	return true
+}
+
+// Add makes the share hold further bytes, as Grow does.
+func (s *Share) Add(bytes int64) bool {
+	return s.Grow(s.Held() + bytes)
+}
+
+// Sub gives some of the bytes back.
+func (s *Share) Sub(bytes int64) {
+	if s == nil || s.budget == nil {
+		return
+	}
+	s.mu.Lock()
+	before := s.budget.charged(s.held)
+	s.held -= bytes
+	freed := before - s.budget.charged(s.held)
+	if s.revoked {
+		s.budget.revoked.Add(-freed)
+	}
+	s.mu.Unlock()
+	s.budget.give(freed)
+}
+
+func (s *Share) grow(bytes int64) bool {
 	s.mu.Lock()
-	more := bytes - s.held
-	if s.revoked || more <= 0 {
+	if s.revoked || bytes <= s.held {
 		defer s.mu.Unlock()
 		return !s.revoked
 	}
+	more := s.budget.charged(bytes) - s.budget.charged(s.held)
 	if s.budget.take(more) {
 		defer s.mu.Unlock()
 		s.held = bytes
@@ -182,7 +225,7 @@
 // keep ends Grow after a wait. Bytes that come after the share was revoked go back.
 func (s *Share) keep(taken bool, bytes int64) bool {
 	s.mu.Lock()
-	more := bytes - s.held
+	more := s.budget.charged(bytes) - s.budget.charged(s.held)
 	s.waiter = nil
 	kept := taken && !s.revoked
 	if kept {
@@ -216,7 +259,7 @@
 		return
 	}
 	s.revoked = true
-	s.budget.revoked.Add(s.held)
+	s.budget.revoked.Add(s.budget.charged(s.held))
 	if s.waiter != nil {
 		s.budget.fail(s.waiter)
 	}
@@ -228,14 +271,14 @@
 		return
 	}
 	s.mu.Lock()
-	held := s.held
+	charged := s.budget.charged(s.held)
 	if s.revoked {
-		s.budget.revoked.Add(-held)
+		s.budget.revoked.Add(-charged)
 	}
 	s.held = 0
 	s.revoked = false
 	s.mu.Unlock()
-	if held > 0 {
-		s.budget.give(held)
+	if charged > 0 {
+		s.budget.give(charged)
 	}
 }
--- a/io/daemon/gateway.go
+++ b/io/daemon/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -73,7 +74,7 @@
 		newGateway,
 		metric.NewSet,
 		func() *spill.Table { return &spill.Table{} },
-		func(s config.Gateway) *poison.Detector { return &poison.Detector{Self: s.ID} },
+		newGatewayDetector,
 		func() *reach.Detector { return &reach.Detector{} },
 		func() *resume.Table { return &resume.Table{} },
 		func() *quota.Ledger { return &quota.Ledger{} },
@@ -111,6 +112,10 @@
 	// instance itself needs, what the kernel holds of bodies that haven't been read, and
 	// garbage that isn't collected yet take the rest.
 	bodyMemoryPart = 4
+	// answerMemoryPart is the part that answers may take beside what each may always hold,
+	// freeAnswerBytes: the head and the body of an ordinary answer.
+	answerMemoryPart = 8
+	freeAnswerBytes  = 16 << 10
 	// heapMemoryShare is the share of the memory from which on garbage is collected sooner. The
 	// rest is for stacks, the kernel's buffers and what grows while a collection runs.
 	heapMemoryShare = 0.65
@@ -127,8 +132,23 @@
 	return &link.Pool{Self: self, KeepAlive: linkKeepAlive}
 }
 
-func newGatewayPool(s config.Gateway) *pool.Pool {
-	return pool.New(pool.Settings{Self: s.ID, Region: s.Region, PromptRate: s.PromptRate})
+// The seeds of an instance's generators are its start and one of these numbers.
+const (
+	poolSeed = iota
+	detectorSeed
+)
+
+func newGatewayPool(s config.Gateway, self link.Identity) *pool.Pool {
+	return pool.New(pool.Settings{
+		Self:       s.ID,
+		Region:     s.Region,
+		PromptRate: s.PromptRate,
+		Random:     rand.New(rand.NewPCG(self.Incarnation.Start, poolSeed)),
+	})
+}
+
+func newGatewayDetector(s config.Gateway, self link.Identity) *poison.Detector {
+	return &poison.Detector{Self: s.ID, Random: rand.New(rand.NewPCG(self.Incarnation.Start, detectorSeed))}
 }
 
 func newGatewayBudget(s config.Gateway) *budget.Budget {
@@ -236,6 +256,7 @@
 		Links:          p.Links,
 		Latencies:      p.Latencies,
 		Memory:         &memory.Budget{Limit: p.Settings.MemoryBytes / bodyMemoryPart},
+		AnswerMemory:   &memory.Budget{Limit: p.Settings.MemoryBytes / answerMemoryPart, Free: freeAnswerBytes},
 		QueueRequests:  p.Settings.QueueRequests,
 	}
 	p.UpstreamClient.WatchIdleConns(requests.ConnsClosed)
@@ -298,6 +319,8 @@
 	p.Latencies.Register(p.Metrics)
 	p.Proxy.RegisterQueue(p.Metrics)
 	p.Metrics.Func("upstream-dials", func() any { return p.UpstreamClient.DialCount.Load() })
+	p.Metrics.Func("answer-memory-bytes", func() any { return p.Proxy.AnswerMemory.Used() })
+	p.Metrics.Func("answer-memory-refused", func() any { return p.Proxy.AnswerMemory.Refused() })
 	p.Metrics.Func("close-ended-answers", func() any { return p.Proxy.CloseEnded() })
 	p.Metrics.Func("quotas", func() any { return p.Proxy.Quota.Counts() })
 	p.Metrics.Func("convicted-traits", func() any { return p.Proxy.Poison.ConvictedTraits() })
--- a/io/http1/attempt.go
+++ b/io/http1/attempt.go
@@ -9,6 +9,7 @@
 	"arbutustrestle/core/event"
 	"arbutustrestle/core/gossip"
 	"arbutustrestle/core/ident"
+	"arbutustrestle/core/memory"
 )
 
 // AnswerMeta holds the values that a Codec parses from the head of an answer.
@@ -93,9 +94,22 @@
 	// Body returns another error than io.EOF if the body is known to be cut off; what
 	// io.EOF proves depends on Framing. It must be closed.
 	Body io.ReadCloser
+	// Memory is what the answer holds. Who has the answer releases it.
+	Memory *memory.Share
 
 	// events scans what was read of a stream of events; nil for other answers.
 	events *event.Scanner
+	// fault returns the error of Fault; nil if the connection isn't known here.
+	fault func() error
+}
+
+// Fault returns the first error that a call on the answer's connection has reported, with the name
+// of the call; nil if there is none so far.
+func (a *Answer) Fault() error {
+	if a.fault == nil {
+		return nil
+	}
+	return a.fault()
 }
 
 // InsideEvent reports whether what was read of a stream of events ends inside an event.
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -23,6 +23,7 @@
 	"arbutustrestle/core/event"
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/result"
+	"arbutustrestle/io/syntax"
 )
 
 // Codec writes the headers of attempts and parses the headers of their answers.
@@ -174,8 +175,11 @@
 	attempt    *Attempt
 	conn       *conn
 	stopCancel func() bool
-	// writeResult receives the result of writing the request.
+	// writeResult receives the result of writing the request. writeEnded is set once it was received,
+	// and writeErr is what was received.
 	writeResult chan error
+	writeEnded  bool
+	writeErr    error
 	// notReusable prevents the reuse of the connection even if the answer is whole.
 	notReusable bool
 	// released is set once the connection was returned to the pool or closed.
@@ -289,36 +293,35 @@
 	}
 	// A long body isn't copied.
 	parts := net.Buffers{b.Bytes(), a.Body}
-	_, err := parts.WriteTo(x.conn.Conn)
-	x.writeResult <- err
+	x.writeResult <- x.conn.writeBuffers(parts)
 }
 
 func (x *exchange) readHead() (*Answer, error) {
-	//nolint:bodyclose // the body is part of the answer, which the caller closes
-	response, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.attempt.Method})
+	h, err := syntax.ReadHead(x.conn.reader, x.attempt.Method, maxHeadBytes)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 	answer := &Answer{
-		Status:  response.StatusCode,
-		Header:  response.Header,
-		Meta:    x.client.Codec.ParseResponse(response.StatusCode, response.Header),
-		Length:  response.ContentLength,
-		Framing: framingOf(response),
+		Status:  h.Status,
+		Header:  h.Header,
+		Meta:    x.client.Codec.ParseResponse(h.Status, h.Header),
+		Length:  h.Frame.Length,
+		Framing: framingOf(h.Frame),
 	}
-	if response.StatusCode == http.StatusServiceUnavailable {
-		answer.Meta.PauseFor, answer.Meta.PauseError = parseRetryAfter(response.Header)
+	if answer.Status == http.StatusServiceUnavailable {
+		answer.Meta.PauseFor, answer.Meta.PauseError = parseRetryAfter(answer.Header)
 	}
 	if x.attempt.EventStream && isSuccess(answer.Status) {
 		answer.events = &event.Scanner{}
 	}
 	answer.Body = &body{
-		ReadCloser: response.Body,
+		ReadCloser: io.NopCloser(h.Frame.Body(x.conn.reader)),
 		exchange:   x,
 		framing:    answer.Framing,
 		events:     answer.events,
-		idleTime:   idleTime(response),
+		idleTime:   idleTime(h),
 	}
+	answer.fault = x.conn.faults.get
 	return answer, nil
 }
 
@@ -328,11 +331,11 @@
 
 // idleTime returns how long the connection may be idle before it is reused; zero if it
 // must be closed.
-func idleTime(r *http.Response) time.Duration {
-	if r.Close {
+func idleTime(h *syntax.Head) time.Duration {
+	if h.Closes {
 		return 0
 	}
-	for _, field := range strings.Split(r.Header.Get("Keep-Alive"), ",") {
+	for _, field := range strings.Split(h.Header.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
 		if !strings.EqualFold(name, "timeout") {
 			continue
@@ -384,8 +387,8 @@
 			return n, err
 		}
 	}
-	if !b.end.outlasted() {
-		return n, ErrUpstreamEnded
+	if err := b.end.check(); err != nil {
+		return n, err
 	}
 	b.whole = true
 	return n, io.EOF
@@ -412,11 +415,11 @@
 func (x *exchange) release(idleTime time.Duration) {
 	x.released = true
 	select {
-	case err := <-x.writeResult:
-		x.notReusable = x.notReusable || err != nil
+	case x.writeErr = <-x.writeResult:
+		x.writeEnded = true
 	default:
-		x.notReusable = true
 	}
+	x.notReusable = x.notReusable || !x.writeEnded || x.writeErr != nil
 	if !x.stopCancel() || x.notReusable || x.conn.reader.Buffered() > 0 {
 		_ = x.conn.Close()
 		return
@@ -424,6 +427,17 @@
 	x.client.conns.put(x.conn, idleTime)
 }
 
+// stopWrite ends the write of the request if it goes on, and returns when it has ended. What it has
+// met is kept by the connection.
+func (x *exchange) stopWrite() {
+	if x.writeEnded {
+		return
+	}
+	_ = x.conn.SetWriteDeadline(pastDeadline)
+	x.writeErr = <-x.writeResult
+	x.writeEnded = true
+}
+
 func (x *exchange) discard() {
 	if x.released {
 		return
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -51,6 +51,8 @@
 	Latencies      *Latencies
 	// Memory bounds the bodies of all requests together; nil if nothing does.
 	Memory *memory.Budget
+	// AnswerMemory bounds what is held of all answers together; nil if nothing does.
+	AnswerMemory *memory.Budget
 	// QueueRequests is set if requests wait here while upstreams have no capacity for them; it
 	// is the settings key queue.enabled.
 	QueueRequests bool
@@ -163,6 +165,8 @@
 		return failure
 	}
 	answer.Meta.Version = lease.Upstream.Version
+	answer.Memory = p.AnswerMemory.NewShare()
+	defer func() { answer.Memory.Release() }()
 	defer func() { _ = answer.Body.Close() }()
 	evidence.Received(p.Clock.Now())
 	begun := false
@@ -253,7 +257,7 @@
 
 func outcomeOf(f *result.Failure) pool.Outcome {
 	switch f.Reason {
-	case result.CallerGone, result.DeadlinePassed, result.UpstreamChanged:
+	case result.CallerGone, result.DeadlinePassed, result.UpstreamChanged, result.AnswerMemory:
 		return pool.Cancelled
 	case result.ConnectFailed:
 		return pool.Unreachable
@@ -282,7 +286,7 @@
 // attemptRemote relays the request to an instance in another region.
 func (p *Proxy) attemptRemote(ctx context.Context, call *Call, to spill.Choice, sink Sink) *result.Failure {
 	call.visited = append(call.visited, to.Region.Name)
-	address, found := p.pickInstance(to, call.Service)
+	address, found := p.pickInstance(call, to)
 	if !found {
 		return refuse(result.StepForward, result.PeerUnreachable, 0)
 	}
@@ -325,24 +329,26 @@
 		call.uncountSend(failure)
 		return failure
 	}
+	answer.Memory = p.AnswerMemory.NewShare()
+	defer func() { answer.Memory.Release() }()
 	call.upstreamVersion = answer.Meta.Version
 	start := p.beginAnswer(call, answer)
-	failure = p.passAnswer(ctx, cancel, call, answer, sink, start.partArrived)
+	failure = p.passAnswer(ctx, cancel, call, answer, &relaySink{Sink: sink, budget: p.AnswerMemory}, start.partArrived)
 	if failure == nil {
 		start.whole()
 	}
 	return failure
 }
 
-// pickInstance picks a random instance of the region among those with an open link that aren't
-// cut off from the upstreams of the service.
-func (p *Proxy) pickInstance(to spill.Choice, s ident.Service) (netip.AddrPort, bool) {
+// pickInstance picks a random instance of the region among those that the request may be relayed to
+// and that aren't cut off from the upstreams of its service.
+func (p *Proxy) pickInstance(call *Call, to spill.Choice) (netip.AddrPort, bool) {
 	instances := to.Region.Instances
 	first := rand.IntN(len(instances))
 	for i := range instances {
 		instance := &instances[(first+i)%len(instances)]
 		address := instance.PeerAddress
-		if !instance.CutOffFrom(s) && p.Links.Connected(address) {
+		if !instance.CutOffFrom(call.Service) && p.mayRelayTo(call, address) {
 			return address, true
 		}
 	}
--- a/io/proxy/body.go
+++ b/io/proxy/body.go
@@ -22,9 +22,7 @@
 // readBody reads the body of a request into memory that it takes from the budget. A request for
 // which there is none, or that has given its own to others, is refused: it has not run.
 func readBody(call *Call, r *http.Request, limit int64) *result.Failure {
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
+	limit = bodyLimit(limit)
 	if r.ContentLength == 0 {
 		return nil
 	}
@@ -54,6 +52,15 @@
 	return nil
 }
 
+// bodyLimit returns the longest body that is taken where operators set a limit, which is none if it isn't
+// positive.
+func bodyLimit(limit int64) int64 {
+	if limit <= 0 {
+		return defaultBodyBytes
+	}
+	return limit
+}
+
 // fillBuffer reads a body to its end, or until the buffer is full. The end must be read, so that the server
 // sees the request as read.
 func fillBuffer(call *Call, buffer *bodyBuffer, r *http.Request) *result.Failure {
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -158,6 +158,9 @@
 	// whether that answer, a stream, ended inside an event.
 	framing     http1.Framing
 	insideEvent bool
+	// connectionFault is the first error of a call on the connection of the last answer; nil if
+	// there was none.
+	connectionFault error
 	// bodyBytes is the number of body bytes that were passed on.
 	bodyBytes int
 	// projection is the estimate that the request was sent or refused on, and
@@ -179,6 +182,8 @@
 	header  http.Header
 	framing http1.Framing
 	body    []byte
+	// memory is what the answer holds if it is kept.
+	memory *memory.Share
 }
 
 // head returns the head that the answer is passed on with.
@@ -186,6 +191,21 @@
 	return AnswerHead{Status: w.status, Header: w.header, Framing: w.framing, Length: int64(len(w.body))}
 }
 
+// keepAnswer keeps an upstream's own error answer, and the memory that it holds, in place of an
+// earlier one.
+func (c *Call) keepAnswer(w *wholeAnswer, held **memory.Share) {
+	c.releaseAnswer()
+	w.memory, *held = *held, nil
+	c.heldAnswer = w
+}
+
+// releaseAnswer gives back the memory of the answer that is kept.
+func (c *Call) releaseAnswer() {
+	if c.heldAnswer != nil {
+		c.heldAnswer.memory.Release()
+	}
+}
+
 // recordPart records the arrival of a part of the answer.
 func (c *Call) recordPart(now time.Time) {
 	if !c.lastPartAt.IsZero() {
@@ -198,6 +218,7 @@
 func (c *Call) recordFraming(a *http1.Answer) {
 	c.framing = a.Framing
 	c.insideEvent = a.InsideEvent()
+	c.connectionFault = a.Fault()
 }
 
 // recordLease copies the values of a lease that are logged.
@@ -319,4 +340,7 @@
 	WriteHead(h AnswerHead) error
 	// Write receives a part of the body, which is passed on immediately.
 	Write(p []byte) (int, error)
+	// Abort makes a write that waits for the caller fail, and later ones. It may be called while
+	// another method runs.
+	Abort()
 }
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -84,6 +84,7 @@
 	}
 	call := &Call{Arrived: p.Clock.Now(), memory: p.Memory.NewShare()}
 	defer call.memory.Release()
+	defer call.releaseAnswer()
 	if r.ContentLength != 0 {
 		call.reading = intake.StartBody(r, call.memory)
 	}
