--- a/io/intake/write.go
+++ b/io/intake/write.go
@@ -5,6 +5,7 @@
 	"math"
 	"net"
 	"os"
+	"sync"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -25,9 +26,13 @@
 type writeState struct {
 	// checkTime is writeCheckTime if it is zero.
 	checkTime time.Duration
+
+	// mu guards the deadlines: that of the server may be set during a write, to end it.
+	mu sync.Mutex
 	// serverDeadline is set if the server bounds writes itself.
 	serverDeadline bool
 	extendedAt     time.Time
+
 	// checks counts the looks without progress, and unsent is what the kernel held at the last one.
 	checks int
 	unsent int
@@ -36,6 +41,8 @@
 // SetWriteDeadline sets the deadline of the server. Without one, a write fails if the caller reads nothing
 // for a time.
 func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.writes.mu.Lock()
+	defer c.writes.mu.Unlock()
 	if t.IsZero() && !c.writes.serverDeadline {
 		return nil
 	}
@@ -46,26 +53,29 @@
 
 // Write writes a part of an answer. A caller who reads slowly gets all of it.
 func (c *conn) Write(p []byte) (int, error) {
-	if c.writes.serverDeadline {
-		return c.Conn.Write(p)
-	}
 	c.writes.checks, c.writes.unsent = 0, math.MaxInt
 	written := 0
 	for {
-		c.extendWriteDeadline()
+		c.extendWriteDeadline(writeDeadlineStep)
 		n, err := c.Conn.Write(p[written:])
 		written += n
-		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) || !c.readerProgresses(n) {
+		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) || !c.readerProgresses(n) || !c.extendWriteDeadline(0) {
 			return written, err
 		}
-		c.writes.extendedAt = time.Time{}
 	}
 }
 
-func (c *conn) extendWriteDeadline() {
+// extendWriteDeadline sets the deadline anew if it was set longer ago than a time. It reports false if
+// the server bounds writes itself.
+func (c *conn) extendWriteDeadline(after time.Duration) bool {
 	now := c.gate.Clock.Now()
-	if now.Sub(c.writes.extendedAt) < writeDeadlineStep {
-		return
+	c.writes.mu.Lock()
+	defer c.writes.mu.Unlock()
+	if c.writes.serverDeadline {
+		return false
+	}
+	if now.Sub(c.writes.extendedAt) < after {
+		return true
 	}
 	c.writes.extendedAt = now
 	checkTime := c.writes.checkTime
@@ -73,6 +83,7 @@
 		checkTime = writeCheckTime
 	}
 	_ = c.Conn.SetWriteDeadline(now.Add(checkTime))
+	return true
 }
 
 // readerProgresses reports whether the caller has read something lately. A write proceeds only once a
--- a/io/intake/write_test.go
+++ b/io/intake/write_test.go
@@ -55,3 +55,25 @@
 		t.Errorf("%d bytes arrived of %d", got.Len(), len(answer))
 	}
 }
+
+// TestAbortedWrite guards against a write that goes on although the server has ended it from another
+// goroutine.
+func TestAbortedWrite(t *testing.T) {
+	t.Parallel()
+	c, _ := pair(t)
+	done := make(chan error, 1)
+	go func() {
+		_, err := c.Write(make([]byte, 64<<20))
+		done <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	_ = c.SetWriteDeadline(past)
+	select {
+	case err := <-done:
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("%v", err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("still writing")
+	}
+}
