--- a/core/memory/memory.go
+++ b/core/memory/memory.go
@@ -192,7 +192,7 @@
 		return !s.revoked
 	}
 	more := s.budget.charged(bytes) - s.budget.charged(s.held)
-	if s.budget.take(more) {
+	if more == 0 || s.budget.take(more) {
 		defer s.mu.Unlock()
 		s.held = bytes
 		return true
