--- a/io/http1/attempt.go
+++ b/io/http1/attempt.go
@@ -95,7 +95,7 @@
 	// io.EOF proves depends on Framing. It must be closed.
 	Body io.ReadCloser
 	// Memory is what the answer holds. Who has the answer releases it.
-	Memory memory.Share
+	Memory *memory.Share
 
 	// events scans what was read of a stream of events; nil for other answers.
 	events *event.Scanner
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -190,7 +190,7 @@
 	// notReusable prevents the reuse of the connection even if the answer is whole.
 	notReusable bool
 	// memory is what the head takes.
-	memory memory.Share
+	memory *memory.Share
 	// released is set once the connection was returned to the pool or closed.
 	released bool
 }
--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -196,7 +196,7 @@
 	goesOn := call.headSent
 	stall := p.startStallTimer(call, cancel)
 	defer stall.stop()
-	splitter := &eventSplitter{wholeOnly: call.Route.Resumable, memory: &a.Memory}
+	splitter := &eventSplitter{wholeOnly: call.Route.Resumable, memory: a.Memory}
 	if err := splitter.holdID(call.LastEventID); err != nil {
 		return p.answerFailure(ctx, call, result.AnswerMemory, err)
 	}
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -95,7 +95,7 @@
 		}
 		p.Metrics.CountRetry(failure)
 		p.Log.Info().
-			Str("request-id", call.ID).
+			Str("request-id", loggedID(call.ID)).
 			Str("step", failure.Step.String()).
 			Str("reason", failure.Reason.String()).
 			Str("outcome", failure.Outcome.String()).
@@ -166,7 +166,7 @@
 		return failure
 	}
 	answer.Meta.Version = lease.Upstream.Version
-	defer answer.Memory.Release()
+	defer func() { answer.Memory.Release() }()
 	defer func() { _ = answer.Body.Close() }()
 	evidence.Received(p.Clock.Now())
 	begun := false
@@ -204,7 +204,7 @@
 		return admitted
 	}
 	line := p.Log.Info().
-		Str("request-id", call.ID).
+		Str("request-id", loggedID(call.ID)).
 		Str("peer", string(lease.Upstream.ID)).
 		Int64("since-last-ms", send.SinceLast.Milliseconds()).
 		Int("region-instances", send.Instances)
@@ -330,7 +330,7 @@
 		return failure
 	}
 	answer.Memory = p.AnswerMemory.NewShare()
-	defer answer.Memory.Release()
+	defer func() { answer.Memory.Release() }()
 	if !answer.Memory.Add(int64(syntax.HeldBytes(answer.Header))) {
 		_ = answer.Body.Close()
 		return p.answerFailure(ctx, call, result.AnswerMemory, http1.ErrNoMemory)
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -16,6 +16,7 @@
 	"arbutustrestle/core/result"
 	"arbutustrestle/core/spec"
 	"arbutustrestle/io/http1"
+	"arbutustrestle/io/intake"
 )
 
 // CallerCodec parses and writes the headers that are exchanged with callers.
@@ -114,7 +115,9 @@
 	headSent bool
 	status   int
 	// memory holds the bytes of the body.
-	memory memory.Share
+	memory *memory.Share
+	// reading is the body while it is read; nil for a request without one.
+	reading *intake.Body
 	// bodyUnread is set if the request is answered without its body having been read.
 	bodyUnread bool
 	// evidenceTraits is set by traits.
@@ -180,7 +183,7 @@
 	framing http1.Framing
 	body    []byte
 	// memory is what the answer holds if it is kept.
-	memory memory.Share
+	memory *memory.Share
 }
 
 // head returns the head that the answer is passed on with.
@@ -190,9 +193,9 @@
 
 // keepAnswer keeps an upstream's own error answer, and the memory that it holds, in place of an
 // earlier one.
-func (c *Call) keepAnswer(w *wholeAnswer, held *memory.Share) {
+func (c *Call) keepAnswer(w *wholeAnswer, held **memory.Share) {
 	c.releaseAnswer()
-	w.memory, *held = *held, memory.Share{}
+	w.memory, *held = *held, nil
 	c.heldAnswer = w
 }
 
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -15,6 +15,7 @@
 	"arbutustrestle/core/result"
 	"arbutustrestle/core/spec"
 	"arbutustrestle/io/guard"
+	"arbutustrestle/io/intake"
 	"arbutustrestle/io/strict"
 	"arbutustrestle/io/syncer"
 )
@@ -25,6 +26,9 @@
 	defaultTimeout = 30 * time.Second
 	// notReadyRetryAfter is the Retry-After value of an instance that has no config yet.
 	notReadyRetryAfter = 400 * time.Millisecond
+	// unreadBodyTimeout bounds the time to read a body of a request that is refused before its
+	// deadline is known.
+	unreadBodyTimeout = 10 * time.Second
 )
 
 // activity tracks the requests that are being served.
@@ -61,7 +65,8 @@
 
 // Handler returns the handler for callers' requests. It matches no paths itself: the
 // routes do. Its server must have the hook ending.ConnContext, and the listener
-// and hooks of package strict, or each body in chunks ends its connection.
+// and hooks of package strict, or each body in chunks ends its connection, and those of package intake,
+// or bodies that have stopped keep their memory until their deadline.
 func (p *Proxy) Handler(codec CallerCodec) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		p.serve(codec, w, r)
@@ -80,6 +85,9 @@
 	call := &Call{Arrived: p.Clock.Now(), memory: p.Memory.NewShare()}
 	defer call.memory.Release()
 	defer call.releaseAnswer()
+	if r.ContentLength != 0 {
+		call.reading = intake.StartBody(r, call.memory)
+	}
 	sink := &httpSink{writer: w, request: r, control: http.NewResponseController(w), closeEnded: &p.activity.closeEnded}
 	defer sink.release()
 	defer p.endPanicked(codec, w, call, sink)
@@ -102,7 +110,7 @@
 	if cause == http.ErrAbortHandler { //nolint:errorlint // It is passed to panic as it is.
 		panic(cause)
 	}
-	guard.Report(p.Log, p.Metrics.Events, "request "+call.ID, cause)
+	guard.Report(p.Log, p.Metrics.Events, "request "+loggedID(call.ID), cause)
 	p.conclude(codec, w, call, sink, &result.Failure{Outcome: result.Unknown, Step: result.StepStream, Reason: result.InternalError})
 }
 
@@ -112,7 +120,7 @@
 	p.recordEnd(call, failure)
 	if failure == nil {
 		if err := sink.finish(); err != nil {
-			p.Log.Warn().Err(err).Str("request-id", call.ID).Msg("a whole answer ends with a reset of its connection")
+			p.Log.Warn().Err(err).Str("request-id", loggedID(call.ID)).Msg("a whole answer ends with a reset of its connection")
 		}
 		return
 	}
@@ -143,6 +151,12 @@
 	call.Host = r.Host
 	call.Method = r.Method
 	call.Target = r.RequestURI
+	if r.ContentLength != 0 {
+		// The server reads a body that a refusal leaves unread.
+		if err := control.SetReadDeadline(call.Arrived.Add(unreadBodyTimeout)); err != nil {
+			p.Log.Error().Err(err).Str("request-id", loggedID(call.ID)).Msg("time to read a body not bounded")
+		}
+	}
 	if err != nil {
 		return badRequest(result.BadRequest, err)
 	}
@@ -174,7 +188,7 @@
 		call.LastEventID = ""
 	}
 	if err := control.SetReadDeadline(call.Deadline); err != nil {
-		p.Log.Error().Err(err).Str("request-id", call.ID).Msg("time to read a body not bounded")
+		p.Log.Error().Err(err).Str("request-id", loggedID(call.ID)).Msg("time to read a body not bounded")
 	}
 	if failure := readBody(call, r, view.Config.Limits.BodyBytes); failure != nil {
 		return failure
@@ -215,7 +229,7 @@
 		deadline = call.Arrived
 	}
 	if err := control.SetReadDeadline(deadline); err != nil {
-		p.Log.Error().Err(err).Str("request-id", call.ID).Msg("time to read a body not bounded")
+		p.Log.Error().Err(err).Str("request-id", loggedID(call.ID)).Msg("time to read a body not bounded")
 	}
 }
 
@@ -251,7 +265,7 @@
 		Step    string `json:"step"`
 	}{f.Reason.String(), f.Outcome.String(), f.Step.String()})
 	if err != nil {
-		p.Log.Error().Err(err).Str("request-id", call.ID).Msg("error answer not encoded")
+		p.Log.Error().Err(err).Str("request-id", loggedID(call.ID)).Msg("error answer not encoded")
 	}
 	if status == http.StatusUnauthorized {
 		h.Set("WWW-Authenticate", "Bearer")
--- a/io/proxy/unread.go
+++ b/io/proxy/unread.go
@@ -39,7 +39,7 @@
 	abort func()
 
 	mu    sync.Mutex
-	share memory.Share
+	share *memory.Share
 	ended bool
 	// aborted is set if there was no memory.
 	aborted bool
