--- a/io/proxy/unread.go
+++ b/io/proxy/unread.go
@@ -11,7 +11,7 @@
 
 // unreadDelay is how long a caller may read nothing before what it doesn't read takes memory from the
 // budget.
-const unreadDelay = time.Second
+const unreadDelay = 100 * time.Millisecond
 
 // relaySink passes on an answer that another instance sends. While its caller reads nothing, what
 // still arrives stays in the buffer of the link, up to a window that the other end has been granted and
