--- a/core/memory/memory.go
+++ b/core/memory/memory.go
@@ -63,13 +63,18 @@
 	return max(0, bytes-b.Free)
 }
 
-// take takes bytes from the budget if it has them.
+// take takes bytes from the budget if it has them. The bytes of a share that gets none never count, or
+// several that come at once would keep each other out.
 func (b *Budget) take(bytes int64) bool {
-	if used := b.used.Add(bytes); b.Limit > 0 && used > b.Limit {
-		b.used.Add(-bytes)
-		return false
+	for {
+		used := b.used.Load()
+		if b.Limit > 0 && used+bytes > b.Limit {
+			return false
+		}
+		if b.used.CompareAndSwap(used, used+bytes) {
+			return true
+		}
 	}
-	return true
 }
 
 // give gives bytes back, to those who wait if there are any.
