--- a/io/daemon/gateway.go
+++ b/io/daemon/gateway.go
@@ -374,9 +374,16 @@
 	}
 }
 
-// newAuxServer returns a server for requests without bodies.
+// newAuxServer returns a server for requests without bodies. A connection on which one is announced may
+// give way to others, and ends with the answer, so that the server doesn't wait for the body.
 func newAuxServer(h http.Handler) *http.Server {
-	s := newHTTPServer(h)
+	s := newHTTPServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			intake.StartBody(r, nil)
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	}))
 	s.ReadTimeout = auxReadTimeout
 	s.IdleTimeout = callerIdleTimeout
 	return s
