--- a/io/intake/conn.go
+++ b/io/intake/conn.go
@@ -159,7 +159,7 @@
 		c.progress = yield.Advance(c.progress, now, len(p))
 	}
 	rest := c.scan.add(p)
-	if c.scan.bytes > c.gate.limits().HeadBytes {
+	if c.scan.exceeds(c.gate.limits().HeadBytes) {
 		return 0, refusedHead
 	}
 	if c.scan.done {
--- a/io/intake/scan.go
+++ b/io/intake/scan.go
@@ -17,6 +17,8 @@
 type headScan struct {
 	bytes int
 	lines int
+	// startBytes is the length of the request line with what comes before it; zero before its end.
+	startBytes int
 	// lineBytes is the length of the line so far, and blank is set while it has at most a carriage
 	// return.
 	lineBytes int
@@ -37,11 +39,21 @@
 		s.addLinePart(p[:end])
 		s.endLine()
 		s.bytes += end + 1
+		if s.begun && s.startBytes == 0 {
+			s.startBytes = s.bytes
+		}
 		p = p[end+1:]
 	}
 	return p
 }
 
+// exceeds reports whether the fields of the head, or what comes before them, have more bytes than a
+// limit. The line that ends the head doesn't count.
+func (s *headScan) exceeds(limit int) bool {
+	const end = len("\r\n")
+	return s.bytes-s.startBytes > limit+end || s.startBytes > limit+end
+}
+
 func (s *headScan) addLinePart(p []byte) {
 	if len(p) == 0 {
 		return
