--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -279,15 +279,26 @@
 	if answer.Meta.Replaced {
 		f.Reason = result.UpstreamLeaving
 	}
-	if _, err := io.CopyN(io.Discard, answer.Body, maxDiscardBytes); errors.Is(err, io.EOF) {
-		_ = answer.Body.Close()
-	}
+	x.discardRefusal(answer)
 	return nil, f
 }
 
-// maxDiscardBytes bounds the body of a refusal that is read so that the connection can
-// be reused.
-const maxDiscardBytes = 4 << 10
+const (
+	// maxDiscardBytes and refusalBodyTime bound the body of a refusal that is read so that the
+	// connection can be reused, and the wait for it: the head alone states that nothing ran.
+	maxDiscardBytes = 4 << 10
+	refusalBodyTime = 50 * time.Millisecond
+)
+
+// discardRefusal reads the body of a refusal and returns the connection to the pool if it is whole.
+func (x *exchange) discardRefusal(answer *Answer) {
+	_ = x.conn.SetReadDeadline(time.Now().Add(refusalBodyTime))
+	_, err := io.CopyN(io.Discard, answer.Body, maxDiscardBytes)
+	_ = x.conn.SetReadDeadline(time.Time{})
+	if errors.Is(err, io.EOF) {
+		_ = answer.Body.Close()
+	}
+}
 
 // maxInlineWrite is the longest body that is written before the answer is read. It fits
 // the buffers of a connection, so that the write doesn't wait for the upstream.
