--- a/io/http1/endless_test.go
+++ b/io/http1/endless_test.go
@@ -45,6 +45,7 @@
 		{"chunk extension", head + "Transfer-Encoding: chunked\r\n\r\n1;x=", "y"},
 		{"trailer", head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n"},
 		{"late answers to other requests", "", "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 1\r\n\r\nz"},
+		{"late answer in chunks without end", "HTTP/1.1 200 OK\r\nId: 0\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nz\r\n"},
 		{"late answer without end", "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 99999999999\r\n\r\n", "z"},
 	}
 	for _, c := range cases {
--- a/io/http1/grammar_test.go
+++ b/io/http1/grammar_test.go
@@ -182,6 +182,7 @@
 		"trailers with LF alone":         {text: head + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nY: 1\n\n", body: "whole"},
 		"chunks without a body":          {text: head + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
 		"late answer to another request": {text: "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 4\r\n\r\nlateHTTP/1.1 200 OK\r\n" + sound, body: "whole", next: 1},
+		"late answer in chunks":          {text: "HTTP/1.1 200 OK\r\nId: 0\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nlate\r\n0\r\n\r\nHTTP/1.1 200 OK\r\n" + sound, body: "whole", next: 1},
 		"refusal":                        {text: "HTTP/1.1 404 Not Found\r\n" + sound, body: "whole"},
 	}
 	for name, c := range forms {
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -228,19 +228,33 @@
 		}
 		// A late answer to an earlier request arrived instead.
 		x.notReusable = true
-		if answer.Meta.RequestID == "" || answer.Length < 0 {
+		if answer.Meta.RequestID == "" || answer.Framing == FramedByClose {
 			return nil, x.client.failure(ctx, x.attempt, result.Unknown, result.AnswerMismatch, errors.New("answer without the id of the request"))
 		}
-		if answer.Length > maxLateBytes {
-			return nil, x.readFailure(ctx, ErrTooLarge)
-		}
-		if _, err := io.Copy(io.Discard, answer.Body); err != nil {
+		if err := discardLate(answer); err != nil {
 			return nil, x.readFailure(ctx, err)
 		}
 		x.memory.Release()
 	}
 }
 
+// discardLate reads the body of a late answer. It is none of the present request, so that it needn't be a
+// stream of events where that asks for one.
+func discardLate(answer *Answer) error {
+	if answer.Length > maxLateBytes {
+		return ErrTooLarge
+	}
+	_, err := io.CopyN(io.Discard, answer.Body.(*body).ReadCloser, maxLateBytes+1)
+	switch {
+	case err == nil:
+		return ErrTooLarge
+	case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
+		return nil
+	default:
+		return err
+	}
+}
+
 // hold takes memory for a part of a head.
 func (x *exchange) hold(bytes int) error {
 	if !x.memory.Add(int64(bytes)) {
