--- a/io/invoke/no_answer_test.go
+++ b/io/invoke/no_answer_test.go
@@ -90,3 +90,25 @@
 		})
 	}
 }
+
+// TestTwoIDs guards against an answer that names its request and another one, and counts as the answer to
+// the first.
+func TestTwoIDs(t *testing.T) {
+	const id = "0123456789abcdef0123456789abcdef"
+	for lines, good := range map[string]bool{
+		"Request-Id: " + id + "\r\n":                                 true,
+		"Request-Id: " + id + "\r\nRequest-Id: " + id + "\r\n":       true,
+		"Request-Id: " + id + "\r\nRequest-Id: 0\r\n":                false,
+		"Request-Id: 0\r\nRequest-Id: " + id + "\r\n":                false,
+		"Request-Id: " + id + "\r\nRequest-Id:\r\nRequest-Id: 0\r\n": false,
+	} {
+		client := invoke.NewClient(time.Second, time.Second, maxAnswerBytes)
+		address := startTextUpstream(t, "HTTP/1.1 200 OK\r\n"+lines+"Content-Length: 5\r\n\r\nwhole")
+		var to sink
+		_, failure := client.Do(t.Context(), &invoke.Attempt{RequestID: id, Upstream: "u", Address: address, Method: http.MethodPost, Path: "/x"}, &to)
+		client.Close()
+		if (failure == nil) != good || failure != nil && (failure.Reason != result.AnswerMismatch || to.status != 0) {
+			t.Errorf("%q: status %d, failure %v", lines, to.status, failure)
+		}
+	}
+}
--- a/io/syntax/head.go
+++ b/io/syntax/head.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/textproto"
+	"slices"
 	"strings"
 
 	"github.com/juju/errors"
@@ -75,6 +76,16 @@
 	return h, nil
 }
 
+// Single returns the value of a field that may come once, such as the id of the request that an answer
+// belongs to. It is empty if the lines of the field differ, since nothing tells which of them counts.
+func Single(h http.Header, name string) string {
+	values := h.Values(name)
+	if len(values) == 0 || slices.ContainsFunc(values, func(v string) bool { return v != values[0] }) {
+		return ""
+	}
+	return values[0]
+}
+
 // removeOptions removes the fields that Connection names. They belong to the connection and aren't
 // passed on (RFC 9110, section 7.6.1), so that nothing may count as said by them. Keep-Alive is left to
 // who keeps the connection.
