--- a/io/invoke/load.go
+++ b/io/invoke/load.go
@@ -15,6 +15,7 @@
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/load"
 	"arbutustrestle/core/node"
+	"arbutustrestle/io/syntax"
 )
 
 const (
@@ -31,7 +32,9 @@
 // NewLoadReader returns a reader with its own connections, so that a poll never waits
 // behind traffic.
 func NewLoadReader(c clock.Clock) *LoadReader {
-	return &LoadReader{clock: c, client: http.Client{Transport: newTransport(false), Timeout: loadTimeout}}
+	r := &LoadReader{clock: c, client: syntax.NewClient(newTransport(false))}
+	r.client.Timeout = loadTimeout
+	return r
 }
 
 // Close closes the idle connections.
--- a/io/invoke/no_answer_test.go
+++ b/io/invoke/no_answer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -112,3 +113,22 @@
 		}
 	}
 }
+
+// TestRedirect guards against an answer of another address that counts as that of an upstream: its load, or
+// its consent to an order that it has sent elsewhere.
+func TestRedirect(t *testing.T) {
+	other := startTextUpstream(t, "HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n{\"slots\":1}")
+	for _, status := range []int{301, 302, 303, 307, 308} {
+		address := startTextUpstream(t, fmt.Sprintf("HTTP/1.1 %d Elsewhere\r\nLocation: http://%s/v1/load\r\nContent-Length: 0\r\n\r\n", status, other))
+		loads := invoke.NewLoadReader(clock.System{})
+		if report, _, err := loads.Read(t.Context(), address); err == nil {
+			t.Errorf("status %d: load %+v", status, report)
+		}
+		loads.Close()
+		orders := invoke.NewOrderSender(clock.System{})
+		if got, err := orders.Send(t.Context(), address, order.Send{Upstream: "u", SendBy: time.Now().Add(time.Second)}); got.Accepted {
+			t.Errorf("status %d: order %+v, error %v", status, got, err)
+		}
+		orders.Close()
+	}
+}
--- a/io/invoke/order.go
+++ b/io/invoke/order.go
@@ -13,6 +13,7 @@
 	"arbutustrestle/core/clock"
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/order"
+	"arbutustrestle/io/syntax"
 )
 
 // OrderSender sends orders, which state the models that an engine should load. It is safe
@@ -25,7 +26,7 @@
 // NewOrderSender returns a sender that opens a connection for each order, so that the
 // transport never sends an order twice.
 func NewOrderSender(c clock.Clock) *OrderSender {
-	return &OrderSender{clock: c, client: http.Client{Transport: newTransport(true)}}
+	return &OrderSender{clock: c, client: syntax.NewClient(newTransport(true))}
 }
 
 // Send sends an order unless its time to be sent has passed, and returns the engine's
--- a/io/source/source.go
+++ b/io/source/source.go
@@ -73,7 +73,7 @@
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 8,
 	}}
-	return &Client{address: address, client: http.Client{Transport: transport}}
+	return &Client{address: address, client: syntax.NewClient(transport)}
 }
 
 // Close closes idle connections.
--- a/io/source/source_test.go
+++ b/io/source/source_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -68,3 +69,13 @@
 		})
 	}
 }
+
+// TestRedirect guards against a value of another address that counts as published.
+func TestRedirect(t *testing.T) {
+	other := startPlatform(t, "HTTP/1.1 200 OK\r\nRevision: 7\r\nContent-Length: 5\r\n\r\n[\"x\"]")
+	client := NewClient(startPlatform(t, fmt.Sprintf("HTTP/1.1 302 Found\r\nLocation: http://%s/\r\nContent-Length: 0\r\n\r\n", other)))
+	defer client.Close()
+	if reply, err := client.Read(t.Context(), "table", 0, 0); err == nil {
+		t.Errorf("reply %+v", reply)
+	}
+}
--- a/io/syntax/transport.go
+++ b/io/syntax/transport.go
@@ -11,6 +11,15 @@
 // framing.
 type Transport struct{ *http.Transport }
 
+// NewClient returns a client that follows no redirects: the answer of another address isn't that of the
+// one that was asked.
+func NewClient(t Transport) http.Client {
+	return http.Client{
+		Transport:     t,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 // RoundTrip sends one request.
 func (t Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	response, err := t.Transport.RoundTrip(r)
