--- a/io/invoke/no_answer_test.go
+++ b/io/invoke/no_answer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -90,3 +91,44 @@
 		})
 	}
 }
+
+// TestTwoIDs guards against an answer that names its request and another one, and counts as the answer to
+// the first.
+func TestTwoIDs(t *testing.T) {
+	const id = "0123456789abcdef0123456789abcdef"
+	for lines, good := range map[string]bool{
+		"Request-Id: " + id + "\r\n":                                 true,
+		"Request-Id: " + id + "\r\nRequest-Id: " + id + "\r\n":       true,
+		"Request-Id: " + id + "\r\nRequest-Id: 0\r\n":                false,
+		"Request-Id: 0\r\nRequest-Id: " + id + "\r\n":                false,
+		"Request-Id: " + id + "\r\nRequest-Id:\r\nRequest-Id: 0\r\n": false,
+	} {
+		client := invoke.NewClient(time.Second, time.Second, maxAnswerBytes)
+		address := startTextUpstream(t, "HTTP/1.1 200 OK\r\n"+lines+"Content-Length: 5\r\n\r\nwhole")
+		var to sink
+		_, failure := client.Do(t.Context(), &invoke.Attempt{RequestID: id, Upstream: "u", Address: address, Method: http.MethodPost, Path: "/x"}, &to)
+		client.Close()
+		if (failure == nil) != good || failure != nil && (failure.Reason != result.AnswerMismatch || to.status != 0) {
+			t.Errorf("%q: status %d, failure %v", lines, to.status, failure)
+		}
+	}
+}
+
+// TestRedirect guards against an answer of another address that counts as that of an upstream: its load, or
+// its consent to an order that it has sent elsewhere.
+func TestRedirect(t *testing.T) {
+	other := startTextUpstream(t, "HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n{\"slots\":1}")
+	for _, status := range []int{301, 302, 303, 307, 308} {
+		address := startTextUpstream(t, fmt.Sprintf("HTTP/1.1 %d Elsewhere\r\nLocation: http://%s/v1/load\r\nContent-Length: 0\r\n\r\n", status, other))
+		loads := invoke.NewLoadReader(clock.System{})
+		if report, _, err := loads.Read(t.Context(), address); err == nil {
+			t.Errorf("status %d: load %+v", status, report)
+		}
+		loads.Close()
+		orders := invoke.NewOrderSender(clock.System{})
+		if got, err := orders.Send(t.Context(), address, order.Send{Upstream: "u", SendBy: time.Now().Add(time.Second)}); got.Accepted {
+			t.Errorf("status %d: order %+v, error %v", status, got, err)
+		}
+		orders.Close()
+	}
+}
