--- a/io/daemon/gateway.go
+++ b/io/daemon/gateway.go
@@ -87,6 +87,10 @@
 // opens another one.
 const linkKeepAlive = time.Second
 
+// pendingLinkPart is the part of the descriptors that connections may take which haven't said yet that they
+// are those of a peer.
+const pendingLinkPart = 8
+
 // upstreamDialTimeout limits a dial to an upstream. Upstreams are in the same region, and
 // a lost SYN is sent again only after a second.
 const upstreamDialTimeout = 700 * time.Millisecond
@@ -334,7 +338,7 @@
 		syncer:       p.Loop,
 		proxy:        p.Proxy,
 		links:        p.Links,
-		peerServer:   &link.Server{Self: p.Self, Handler: handler, Log: p.Log, KeepAlive: linkKeepAlive, Events: p.Metrics.Events},
+		peerServer:   &link.Server{Self: p.Self, Handler: handler, Log: p.Log, KeepAlive: linkKeepAlive, Events: p.Metrics.Events, MaxPending: p.Settings.Descriptors / pendingLinkPart},
 		callerServer: newHTTPServer(p.Proxy.Handler(p.Adapter.CallerCodec())),
 		auxServers: map[netip.AddrPort]*http.Server{
 			p.Settings.ReadyAddress:     newAuxServer(p.Adapter.ReadyHandler(p.Directory)),
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -88,7 +88,12 @@
 // Receive reads one message of at most maxMessageBytes. It returns io.EOF when the
 // stream ends before the first byte.
 func (s *Stream) Receive(m proto.Message) error {
-	options := protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}
+	return s.receive(m, maxMessageBytes)
+}
+
+// receive reads one message of at most a number of bytes.
+func (s *Stream) receive(m proto.Message, maxBytes int64) error {
+	options := protodelim.UnmarshalOptions{MaxSize: maxBytes}
 	err := options.UnmarshalFrom(s.reader, m)
 	s.shrink()
 	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
@@ -237,7 +242,7 @@
 
 func receiveHello(s *Stream) (Identity, error) {
 	var h wire.Hello
-	if err := s.Receive(&h); err != nil {
+	if err := s.receive(&h, maxHelloBytes); err != nil {
 		return Identity{}, errors.Trace(err)
 	}
 	if h.GetProtocol() != protocolVersion {
--- a/io/link/server.go
+++ b/io/link/server.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"cmp"
 	"context"
 	"expvar"
 	"net"
@@ -54,8 +55,12 @@
 	KeepAlive time.Duration
 	// Events counts panics of the handler; nil if nobody reads them.
 	Events *expvar.Map
+	// MaxPending is the number of connections whose hello hasn't been received, above which the
+	// oldest is closed. Zero selects defaultMaxPending.
+	MaxPending int
 
-	work sync.WaitGroup
+	pending pendingConns
+	work    sync.WaitGroup
 }
 
 // Serve accepts links until the listener is closed or the context is done, then waits for
@@ -78,15 +83,20 @@
 
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
 	open := &streamSet{}
-	mux, err := yamux.Server(&sessionConn{Conn: conn, streams: open}, serverConfig(s.KeepAlive))
+	limited := &sessionConn{Conn: conn, streams: open}
+	limited.hello.on.Store(true)
+	notPending := s.pending.add(conn, cmp.Or(s.MaxPending, defaultMaxPending))
+	mux, err := yamux.Server(limited, serverConfig(s.KeepAlive))
 	if err != nil {
+		notPending()
 		_ = conn.Close()
 		return
 	}
 	defer func() { _ = mux.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = mux.Close() })
 	defer stop()
-	peer, err := s.acceptHello(mux)
+	peer, err := s.acceptHello(mux, &limited.hello)
+	notPending()
 	if err != nil {
 		s.Log.Warn().Err(err).Str("step", "hello").Str("peer", conn.RemoteAddr().String()).Msg("link rejected")
 		return
@@ -94,7 +104,7 @@
 	s.serveSession(ctx, &session{mux: mux, peer: peer, streams: open})
 }
 
-func (s *Server) acceptHello(mux *yamux.Session) (Identity, error) {
+func (s *Server) acceptHello(mux *yamux.Session, limit *helloLimit) (Identity, error) {
 	// Accept has no deadline, and a peer that connects but sends nothing must not keep
 	// the session open.
 	timeout := time.AfterFunc(helloTimeout, func() { _ = mux.Close() })
@@ -110,6 +120,8 @@
 	if err != nil {
 		return Identity{}, errors.Trace(err)
 	}
+	// The peer may send as soon as it has received the hello.
+	limit.on.Store(false)
 	return peer, first.Send(newHello(s.Self))
 }
 
--- a/io/link/streams.go
+++ b/io/link/streams.go
@@ -86,11 +86,15 @@
 type sessionConn struct {
 	net.Conn
 	streams *streamSet
+	hello   helloLimit
 }
 
 // Read counts what arrives.
 func (c *sessionConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if c.hello.exceeded(n) {
+		return 0, errHelloTooLarge
+	}
 	if n > 0 {
 		c.streams.reads.Add(1)
 	}
