--- a/io/link/pending_test.go
+++ b/io/link/pending_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/netip"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -139,3 +141,25 @@
 	}
 	return stream
 }
+
+// exhaustedListener fails its first accepts for want of descriptors.
+type exhaustedListener struct {
+	net.Listener
+	failures atomic.Int32
+}
+
+func (l *exhaustedListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// TestAcceptWithoutDescriptors guards against a process that accepts no peer any more once it had no
+// descriptor for one.
+func TestAcceptWithoutDescriptors(t *testing.T) {
+	l := &exhaustedListener{Listener: listenLocal(t)}
+	l.failures.Store(2)
+	startServer(t, l, 0)
+	checkFetch(t, l)
+}
--- a/io/link/server.go
+++ b/io/link/server.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -74,6 +75,11 @@
 		if ctx.Err() != nil {
 			return nil
 		}
+		if err != nil && lacksResources(err) {
+			s.Log.Warn().Err(err).Str("step", "accept").Msg("no link accepted for the moment")
+			wait(ctx, acceptRetryDelay)
+			continue
+		}
 		if err != nil {
 			return errors.Annotate(err, "accept a link")
 		}
@@ -81,6 +87,25 @@
 	}
 }
 
+// acceptRetryDelay is the time after which another connection is accepted when the process or the machine
+// had no descriptor or memory for one.
+const acceptRetryDelay = 100 * time.Millisecond
+
+// lacksResources reports whether an accept failed for want of what may be free again soon.
+func lacksResources(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
+}
+
+// wait returns after a time, or when the context is done.
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
 	open := &streamSet{}
 	limited := &sessionConn{Conn: conn, streams: open}
