--- a/io/link/pending_test.go
+++ b/io/link/pending_test.go
@@ -94,7 +94,7 @@
 		conn := dialLocal(t, l)
 		stream := openStream(t, conn)
 		go func() {
-			_, _ = protodelim.MarshalTo(stream, &wire.Hello{Protocol: 1, Incarnation: "west-2.1", Zone: strings.Repeat("z", 5000)})
+			_, _ = protodelim.MarshalTo(stream, &wire.Hello{Protocol: 1, Incarnation: self.String(), Zone: strings.Repeat("z", 5000)})
 		}()
 		_ = stream.SetReadDeadline(time.Now().Add(time.Second))
 		if n, err := stream.Read(make([]byte, 1)); n > 0 || err == nil {
@@ -109,6 +109,12 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		// The first stream is that of the hello, which doesn't end.
+		first, err := mux.Open()
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = first.Write([]byte{100})
 		sent := 0
 		for ; sent < 1<<20; sent += 100 << 10 {
 			stream, err := mux.Open()
