--- a/io/link/server.go
+++ b/io/link/server.go
@@ -83,7 +83,8 @@
 		if err != nil {
 			return errors.Annotate(err, "accept a link")
 		}
-		s.work.Go(func() { s.serveConn(ctx, conn) })
+		notPending := s.pending.add(conn, cmp.Or(s.MaxPending, defaultMaxPending))
+		s.work.Go(func() { s.serveConn(ctx, conn, notPending) })
 	}
 }
 
@@ -106,11 +107,11 @@
 	}
 }
 
-func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+// serveConn calls notPending once the hello was received.
+func (s *Server) serveConn(ctx context.Context, conn net.Conn, notPending func()) {
 	open := &streamSet{}
 	limited := &sessionConn{Conn: conn, streams: open}
 	limited.hello.on.Store(true)
-	notPending := s.pending.add(conn, cmp.Or(s.MaxPending, defaultMaxPending))
 	mux, err := yamux.Server(limited, serverConfig(s.KeepAlive))
 	if err != nil {
 		notPending()
