--- a/io/config/config.go
+++ b/io/config/config.go
@@ -75,7 +75,11 @@
 	AnswerBytes int
 	// EventBytes bounds one event of a streamed answer.
 	EventBytes int
-	// Connections bounds the number of open connections from callers.
+	// RequestsBytes bounds what all requests of callers take together: their heads once they are
+	// parsed, and their bodies.
+	RequestsBytes int
+	// Connections bounds the number of open connections from callers. An eighth more may be open
+	// while those that gave way are closed.
 	Connections int
 }
 
@@ -102,6 +106,7 @@
 		{path{"limits", "body-bytes"}, "1048576", count(&e.Limits.BodyBytes, 1024, 1<<26)},
 		{path{"limits", "answer-bytes"}, "4194304", count(&e.Limits.AnswerBytes, 1024, 1<<26)},
 		{path{"limits", "event-bytes"}, "65536", count(&e.Limits.EventBytes, 1024, 1<<20)},
+		{path{"limits", "requests-bytes"}, "268435456", count(&e.Limits.RequestsBytes, 1<<20, 1<<40)},
 		{path{"limits", "connections"}, "4096", count(&e.Limits.Connections, 1, 1<<16)},
 	}
 }
--- a/io/daemon/parts.go
+++ b/io/daemon/parts.go
@@ -14,6 +14,7 @@
 	"arbutustrestle/core/dedup"
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/member"
+	"arbutustrestle/core/memory"
 	"arbutustrestle/core/node"
 	"arbutustrestle/core/retry"
 	"arbutustrestle/core/share"
@@ -182,6 +183,7 @@
 		WorkspaceLimiter: p.WorkspaceLimiter,
 		RetryBudget:      p.RetryBudget,
 		Random:           p.Random,
+		Memory:           &memory.Budget{Limit: int64(p.Settings.Limits.RequestsBytes)},
 		ViewsCurrent:     p.Loop.ViewsCurrent,
 		Limits: entry.Limits{
 			BodyBytes:        p.Settings.Limits.BodyBytes,
--- a/io/daemon/serve.go
+++ b/io/daemon/serve.go
@@ -11,9 +11,11 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/fx"
 
+	"arbutustrestle/core/clock"
 	"arbutustrestle/io/admin"
 	"arbutustrestle/io/config"
 	"arbutustrestle/io/entry"
+	"arbutustrestle/io/intake"
 	"arbutustrestle/io/link"
 	"arbutustrestle/io/loop"
 	"arbutustrestle/io/metric"
@@ -24,11 +26,13 @@
 type servers struct {
 	settings config.Entry
 	caller   *http.Server
-	admin    *http.Server
-	peer     *link.Server
-	loop     *loop.Loop
-	links    *link.Pool
-	log      zerolog.Logger
+	// intake bounds the connections of caller.
+	intake intake.Gate
+	admin  *http.Server
+	peer   *link.Server
+	loop   *loop.Loop
+	links  *link.Pool
+	log    zerolog.Logger
 
 	// cancel stops the control loop and the links.
 	cancel context.CancelFunc
@@ -45,6 +49,7 @@
 	Loop     *loop.Loop
 	Links    *link.Pool
 	Metrics  *metric.Set
+	Clock    clock.Clock
 	Log      zerolog.Logger
 	Drain    *Drain
 }
@@ -57,16 +62,19 @@
 		Metrics:  p.Metrics,
 		Drain:    p.Drain.Start,
 	}
-	return &servers{
+	limits := intake.Limits{HeadBytes: p.Settings.Limits.HeaderBytes, HeadTimeout: p.Settings.Timeouts.Header}
+	caller := newHTTPServer(p.Server.Handler())
+	caller.IdleTimeout = p.Settings.Timeouts.Idle
+	s := &servers{
 		settings: p.Settings,
-		caller: &http.Server{
-			Handler:           p.Server.Handler(),
-			ConnContext:       callerConnContext,
-			ConnState:         strict.ConnState,
-			ReadHeaderTimeout: p.Settings.Timeouts.Header,
-			IdleTimeout:       p.Settings.Timeouts.Idle,
-			MaxHeaderBytes:    p.Settings.Limits.HeaderBytes,
-			ErrorLog:          nil,
+		caller:   caller,
+		intake: intake.Gate{
+			Clock:    p.Clock,
+			Memory:   p.Server.Memory,
+			MaxConns: p.Settings.Limits.Connections,
+			Limits:   func() intake.Limits { return limits },
+			Log:      p.Log,
+			Events:   p.Metrics.Events,
 		},
 		admin: &http.Server{
 			Handler:           adminHandler.Router(),
@@ -78,6 +86,10 @@
 		links: p.Links,
 		log:   p.Log,
 	}
+	s.intake.Start()
+	p.Metrics.Func("caller-connections", func() any { return s.intake.Conns() })
+	p.Metrics.Func("caller-memory-bytes", func() any { return p.Server.Memory.Used() })
+	return s
 }
 
 // register adds the listeners to the start and stop hooks of the process.
@@ -102,7 +114,7 @@
 	s.work.Go(func() { s.loop.Run(runCtx) })
 	s.work.Go(func() { logServeError(s.log, s.peer.Serve(runCtx, listeners[1])) })
 	s.work.Go(func() {
-		logServeError(s.log, s.caller.Serve(strict.Listener{Listener: limitConns(listeners[0], s.settings.Limits.Connections)}))
+		logServeError(s.log, s.caller.Serve(strict.Listener{Listener: s.intake.Listen(listeners[0])}))
 	})
 	s.work.Go(func() { logServeError(s.log, s.admin.Serve(listeners[2])) })
 	s.log.Info().
--- a/io/entry/call.go
+++ b/io/entry/call.go
@@ -11,6 +11,7 @@
 	"arbutustrestle/core/dedup"
 	"arbutustrestle/core/hops"
 	"arbutustrestle/core/ident"
+	"arbutustrestle/core/memory"
 	"arbutustrestle/core/node"
 	"arbutustrestle/core/result"
 	"arbutustrestle/core/table"
@@ -45,6 +46,8 @@
 	BodyReader BodyReader
 	// Body is empty until the body filter has read it.
 	Body []byte
+	// memory is what the body of a caller's request takes.
+	memory *memory.Share
 	// Sink receives the response.
 	Sink invoke.Sink
 	// HeadSent is true once the response head was sent on. The call can't be retried after
--- a/io/entry/core.go
+++ b/io/entry/core.go
@@ -10,6 +10,7 @@
 
 	"arbutustrestle/core/clock"
 	"arbutustrestle/core/ident"
+	"arbutustrestle/core/memory"
 	"arbutustrestle/core/node"
 	"arbutustrestle/core/result"
 	"arbutustrestle/core/retry"
@@ -56,6 +57,8 @@
 	WorkspaceLimiter *share.Limiter
 	RetryBudget      *retry.Budget
 	Random           *Random
+	// Memory is shared by the bodies of callers' requests; a nil one has no bound.
+	Memory *memory.Budget
 	// ViewsCurrent returns false while the views may be stale after a pause of the process.
 	// It may be nil.
 	ViewsCurrent func() bool
--- a/io/entry/http.go
+++ b/io/entry/http.go
@@ -14,8 +14,10 @@
 	"github.com/juju/errors"
 
 	"arbutustrestle/core/ident"
+	"arbutustrestle/core/memory"
 	"arbutustrestle/core/result"
 	"arbutustrestle/core/table"
+	"arbutustrestle/io/intake"
 	"arbutustrestle/io/strict"
 )
 
@@ -24,7 +26,7 @@
 
 // Handler returns the HTTP handler for callers. Its server must have the hook
 // ending.ConnContext, and the listener and hooks of package strict, or each body in chunks ends its
-// connection.
+// connection, and those of package intake, or bodies that have stopped keep their memory.
 func (s *Server) Handler() http.Handler {
 	r := mux.NewRouter()
 	// Path cleaning would redirect a call to another path than the one that the caller
@@ -51,6 +53,7 @@
 
 func (s *Server) handleCompletion(w http.ResponseWriter, r *http.Request) {
 	call, sink, failure := s.identify(w, r)
+	defer call.memory.Release()
 	if failure == nil {
 		failure = identifyClass(call, r)
 	}
@@ -60,6 +63,7 @@
 
 func (s *Server) handleService(w http.ResponseWriter, r *http.Request) {
 	call, sink, failure := s.identify(w, r)
+	defer call.memory.Release()
 	call.Class = table.ServiceCall
 	name := mux.Vars(r)["service"]
 	call.Service = ident.Service(name)
@@ -147,7 +151,12 @@
 		View:      s.Views.View(),
 		Sink:      sink,
 	}
-	call.BodyReader = &httpBodyReader{request: r, sink: sink, limit: int64(s.Limits.BodyBytes), timeout: s.Limits.BodyTimeout}
+	call.memory = s.Memory.NewShare()
+	body := &httpBodyReader{request: r, sink: sink, limit: int64(s.Limits.BodyBytes), timeout: s.Limits.BodyTimeout, memory: call.memory}
+	if r.ContentLength != 0 {
+		body.reading = intake.StartBody(r, call.memory)
+	}
+	call.BodyReader = body
 	switch strict.Check(r) {
 	case strict.Clear:
 	case strict.Unknown:
@@ -204,12 +213,31 @@
 	sink    *httpSink
 	limit   int64
 	timeout time.Duration
+	// memory is what the body takes, and reading the connection while it is read.
+	memory  *memory.Share
+	reading *intake.Body
 }
 
-// Read returns the whole body, within the limits of size and time.
+const (
+	// memoryRetryAfter is the Retry-After value while the memory for requests is used up: the time
+	// that a body takes to arrive.
+	memoryRetryAfter = time.Second
+	// initialBodyBytes is the first size of the buffer of a body.
+	initialBodyBytes = 4 << 10
+)
+
+// errNoMemory means that there is no memory for a body, or that it has been given to others.
+var errNoMemory = errors.New("no memory for the body")
+
+// Read returns the whole body, within the limits of size, time and memory.
 func (s *httpBodyReader) Read(context.Context) ([]byte, *result.Failure) {
 	_ = s.sink.controller.SetReadDeadline(time.Now().Add(s.timeout))
-	body, err := io.ReadAll(http.MaxBytesReader(s.sink.writer, s.request.Body, s.limit))
+	body, err := s.readAll(http.MaxBytesReader(s.sink.writer, s.request.Body, s.limit))
+	// Trailers aren't passed on.
+	s.request.Trailer = nil
+	if s.reading.GaveWay() || (err == nil && !s.reading.End()) {
+		err = errNoMemory
+	}
 	if err == nil {
 		// A read deadline that is still set would end net/http's background read, which
 		// detects that the caller has closed the connection.
@@ -220,6 +248,9 @@
 	var tooLarge *http.MaxBytesError
 	f := notRun(result.StepIdentify, result.BadRequest)
 	switch {
+	case errors.Is(err, errNoMemory):
+		f.Reason = result.Overloaded
+		f.RetryAfter = memoryRetryAfter
 	case errors.As(err, &tooLarge):
 		f.Reason = result.BodyTooLarge
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -230,6 +261,38 @@
 	return nil, f
 }
 
+// readAll reads a body into a buffer that grows as the body arrives, since callers may announce a large
+// body and send nothing. The buffers that were copied to a larger one count until the body is read: all of
+// them together are about twice as large as the last of them.
+func (s *httpBodyReader) readAll(r io.Reader) ([]byte, error) {
+	if s.request.ContentLength == 0 {
+		return nil, nil
+	}
+	most := s.limit + 1
+	if s.request.ContentLength >= 0 {
+		most = min(most, s.request.ContentLength+1)
+	}
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			size := int(min(int64(max(2*cap(body), initialBodyBytes)), most))
+			if !s.memory.Grow(int64(2*cap(body) + size)) {
+				return nil, errNoMemory
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		// The last byte of the buffer is for the read that brings the end, or shows that there is more.
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
 func (s *Server) handleAdvice(w http.ResponseWriter, r *http.Request) {
 	workspace := ident.Workspace(r.URL.Query().Get("workspace"))
 	view := s.Views.View()
