--- a/io/intake/cost_test.go
+++ b/io/intake/cost_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"runtime"
+	"strconv"
 	"strings"
 	"testing"
 )
@@ -28,10 +29,20 @@
 		"usual lines":    fill(func(i int) string { return fmt.Sprintf("X-Name-%x: some value of a line\r\n", i) }),
 		"long lines":     fill(func(i int) string { return fmt.Sprintf("X-%x: %s\r\n", i, strings.Repeat("v", 4000)) }),
 		"continued":      "GET / HTTP/1.1\r\nHost: h\r\nA: b\r\n" + strings.Repeat(" c\r\n", size/4) + "\r\n",
+		"trailer names":  "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nTrailer: " + list(size) + "\r\n\r\n",
 		"one line":       "GET / HTTP/1.1\r\nHost: h\r\nA: " + strings.Repeat("v", size) + "\r\n\r\n",
 	}
 }
 
+// list returns a list of about a number of bytes, with as many elements as have names of their own.
+func list(size int) string {
+	var b strings.Builder
+	for i := 0; b.Len() < size; i++ {
+		_, _ = fmt.Fprintf(&b, "%s,", strconv.FormatInt(int64(i), 36))
+	}
+	return strings.TrimSuffix(b.String(), ",")
+}
+
 // TestHeadCost guards against heads that hold more memory, once they are parsed and cloned for an attempt,
 // than they are charged.
 func TestHeadCost(t *testing.T) {
--- a/io/intake/scan.go
+++ b/io/intake/scan.go
@@ -4,19 +4,28 @@
 
 // Cost of a head in memory. A parsed line is a key and a list of one value in a map, which is cloned for
 // the request that is passed on and once more for each attempt; the bytes are held by the parser, by
-// the buffer of the sender and by the values.
+// the buffer of the sender and by the values. A line that is a list may be parsed into its elements: the
+// names of trailers into a map, the parts of a prompt into a list, which relayed requests hold once more.
 const (
-	lineCost = 512
-	byteCost = 3
+	lineCost    = 512
+	elementCost = 128
+	byteCost    = 3
 )
 
 // serverBufferBytes is the size of the buffer through which net/http reads.
 const serverBufferBytes = 4 << 10
 
+var (
+	comma   = []byte(",")
+	newline = []byte("\n")
+)
+
 // headScan follows a head that arrives in any number of parts. Its zero value is ready to use.
 type headScan struct {
 	bytes int
 	lines int
+	// elements is the number of commas, which separate the elements of lists.
+	elements int
 	// startBytes is the length of the request line with what comes before it; zero before its end.
 	startBytes int
 	// lineBytes is the length of the line so far, and blank is set while it has at most a carriage
@@ -60,6 +69,7 @@
 	}
 	s.blankLine = s.lineBytes == 0 && len(p) == 1 && p[0] == '\r'
 	s.lineBytes += len(p)
+	s.elements += bytes.Count(p, comma)
 }
 
 func (s *headScan) endLine() {
@@ -75,17 +85,20 @@
 
 // cost estimates the memory of the head once it is parsed.
 func (s *headScan) cost() int64 {
-	return int64(s.bytes)*byteCost + int64(s.lines)*lineCost
+	return int64(s.bytes)*byteCost + int64(s.lines)*lineCost + int64(s.elements)*elementCost
 }
 
-// tailScan bounds the lines among the bytes that the server has read but not used yet: a pipelined
+// tailScan bounds the lines and elements among the bytes that the server has read but not used yet: a pipelined
 // head. Those are at most the last serverBufferBytes.
 type tailScan struct {
 	// last and before are the counts of two consecutive stretches of at least that many bytes each,
 	// but for last, which is under way.
-	last, before struct{ bytes, lines int }
+	last, before tailCounts
 }
 
+// tailCounts are the counts of one stretch.
+type tailCounts struct{ bytes, lines, elements int }
+
 // add counts bytes that were read into a buffer of the given size. What is read into a larger one
 // than the server's isn't kept by the server.
 func (t *tailScan) add(p []byte, buffer int) {
@@ -93,14 +106,17 @@
 		return
 	}
 	t.last.bytes += len(p)
-	t.last.lines += bytes.Count(p, []byte("\n"))
+	t.last.lines += bytes.Count(p, newline)
+	t.last.elements += bytes.Count(p, comma)
 	if t.last.bytes >= serverBufferBytes {
-		t.before, t.last = t.last, struct{ bytes, lines int }{}
+		t.before, t.last = t.last, tailCounts{}
 	}
 }
 
 // cost estimates the memory of a head of which the counted bytes are the beginning.
 func (t *tailScan) cost() int64 {
 	held := min(t.last.bytes+t.before.bytes, serverBufferBytes)
-	return int64(held)*byteCost + int64(min(t.last.lines+t.before.lines, held))*lineCost
+	lines := min(t.last.lines+t.before.lines, held)
+	elements := min(t.last.elements+t.before.elements, held-lines)
+	return int64(held)*byteCost + int64(lines)*lineCost + int64(elements)*elementCost
 }
