--- a/io/link/server.go
+++ b/io/link/server.go
@@ -1,10 +1,12 @@
 package link
 
 import (
+	"cmp"
 	"context"
 	"expvar"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -54,8 +56,12 @@
 	KeepAlive time.Duration
 	// Events counts panics of the handler; nil if nobody reads them.
 	Events *expvar.Map
+	// MaxPending is the number of connections whose hello hasn't been received, above which the
+	// oldest is closed. Zero selects defaultMaxPending.
+	MaxPending int
 
-	work sync.WaitGroup
+	pending pendingConns
+	work    sync.WaitGroup
 }
 
 // Serve accepts links until the listener is closed or the context is done, then waits for
@@ -69,24 +75,54 @@
 		if ctx.Err() != nil {
 			return nil
 		}
+		if err != nil && lacksResources(err) {
+			s.Log.Warn().Err(err).Str("step", "accept").Msg("no link accepted for the moment")
+			wait(ctx, acceptRetryDelay)
+			continue
+		}
 		if err != nil {
 			return errors.Annotate(err, "accept a link")
 		}
-		s.work.Go(func() { s.serveConn(ctx, conn) })
+		notPending := s.pending.add(conn, cmp.Or(s.MaxPending, defaultMaxPending))
+		s.work.Go(func() { s.serveConn(ctx, conn, notPending) })
+	}
+}
+
+// acceptRetryDelay is the time after which another connection is accepted when the process or the machine
+// had no descriptor or memory for one.
+const acceptRetryDelay = 100 * time.Millisecond
+
+// lacksResources reports whether an accept failed for want of what may be free again soon.
+func lacksResources(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
+}
+
+// wait returns after a time, or when the context is done.
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
 	}
 }
 
-func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+// serveConn calls notPending once the hello was received.
+func (s *Server) serveConn(ctx context.Context, conn net.Conn, notPending func()) {
 	open := &streamSet{}
-	mux, err := yamux.Server(&sessionConn{Conn: conn, streams: open}, serverConfig(s.KeepAlive))
+	limited := &sessionConn{Conn: conn, streams: open}
+	limited.hello.on.Store(true)
+	mux, err := yamux.Server(limited, serverConfig(s.KeepAlive))
 	if err != nil {
+		notPending()
 		_ = conn.Close()
 		return
 	}
 	defer func() { _ = mux.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = mux.Close() })
 	defer stop()
-	peer, err := s.acceptHello(mux)
+	peer, err := s.acceptHello(mux, &limited.hello)
+	notPending()
 	if err != nil {
 		s.Log.Warn().Err(err).Str("step", "hello").Str("peer", conn.RemoteAddr().String()).Msg("link rejected")
 		return
@@ -94,7 +130,7 @@
 	s.serveSession(ctx, &session{mux: mux, peer: peer, streams: open})
 }
 
-func (s *Server) acceptHello(mux *yamux.Session) (Identity, error) {
+func (s *Server) acceptHello(mux *yamux.Session, limit *helloLimit) (Identity, error) {
 	// Accept has no deadline, and a peer that connects but sends nothing must not keep
 	// the session open.
 	timeout := time.AfterFunc(helloTimeout, func() { _ = mux.Close() })
@@ -110,6 +146,8 @@
 	if err != nil {
 		return Identity{}, errors.Trace(err)
 	}
+	// The peer may send as soon as it has received the hello.
+	limit.on.Store(false)
 	return peer, first.Send(newHello(s.Self))
 }
 
