--- a/io/daemon/callers.go
+++ b/io/daemon/callers.go
@@ -22,6 +22,10 @@
 	// callerDescriptorShare is the share of the descriptors that connections of callers may take.
 	// Connections to upstreams and instances, and files, have the rest.
 	callerDescriptorShare = 0.75
+	// socketDescriptorShare is the share that those and the connections on which requests are at upstreams may
+	// take together. Idle connections to upstreams, those to instances and the store, files, and connections
+	// that are being closed have the rest.
+	socketDescriptorShare = 0.75
 	// callerMemoryPart is the part of the memory that connections of callers may take by themselves.
 	callerMemoryPart = 4
 )
--- a/io/daemon/gateway.go
+++ b/io/daemon/gateway.go
@@ -346,15 +346,17 @@
 			p.Settings.MetricsAddress:   newAuxServer(p.Metrics),
 		},
 		intake: intake.Gate{
-			Clock:    p.Clock,
-			Memory:   p.Proxy.Memory,
-			MaxConns: maxCallerConns(p.Settings.Descriptors, p.Settings.MemoryBytes),
-			Limits:   func() intake.Limits { return headLimits(p.Loop) },
-			Log:      p.Log,
-			Events:   p.Metrics.Events,
+			Clock:      p.Clock,
+			Memory:     p.Proxy.Memory,
+			MaxConns:   maxCallerConns(p.Settings.Descriptors, p.Settings.MemoryBytes),
+			MaxSockets: int(socketDescriptorShare * float64(p.Settings.Descriptors)),
+			Limits:     func() intake.Limits { return headLimits(p.Loop) },
+			Log:        p.Log,
+			Events:     p.Metrics.Events,
 		},
 	}
 	g.intake.Start()
+	p.Proxy.UpstreamConns = &g.intake
 	p.Metrics.Func("caller-connections", func() any { return g.intake.Conns() })
 	p.Metrics.Func("caller-memory-bytes", func() any { return p.Proxy.Memory.Used() })
 	g.requests, g.endRequests = context.WithCancelCause(context.Background())
--- a/io/intake/gate.go
+++ b/io/intake/gate.go
@@ -53,12 +53,14 @@
 }
 
 // Gate bounds the connections of the listeners of a process, all together. Its exported fields are
-// set before the first use; the zero values of Memory and MaxConns bound nothing.
+// set before the first use; the zero values of Memory, MaxConns and MaxSockets bound nothing.
 type Gate struct {
 	Clock  clock.Clock
 	Memory *memory.Budget
 	// MaxConns is the number of connections above which one gives way.
 	MaxConns int
+	// MaxSockets is that of connections of callers and to upstreams together; zero for any.
+	MaxSockets int
 	// Limits returns the limits in force; nil means the defaults.
 	Limits func() Limits
 	Log    zerolog.Logger
@@ -67,6 +69,8 @@
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
+	// upstreamConns is the number of requests that may have a connection to an upstream.
+	upstreamConns int
 
 	// lingering holds a token for each refused connection that isn't closed yet.
 	lingering chan struct{}
@@ -137,17 +141,37 @@
 	return l
 }
 
-// makeConnRoom closes a connection if there are MaxConns. It reports false if none may be closed.
+// makeConnRoom closes a connection if there are as many as there may be. It reports false if none may be
+// closed.
 func (g *Gate) makeConnRoom(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.MaxConns == 0 || len(g.conns) < g.MaxConns {
+	most := g.mostConns()
+	if most == 0 || len(g.conns) < most {
 		return true
 	}
 	// Connections that were ended still have a descriptor until their servers notice.
-	if len(g.conns) >= g.MaxConns+g.MaxConns/endedPart+1 {
+	if len(g.conns) >= most+most/endedPart+1 {
 		return false
 	}
+	return g.endOne(now)
+}
+
+// mostConns returns the number of callers' connections above which one gives way; zero for any. The caller
+// holds mu.
+func (g *Gate) mostConns() int {
+	if g.MaxSockets == 0 {
+		return g.MaxConns
+	}
+	bySockets := max(1, g.MaxSockets-g.upstreamConns)
+	if g.MaxConns == 0 {
+		return bySockets
+	}
+	return min(g.MaxConns, bySockets)
+}
+
+// endOne makes one connection give way. It reports false if none does. The caller holds mu.
+func (g *Gate) endOne(now time.Time) bool {
 	for range endAttempts {
 		c, found := yield.ForConn(now, g.claims())
 		if !found {
@@ -160,6 +184,31 @@
 	return false
 }
 
+// StartUpstream is called before a request is sent to an upstream, which may take a connection. A
+// connection of a caller gives way to it if there are too many. It reports false if none does: the request must
+// not be sent.
+func (g *Gate) StartUpstream() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	sockets := len(g.conns) + g.upstreamConns
+	if g.MaxSockets > 0 && sockets >= g.MaxSockets {
+		// Connections that were ended still have a descriptor until their servers notice.
+		if sockets >= g.MaxSockets+g.MaxSockets/endedPart+1 || !g.endOne(g.Clock.Now()) {
+			return false
+		}
+	}
+	g.upstreamConns++
+	return true
+}
+
+// EndUpstream is called when the connection to the upstream is no longer used, after StartUpstream has
+// returned true.
+func (g *Gate) EndUpstream() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.upstreamConns--
+}
+
 // makeRoom is the MakeRoom hook of the budget.
 func (g *Gate) makeRoom(needed, held int64) bool {
 	now := g.Clock.Now()
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -54,6 +54,8 @@
 	Memory *memory.Budget
 	// AnswerMemory bounds what is held of all answers together; nil if nothing does.
 	AnswerMemory *memory.Budget
+	// UpstreamConns bounds the connections to upstreams; nil if nothing does.
+	UpstreamConns ConnLimiter
 	// QueueRequests is set if requests wait here while upstreams have no capacity for them; it
 	// is the settings key queue.enabled.
 	QueueRequests bool
@@ -65,6 +67,14 @@
 	endChecks singleflight.Group
 }
 
+// ConnLimiter bounds the number of connections.
+type ConnLimiter interface {
+	// StartUpstream reports whether there may be another connection to an upstream.
+	StartUpstream() bool
+	// EndUpstream is called once for each StartUpstream that has returned true.
+	EndUpstream()
+}
+
 // destination is where the next attempt goes: an upstream in this region, another
 // instance of this region, or another region.
 type destination struct {
@@ -147,9 +157,20 @@
 	})
 }
 
+// connsRetryAfter is the Retry-After value while there are too many connections: the time that ordinary
+// answers take to end.
+const connsRetryAfter = time.Second
+
 // useLease sends the request to its leased upstream and ends the lease. pass passes the
 // answer on and calls onPart whenever a part of it arrives.
 func (p *Proxy) useLease(ctx context.Context, cancel context.CancelCauseFunc, call *Call, lease *pool.Lease, pass func(a *http1.Answer, onPart func()) *result.Failure) *result.Failure {
+	if p.UpstreamConns != nil {
+		if !p.UpstreamConns.StartUpstream() {
+			p.endLease(lease, pool.Cancelled)
+			return refuse(result.StepAdmit, result.Overloaded, connsRetryAfter)
+		}
+		defer p.UpstreamConns.EndUpstream()
+	}
 	call.peer = string(lease.Upstream.ID)
 	call.upstreamVersion = lease.Upstream.Version
 	call.lease = lease
