--- a/core/yield/yield.go
+++ b/core/yield/yield.go
@@ -24,6 +24,9 @@
 	// Busy is the time from the end of a request to the end of its answer. The request may be at an
 	// upstream, so that the connection never gives way.
 	Busy
+	// Unread is the part of that time in which the caller acknowledges nothing of its answer, though the
+	// kernel takes no more of it.
+	Unread
 )
 
 // Claim is what a connection holds.
@@ -31,7 +34,8 @@
 	Phase Phase
 	// Held is in bytes.
 	Held int64
-	// LastByte is when the last byte arrived; that of the accept for a silent connection.
+	// LastByte is when the last byte arrived; that of the accept for a silent connection, and of the last
+	// byte that is known to be acknowledged in phase Unread.
 	LastByte time.Time
 	// Progress falls behind LastByte for a sender that is slower than MinRate; see Advance.
 	Progress time.Time
@@ -41,6 +45,9 @@
 	// Moment is the time without a byte after which a sender counts as stopped. Packets that are
 	// sent again come within it.
 	Moment = 250 * time.Millisecond
+	// Patience is the time without an acknowledged byte after which the reader of an answer counts as
+	// stopped: it may have to read what came before, or be a device that was out of reach.
+	Patience = 5 * time.Second
 	// MinRate is the number of bytes per second from which on a sender doesn't count as slow.
 	MinRate = 16 << 10
 	// largeFactor is how many times the bytes of a request a sender that hasn't stopped must hold
@@ -65,14 +72,15 @@
 	rankSilent
 	rankStopped
 	rankSlow
+	rankUnread
 	rankLarge
 	rankNever
 )
 
 // ForMemory returns the connections that give their memory, at least the bytes that are needed, to a
 // request that will hold a number of bytes. It returns none if they are too few. Idle connections go first,
-// then those that have stopped for the longest time, then slow ones, then the largest of those that
-// hold far more than the request.
+// then those that have stopped for the longest time, then slow ones, then those whose answer nobody reads,
+// then the largest of those that hold far more than the request.
 func ForMemory[K any](now time.Time, needed, bytes int64, claims iter.Seq2[K, Claim]) []K {
 	var all []candidate[K]
 	for k, c := range claims {
@@ -102,7 +110,7 @@
 	switch {
 	case c.Held == 0:
 		return rankNever
-	case r == rankNever && c.Phase != Busy && c.Held/largeFactor >= bytes:
+	case r == rankNever && c.Phase != Busy && c.Phase != Unread && c.Held/largeFactor >= bytes:
 		return rankLarge
 	default:
 		return r
@@ -110,7 +118,7 @@
 }
 
 // ForConn returns the connection that is closed for a new one. It reports false if none is. Idle ones go
-// first, then silent ones, then those that have stopped or are slow.
+// first, then silent ones, then those that have stopped or are slow, then those whose answer nobody reads.
 func ForConn[K any](now time.Time, claims iter.Seq2[K, Claim]) (best K, found bool) {
 	bestRank, bestClaim := rankNever, Claim{}
 	for k, c := range claims {
@@ -128,7 +136,9 @@
 		return rankIdle
 	case c.Phase == Silent && stopped:
 		return rankSilent
-	case c.Phase == Busy || c.Phase == Silent:
+	case c.Phase == Unread && now.Sub(c.LastByte) >= Patience:
+		return rankUnread
+	case c.Phase == Busy || c.Phase == Unread || c.Phase == Silent:
 		return rankNever
 	case stopped:
 		return rankStopped
--- a/core/yield/yield_test.go
+++ b/core/yield/yield_test.go
@@ -34,6 +34,9 @@
 		{"idle before stopped", map[string]Claim{"idle": at(Idle, 1, 10, 10), "stopped": at(Body, 900*kb, 9000, 9000)}, "idle"},
 		{"stopped before slow", map[string]Claim{"slow": at(Body, 900*kb, 10, 20_000), "stopped": at(Head, 1, 300, 300)}, "stopped"},
 		{"slowest", map[string]Claim{"slow": at(Body, kb, 10, 20_000), "slower": at(Head, kb, 20, 30_000), "fast": at(Body, kb, 5, 5)}, "slower"},
+		{"unread after slow", map[string]Claim{"unread": at(Unread, 900*kb, 60_000, 60_000), "slow": at(Body, kb, 10, 20_000)}, "slow"},
+		{"unread before large", map[string]Claim{"unread": at(Unread, kb, 5000, 5000), "large": at(Body, 900*kb, 5, 5)}, "unread"},
+		{"read lately", map[string]Claim{"read": at(Unread, 900*kb, 4999, 60_000)}, ""},
 		{"same size while all send", map[string]Claim{"other": at(Body, 79*kb, 10, 10)}, ""},
 		{"largest while all send", map[string]Claim{"large": at(Body, 80*kb, 10, 10), "larger": at(Body, 90*kb, 5, 5), "small": at(Body, kb, 100, 100)}, "larger"},
 	} {
--- a/io/intake/conn.go
+++ b/io/intake/conn.go
@@ -285,20 +285,27 @@
 func (c *conn) claim() (yield.Claim, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ended || c.phase == yield.Busy {
+	if c.ended {
 		return yield.Claim{}, false
 	}
+	if c.phase == yield.Busy {
+		since, unread := c.unreadSince(c.gate.Clock.Now())
+		return yield.Claim{Phase: yield.Unread, Held: c.head.Held(), LastByte: since}, unread
+	}
 	return yield.Claim{Phase: c.phase, Held: c.head.Held() + c.body.Held(), LastByte: c.lastByte, Progress: c.progress}, true
 }
 
-// end makes the connection give way. It reports false if its request has been read meanwhile, or if
-// something has arrived that its server had no processor to read.
+// end makes the connection give way. It reports false if its request has been read meanwhile and the answer
+// isn't unread, or if something has arrived that its server had no processor to read.
 func (c *conn) end(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ended || c.phase == yield.Busy {
+	if c.ended {
 		return false
 	}
+	if c.phase == yield.Busy {
+		return c.endUnread(now)
+	}
 	stopped := c.phase == yield.Idle || now.Sub(c.lastByte) >= yield.Moment
 	if stopped && hasUnread(c.Conn) {
 		c.lastByte = now
@@ -314,6 +321,20 @@
 	return true
 }
 
+// endUnread makes a connection give way whose caller doesn't read the answer. The answer is cut off.
+func (c *conn) endUnread(now time.Time) bool {
+	since, unread := c.unreadSince(now)
+	if !unread || now.Sub(since) < yield.Patience {
+		return false
+	}
+	c.ended = true
+	c.gate.count(endReasons[c.phase])
+	c.head.Revoke()
+	// The write that is under way fails, and the request ends as for a caller who has left.
+	_ = c.Conn.Close()
+	return true
+}
+
 func (c *conn) startBody(share *memory.Share) {
 	now := c.gate.Clock.Now()
 	c.mu.Lock()
--- a/io/intake/gate_test.go
+++ b/io/intake/gate_test.go
@@ -45,7 +45,9 @@
 		handler = answerLength(g)
 	}
 	r := &rig{t: t, gate: g, events: &events{}}
-	g.Clock = clock.System{}
+	if g.Clock == nil {
+		g.Clock = clock.System{}
+	}
 	g.Events = r.events
 	g.Start()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/io/intake/refusal.go
+++ b/io/intake/refusal.go
@@ -22,6 +22,8 @@
 	closedIdle
 	closedSilent
 	closedBody
+	// closedUnread is for a connection that gave way since its caller didn't read the answer.
+	closedUnread
 	refusalCount
 )
 
@@ -30,6 +32,7 @@
 	yield.Idle:   closedIdle,
 	yield.Silent: closedSilent,
 	yield.Body:   closedBody,
+	yield.Busy:   closedUnread,
 }
 
 var refusalNames = [refusalCount]string{
@@ -41,6 +44,7 @@
 	closedIdle:     "idle",
 	closedSilent:   "silent",
 	closedBody:     "body-stopped",
+	closedUnread:   "answer-unread",
 }
 
 // String returns the name of the reason.
--- a/io/intake/write.go
+++ b/io/intake/write.go
@@ -32,6 +32,12 @@
 	// serverDeadline is set if the server bounds writes itself.
 	serverDeadline bool
 	extendedAt     time.Time
+	// writing is set during a write.
+	writing bool
+	// lookedAt is when the kernel was seen to hold lookedUnsent bytes for the first time in this write;
+	// zero if nobody has looked.
+	lookedAt     time.Time
+	lookedUnsent int
 
 	// checks counts the looks without progress, and unsent is what the kernel held at the last one.
 	checks int
@@ -54,6 +60,8 @@
 // Write writes a part of an answer. A caller who reads slowly gets all of it.
 func (c *conn) Write(p []byte) (int, error) {
 	c.writes.checks, c.writes.unsent = 0, math.MaxInt
+	c.writes.setWriting(true)
+	defer c.writes.setWriting(false)
 	written := 0
 	for {
 		c.extendWriteDeadline(writeDeadlineStep)
@@ -86,6 +94,31 @@
 	return true
 }
 
+func (w *writeState) setWriting(writing bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.writing = writing
+	w.lookedAt = time.Time{}
+}
+
+// unreadSince returns since when the kernel holds the same bytes of an answer that is being written. It
+// reports false if no write is under way, or if that can't be known.
+func (c *conn) unreadSince(now time.Time) (time.Time, bool) {
+	c.writes.mu.Lock()
+	defer c.writes.mu.Unlock()
+	if !c.writes.writing {
+		return time.Time{}, false
+	}
+	unsent, ok := queuedBytes(c.Conn, unix.SIOCOUTQ)
+	if !ok {
+		return time.Time{}, false
+	}
+	if c.writes.lookedAt.IsZero() || unsent != c.writes.lookedUnsent {
+		c.writes.lookedAt, c.writes.lookedUnsent = now, unsent
+	}
+	return c.writes.lookedAt, true
+}
+
 // readerProgresses reports whether the caller has read something lately. A write proceeds only once a
 // good part of the kernel's buffer is free, which takes a slow reader longer than any deadline, so that
 // what the buffer holds is looked at.
