--- a/io/source/source.go
+++ b/io/source/source.go
@@ -69,9 +69,10 @@
 // NewClient returns a client of the platform's service at the address.
 func NewClient(address netip.AddrPort) *Client {
 	transport := syntax.Transport{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: 8,
+		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DisableCompression: true,
+		// Replies carry no key, so that what comes late on a connection must not meet the next read.
+		DisableKeepAlives: true,
 	}}
 	return &Client{address: address, client: syntax.NewClient(transport)}
 }
