--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -60,6 +60,8 @@
 	closed  bool
 	// faults holds what the calls on the connection have reported.
 	faults faults
+	// carried holds the ids of the last requests that were sent on the connection, maxCarried at most.
+	carried []string
 	// refused holds the ids of the last requests that the upstream refused on the connection,
 	// maxRefused at most.
 	refused []string
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -97,6 +97,7 @@
 		c.conns.put(connection, defaultIdleTime)
 		return nil, c.failure(ctx, a, result.NotRun, result.UpstreamChanged, nil)
 	}
+	connection.carry(a.RequestID)
 	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	x := &exchange{client: c, attempt: a, memory: c.Memory.NewShare(), conn: connection, stopCancel: stop, writeResult: make(chan error, 1)}
 	answer, failure := x.run(ctx)
@@ -375,7 +376,7 @@
 		answer.events = &event.Scanner{}
 	}
 	answer.Body = &body{
-		ReadCloser: io.NopCloser(h.Frame.Body(x.conn.reader)),
+		ReadCloser: io.NopCloser(x.bodyReader(h.Frame)),
 		exchange:   x,
 		framing:    answer.Framing,
 		events:     answer.events,
@@ -385,6 +386,14 @@
 	return answer, nil
 }
 
+// bodyReader returns a reader of the body that follows a head.
+func (x *exchange) bodyReader(f syntax.Frame) io.Reader {
+	if framingOf(f) == FramedByClose {
+		return &strayFilter{reader: f.Body(x.conn.reader), codec: x.client.Codec, ids: x.conn.carried}
+	}
+	return f.Body(x.conn.reader)
+}
+
 func isSuccess(status int) bool {
 	return status >= 200 && status < 300
 }
