--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/juju/errors"
@@ -147,7 +148,11 @@
 	call.headSent = true
 	call.status = a.Status
 	defer p.recordFraming(call, a)
+	length := a.Header["Content-Length"]
 	RemoveHopByHopHeaders(a.Header)
+	if call.Method == http.MethodHead && len(length) > 0 {
+		a.Header["Content-Length"] = length
+	}
 	if err := reply.WriteHead(a); err != nil {
 		return callerGone(call, err)
 	}
--- a/io/proxy/sink.go
+++ b/io/proxy/sink.go
@@ -27,6 +27,7 @@
 func (s *httpSink) WriteHead(head AnswerHead) error {
 	header := s.writer.Header()
 	connection := header.Get("Connection")
+	length := head.Header.Get("Content-Length")
 	RemoveHopByHopHeaders(head.Header)
 	for name, values := range head.Header {
 		header[name] = values
@@ -34,7 +35,11 @@
 	if connection != "" {
 		header.Set("Connection", connection)
 	}
-	s.setFraming(header, head)
+	if s.request.Method == http.MethodHead {
+		s.setAnnounced(header, length)
+	} else {
+		s.setFraming(header, head)
+	}
 	if s.framing == http1.FramedByClose {
 		s.closeEnded.Add(1)
 		if err := ending.Reset(s.request); err != nil {
@@ -64,6 +69,15 @@
 	}
 }
 
+// setAnnounced sets the length that the upstream gives for the body which a HEAD doesn't ask for; none if it
+// gives none.
+func (s *httpSink) setAnnounced(header http.Header, length string) {
+	s.framing = http1.FramedByLength
+	if length != "" {
+		header.Set("Content-Length", length)
+	}
+}
+
 // release ends the use of the sink.
 func (s *httpSink) release() {
 	if s.framing == http1.FramedByClose {
