--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -34,7 +35,8 @@
 	keepAliveCount    = 4
 	// userTimeout is TCP_USER_TIMEOUT. It also decides when the probes give up, whatever
 	// their count, and is therefore not less than keepAliveIdle and all probes take. It
-	// outlasts a machine that stands still for a second or so.
+	// outlasts a machine that stands still for a second or so. While a request is sent, ackWatch
+	// takes its place.
 	userTimeout = keepAliveIdle + keepAliveCount*keepAliveInterval
 	// maxIdleConns bounds the idle connections to one upstream.
 	maxIdleConns = 64
@@ -60,6 +62,8 @@
 	closed  bool
 	// faults holds what the calls on the connection have reported.
 	faults faults
+	// vanished is set before the connection is closed because its upstream has vanished.
+	vanished atomic.Bool
 	// refused holds the ids of the last requests that the upstream refused on the connection,
 	// maxRefused at most.
 	refused []string
--- a/io/http1/fault.go
+++ b/io/http1/fault.go
@@ -53,6 +53,9 @@
 // Read reads from the connection and keeps its error.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if err != nil && c.vanished.Load() {
+		err = errVanished
+	}
 	c.faults.record("read", err)
 	return n, err
 }
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -97,8 +97,12 @@
 		c.conns.put(connection, defaultIdleTime)
 		return nil, c.failure(ctx, a, result.NotRun, result.UpstreamChanged, nil)
 	}
-	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
-	x := &exchange{client: c, attempt: a, memory: c.Memory.NewShare(), conn: connection, stopCancel: stop, writeResult: make(chan error, 1)}
+	acks := watchAcks(connection, c.conns.clock)
+	stop := context.AfterFunc(ctx, func() {
+		acks.stop()
+		_ = connection.Close()
+	})
+	x := &exchange{client: c, attempt: a, memory: c.Memory.NewShare(), conn: connection, acks: acks, stopCancel: stop, writeResult: make(chan error, 1)}
 	answer, failure := x.run(ctx)
 	if failure != nil {
 		x.memory.Release()
@@ -179,6 +183,7 @@
 	client     *Client
 	attempt    *Attempt
 	conn       *conn
+	acks       *ackWatch
 	stopCancel func() bool
 	// writeResult receives the result of writing the request. writeEnded is set once it was received,
 	// and writeErr is what was received.
@@ -199,6 +204,7 @@
 	if len(x.attempt.Body) <= maxInlineWrite {
 		x.write()
 	} else {
+		x.acks.lift()
 		go x.write()
 	}
 	return x.readAnswer(ctx)
@@ -309,10 +315,13 @@
 	if len(a.Body) <= maxInlineWrite {
 		b.Write(a.Body)
 		_, err := x.conn.Write(b.Bytes())
+		x.acks.written.Store(true)
 		x.writeResult <- err
 		return
 	}
-	x.writeResult <- x.writeLong(b.Bytes(), a.Body)
+	err := x.writeLong(b.Bytes(), a.Body)
+	x.acks.written.Store(true)
+	x.writeResult <- err
 }
 
 // writePartBytes is how much of a long body is written at a time.
@@ -444,8 +453,8 @@
 	return nil
 }
 
-// release returns the connection to the pool if the request was written completely.
-// After an early answer it closes the connection, since the upstream may still be
+// release returns the connection to the pool if the request was written completely and isn't known to
+// be on its way. After an early answer it closes the connection, since the upstream may still be
 // reading the body of the request.
 func (x *exchange) release(idleTime time.Duration) {
 	x.released = true
@@ -454,7 +463,8 @@
 		x.writeEnded = true
 	default:
 	}
-	x.notReusable = x.notReusable || !x.writeEnded || x.writeErr != nil
+	acknowledged := x.acks.stop()
+	x.notReusable = x.notReusable || !x.writeEnded || x.writeErr != nil || !acknowledged
 	if !x.stopCancel() || x.notReusable || x.conn.reader.Buffered() > 0 {
 		_ = x.conn.Close()
 		return
@@ -492,5 +502,6 @@
 	}
 	x.released = true
 	x.stopCancel()
+	x.acks.stop()
 	_ = x.conn.Close()
 }
