--- a/io/http1/attempt.go
+++ b/io/http1/attempt.go
@@ -14,7 +14,8 @@
 
 // AnswerMeta holds the values that a Codec parses from the head of an answer.
 type AnswerMeta struct {
-	// RequestID is the id of the request that the answer belongs to.
+	// RequestID is the id of the request that the answer belongs to; empty if it names none, or
+	// several that differ.
 	RequestID string
 	// NotRun is set if the upstream states that no part of the request ran.
 	NotRun bool
--- a/io/http1/grammar_test.go
+++ b/io/http1/grammar_test.go
@@ -51,6 +51,15 @@
 	"another protocol":                     "ICY 200 OK\r\n" + sound,
 	"an interim answer of another version": "HTTP/2.0 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + sound,
 
+	// An answer with two ids may belong to either request.
+	"another id behind":                "HTTP/1.1 200 OK\r\nId: q\r\nId: p\r\nSigned: 1\r\nContent-Length: 5\r\n\r\nwhole",
+	"another id before":                "HTTP/1.1 200 OK\r\nId: p\r\nId: q\r\nSigned: 1\r\nContent-Length: 5\r\n\r\nwhole",
+	"another id before, then its own":  "HTTP/1.1 200 OK\r\nId: p\r\nId: q\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n" + sound,
+	"an empty id behind":               "HTTP/1.1 200 OK\r\n" + strings.Replace(sound, "Id: q", "Id: q\r\nId:", 1),
+	"a refusal with another id behind": "HTTP/1.1 503 Full\r\nId: q\r\nId: p\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+	"421 with another id behind":       "HTTP/1.1 421 Misdirected\r\nId: q\r\nId: p\r\nContent-Length: 0\r\n\r\n",
+	"a late answer with two ids":       "HTTP/1.1 200 OK\r\nId: 0\r\nId: 1\r\nContent-Length: 4\r\n\r\nlateHTTP/1.1 200 OK\r\n" + sound,
+
 	// A field whose name isn't one is lost, or passed on.
 	"blank before the colon of the length":   "HTTP/1.1 200 OK\r\nId: q\r\nSigned: 1\r\nContent-Length : 5\r\n\r\nwhole and more",
 	"tab before the colon of the length":     "HTTP/1.1 200 OK\r\nId: q\r\nSigned: 1\r\nContent-Length\t: 5\r\n\r\nwhole and more",
@@ -182,6 +191,9 @@
 		"trailers with LF alone":         {text: head + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nY: 1\n\n", body: "whole"},
 		"chunks without a body":          {text: head + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
 		"late answer to another request": {text: "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 4\r\n\r\nlateHTTP/1.1 200 OK\r\n" + sound, body: "whole", next: 1},
+		"late answer with its id twice":  {text: "HTTP/1.1 200 OK\r\nId: 0\r\nId: 0\r\nContent-Length: 4\r\n\r\nlateHTTP/1.1 200 OK\r\n" + sound, body: "whole", next: 1},
+		"its id twice":                   {text: "HTTP/1.1 200 OK\r\nId: q\r\n" + sound, body: "whole"},
+		"its id twice in odd case":       {text: "HTTP/1.1 200 OK\r\niD:  q \r\n" + sound, body: "whole"},
 		"refusal":                        {text: "HTTP/1.1 404 Not Found\r\n" + sound, body: "whole"},
 	}
 	for name, c := range forms {
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -226,7 +226,7 @@
 			continue
 		}
 		x.conn.bounded.unbounded()
-		if answer.Meta.RequestID == x.attempt.RequestID {
+		if answer.Meta.RequestID != "" && answer.Meta.RequestID == x.attempt.RequestID {
 			if x.attempt.Received != nil && !answer.Meta.Replaced {
 				x.attempt.Received(answer.Meta)
 			}
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -17,6 +17,7 @@
 
 	"arbutustrestle/core/clock"
 	"arbutustrestle/core/result"
+	"arbutustrestle/io/syntax"
 )
 
 // testCodec uses header names specific to these tests.
@@ -28,7 +29,7 @@
 
 func (testCodec) ParseResponse(status int, h http.Header) AnswerMeta {
 	return AnswerMeta{
-		RequestID: h.Get("Id"),
+		RequestID: syntax.SingleValue(h, "Id"),
 		NotRun:    h.Get("Not-Run") != "",
 		Replaced:  status == http.StatusMisdirectedRequest,
 		Signed:    h.Get("Signed") != "",
--- a/io/invoke/invoke.go
+++ b/io/invoke/invoke.go
@@ -330,7 +330,7 @@
 		}
 		return f
 	}
-	if response.Header.Get(HeaderRequestID) != r.attempt.RequestID {
+	if syntax.SingleValue(response.Header, HeaderRequestID) != r.attempt.RequestID {
 		return r.failure(result.AnswerMismatch, nil)
 	}
 	if !r.attempt.Streamed {
--- a/io/invoke/no_answer_test.go
+++ b/io/invoke/no_answer_test.go
@@ -90,3 +90,28 @@
 		})
 	}
 }
+
+// TestTwoIDs guards against an answer that names two requests and counts as that of the first, and against
+// refusing one that names its request twice.
+func TestTwoIDs(t *testing.T) {
+	const (
+		id   = "0123456789abcdef0123456789abcdef"
+		line = "Request-Id: " + id + "\r\n"
+	)
+	for lines, good := range map[string]bool{line: true, line + line: true, line + "Request-Id: 0\r\n": false, "Request-Id: 0\r\n" + line: false} {
+		t.Run(lines, func(t *testing.T) {
+			t.Parallel()
+			address := startTextUpstream(t, "HTTP/1.1 200 OK\r\n"+lines+"Content-Length: 5\r\n\r\nwhole")
+			client := invoke.NewClient(time.Second, time.Second, maxAnswerBytes)
+			defer client.Close()
+			var to sink
+			_, failure := client.Do(t.Context(), &invoke.Attempt{RequestID: id, Upstream: "u", Address: address, Method: http.MethodPost, Path: "/x"}, &to)
+			switch {
+			case good && (failure != nil || string(to.body) != "whole"):
+				t.Errorf("%q, %v", to.body, failure)
+			case !good && (failure == nil || failure.Outcome != result.Unknown || failure.Reason != result.AnswerMismatch || to.status != 0):
+				t.Errorf("status %d, %v", to.status, failure)
+			}
+		})
+	}
+}
--- a/io/proxy/instance_test.go
+++ b/io/proxy/instance_test.go
@@ -34,6 +34,7 @@
 	"arbutustrestle/io/link"
 	"arbutustrestle/io/metric"
 	"arbutustrestle/io/syncer"
+	"arbutustrestle/io/syntax"
 )
 
 // testCallerCodec parses and writes the headers of the test's callers.
@@ -71,7 +72,7 @@
 
 func (testUpstreamCodec) ParseResponse(status int, h http.Header) http1.AnswerMeta {
 	m := http1.AnswerMeta{
-		RequestID: h.Get("Id"),
+		RequestID: syntax.SingleValue(h, "Id"),
 		NotRun:    h.Get("Not-Run") != "",
 		Replaced:  status == http.StatusMisdirectedRequest,
 		Signed:    h.Get("Signed") != "",
--- a/io/proxy/no_answer_test.go
+++ b/io/proxy/no_answer_test.go
@@ -28,6 +28,9 @@
 	"blank in a name":        "HTTP/1.1 200 OK\r\nId: ID\r\nSigned: 1\r\nOdd Name: 1\r\nContent-Length: LENGTH\r\n\r\nBODY",
 	"control byte in a name": "HTTP/1.1 200 OK\r\nId: ID\r\nSigned: 1\r\nOd\x01d: 1\r\nContent-Length: LENGTH\r\n\r\nBODY",
 	"continued line":         "HTTP/1.1 200 OK\r\nId: ID\r\nSigned: 1\r\nOdd: 1\r\n Content-Length: LENGTH\r\n\r\nBODY and more",
+	"another id behind":      "HTTP/1.1 200 OK\r\nId: ID\r\nId: 0\r\nSigned: 1\r\nContent-Length: LENGTH\r\n\r\nBODY",
+	"another id before":      "HTTP/1.1 200 OK\r\nId: 0\r\nId: ID\r\nSigned: 1\r\nContent-Length: LENGTH\r\n\r\nBODY",
+	"not run, another id":    "HTTP/1.1 503 Full\r\nId: ID\r\nId: 0\r\nNot-Run: 1\r\nContent-Length: LENGTH\r\n\r\nBODY",
 	"length and chunks":      "HTTP/1.1 200 OK\r\nId: ID\r\nSigned: 1\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\nSIZE\r\nBODY\r\n0\r\n\r\n",
 	"chunks in HTTP/1.0":     "HTTP/1.0 200 OK\r\nId: ID\r\nSigned: 1\r\nTransfer-Encoding: chunked\r\n\r\nSIZE\r\nBODY\r\n0\r\n\r\n",
 }
--- a/io/syntax/head.go
+++ b/io/syntax/head.go
@@ -75,6 +75,21 @@
 	return h, nil
 }
 
+// SingleValue returns the value of a field that a head should have once, and empty if there is none. Equal lines
+// count as one. Of lines that differ none counts, since nothing says which one was meant.
+func SingleValue(h http.Header, name string) string {
+	values := h[textproto.CanonicalMIMEHeaderKey(name)]
+	if len(values) == 0 {
+		return ""
+	}
+	for _, value := range values[1:] {
+		if value != values[0] {
+			return ""
+		}
+	}
+	return values[0]
+}
+
 // removeOptions removes the fields that Connection names. They belong to the connection and aren't
 // passed on (RFC 9110, section 7.6.1), so that nothing may count as said by them. Keep-Alive is left to
 // who keeps the connection.
