--- a/io/daemon/callers.go
+++ b/io/daemon/callers.go
@@ -28,6 +28,9 @@
 	socketDescriptorShare = 0.75
 	// callerMemoryPart is the part of the memory that connections of callers may take by themselves.
 	callerMemoryPart = 4
+	// unreadMemoryPart is the part of the memory that the kernel may take for bytes of callers that weren't
+	// read.
+	unreadMemoryPart = 4
 )
 
 // callerConnContext is the ConnContext hook of the servers of callers.
--- a/io/daemon/gateway.go
+++ b/io/daemon/gateway.go
@@ -346,13 +346,14 @@
 			p.Settings.MetricsAddress:   newAuxServer(p.Metrics),
 		},
 		intake: intake.Gate{
-			Clock:      p.Clock,
-			Memory:     p.Proxy.Memory,
-			MaxConns:   maxCallerConns(p.Settings.Descriptors, p.Settings.MemoryBytes),
-			MaxSockets: int(socketDescriptorShare * float64(p.Settings.Descriptors)),
-			Limits:     func() intake.Limits { return headLimits(p.Loop) },
-			Log:        p.Log,
-			Events:     p.Metrics.Events,
+			Clock:       p.Clock,
+			Memory:      p.Proxy.Memory,
+			MaxConns:    maxCallerConns(p.Settings.Descriptors, p.Settings.MemoryBytes),
+			MaxSockets:  int(socketDescriptorShare * float64(p.Settings.Descriptors)),
+			UnreadBytes: p.Settings.MemoryBytes / unreadMemoryPart,
+			Limits:      func() intake.Limits { return headLimits(p.Loop) },
+			Log:         p.Log,
+			Events:      p.Metrics.Events,
 		},
 	}
 	g.intake.Start()
--- a/io/intake/gate.go
+++ b/io/intake/gate.go
@@ -61,6 +61,9 @@
 	MaxConns int
 	// MaxSockets is that of connections of callers and to upstreams together; zero for any.
 	MaxSockets int
+	// UnreadBytes is what the kernel may hold of bytes that have come and weren't read; zero for any. It
+	// needs MaxConns.
+	UnreadBytes int64
 	// Limits returns the limits in force; nil means the defaults.
 	Limits func() Limits
 	Log    zerolog.Logger
@@ -71,6 +74,8 @@
 	conns map[*conn]struct{}
 	// upstreamConns is the number of requests that may have a connection to an upstream.
 	upstreamConns int
+	// smallBuffers is set while the connections have small receive buffers.
+	smallBuffers bool
 
 	// lingering holds a token for each refused connection that isn't closed yet.
 	lingering chan struct{}
@@ -123,6 +128,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.conns[c] = struct{}{}
+	g.sizeBuffers(c)
 	return c
 }
 
@@ -248,6 +254,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.conns, c)
+	g.growBuffers()
 }
 
 // Conns returns the number of open connections.
