--- a/io/intake/conn.go
+++ b/io/intake/conn.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -34,6 +35,10 @@
 	// request before, and unsure is set until that is known.
 	tailCost int64
 	unsure   bool
+	// blankLines counts the empty lines before the current head that the server hasn't got, and partRead is
+	// set if the server may have got the beginning of the head with the request before.
+	blankLines int
+	partRead   bool
 	// idleDeadlines counts the read deadlines that were set since the connection is idle.
 	idleDeadlines int
 
@@ -88,10 +93,27 @@
 	return c.lingers
 }
 
-// Read reads bytes for the server and accounts for them before it gets them. The error for a refused
-// caller is a timeout, upon which the server closes the connection without an answer of its own.
+// Read reads bytes for the server, without empty lines before a head.
 func (c *conn) Read(p []byte) (int, error) {
 	c.learnStart()
+	read := 0
+	for {
+		atStart := c.atStart()
+		n, err := c.readCharged(p[read:])
+		read += n
+		if err != nil || !atStart {
+			return read, err
+		}
+		read = c.dropBlankLines(p[:read])
+		if part := read == 1 && p[0] == '\r' && len(p) > 1; read > 0 && !part {
+			return read, nil
+		}
+	}
+}
+
+// readCharged reads bytes and accounts for them before the server gets them. The error for a refused caller is
+// a timeout, upon which the server closes the connection without an answer of its own.
+func (c *conn) readCharged(p []byte) (int, error) {
 	if c.hasEnded() {
 		return 0, c.endRead()
 	}
@@ -114,6 +136,41 @@
 	}
 }
 
+// maxBlankLines is the number of empty lines before a head that are dropped. RFC 9112, 2.2, asks for one at
+// least, for callers that send one after a body. The server refuses a head with more.
+const maxBlankLines = 4
+
+// atStart reports whether the next byte is known to belong to no head or to what comes before one.
+func (c *conn) atStart() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch c.phase {
+	case yield.Idle, yield.Silent:
+		return !c.unsure
+	case yield.Head:
+		return c.scan.atStart() && !c.partRead
+	default:
+		return false
+	}
+}
+
+// dropBlankLines removes empty lines from the beginning of what was read before a head, and returns the length
+// of the rest.
+func (c *conn) dropBlankLines(p []byte) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	rest := p
+	for c.blankLines < maxBlankLines {
+		line, after, ended := bytes.Cut(rest, newline)
+		if !ended || len(bytes.TrimSuffix(line, []byte("\r"))) > 0 {
+			break
+		}
+		c.blankLines++
+		rest = after
+	}
+	return copy(p, rest)
+}
+
 // hasEnded reports whether the connection has given way.
 func (c *conn) hasEnded() bool {
 	c.mu.Lock()
@@ -211,6 +268,7 @@
 	c.scan = headScan{}
 	c.unsure = !atHead
 	c.idleDeadlines = 0
+	c.blankLines, c.partRead = 0, false
 	if atHead {
 		c.tail = tailScan{}
 	}
@@ -239,6 +297,7 @@
 		c.head.Release()
 		return
 	}
+	c.partRead = true
 	c.beginHead(c.lastByte)
 	_ = c.applyDeadline()
 }
--- a/io/intake/scan.go
+++ b/io/intake/scan.go
@@ -63,6 +63,11 @@
 	return s.bytes-s.startBytes > limit+end || s.startBytes > limit+end
 }
 
+// atStart reports whether no byte of the head has come, but for empty lines.
+func (s *headScan) atStart() bool {
+	return !s.begun && (s.lineBytes == 0 || s.blankLine)
+}
+
 func (s *headScan) addLinePart(p []byte) {
 	if len(p) == 0 {
 		return
