--- a/io/daemon/gateway.go
+++ b/io/daemon/gateway.go
@@ -263,6 +263,7 @@
 		AnswerMemory:   &memory.Budget{Limit: p.Settings.MemoryBytes / answerMemoryPart, Free: freeAnswerBytes},
 		QueueRequests:  p.Settings.QueueRequests,
 	}
+	requests.AnswerMemory.MakeRoom = requests.EndUnread
 	p.UpstreamClient.Memory = requests.AnswerMemory
 	p.UpstreamClient.WatchIdleConns(requests.ConnsClosed)
 	return requests
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -63,6 +63,7 @@
 	activity  activity
 	waiting   entryQueue
 	handovers handovers
+	unread    unreadWrites
 	// endChecks are the checks under way whether an upstream has ended.
 	endChecks singleflight.Group
 }
@@ -358,7 +359,7 @@
 	}
 	call.upstreamVersion = answer.Meta.Version
 	start := p.beginAnswer(call, answer)
-	failure = p.passAnswer(ctx, cancel, call, answer, &relaySink{Sink: sink, budget: p.AnswerMemory}, start.partArrived)
+	failure = p.passAnswer(ctx, cancel, call, answer, &relaySink{Sink: sink, budget: p.AnswerMemory, unread: &p.unread, clock: p.Clock}, start.partArrived)
 	if failure == nil {
 		start.whole()
 	}
--- a/io/proxy/unread_test.go
+++ b/io/proxy/unread_test.go
@@ -6,7 +6,9 @@
 
 	"github.com/juju/errors"
 
+	"arbutustrestle/core/clock"
 	"arbutustrestle/core/memory"
+	"arbutustrestle/core/yield"
 	"arbutustrestle/io/http1"
 	"arbutustrestle/io/link"
 )
@@ -32,11 +34,11 @@
 // TestUnreadRelay guards against callers who don't read answers that another instance relays, which
 // stay in the buffers of the link: each takes memory, and the one for which there is none is ended.
 func TestUnreadRelay(t *testing.T) {
-	budget := &memory.Budget{Limit: link.MaxBufferBytes}
+	budget, unread := &memory.Budget{Limit: link.MaxBufferBytes}, &unreadWrites{}
 	first := &blockedSink{resumed: make(chan struct{}), aborted: make(chan struct{})}
 	done := make(chan error, 1)
 	go func() {
-		_, err := (&relaySink{Sink: first, budget: budget}).Write([]byte("x"))
+		_, err := (&relaySink{Sink: first, budget: budget, unread: unread, clock: clock.System{}}).Write([]byte("x"))
 		done <- err
 	}()
 	for began := time.Now(); budget.Used() != link.MaxBufferBytes; time.Sleep(time.Millisecond) {
@@ -45,7 +47,7 @@
 		}
 	}
 	second := &blockedSink{resumed: make(chan struct{}), aborted: make(chan struct{})}
-	if _, err := (&relaySink{Sink: second, budget: budget}).Write([]byte("x")); !errors.Is(err, http1.ErrNoMemory) {
+	if _, err := (&relaySink{Sink: second, budget: budget, unread: unread, clock: clock.System{}}).Write([]byte("x")); !errors.Is(err, http1.ErrNoMemory) {
 		t.Errorf("error %v", err)
 	}
 	close(first.resumed)
@@ -56,3 +58,52 @@
 		t.Errorf("%d bytes never given back", budget.Used())
 	}
 }
+
+// TestUnreadRelayGivesWay guards against callers who have read nothing for a long time and keep the memory, so that
+// another caller who pauses for a moment loses its answer.
+func TestUnreadRelayGivesWay(t *testing.T) {
+	now := clock.NewManual(time.Unix(1000, 0))
+	unread := &unreadWrites{}
+	budget := &memory.Budget{Limit: 2 * link.MaxBufferBytes, MakeRoom: func(needed, _ int64) bool { return unread.makeRoom(now.Now(), needed) }}
+	waitUsed := func(bytes int64) {
+		t.Helper()
+		for began := time.Now(); budget.Used() != bytes; time.Sleep(time.Millisecond) {
+			if time.Since(began) > 10*time.Second {
+				t.Fatalf("%d bytes held", budget.Used())
+			}
+		}
+	}
+	var sinks []*blockedSink
+	var ends []chan error
+	begin := func() {
+		sink := &blockedSink{resumed: make(chan struct{}), aborted: make(chan struct{})}
+		end := make(chan error, 1)
+		write := &relaySink{Sink: sink, budget: budget, unread: unread, clock: now}
+		go func() {
+			_, err := write.Write([]byte("x"))
+			end <- err
+		}()
+		sinks, ends = append(sinks, sink), append(ends, end)
+	}
+	begin()
+	waitUsed(link.MaxBufferBytes)
+	now.Advance(time.Second)
+	begin()
+	waitUsed(2 * link.MaxBufferBytes)
+	now.Advance(yield.Patience - time.Second)
+	begin()
+	if err := <-ends[0]; !errors.Is(err, http1.ErrNoMemory) {
+		t.Errorf("the first one: %v", err)
+	}
+	waitUsed(2 * link.MaxBufferBytes)
+	for n, sink := range sinks[1:] {
+		close(sink.resumed)
+		if err := <-ends[n+1]; err != nil {
+			t.Errorf("number %d: %v", n+1, err)
+		}
+	}
+	waitUsed(0)
+	if len(unread.writes) != 0 {
+		t.Errorf("%d writes are still known", len(unread.writes))
+	}
+}
