--- a/io/link/streams.go
+++ b/io/link/streams.go
@@ -86,14 +86,27 @@
 type sessionConn struct {
 	net.Conn
 	streams *streamSet
+	pings   pingCounter
 }
 
-// Read counts what arrives.
+// Read counts what arrives. It returns an error if too many pings of the other end wait for an answer.
 func (c *sessionConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.streams.reads.Add(1)
 	}
+	if excess := c.pings.received(p[:n]); excess != nil {
+		return 0, excess
+	}
+	return n, err
+}
+
+// Write counts the answers to pings.
+func (c *sessionConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err == nil {
+		c.pings.written(p)
+	}
 	return n, err
 }
 
