--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -157,13 +157,30 @@
 }
 
 // watch waits until something arrives on an idle connection, the upstream closes it, or stopWatch
-// is called.
+// is called. What arrives belongs to no request: the connection is closed at once, or the upstream
+// might fill its buffers.
 func (p *connPool) watch(c *conn, done chan struct{}) {
-	closed := c.waitForEnd()
-	c.closed = closed
+	end := c.waitForEnd()
+	c.closed = end == closedByUpstream
 	close(done)
-	if closed && p.removeClosed(c) {
-		p.ended(c.key)
+	switch end {
+	case closedByUpstream:
+		if p.removeClosed(c) {
+			p.ended(c.key)
+		}
+	case dataArrived:
+		p.remove(c)
+	}
+}
+
+// remove closes an idle connection.
+func (p *connPool) remove(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[c.key]
+	if i := slices.Index(list, c); i >= 0 {
+		_ = c.Close()
+		p.idle[c.key] = slices.Delete(list, i, i+1)
 	}
 }
 
@@ -246,25 +263,43 @@
 	return err == nil && open
 }
 
-// waitForEnd blocks until the other end closes the connection, and reports true then. It reports
-// false if data arrives, which it doesn't read, and when the read deadline passes.
-func (c *conn) waitForEnd() bool {
+// idleEnd is how an idle connection stops being one.
+type idleEnd uint8
+
+const (
+	// watchStopped means that the read deadline has passed, or that nothing can be seen.
+	watchStopped idleEnd = iota
+	closedByUpstream
+	dataArrived
+)
+
+// waitForEnd blocks until the other end closes the connection, data arrives, which it doesn't read, or
+// the read deadline passes.
+func (c *conn) waitForEnd() idleEnd {
 	raw, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return watchStopped
 	}
 	control, err := raw.SyscallConn()
 	if err != nil {
-		return false
+		return watchStopped
 	}
-	closed := false
+	end := watchStopped
 	err = control.Read(func(fd uintptr) bool {
 		n, err := peek(fd)
 		c.faults.record("look", err)
-		closed = n == 0 || err != nil && !isTemporary(err)
-		return closed || err == nil
+		switch {
+		case n == 0 || err != nil && !isTemporary(err):
+			end = closedByUpstream
+		case err == nil:
+			end = dataArrived
+		}
+		return end != watchStopped
 	})
-	return err == nil && closed
+	if err != nil {
+		return watchStopped
+	}
+	return end
 }
 
 // peek looks at the next byte of a socket without reading it or waiting for it. It returns 0 at the
