--- a/io/proxy/sink.go
+++ b/io/proxy/sink.go
@@ -46,8 +46,10 @@
 			return errors.Trace(err)
 		}
 	}
-	if _, dated := head.Header["Date"]; !dated {
-		header["Date"] = nil
+	for _, name := range generatedHeaders {
+		if _, found := head.Header[name]; !found {
+			header[name] = nil
+		}
 	}
 	s.writer.WriteHeader(head.Status)
 	return nil
@@ -69,6 +71,9 @@
 	}
 }
 
+// generatedHeaders are those that net/http makes up if an answer has none.
+var generatedHeaders = []string{"Date", "Content-Type"}
+
 // setAnnounced sets the length that the upstream gives for the body which a HEAD doesn't ask for; none if it
 // gives none.
 func (s *httpSink) setAnnounced(header http.Header, length string) {
