--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -64,6 +64,8 @@
 	waiting   entryQueue
 	handovers handovers
 	unread    unreadWrites
+	// refusalLines bounds the log lines about refusals.
+	refusalLines refusalSampler
 	// endChecks are the checks under way whether an upstream has ended.
 	endChecks singleflight.Group
 }
--- a/io/proxy/log_test.go
+++ b/io/proxy/log_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 )
@@ -51,3 +52,42 @@
 		}
 	}
 }
+
+// TestRefusalLinesAreBounded guards against callers who fill the log with requests that no route takes, and against
+// a log that lacks answered requests meanwhile.
+func TestRefusalLinesAreBounded(t *testing.T) {
+	inst := newTestInstance(t, okAnswer, okAnswer).ready(t)
+	var log lockedBuffer
+	inst.proxy.Log = zerolog.New(&log)
+	server := httptest.NewServer(inst.proxy.Handler(testCallerCodec{}))
+	call := func(path string) {
+		r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, server.URL+path, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Host = "h"
+		r.Header.Set("Id", "q1")
+		if response, err := http.DefaultClient.Do(r); err == nil {
+			_ = response.Body.Close()
+		}
+	}
+	began := time.Now()
+	const requests = 10 * maxRefusalLines
+	for n := range requests {
+		call("/none/")
+		if n%maxRefusalLines == 0 {
+			call("/once/")
+		}
+	}
+	server.Close()
+	seconds := int(time.Since(began)/time.Second) + 2
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	text := log.text.String()
+	if lines := strings.Count(text, "unknown-call"); lines > min(seconds*maxRefusalLines, requests) || lines == 0 {
+		t.Errorf("%d lines about refusals in %d s", lines, seconds)
+	}
+	if lines := strings.Count(text, "request answered"); lines != requests/maxRefusalLines {
+		t.Errorf("%d lines about answered requests", lines)
+	}
+}
--- a/io/proxy/record.go
+++ b/io/proxy/record.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -17,10 +18,11 @@
 	now := p.Clock.Now()
 	p.Metrics.CountRequest(f)
 	elapsed := now.Sub(call.Arrived)
-	line := p.Log.Info()
+	level := zerolog.InfoLevel
 	if f != nil && f.Reason != result.CallerGone {
-		line = p.Log.Warn()
+		level = zerolog.WarnLevel
 	}
+	line := p.endLogger(call, f).WithLevel(level)
 	p.waiting.recordTail(now, call, f)
 	line = line.Str("request-id", loggedID(call.ID)).Int64("took-ms", elapsed.Milliseconds()).Str("peer", call.peer)
 	if call.upstreamVersion != "" {
@@ -61,6 +63,32 @@
 		Msg("request not answered")
 }
 
+// maxRefusalLines is the number of lines in a second about requests that were refused before an upstream was
+// chosen for them: a crowd causes tens of thousands. Each is counted by its reason.
+const maxRefusalLines = 100
+
+// refusalSampler passes maxRefusalLines in a second. Its zero value is ready to use.
+type refusalSampler struct {
+	once    sync.Once
+	sampler zerolog.BurstSampler
+}
+
+// Sample reports whether a line is logged.
+func (s *refusalSampler) Sample(level zerolog.Level) bool {
+	s.once.Do(func() { s.sampler = zerolog.BurstSampler{Burst: maxRefusalLines, Period: time.Second} })
+	return s.sampler.Sample(level)
+}
+
+// endLogger returns the logger for the end of a request. Refusals that callers may cause in any number, by
+// requests that no route takes, that are no requests or whose body doesn't come, are logged in part.
+func (p *Proxy) endLogger(call *Call, f *result.Failure) *zerolog.Logger {
+	if f == nil || f.Step != result.StepIdentify && !call.bodyUnread {
+		return &p.Log
+	}
+	sampled := p.Log.Sample(&p.refusalLines)
+	return &sampled
+}
+
 // logDecision adds the route of a request and what its destination was decided on to a log line.
 func (c *Call) logDecision(line *zerolog.Event) *zerolog.Event {
 	return line.Str("route", c.Route.Name).
