--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"net/http"
 	"net/netip"
 	"slices"
 	"sync"
@@ -64,11 +65,35 @@
 	faults faults
 	// vanished is set before the connection is closed because its upstream has vanished.
 	vanished atomic.Bool
+	// heads holds the ids of the requests on the connection whose method is HEAD, maxHeads at most:
+	// a late answer to one has no body.
+	heads []string
 	// refused holds the ids of the last requests that the upstream refused on the connection,
 	// maxRefused at most.
 	refused []string
 }
 
+// maxHeads bounds the requests with the method HEAD on a connection.
+const maxHeads = 64
+
+// recordMethod records the method of a request that is sent next. It returns false if the connection must
+// not be used again, as it would remember too many.
+func (c *conn) recordMethod(requestID, method string) bool {
+	if method == http.MethodHead {
+		c.heads = append(c.heads, requestID)
+	}
+	return len(c.heads) < maxHeads
+}
+
+// methodOf returns a method whose answers end like those of a request that was sent on the connection. An
+// id that is unknown counts as one of a request whose answer may have a body.
+func (c *conn) methodOf(requestID string) string {
+	if slices.Contains(c.heads, requestID) {
+		return http.MethodHead
+	}
+	return http.MethodGet
+}
+
 // maxRefused bounds the refused requests that a connection is kept with.
 const maxRefused = 64
 
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -97,12 +97,13 @@
 		c.conns.put(connection, defaultIdleTime)
 		return nil, c.failure(ctx, a, result.NotRun, result.UpstreamChanged, nil)
 	}
+	reusable := connection.recordMethod(a.RequestID, a.Method)
 	acks := watchAcks(connection, c.conns.clock)
 	stop := context.AfterFunc(ctx, func() {
 		acks.stop()
 		_ = connection.Close()
 	})
-	x := &exchange{client: c, attempt: a, memory: c.Memory.NewShare(), conn: connection, acks: acks, stopCancel: stop, writeResult: make(chan error, 1)}
+	x := &exchange{client: c, attempt: a, memory: c.Memory.NewShare(), conn: connection, acks: acks, stopCancel: stop, writeResult: make(chan error, 1), notReusable: !reusable}
 	answer, failure := x.run(ctx)
 	if failure != nil {
 		x.memory.Release()
@@ -232,7 +233,7 @@
 			}
 			return x.checkRefusal(ctx, answer)
 		}
-		// A late answer to an earlier request arrived instead.
+		// A late answer to an earlier request arrived instead, which was read with the method of that.
 		x.notReusable = true
 		if answer.Meta.RequestID == "" || answer.Length < 0 {
 			return nil, x.client.failure(ctx, x.attempt, result.Unknown, result.AnswerMismatch, errors.New("answer without the id of the request"))
@@ -345,12 +346,17 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	meta := x.client.Codec.ParseResponse(h.Status, h.Header)
+	frame := h.Frame
+	if meta.RequestID != x.attempt.RequestID {
+		frame = h.FrameOf(x.conn.methodOf(meta.RequestID))
+	}
 	answer := &Answer{
 		Status:  h.Status,
 		Header:  h.Header,
-		Meta:    x.client.Codec.ParseResponse(h.Status, h.Header),
-		Length:  h.Frame.Length,
-		Framing: framingOf(h.Frame),
+		Meta:    meta,
+		Length:  frame.Length,
+		Framing: framingOf(frame),
 	}
 	if answer.Status == http.StatusServiceUnavailable {
 		answer.Meta.PauseFor, answer.Meta.PauseError = parseRetryAfter(answer.Header)
@@ -359,7 +365,7 @@
 		answer.events = &event.Scanner{}
 	}
 	answer.Body = &body{
-		ReadCloser: io.NopCloser(h.Frame.Body(x.conn.reader)),
+		ReadCloser: io.NopCloser(frame.Body(x.conn.reader)),
 		exchange:   x,
 		framing:    answer.Framing,
 		events:     answer.events,
--- a/io/syntax/grammar.go
+++ b/io/syntax/grammar.go
@@ -108,9 +108,9 @@
 	Length int64
 }
 
-// parseFrame returns the frame of an answer to a request with a method. It returns an error if the
-// head names two, or one for an answer that never has a body.
-func parseFrame(line statusLine, method string, h http.Header) (Frame, error) {
+// parseFrame returns the frame of an answer to a request with another method than HEAD. It returns an
+// error if the head names two, or one for an answer that never has a body.
+func parseFrame(line statusLine, h http.Header) (Frame, error) {
 	chunked, err := parseCoding(line, h["Transfer-Encoding"])
 	if err != nil {
 		return Frame{}, err
@@ -126,7 +126,7 @@
 	if neverBody && (chunked || length > 0) {
 		return Frame{}, errors.NotValidf("answer of status %d with a body", line.status)
 	}
-	if neverBody || line.status == http.StatusNotModified || method == http.MethodHead {
+	if neverBody || line.status == http.StatusNotModified {
 		return Frame{}, nil
 	}
 	return Frame{Chunked: chunked, Length: length}, nil
--- a/io/syntax/head.go
+++ b/io/syntax/head.go
@@ -15,6 +15,8 @@
 	Status int
 	Header http.Header
 	Frame  Frame
+	// bodyFrame is the frame if the answer is to another method than HEAD.
+	bodyFrame Frame
 	// Closes is set if the answer is the last one on its connection.
 	Closes bool
 }
@@ -67,14 +69,24 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "read the fields")
 	}
-	if h.Frame, err = parseFrame(line, method, h.Header); err != nil {
+	if h.bodyFrame, err = parseFrame(line, h.Header); err != nil {
 		return nil, err
 	}
+	h.Frame = h.FrameOf(method)
 	h.Closes = h.Frame.endsWithConnection() || closes(line, h.Header["Connection"])
 	removeOptions(h.Header)
 	return h, nil
 }
 
+// FrameOf returns the frame of the answer if it is to a request with a method, which may be another one
+// than that with which the head was read.
+func (h *Head) FrameOf(method string) Frame {
+	if method == http.MethodHead {
+		return Frame{}
+	}
+	return h.bodyFrame
+}
+
 // SingleValue returns the value of a field that a head should have once, and empty if there is none. Equal lines
 // count as one. Of lines that differ none counts, since nothing says which one was meant.
 func SingleValue(h http.Header, name string) string {
