--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -98,12 +98,13 @@
 		return nil, c.failure(ctx, a, result.NotRun, result.UpstreamChanged, nil)
 	}
 	connection.carry(a.RequestID)
+	reusable := connection.recordMethod(a.RequestID, a.Method)
 	acks := watchAcks(connection, c.conns.clock)
 	stop := context.AfterFunc(ctx, func() {
 		acks.stop()
 		_ = connection.Close()
 	})
-	x := &exchange{client: c, attempt: a, memory: c.Memory.NewShare(), conn: connection, acks: acks, stopCancel: stop, writeResult: make(chan error, 1)}
+	x := &exchange{client: c, attempt: a, memory: c.Memory.NewShare(), conn: connection, acks: acks, stopCancel: stop, writeResult: make(chan error, 1), notReusable: !reusable}
 	answer, failure := x.run(ctx)
 	if failure != nil {
 		x.memory.Release()
@@ -233,7 +234,7 @@
 			}
 			return x.checkRefusal(ctx, answer)
 		}
-		// A late answer to an earlier request arrived instead.
+		// A late answer to an earlier request arrived instead, which was read with the method of that.
 		x.notReusable = true
 		if answer.Meta.RequestID == "" || answer.Framing == FramedByClose {
 			return nil, x.client.failure(ctx, x.attempt, result.Unknown, result.AnswerMismatch, errors.New("answer without the id of the request"))
@@ -371,12 +372,17 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	meta := x.client.Codec.ParseResponse(h.Status, h.Header)
+	frame := h.Frame
+	if meta.RequestID != x.attempt.RequestID {
+		frame = h.FrameOf(x.conn.methodOf(meta.RequestID))
+	}
 	answer := &Answer{
 		Status:  h.Status,
 		Header:  h.Header,
-		Meta:    x.client.Codec.ParseResponse(h.Status, h.Header),
-		Length:  h.Frame.Length,
-		Framing: framingOf(h.Frame),
+		Meta:    meta,
+		Length:  frame.Length,
+		Framing: framingOf(frame),
 	}
 	if answer.Status == http.StatusServiceUnavailable {
 		answer.Meta.PauseFor, answer.Meta.PauseError = parseRetryAfter(answer.Header)
@@ -385,7 +391,7 @@
 		answer.events = &event.Scanner{}
 	}
 	answer.Body = &body{
-		ReadCloser: io.NopCloser(x.bodyReader(h.Frame)),
+		ReadCloser: io.NopCloser(x.bodyReader(frame)),
 		exchange:   x,
 		framing:    answer.Framing,
 		events:     answer.events,
--- a/io/syntax/head.go
+++ b/io/syntax/head.go
@@ -17,6 +17,8 @@
 	Status int
 	Header http.Header
 	Frame  Frame
+	// bodyFrame is the frame if the answer is to another method than HEAD.
+	bodyFrame Frame
 	// Closes is set if the answer is the last one on its connection.
 	Closes bool
 }
@@ -74,14 +76,24 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "read the fields")
 	}
-	if h.Frame, err = parseFrame(line, method, h.Header); err != nil {
+	if h.bodyFrame, err = parseFrame(line, h.Header); err != nil {
 		return nil, err
 	}
+	h.Frame = h.FrameOf(method)
 	h.Closes = h.Frame.endsWithConnection() || closes(line, h.Header["Connection"])
 	removeOptions(h.Header)
 	return h, nil
 }
 
+// FrameOf returns the frame of the answer if it is to a request with a method, which may be another one
+// than that with which the head was read.
+func (h *Head) FrameOf(method string) Frame {
+	if method == http.MethodHead {
+		return Frame{}
+	}
+	return h.bodyFrame
+}
+
 // Single returns the value of a field that may come once, such as the id of the request that an answer
 // belongs to. It is empty if the lines of the field differ, since nothing tells which of them counts.
 func Single(h http.Header, name string) string {
