--- a/core/gossip/evidence.go
+++ b/core/gossip/evidence.go
@@ -47,7 +47,7 @@
 // LostRequest is a request that ended with its upstream before its answer had outlasted its
 // beginning.
 type LostRequest struct {
-	// ID identifies the request and its upstream. All instances use the same.
+	// ID identifies the request and, by its upper half, the upstream. All instances use the same.
 	ID uint64
 	// Traits holds its fingerprint and some of its parts: others may follow in a later report.
 	Traits Traits
--- a/core/poison/check.go
+++ b/core/poison/check.go
@@ -52,8 +52,8 @@
 }
 
 // Suspects reports whether other requests were lost with a trait of this one on which no
-// answer is known. id is the LossID of this one's last loss. Such a request shouldn't be tried
-// again once it was lost itself.
+// answer is known, and that no convicted trait explains. id is the LossID of this one's last loss.
+// Such a request shouldn't be tried again once it was lost itself.
 func (d *Detector) Suspects(id uint64, traits gossip.Traits) bool {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
@@ -71,6 +71,9 @@
 			if !found || !d.sound[trait].at.IsZero() {
 				continue
 			}
+			if _, convicted := d.convicted[trait]; l.explained && !convicted {
+				continue
+			}
 			own[trait] = sum + l.weight()
 			if own[trait] >= weightWaiting {
 				return true
--- a/core/poison/convict.go
+++ b/core/poison/convict.go
@@ -9,12 +9,13 @@
 
 // conviction is the evidence against a convicted trait.
 type conviction struct {
-	// losses counts the moments in which requests were lost, those that had just begun half.
+	// losses counts the moments in which requests were lost, those that had just begun half, and
+	// those with an end that another trait explains half of that.
 	losses   int
 	required int
 	lastAt   time.Time
-	// companions are other traits with as many losses that all of these requests hold, so
-	// that each of them explains the losses as well.
+	// companions are the convicted traits, this one among them, each of which explains all losses:
+	// it was lost with the same ends of upstreams.
 	companions []gossip.TraitKey
 }
 
@@ -40,32 +41,49 @@
 }
 
 // convictAll replaces the convictions. losses holds the lost requests that count against each
-// trait.
+// trait. Traits that were lost with more ends of upstreams are likelier the cause of these ends.
+// What was lost in the same ends counts half against others, and alone doesn't convict them.
 func (d *Detector) convictAll(losses map[gossip.TraitKey][]*lostRequest) {
 	d.convicted = map[gossip.TraitKey]conviction{}
-	for trait, list := range losses {
-		if c, found := d.convict(trait, list); found {
+	for i := range d.lost {
+		d.lost[i].explained = false
+	}
+	var causes []*suspects
+	for _, s := range d.suspects(losses) {
+		likelier := slices.DeleteFunc(slices.Clone(causes), func(cause *suspects) bool { return !cause.likelier(s) })
+		for _, l := range s.losses {
+			l.explained = anyHolds(likelier, l)
+		}
+		c, found := d.convict(s.traits[0], s.losses)
+		if !found {
+			continue
+		}
+		for _, trait := range s.traits {
 			d.convicted[trait] = c
 		}
+		causes = append(causes, s)
+	}
+	for i := range d.lost {
+		l := &d.lost[i]
+		l.explained = anyHolds(causes, l)
 	}
 	for trait := range d.convicted {
 		if d.explainedByRequest(trait, losses[trait]) {
 			delete(d.convicted, trait)
 		}
 	}
-	for trait, c := range d.convicted {
-		c.companions = d.companions(trait, c, losses[trait])
-		d.convicted[trait] = c
-	}
+	d.setCompanions(causes)
 }
 
-// convict returns the conviction of a trait by the requests that were lost with it.
+// convict returns the conviction of a trait by the requests that were lost with it. It needs one that
+// nothing else explains.
 func (d *Detector) convict(trait gossip.TraitKey, list []*lostRequest) (conviction, bool) {
 	c := conviction{losses: weight(list) / weightWaiting, required: requiredLosses, lastAt: list[len(list)-1].at}
 	if !d.sound[trait].at.IsZero() {
 		c.required = requiredLossesSound
 	}
-	return c, c.losses >= c.required
+	unexplained := slices.ContainsFunc(list, func(l *lostRequest) bool { return !l.explained })
+	return c, unexplained && c.losses >= c.required
 }
 
 // explainedByRequest reports whether all losses with a prompt part are of one request that is
@@ -102,6 +120,10 @@
 			heaviest = 0
 			last = l.at
 		}
+		if l.explained {
+			heaviest = max(heaviest, l.weight()/2)
+			continue
+		}
 		heaviest = max(heaviest, l.weight())
 	}
 	return sum + heaviest
@@ -114,22 +136,6 @@
 	return weightWaiting
 }
 
-// companions returns the convicted traits that all lost requests of a trait hold.
-func (d *Detector) companions(trait gossip.TraitKey, c conviction, list []*lostRequest) []gossip.TraitKey {
-	var companions []gossip.TraitKey
-	for other := range list[0].traits.All() {
-		held, found := d.convicted[other]
-		if other == trait || !found || held.losses < c.losses {
-			continue
-		}
-		inAll := !slices.ContainsFunc(list, func(l *lostRequest) bool { return !l.traits.Has(other) })
-		if inAll {
-			companions = append(companions, other)
-		}
-	}
-	return companions
-}
-
 // lossesByTrait returns the lost requests that count against each trait, oldest first.
 func (d *Detector) lossesByTrait() map[gossip.TraitKey][]*lostRequest {
 	losses := map[gossip.TraitKey][]*lostRequest{}
--- a/core/poison/fleet_test.go
+++ b/core/poison/fleet_test.go
@@ -37,6 +37,14 @@
 	streams bool
 	// retries makes lost requests be sent to up to three upstreams.
 	retries bool
+	// sessions is the number of sessions, which send perSecond requests to each instance. Of a tainted
+	// fleet, deadlyShare is that of requests with the deadly part, which come from second deadlyFrom on.
+	sessions    int
+	perSecond   float64
+	deadlyShare float64
+	deadlyFrom  float64
+	// secondPart makes half of the deadly requests hold another part that ends upstreams.
+	secondPart bool
 
 	crashes      []float64
 	lateSends    int
@@ -70,15 +78,17 @@
 }
 
 const (
-	deadlyTrait   = "deadly"
-	deadlyRequest = 7
-	step          = 0.02
+	deadlyTrait       = "deadly"
+	secondDeadlyTrait = "deadly-too"
+	deadlyRequest     = 7
+	step              = 0.02
 	// beginningTime is how long after its first event an answer counts as just begun.
 	beginningTime = 1.5
 )
 
 func newFleet(seed uint64, instances, upstreams int) *fleet {
 	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), upstreams: make([]upstreamState, upstreams)}
+	f.sessions, f.perSecond, f.deadlyShare, f.deadlyFrom = 60, 2, 0.08, 4
 	var names []ident.Instance
 	for i := range instances {
 		names = append(names, ident.Instance(fmt.Sprintf("entry-%d", i)))
@@ -113,16 +123,20 @@
 // arrivals sends the requests of one step: all share the first trait, some sessions share a
 // second one, and each has an own one, which isn't evidence and so is left out.
 func (f *fleet) arrivals() {
-	perSecond := 2 * float64(len(f.detectors))
+	perSecond := f.perSecond * float64(len(f.detectors))
 	for range f.poisson(perSecond * step) {
-		session := fmt.Sprintf("session-%d", f.random.IntN(60))
-		deadly := f.tainted && f.now > 4 && f.random.Float64() < 0.08
+		session := fmt.Sprintf("session-%d", f.random.IntN(f.sessions))
+		deadly := f.tainted && f.now > f.deadlyFrom && f.random.Float64() < f.deadlyShare
 		traits := request(gossip.TraitKey(f.random.Uint64()), "first", session)
 		for part := range f.parts {
 			traits.Parts = append(traits.Parts, PartKey(fmt.Sprint(session, part)))
 		}
 		if deadly {
-			traits.Parts = slices.Insert(traits.Parts, f.random.IntN(len(traits.Parts)), PartKey(deadlyTrait))
+			part := deadlyTrait
+			if f.secondPart && f.random.IntN(2) == 0 {
+				part = secondDeadlyTrait
+			}
+			traits.Parts = slices.Insert(traits.Parts, f.random.IntN(len(traits.Parts)), PartKey(part))
 		}
 		f.send(waitingRequest{traits: traits, deadly: deadly})
 	}
@@ -378,3 +392,59 @@
 		}
 	}
 }
+
+// TestFleetServesNewSessionsBesideTrait guards against sessions on which no answer is known, with
+// several requests under way, that are refused since they were lost with the upstreams that the deadly
+// trait ended.
+func TestFleetServesNewSessionsBesideTrait(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name       string
+		crashAfter float64
+		inEvent    bool
+	}{
+		{"before the answer", 0, false},
+		{"inside the first event", 0.02, true},
+		{"between events", 0.2, false},
+	} {
+		sound, refused := 0, 0
+		for seed := range uint64(24) {
+			f := newFleet(seed, []int{2, 9}[seed%2], []int{4, 12}[seed%2])
+			f.tainted, f.deadlyFrom, f.deadlyShare = true, 0, 0.2
+			f.sessions, f.perSecond, f.retries = 5, 6, true
+			f.crashAfter, f.inEvent = c.crashAfter, c.inEvent
+			f.run(14)
+			if f.lateSends > 3 || len(f.crashes) < 3 {
+				t.Errorf("%s, seed %d: %d requests sent, %d upstreams ended", c.name, seed, f.lateSends, len(f.crashes))
+			}
+			sound += f.sound
+			refused += f.refusedSound
+		}
+		if refused*200 > sound {
+			t.Errorf("%s: %d of %d sound requests refused", c.name, refused, sound)
+		}
+	}
+}
+
+// TestFleetStopsTwoTraits guards against a trait that ends upstreams and is never refused, since its losses
+// pass for those of another one that does, while the sessions are new.
+func TestFleetStopsTwoTraits(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(24) {
+		f := newFleet(seed, []int{2, 9}[seed%2], []int{4, 12}[seed%2])
+		f.tainted, f.secondPart, f.deadlyFrom, f.deadlyShare = true, true, 0, 0.2
+		f.sessions, f.perSecond, f.retries = 5, 6, true
+		f.crashAfter, f.inEvent = []float64{0, 0.02, 0.2}[seed/2%3], seed/2%3 == 1
+		f.run(20)
+		for _, d := range f.detectors {
+			for _, part := range []string{deadlyTrait, secondDeadlyTrait} {
+				if _, found := d.Check(at(f.now), keys(part)); !found {
+					t.Errorf("seed %d: %s sends requests with the part %s", seed, d.Self, part)
+				}
+			}
+		}
+		if len(f.crashes) > 20 {
+			t.Errorf("seed %d: %d upstreams ended", seed, len(f.crashes))
+		}
+	}
+}
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -33,8 +33,9 @@
 	// weightWaiting and weightBegun are those of the loss of a request of whose answer no whole
 	// event had arrived, and of one whose answer had just begun: a sound request is about as
 	// likely to be caught in its first events as before them, but a stream that goes on
-	// elsewhere is caught again and again while upstreams are restarted in turn.
-	weightWaiting, weightBegun = 2, 1
+	// elsewhere is caught again and again while upstreams are restarted in turn. Half of each is a
+	// whole number, for losses that another trait explains.
+	weightWaiting, weightBegun = 4, 2
 	// sameMoment is the time within which several losses count as one: upstreams that share
 	// a zone or a switch end together. Losses that peers report seem later by the time under
 	// way, so that a longer time would make instances count differently.
@@ -94,9 +95,15 @@
 }
 
 // LossID identifies the loss of a request with its upstream, at all instances. One request
-// may be lost with several upstreams.
+// may be lost with several upstreams. The upper half is the key of the upstream, so that instances
+// can tell what was lost together.
 func LossID(requestID string, upstream ident.Upstream) uint64 {
-	return xxhash.Sum64String(requestID + " " + string(upstream))
+	return xxhash.Sum64String(string(upstream))<<32 | xxhash.Sum64String(requestID)>>32
+}
+
+// upstreamOf returns the key of the upstream of a LossID.
+func upstreamOf(id uint64) uint32 {
+	return uint32(id >> 32)
 }
 
 // Detector holds the evidence and the convictions of one instance. It is safe for
@@ -147,6 +154,8 @@
 	index map[gossip.TraitKey]struct{}
 	// reported is set if all instances report the request, whoever sent it.
 	reported bool
+	// explained is set if a convicted trait was lost with the same end of the upstream.
+	explained bool
 }
 
 // indexedParts is the number of parts from which on a lost request has an index of them.
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -32,17 +32,22 @@
 	return traits
 }
 
-// lose records a loss of one request at each of the given times, in seconds.
+// lose records a loss of one request, with an upstream of its own, at each of the given times, in
+// seconds.
 func lose(d *Detector, traits gossip.Traits, seconds ...float64) {
 	for _, s := range seconds {
-		d.RequestLost(at(s), uint64(s*1000)+1, traits, Waiting)
+		d.RequestLost(at(s), ownLoss(s), traits, Waiting)
 	}
 }
 
+func ownLoss(seconds float64) uint64 {
+	return LossID("request", ident.Upstream(fmt.Sprint("upstream-", seconds)))
+}
+
 // loseBegun is like lose, for requests whose answer had just begun.
 func loseBegun(d *Detector, traits gossip.Traits, seconds ...float64) {
 	for _, s := range seconds {
-		d.RequestLost(at(s), uint64(s*1000)+1, traits, JustBegun)
+		d.RequestLost(at(s), ownLoss(s), traits, JustBegun)
 	}
 }
 
