--- a/io/http1/acks.go
+++ b/io/http1/acks.go
@@ -129,6 +129,7 @@
 	if vanished {
 		w.conn.faults.record("write", errVanished)
 		w.conn.vanished.Store(true)
+		w.setBack()
 		_ = w.conn.Close()
 		return
 	}
@@ -165,12 +166,18 @@
 	if !w.lifted {
 		return true
 	}
+	w.setBack()
+	info := w.info()
+	return info != nil && isAcknowledged(info)
+}
+
+// setBack sets the options back to those of a connection on which no request is sent. They also bound how long
+// the system holds a closed connection whose data isn't acknowledged.
+func (w *ackWatch) setBack() {
 	w.setOption(unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
 	if w.rtoMax > 0 {
 		w.setOption(tcpRTOMaxMS, w.rtoMax)
 	}
-	info := w.info()
-	return info != nil && isAcknowledged(info)
 }
 
 // isAcknowledged reports whether nothing that was written is left to be acknowledged.
