--- a/io/daemon/stop.go
+++ b/io/daemon/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"os"
 	"sync/atomic"
@@ -101,9 +102,11 @@
 }
 
 const (
-	// acceptQuiet is the time without a new connection after which a listener that stops is
-	// closed. After acceptBusyTime it is acceptShortQuiet, and after acceptStopTime the listener
-	// is closed in any case.
+	// openingTime is the time without a new connection after which a listener that stops is closed
+	// if it refuses new ones: a connection may need it from its first packet to its last.
+	openingTime = 100 * time.Millisecond
+	// acceptQuiet is the same time for a listener that can't refuse. After acceptBusyTime it is
+	// acceptShortQuiet, and after acceptStopTime the listener is closed in any case.
 	acceptQuiet      = 5 * time.Millisecond
 	acceptShortQuiet = 500 * time.Microsecond
 	acceptBusyTime   = 200 * time.Millisecond
@@ -118,37 +121,59 @@
 	stoppedAt atomic.Pointer[time.Time]
 	// quiet is set after a wait for a connection in vain, and used by Accept only.
 	quiet bool
+	// refuses is set if the kernel refuses new connections since the stop.
+	refuses atomic.Bool
 }
 
 // stop makes Accept return what waits, and then an error. The error is set if connections can
 // still come until the listener is closed, of which the last ones may be reset.
 func (l *stopListener) stop() error {
-	err := l.ignoreNew()
+	err := l.refuseNew()
+	if err == nil {
+		l.refuses.Store(true)
+	}
 	now := time.Now()
 	l.stoppedAt.Store(&now)
-	_ = l.SetDeadline(now.Add(acceptQuiet))
-	return errors.Annotate(err, "ignore new connections")
+	_ = l.SetDeadline(now.Add(l.quietTime(0)))
+	return errors.Annotate(err, "refuse new connections")
 }
 
-// ignoreNew drops the packets that open connections: who sends them again finds the port
-// closed. Otherwise connections arrive between the last look and the close, and are reset.
-func (l *stopListener) ignoreNew() error {
+// noInterface is the number of a network interface that doesn't exist.
+const noInterface = math.MaxInt32
+
+// refuseNew binds the listener to an interface that doesn't exist, so that it gets no packets that
+// open connections: the kernel refuses them as if the port were closed. Connections that are being
+// opened still come. Otherwise some arrive between the last look and the close, and are reset. Source:
+// socket(7), SO_BINDTODEVICE; SO_BINDTOIFINDEX takes a number, from Linux 5.7 on without privileges.
+func (l *stopListener) refuseNew() error {
 	raw, err := l.SyscallConn()
 	if err != nil {
 		return err
 	}
-	dropAll := unix.SockFprog{Len: 1, Filter: &unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K}}
-	var attachErr error
-	attach := func(fd uintptr) {
-		attachErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &dropAll)
+	var bindErr error
+	bind := func(fd uintptr) {
+		bindErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_BINDTOIFINDEX, noInterface)
 	}
-	if err := raw.Control(attach); err != nil {
+	if err := raw.Control(bind); err != nil {
 		return err
 	}
-	return attachErr
+	return bindErr
+}
+
+// quietTime returns the time without a new connection after which the listener is closed; it has
+// been stopping for the given time.
+func (l *stopListener) quietTime(stopping time.Duration) time.Duration {
+	switch {
+	case l.refuses.Load():
+		return openingTime
+	case stopping > acceptBusyTime:
+		return acceptShortQuiet
+	default:
+		return acceptQuiet
+	}
 }
 
-// Accept returns the next connection. Once stopped and none came for acceptQuiet, it closes the
+// Accept returns the next connection. Once stopped and none came for quietTime twice, it closes the
 // listener.
 func (l *stopListener) Accept() (net.Conn, error) {
 	for {
@@ -163,18 +188,14 @@
 		quietAgain := l.quiet
 		l.quiet = errors.Is(err, os.ErrDeadlineExceeded) && !l.waits()
 		if errors.Is(err, os.ErrDeadlineExceeded) && !l.quiet && stopping <= acceptStopTime {
-			_ = l.SetDeadline(time.Now().Add(acceptQuiet))
+			_ = l.SetDeadline(time.Now().Add(l.quietTime(stopping)))
 			continue
 		}
 		if l.quiet && quietAgain || stopping > acceptStopTime {
 			_ = l.Close()
 			return conn, err
 		}
-		quiet := acceptQuiet
-		if stopping > acceptBusyTime {
-			quiet = acceptShortQuiet
-		}
-		_ = l.SetDeadline(time.Now().Add(quiet))
+		_ = l.SetDeadline(time.Now().Add(l.quietTime(stopping)))
 		if !l.quiet {
 			return conn, err
 		}
