--- a/io/daemon/serve.go
+++ b/io/daemon/serve.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
@@ -34,6 +35,10 @@
 	links  *link.Pool
 	log    zerolog.Logger
 
+	// callers is the listener of caller; nil before the start.
+	callers *stopListener
+	// callersClosed is closed after callers.
+	callersClosed chan struct{}
 	// cancel stops the control loop and the links.
 	cancel context.CancelFunc
 	work   sync.WaitGroup
@@ -114,8 +119,11 @@
 	s.cancel = cancel
 	s.work.Go(func() { s.loop.Run(runCtx) })
 	s.work.Go(func() { logServeError(s.log, s.peer.Serve(runCtx, listeners[1])) })
+	s.callers = &stopListener{TCPListener: listeners[0].(*net.TCPListener)}
+	s.callersClosed = make(chan struct{})
 	s.work.Go(func() {
-		logServeError(s.log, s.caller.Serve(strict.Listener{Listener: s.intake.Listen(listeners[0])}))
+		defer close(s.callersClosed)
+		logServeError(s.log, s.caller.Serve(strict.Listener{Listener: s.intake.Listen(s.callers)}))
 	})
 	s.work.Go(func() { logServeError(s.log, s.admin.Serve(listeners[2])) })
 	s.log.Info().
@@ -133,8 +141,17 @@
 	}
 }
 
-// stop closes the listeners after a drain, when no request is in flight.
+// stop closes the listeners after a drain, when no request is in flight. Requests on connections
+// that wait to be accepted are refused before.
 func (s *servers) stop(ctx context.Context) error {
+	if err := s.callers.stop(); err != nil {
+		s.log.Info().Err(err).Msg("connections that come until the listener is closed may be reset")
+	}
+	select {
+	case <-s.callersClosed:
+	case <-time.After(acceptStopTime):
+	case <-ctx.Done():
+	}
 	err := s.caller.Shutdown(ctx)
 	s.cancel()
 	s.links.Close()
