--- a/io/daemon/stop.go
+++ b/io/daemon/stop.go
@@ -106,7 +106,7 @@
 	// if it refuses new ones: a connection may need it from its first packet to its last.
 	openingTime = 100 * time.Millisecond
 	// acceptQuiet is the same time for a listener that can't refuse. After acceptBusyTime it is
-	// acceptShortQuiet, and after acceptStopTime the listener is closed in any case.
+	// acceptShortQuiet for either, and after acceptStopTime the listener is closed in any case.
 	acceptQuiet      = 5 * time.Millisecond
 	acceptShortQuiet = 500 * time.Microsecond
 	acceptBusyTime   = 200 * time.Millisecond
@@ -164,10 +164,10 @@
 // been stopping for the given time.
 func (l *stopListener) quietTime(stopping time.Duration) time.Duration {
 	switch {
-	case l.refuses.Load():
-		return openingTime
 	case stopping > acceptBusyTime:
 		return acceptShortQuiet
+	case l.refuses.Load():
+		return openingTime
 	default:
 		return acceptQuiet
 	}
@@ -193,7 +193,10 @@
 		}
 		if l.quiet && quietAgain || stopping > acceptStopTime {
 			_ = l.Close()
-			return conn, err
+			if err != nil {
+				return nil, net.ErrClosed
+			}
+			return conn, nil
 		}
 		_ = l.SetDeadline(time.Now().Add(l.quietTime(stopping)))
 		if !l.quiet {
