--- a/core/gossip/streams.go
+++ b/core/gossip/streams.go
@@ -17,6 +17,18 @@
 	Version string
 }
 
+// unprovedVersion stands for a version that isn't proved. No upstream publishes it, so that an
+// instance of an earlier build, which binds a stream to it, finds none where it goes on.
+const unprovedVersion = "\x00unproved"
+
+// UnprovedOrigin returns the origin of a stream that began at an upstream whose version isn't proved.
+func UnprovedOrigin(service ident.Service) StreamOrigin {
+	return StreamOrigin{Service: service, Version: unprovedVersion}
+}
+
+// IsProved reports whether the version is that of the upstream's software.
+func (o StreamOrigin) IsProved() bool { return o.Version != unprovedVersion }
+
 // BegunStreams are streams with one origin.
 type BegunStreams struct {
 	Origin StreamOrigin
--- a/core/pool/version.go
+++ b/core/pool/version.go
@@ -54,7 +54,19 @@
 	if r.end.isOpen(now) {
 		return false
 	}
-	return p.listHeardAt.Sub(latest(ended, p.listHeardSince)) >= unprovenTime
+	return p.listShowsSince(ended)
+}
+
+// listShowsSince reports whether the list shows each upstream that has started by a time.
+func (p *Pool) listShowsSince(at time.Time) bool {
+	return p.listHeardAt.Sub(latest(at, p.listHeardSince)) >= unprovenTime
+}
+
+// ListShowsSince reports whether the list shows each upstream that has started by a time.
+func (p *Pool) ListShowsSince(at time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listShowsSince(at)
 }
 
 // MarkListHeard records that all changes of the list up to a time are held.
--- a/core/resume/resume.go
+++ b/core/resume/resume.go
@@ -71,12 +71,19 @@
 	ForeignStream
 )
 
+// beginning is what is known of the beginning of a stream.
+type beginning struct {
+	origin gossip.StreamOrigin
+	// knownAt is since when that is known here: no sooner than the stream began.
+	knownAt time.Time
+}
+
 // Table holds where streams began, at this instance and at its peers. It is safe for
 // concurrent use; its zero value holds none.
 type Table struct {
 	mu     sync.Mutex
-	recent map[gossip.StreamKey]gossip.StreamOrigin
-	older  map[gossip.StreamKey]gossip.StreamOrigin
+	recent map[gossip.StreamKey]beginning
+	older  map[gossip.StreamKey]beginning
 	// changed is when recent became empty.
 	changed time.Time
 	// reported holds the streams that are reported: those under way here, those that broke off
@@ -151,10 +158,8 @@
 func (t *Table) LookupIn(workspace ident.Workspace, requestID string) (gossip.StreamOrigin, Ownership) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, key := range []gossip.StreamKey{KeyIn(workspace, requestID), KeyOf(requestID)} {
-		if origin, found := t.lookup(key); found {
-			return origin, OwnStream
-		}
+	if b, found := t.lookupIn(workspace, requestID); found {
+		return b.origin, OwnStream
 	}
 	if _, found := t.lookup(ownedKey(requestID)); found {
 		return gossip.StreamOrigin{}, ForeignStream
@@ -162,6 +167,22 @@
 	return gossip.StreamOrigin{}, UnknownStream
 }
 
+// KnownAt returns since when it is known here where a stream began, which is no sooner than it did.
+// It returns false if that isn't known.
+func (t *Table) KnownAt(workspace ident.Workspace, requestID string) (time.Time, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b, found := t.lookupIn(workspace, requestID)
+	return b.knownAt, found
+}
+
+func (t *Table) lookupIn(workspace ident.Workspace, requestID string) (beginning, bool) {
+	if b, found := t.lookup(KeyIn(workspace, requestID)); found {
+		return b, true
+	}
+	return t.lookup(KeyOf(requestID))
+}
+
 // PassOn records streams that a peer has told this instance of just now, and reports those
 // that it didn't know. To report the others would keep two instances telling each other.
 func (t *Table) PassOn(now time.Time, groups []gossip.BegunStreams) {
@@ -193,21 +214,23 @@
 func (t *Table) Lookup(key gossip.StreamKey) (gossip.StreamOrigin, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.lookup(key)
+	b, found := t.lookup(key)
+	return b.origin, found
 }
 
-func (t *Table) lookup(key gossip.StreamKey) (gossip.StreamOrigin, bool) {
-	if origin, found := t.recent[key]; found {
-		return origin, true
+func (t *Table) lookup(key gossip.StreamKey) (beginning, bool) {
+	if b, found := t.recent[key]; found {
+		return b, true
 	}
-	origin, found := t.older[key]
-	return origin, found
+	b, found := t.older[key]
+	return b, found
 }
 
 // Report returns the streams that are under way or broke off here, or were passed on lately. They
 // are reported in the region whether or not peers could tell by themselves where they began: when
 // that changes, it is too late to tell if this instance ends. Those of services for which peers
-// can't tell are reported everywhere, and for a while also if they were whole.
+// can't tell are reported everywhere, and for a while also if they were whole. So are those that began
+// at an unproved version: peers don't know that it isn't.
 func (t *Table) Report(now time.Time, ambiguous func(ident.Service) bool) Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -219,14 +242,14 @@
 		if _, found := unclear[service]; !found {
 			unclear[service] = ambiguous(service)
 		}
-		if !s.whole || unclear[service] {
+		if !s.whole || unclear[service] || !s.origin.IsProved() {
 			list = append(list, s)
 		}
 	}
 	var r Report
 	for _, s := range t.choose(now, list) {
 		switch {
-		case !unclear[s.origin.Service]:
+		case !unclear[s.origin.Service] && s.origin.IsProved():
 			r.InRegion = appendStream(r.InRegion, s)
 		case s.announced || s.whole:
 			r.Everywhere = appendStream(r.Everywhere, s)
@@ -292,12 +315,17 @@
 	}
 }
 
-// add remembers a stream, and forgets the older half once that is old enough.
+// add remembers a stream, and forgets the older half once that is old enough. An instance that doesn't
+// know that the version of a beginning was proved later may still report it as unproved.
 func (t *Table) add(now time.Time, key gossip.StreamKey, origin gossip.StreamOrigin) {
+	began := beginning{origin: origin, knownAt: now}
+	if before, found := t.lookup(key); found && (before.origin == origin || !origin.IsProved()) {
+		began = before
+	}
 	if t.recent == nil || len(t.recent) >= maxStreams || now.Sub(t.changed) > memory {
 		t.older = t.recent
-		t.recent = map[gossip.StreamKey]gossip.StreamOrigin{}
+		t.recent = map[gossip.StreamKey]beginning{}
 		t.changed = now
 	}
-	t.recent[key] = origin
+	t.recent[key] = began
 }
--- a/io/proxy/resume.go
+++ b/io/proxy/resume.go
@@ -25,7 +25,8 @@
 )
 
 // bindVersion binds a stream to the version whose event has just been passed on. If its upstream
-// may have come back with other software before the stream began, it goes on nowhere.
+// may have come back with other software before the stream began, it goes on nowhere, and that is
+// recorded: else whoever takes it up would be sent to the version that the list names.
 func (p *Proxy) bindVersion(call *Call) {
 	if call.versionBound.Bound || !call.Route.Resumable {
 		return
@@ -33,6 +34,7 @@
 	if call.lease != nil && !call.lease.ProvesVersion(p.Clock.Now()) {
 		call.versionBound = pool.VersionBound{Bound: true, Unknown: true}
 		p.Metrics.Events.Add("streams-of-unknown-version", 1)
+		p.recordOrigin(call, call.ID, gossip.UnprovedOrigin(call.Service))
 		return
 	}
 	call.versionBound = pool.VersionBound{Bound: true, Version: call.upstreamVersion}
@@ -43,7 +45,7 @@
 // brought the first event. Peers are notified at once, since this instance may end, unless they
 // can determine it themselves.
 func (p *Proxy) recordOrigin(call *Call, requestID string, origin gossip.StreamOrigin) {
-	ambiguous := p.Loop.Ambiguous(origin.Service)
+	ambiguous := !origin.IsProved() || p.Loop.Ambiguous(origin.Service)
 	key := p.Streams.BegunIn(p.Clock.Now(), call.workspaceName(), requestID, origin, ambiguous)
 	call.streams = append(call.streams, key)
 	if ambiguous {
@@ -77,21 +79,26 @@
 }
 
 // awaitOrigin returns where a stream began: as it is recorded, or else as follows from the list.
-// It waits a moment for a peer to tell it.
+// It waits a moment for a peer to tell it. One that began at an unproved version follows from the list
+// once that shows the run of the upstream where it began.
 func (p *Proxy) awaitOrigin(ctx context.Context, call *Call) (gossip.StreamOrigin, bool) {
 	patience := call.Deadline.Sub(call.Arrived) / 4
 	giveUp := call.Arrived.Add(min(originWait, patience))
-	confirmed := false
+	asked, confirmed := false, false
 	for {
-		origin, ownership := p.recordedOrigin(call)
-		if ownership != resume.UnknownStream {
-			return origin, ownership == resume.OwnStream
+		recorded, ownership := p.recordedOrigin(call)
+		if ownership != resume.UnknownStream && recorded.IsProved() {
+			return recorded, ownership == resume.OwnStream
 		}
-		if _, sole := p.soleOrigin(call.Route); sole && !confirmed {
-			confirmed = true
-			if p.confirmList(ctx, call, patience) {
-				return p.soleOrigin(call.Route)
-			}
+		if ownership != resume.UnknownStream && !p.listShowsOrigin(call) {
+			return gossip.StreamOrigin{}, false
+		}
+		if origin, sole := p.soleOrigin(call.Route); sole && confirmed {
+			return origin, true
+		} else if sole && !asked {
+			// A peer may tell meanwhile that the stream began at an unproved version.
+			asked = true
+			confirmed = p.confirmList(ctx, call, patience)
 			continue
 		}
 		if call.Resumes == "" || p.Clock.Now().After(giveUp) || !clock.Sleep(ctx, originPollInterval) {
@@ -115,6 +122,13 @@
 	return p.Streams.LookupIn(call.workspaceName(), call.Resumes)
 }
 
+// listShowsOrigin reports whether the list shows the run of the upstream where a stream that a caller
+// takes up began at an unproved version.
+func (p *Proxy) listShowsOrigin(call *Call) bool {
+	knownAt, known := p.Streams.KnownAt(call.workspaceName(), call.Resumes)
+	return known && p.Pool.ListShowsSince(knownAt)
+}
+
 // soleOrigin returns where all streams of a route began that still last, if that is one service
 // with one version of its software by the list that is held.
 func (p *Proxy) soleOrigin(route *spec.Route) (gossip.StreamOrigin, bool) {
