--- a/io/http1/attempt.go
+++ b/io/http1/attempt.go
@@ -44,6 +44,9 @@
 	// Version is the version of the upstream's software, as the list gave it when the request
 	// was sent.
 	Version string
+	// VersionUnproved is set by the instance in another region if its upstream may have come back with
+	// other software than the list shows.
+	VersionUnproved bool
 }
 
 // Attempt is a request as it is sent to one upstream.
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -175,7 +175,7 @@
 		defer p.UpstreamConns.EndUpstream()
 	}
 	call.peer = string(lease.Upstream.ID)
-	call.upstreamVersion = lease.Upstream.Version
+	call.upstreamVersion, call.upstreamUnproved = lease.Upstream.Version, false
 	call.lease = lease
 	call.countSend()
 	watch := p.watchUpstream(ctx, call, lease, cancel)
@@ -324,7 +324,7 @@
 // relayTo relays the request to another instance, with the projected time to the first byte
 // there, and passes the answer on.
 func (p *Proxy) relayTo(ctx context.Context, call *Call, address netip.AddrPort, firstByte time.Duration, sink Sink) *result.Failure {
-	call.upstreamVersion = ""
+	call.upstreamVersion, call.upstreamUnproved = "", false
 	call.lease = nil
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -342,6 +342,7 @@
 		OutputTokens:     call.OutputTokens,
 		Parts:            call.Parts,
 		VersionBound:     call.versionBound,
+		UnprovedSuffices: p.unprovedSuffices(call),
 		RouteHomes:       call.Route.HomeRegions,
 		WorkspaceHomes:   call.workspaceHomes(),
 	})
@@ -359,7 +360,7 @@
 		_ = answer.Body.Close()
 		return p.answerFailure(ctx, call, result.AnswerMemory, http1.ErrNoMemory)
 	}
-	call.upstreamVersion = answer.Meta.Version
+	call.upstreamVersion, call.upstreamUnproved = answer.Meta.Version, answer.Meta.VersionUnproved
 	start := p.beginAnswer(call, answer)
 	failure = p.passAnswer(ctx, cancel, call, answer, &relaySink{Sink: sink, budget: p.AnswerMemory, unread: &p.unread, clock: p.Clock}, start.partArrived)
 	if failure == nil {
@@ -368,6 +369,21 @@
 	return failure
 }
 
+// unprovedSuffices reports whether a stream that another region is asked to begin may begin there at an
+// upstream whose version isn't proved: there is no other place for it.
+func (p *Proxy) unprovedSuffices(call *Call) bool {
+	if !call.Route.Resumable || call.versionBound.Bound {
+		return false
+	}
+	now := p.Clock.Now()
+	_, local := p.Pool.Project(now, call.poolRequest())
+	if local && call.Allows(p.Region) && !call.elsewhere && len(call.peersTried) == 0 {
+		return false
+	}
+	_, found := p.chooseRemote(now, call, pool.Projection{}, false)
+	return !found
+}
+
 // pickInstance picks a random instance of the region among those that the request may be relayed to
 // and that aren't cut off from the upstreams of its service.
 func (p *Proxy) pickInstance(call *Call, to spill.Choice) (netip.AddrPort, bool) {
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -128,8 +128,11 @@
 	// upstreamVersion the version of an upstream's software.
 	peer            string
 	upstreamVersion string
-	// relayed is set if another instance has accepted the request.
-	relayed bool
+	// upstreamUnproved is set if the instance in another region has told that the version isn't proved.
+	upstreamUnproved bool
+	// relayed is set if another instance has accepted the request, and unprovedSuffices if that one is
+	// content with an upstream whose version isn't proved.
+	relayed, unprovedSuffices bool
 	// lease is that of the last attempt at an upstream of this region; nil if it went elsewhere.
 	lease *pool.Lease
 	// waits is set while the request may wait in the queue of this instance, ticket is its
@@ -273,7 +276,7 @@
 		Excluded: c.tried,
 
 		VersionBound:     bound,
-		UnprovedSuffices: !c.relayed && !bound.Bound,
+		UnprovedSuffices: (!c.relayed || c.unprovedSuffices) && !bound.Bound,
 	}
 }
 
--- a/io/proxy/framing_test.go
+++ b/io/proxy/framing_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -148,8 +149,8 @@
 	return link.Identity{Incarnation: ident.Incarnation{Instance: id, Start: 1}, Zone: "z", Region: "r"}
 }
 
-// sendRelayed sends a request for another region to an instance, over a link.
-func sendRelayed(ctx context.Context, t *testing.T, inst *testInstance, target string, kind spec.RequestKind) (*http1.Answer, *result.Failure) {
+// linkTo opens a link from an instance of another region to an instance, and returns the address of the latter.
+func linkTo(ctx context.Context, t *testing.T, inst *testInstance) (*link.Pool, netip.AddrPort) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -163,6 +164,13 @@
 	if err := links.Notify(ctx, address, &wire.Notice{}); err != nil {
 		t.Fatal(err)
 	}
+	return links, address
+}
+
+// sendRelayed sends a request for another region to an instance, over a link.
+func sendRelayed(ctx context.Context, t *testing.T, inst *testInstance, target string, kind spec.RequestKind) (*http1.Answer, *result.Failure) {
+	t.Helper()
+	links, address := linkTo(ctx, t, inst)
 	return relay.Send(ctx, links, address, &relay.Request{
 		Attempt: http1.Attempt{RequestID: "1", Method: http.MethodPost, Target: target, Host: "h", Remaining: 5 * time.Second},
 		Service: "app",
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -51,6 +51,8 @@
 			HomeRegions:      request.RouteHomes,
 		},
 		Workspace: relayedWorkspace(request),
+
+		unprovedSuffices: request.UnprovedSuffices,
 	}
 	p.activity.requests.Add(1)
 	defer p.activity.requests.Add(-1)
@@ -138,6 +140,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	return p.useLease(ctx, cancel, call, lease, func(answer *http1.Answer, onPart func()) *result.Failure {
+		answer.Meta.VersionUnproved = call.Route.Resumable && !lease.ProvesVersion(p.Clock.Now())
 		return p.copyAnswer(ctx, call, answer, reply, onPart)
 	})
 }
--- a/io/proxy/resume.go
+++ b/io/proxy/resume.go
@@ -31,7 +31,7 @@
 	if call.versionBound.Bound || !call.Route.Resumable {
 		return
 	}
-	if call.lease != nil && !call.lease.ProvesVersion(p.Clock.Now()) {
+	if call.upstreamUnproved || call.lease != nil && !call.lease.ProvesVersion(p.Clock.Now()) {
 		call.versionBound = pool.VersionBound{Bound: true, Unknown: true}
 		p.Metrics.Events.Add("streams-of-unknown-version", 1)
 		p.recordOrigin(call, call.ID, gossip.UnprovedOrigin(call.Service))
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -45,6 +45,9 @@
 	Parts        []pool.PromptPart
 	// VersionBound is set for a request that goes on with a stream.
 	VersionBound pool.VersionBound
+	// UnprovedSuffices is set for a request that begins a stream, if an upstream whose version
+	// isn't proved is better than none.
+	UnprovedSuffices bool
 	// RouteHomes and WorkspaceHomes are the home regions of the route and of the
 	// workspace, both of which bind; empty means all.
 	RouteHomes     []ident.Region
@@ -149,7 +152,7 @@
 	return &http1.Answer{
 		Status:  status,
 		Header:  header,
-		Meta:    http1.AnswerMeta{RequestID: a.id, Signed: head.GetSigned(), Version: head.GetVersion()},
+		Meta:    http1.AnswerMeta{RequestID: a.id, Signed: head.GetSigned(), Version: head.GetVersion(), VersionUnproved: head.GetVersionUnproved()},
 		Length:  -1,
 		Framing: http1.Framing(min(head.GetFraming(), uint32(http1.FramedByClose))),
 		Body:    a,
@@ -259,6 +262,8 @@
 		VersionBound: r.VersionBound.Bound,
 		Version:      r.VersionBound.Version,
 		Workspace:    string(r.Attempt.Workspace),
+
+		UnprovedSuffices: r.UnprovedSuffices,
 	}
 	for _, home := range r.RouteHomes {
 		m.RouteHomes = append(m.RouteHomes, string(home))
@@ -295,6 +300,7 @@
 		PromptTokens:     int(m.GetPromptTokens()),
 		OutputTokens:     int(m.GetOutputTokens()),
 		VersionBound:     pool.VersionBound{Bound: m.GetVersionBound(), Version: m.GetVersion()},
+		UnprovedSuffices: m.GetUnprovedSuffices(),
 	}
 	for _, home := range m.GetRouteHomes() {
 		r.RouteHomes = append(r.RouteHomes, ident.Region(home))
@@ -325,6 +331,8 @@
 		Signed:  a.Meta.Signed,
 		Framing: uint32(a.Framing),
 		Version: a.Meta.Version,
+
+		VersionUnproved: a.Meta.VersionUnproved,
 	}
 	return r.send(&wire.Frame{Kind: &wire.Frame_Head{Head: head}})
 }
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -137,9 +137,14 @@
 	if got := FromWire(toWire(&Request{VersionBound: bound})).VersionBound; got != bound {
 		t.Errorf("sent %v, got %v", bound, got)
 	}
+	for _, suffices := range []bool{false, true} {
+		if got := FromWire(toWire(&Request{UnprovedSuffices: suffices})).UnprovedSuffices; got != suffices {
+			t.Errorf("sent that an unproved version suffices: %t, got %t", suffices, got)
+		}
+	}
 	links, address := startPeer(t, func(_ *link.Stream, r *Reply) {
 		a := testAnswer()
-		a.Meta.Version = "v2"
+		a.Meta.Version, a.Meta.VersionUnproved = "v2", true
 		_ = r.WriteHead(a)
 		_ = r.End(nil)
 	})
@@ -150,8 +155,8 @@
 		t.Fatal(failure)
 	}
 	defer func() { _ = answer.Body.Close() }()
-	if answer.Meta.Version != "v2" {
-		t.Errorf("version %q", answer.Meta.Version)
+	if answer.Meta.Version != "v2" || !answer.Meta.VersionUnproved {
+		t.Errorf("version %q, unproved: %t", answer.Meta.Version, answer.Meta.VersionUnproved)
 	}
 }
 
