--- a/io/daemon/parts.go
+++ b/io/daemon/parts.go
@@ -167,6 +167,10 @@
 	Random           *entry.Random
 }
 
+// forwardMemoryPart is the part of limits.requests-bytes that bodies of forwarded requests may take beside
+// callers' requests.
+const forwardMemoryPart = 2
+
 func newEntryServer(p entryServerParams) *entry.Server {
 	c := &entry.Server{
 		Self:             p.Self.Incarnation,
@@ -184,6 +188,7 @@
 		RetryBudget:      p.RetryBudget,
 		Random:           p.Random,
 		Memory:           &memory.Budget{Limit: int64(p.Settings.Limits.RequestsBytes)},
+		ForwardMemory:    &memory.Budget{Limit: int64(p.Settings.Limits.RequestsBytes) / forwardMemoryPart},
 		ViewsCurrent:     p.Loop.ViewsCurrent,
 		Limits: entry.Limits{
 			BodyBytes:        p.Settings.Limits.BodyBytes,
--- a/io/daemon/serve.go
+++ b/io/daemon/serve.go
@@ -90,6 +90,7 @@
 	s.intake.Start()
 	p.Metrics.Func("caller-connections", func() any { return s.intake.Conns() })
 	p.Metrics.Func("caller-memory-bytes", func() any { return p.Server.Memory.Used() })
+	p.Metrics.Func("forward-memory-bytes", func() any { return p.Server.ForwardMemory.Used() })
 	return s
 }
 
--- a/io/entry/core.go
+++ b/io/entry/core.go
@@ -59,6 +59,9 @@
 	Random           *Random
 	// Memory is shared by the bodies of callers' requests; a nil one has no bound.
 	Memory *memory.Budget
+	// ForwardMemory is shared by the bodies of requests that other instances forward, apart from Memory:
+	// these can't give way to callers. A nil one has no bound.
+	ForwardMemory *memory.Budget
 	// ViewsCurrent returns false while the views may be stale after a pause of the process.
 	// It may be nil.
 	ViewsCurrent func() bool
--- a/io/entry/peer.go
+++ b/io/entry/peer.go
@@ -10,6 +10,7 @@
 
 	"arbutustrestle/core/hops"
 	"arbutustrestle/core/ident"
+	"arbutustrestle/core/memory"
 	"arbutustrestle/core/result"
 	"arbutustrestle/core/table"
 	"arbutustrestle/io/invoke"
@@ -91,6 +92,8 @@
 	stream  *link.Stream
 	request *wire.Forward
 	limit   int
+	// memory is what the body takes.
+	memory *memory.Share
 	// verdictSent is true once a verdict was sent.
 	verdictSent bool
 	// cancel ends the request when the forwarding instance closes the stream.
@@ -105,6 +108,11 @@
 	if int(s.request.GetBodyLength()) > s.limit {
 		return nil, notRun(result.StepIdentify, result.BodyTooLarge)
 	}
+	if !s.memory.Grow(int64(s.request.GetBodyLength())) {
+		f := notRun(result.StepIdentify, result.Overloaded)
+		f.RetryAfter = memoryRetryAfter
+		return nil, f
+	}
 	s.verdictSent = true
 	if err := s.stream.Send(&wire.Verdict{RequestId: s.request.GetRequestId(), Accepted: true}); err != nil {
 		return nil, s.callerGone(err)
@@ -126,10 +134,11 @@
 		if err != nil {
 			return nil, s.callerGone(err)
 		}
-		body = append(body, f.GetData()...)
-		if len(body) > s.limit {
+		// Only the announced length has memory.
+		if len(body)+len(f.GetData()) > cap(body) {
 			return nil, notRun(result.StepIdentify, result.BodyTooLarge)
 		}
+		body = append(body, f.GetData()...)
 		if f.GetEnd() != nil {
 			return body, nil
 		}
@@ -201,7 +210,9 @@
 func (p *ForwardHandler) Forward(ctx context.Context, s *link.Stream, f *wire.Forward) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	source := &peerBodyReader{stream: s, request: f, limit: p.Server.Limits.BodyBytes, cancel: cancel}
+	share := p.Server.ForwardMemory.NewShare()
+	defer share.Release()
+	source := &peerBodyReader{stream: s, request: f, limit: p.Server.Limits.BodyBytes, memory: share, cancel: cancel}
 	sink := &peerSink{
 		frames:       frameWriter{stream: s, requestID: f.GetRequestId()},
 		writeTimeout: p.Server.Limits.WriteTimeout,
