--- a/io/daemon/serve.go
+++ b/io/daemon/serve.go
@@ -12,6 +12,7 @@
 	"go.uber.org/fx"
 
 	"arbutustrestle/core/clock"
+	"arbutustrestle/core/memory"
 	"arbutustrestle/io/admin"
 	"arbutustrestle/io/config"
 	"arbutustrestle/io/entry"
@@ -29,10 +30,12 @@
 	// intake bounds the connections of caller.
 	intake intake.Gate
 	admin  *http.Server
-	peer   *link.Server
-	loop   *loop.Loop
-	links  *link.Pool
-	log    zerolog.Logger
+	// adminIntake bounds the connections of admin, apart from those of callers.
+	adminIntake intake.Gate
+	peer        *link.Server
+	loop        *loop.Loop
+	links       *link.Pool
+	log         zerolog.Logger
 
 	// cancel stops the control loop and the links.
 	cancel context.CancelFunc
@@ -54,6 +57,14 @@
 	Drain    *Drain
 }
 
+const (
+	// adminConns is the number of connections of operators above which one gives way, far more than their tools
+	// open.
+	adminConns = 64
+	// adminMemoryBytes is what heads of operators' requests may take together.
+	adminMemoryBytes = 16 << 20
+)
+
 func newServers(p serverParams) *servers {
 	adminHandler := &admin.Handler{
 		Settings: p.Settings,
@@ -65,6 +76,8 @@
 	limits := intake.Limits{HeadBytes: p.Settings.Limits.HeaderBytes, HeadTimeout: p.Settings.Timeouts.Header}
 	caller := newHTTPServer(p.Server.Handler())
 	caller.IdleTimeout = p.Settings.Timeouts.Idle
+	operators := newAuxServer(adminHandler.Router())
+	operators.IdleTimeout = p.Settings.Timeouts.Idle
 	s := &servers{
 		settings: p.Settings,
 		caller:   caller,
@@ -77,10 +90,14 @@
 			Log:         p.Log,
 			Events:      p.Metrics.Events,
 		},
-		admin: &http.Server{
-			Handler:           adminHandler.Router(),
-			ReadHeaderTimeout: p.Settings.Timeouts.Header,
-			IdleTimeout:       p.Settings.Timeouts.Idle,
+		admin: operators,
+		adminIntake: intake.Gate{
+			Clock:       p.Clock,
+			Memory:      &memory.Budget{Limit: adminMemoryBytes},
+			MaxConns:    adminConns,
+			UnreadBytes: adminMemoryBytes,
+			Limits:      func() intake.Limits { return limits },
+			Log:         p.Log.With().Str("listener", "admin").Logger(),
 		},
 		peer:  p.Peer,
 		loop:  p.Loop,
@@ -88,6 +105,7 @@
 		log:   p.Log,
 	}
 	s.intake.Start()
+	s.adminIntake.Start()
 	p.Metrics.Func("caller-connections", func() any { return s.intake.Conns() })
 	p.Metrics.Func("caller-memory-bytes", func() any { return p.Server.Memory.Used() })
 	p.Metrics.Func("forward-memory-bytes", func() any { return p.Server.ForwardMemory.Used() })
@@ -118,7 +136,9 @@
 	s.work.Go(func() {
 		logServeError(s.log, s.caller.Serve(strict.Listener{Listener: s.intake.Listen(listeners[0])}))
 	})
-	s.work.Go(func() { logServeError(s.log, s.admin.Serve(listeners[2])) })
+	s.work.Go(func() {
+		logServeError(s.log, s.admin.Serve(strict.Listener{Listener: s.adminIntake.Listen(listeners[2])}))
+	})
 	s.log.Info().
 		Str("caller-address", s.settings.CallerAddress.String()).
 		Str("peer-address", s.settings.PeerAddress.String()).
