--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -29,6 +29,7 @@
 	"arbutustrestle/io/relay"
 	"arbutustrestle/io/syncer"
 	"arbutustrestle/io/syntax"
+	"arbutustrestle/io/unread"
 )
 
 // Proxy serves callers' requests and relayed requests. Its fields are set before the
@@ -63,7 +64,7 @@
 	activity  activity
 	waiting   entryQueue
 	handovers handovers
-	unread    unreadWrites
+	unread    unread.Writes
 	// refusalLines bounds the log lines about refusals.
 	refusalLines refusalSampler
 	// endChecks are the checks under way whether an upstream has ended.
--- a/io/proxy/unread_test.go
+++ b/io/proxy/unread_test.go
@@ -11,6 +11,7 @@
 	"arbutustrestle/core/yield"
 	"arbutustrestle/io/http1"
 	"arbutustrestle/io/link"
+	"arbutustrestle/io/unread"
 )
 
 // blockedSink is a caller who doesn't read until resumed is closed.
@@ -34,11 +35,11 @@
 // TestUnreadRelay guards against callers who don't read answers that another instance relays, which
 // stay in the buffers of the link: each takes memory, and the one for which there is none is ended.
 func TestUnreadRelay(t *testing.T) {
-	budget, unread := &memory.Budget{Limit: link.MaxBufferBytes}, &unreadWrites{}
+	budget, waiting := &memory.Budget{Limit: link.MaxBufferBytes}, &unread.Writes{}
 	first := &blockedSink{resumed: make(chan struct{}), aborted: make(chan struct{})}
 	done := make(chan error, 1)
 	go func() {
-		_, err := (&relaySink{Sink: first, budget: budget, unread: unread, clock: clock.System{}}).Write([]byte("x"))
+		_, err := (&relaySink{Sink: first, budget: budget, unread: waiting, clock: clock.System{}}).Write([]byte("x"))
 		done <- err
 	}()
 	for began := time.Now(); budget.Used() != link.MaxBufferBytes; time.Sleep(time.Millisecond) {
@@ -47,7 +48,7 @@
 		}
 	}
 	second := &blockedSink{resumed: make(chan struct{}), aborted: make(chan struct{})}
-	if _, err := (&relaySink{Sink: second, budget: budget, unread: unread, clock: clock.System{}}).Write([]byte("x")); !errors.Is(err, http1.ErrNoMemory) {
+	if _, err := (&relaySink{Sink: second, budget: budget, unread: waiting, clock: clock.System{}}).Write([]byte("x")); !errors.Is(err, http1.ErrNoMemory) {
 		t.Errorf("error %v", err)
 	}
 	close(first.resumed)
@@ -63,8 +64,8 @@
 // another caller who pauses for a moment loses its answer.
 func TestUnreadRelayGivesWay(t *testing.T) {
 	now := clock.NewManual(time.Unix(1000, 0))
-	unread := &unreadWrites{}
-	budget := &memory.Budget{Limit: 2 * link.MaxBufferBytes, MakeRoom: func(needed, _ int64) bool { return unread.makeRoom(now.Now(), needed) }}
+	waiting := &unread.Writes{}
+	budget := &memory.Budget{Limit: 2 * link.MaxBufferBytes, MakeRoom: func(needed, _ int64) bool { return waiting.MakeRoom(now.Now(), needed) }}
 	waitUsed := func(bytes int64) {
 		t.Helper()
 		for began := time.Now(); budget.Used() != bytes; time.Sleep(time.Millisecond) {
@@ -78,7 +79,7 @@
 	begin := func() {
 		sink := &blockedSink{resumed: make(chan struct{}), aborted: make(chan struct{})}
 		end := make(chan error, 1)
-		write := &relaySink{Sink: sink, budget: budget, unread: unread, clock: now}
+		write := &relaySink{Sink: sink, budget: budget, unread: waiting, clock: now}
 		go func() {
 			_, err := write.Write([]byte("x"))
 			end <- err
@@ -103,7 +104,7 @@
 		}
 	}
 	waitUsed(0)
-	if len(unread.writes) != 0 {
-		t.Errorf("%d writes are still known", len(unread.writes))
+	if waiting.Len() != 0 {
+		t.Errorf("%d writes are still known", waiting.Len())
 	}
 }
