--- a/io/config/config.go
+++ b/io/config/config.go
@@ -78,6 +78,9 @@
 	// RequestsBytes bounds what all requests of callers take together: their heads once they are
 	// parsed, and their bodies.
 	RequestsBytes int
+	// AnswersBytes bounds what answers that are kept whole, and relayed ones that callers don't read, take
+	// together.
+	AnswersBytes int
 	// Connections bounds the number of open connections from callers. An eighth more may be open
 	// while those that gave way are closed.
 	Connections int
@@ -107,6 +110,7 @@
 		{path{"limits", "answer-bytes"}, "4194304", count(&e.Limits.AnswerBytes, 1024, 1<<26)},
 		{path{"limits", "event-bytes"}, "65536", count(&e.Limits.EventBytes, 1024, 1<<20)},
 		{path{"limits", "requests-bytes"}, "268435456", count(&e.Limits.RequestsBytes, 1<<20, 1<<40)},
+		{path{"limits", "answers-bytes"}, "268435456", count(&e.Limits.AnswersBytes, 1<<20, 1<<40)},
 		{path{"limits", "connections"}, "4096", count(&e.Limits.Connections, 1, 1<<16)},
 	}
 }
--- a/io/daemon/parts.go
+++ b/io/daemon/parts.go
@@ -189,6 +189,7 @@
 		Random:           p.Random,
 		Memory:           &memory.Budget{Limit: int64(p.Settings.Limits.RequestsBytes)},
 		ForwardMemory:    &memory.Budget{Limit: int64(p.Settings.Limits.RequestsBytes) / forwardMemoryPart},
+		AnswerMemory:     &memory.Budget{Limit: int64(p.Settings.Limits.AnswersBytes), Free: freeAnswerBytes},
 		ViewsCurrent:     p.Loop.ViewsCurrent,
 		Limits: entry.Limits{
 			BodyBytes:        p.Settings.Limits.BodyBytes,
@@ -197,6 +198,7 @@
 			KeyedAnswerBytes: p.Settings.Limits.AnswerBytes,
 		},
 	}
+	c.AnswerMemory.MakeRoom = c.EndUnread
 	c.Init()
 	p.Loop.OnTableChange(c.CancelDisallowed)
 	return c
--- a/io/daemon/serve.go
+++ b/io/daemon/serve.go
@@ -108,6 +108,8 @@
 	s.adminIntake.Start()
 	p.Metrics.Func("caller-connections", func() any { return s.intake.Conns() })
 	p.Metrics.Func("caller-memory-bytes", func() any { return p.Server.Memory.Used() })
+	p.Metrics.Func("answer-memory-bytes", func() any { return p.Server.AnswerMemory.Used() })
+	p.Metrics.Func("answer-memory-refused", func() any { return p.Server.AnswerMemory.Refused() })
 	p.Metrics.Func("forward-memory-bytes", func() any { return p.Server.ForwardMemory.Used() })
 	return s
 }
--- a/io/entry/core.go
+++ b/io/entry/core.go
@@ -18,6 +18,7 @@
 	"arbutustrestle/io/invoke"
 	"arbutustrestle/io/link"
 	"arbutustrestle/io/metric"
+	"arbutustrestle/io/unread"
 )
 
 // Views returns the current view. View is called once or more for each request, from many
@@ -62,12 +63,16 @@
 	// ForwardMemory is shared by the bodies of requests that other instances forward, apart from Memory:
 	// these can't give way to callers. A nil one has no bound.
 	ForwardMemory *memory.Budget
+	// AnswerMemory is shared by answers that are kept whole, and by relayed ones whose callers don't read. A nil
+	// one has no bound. EndUnread is its MakeRoom hook.
+	AnswerMemory *memory.Budget
 	// ViewsCurrent returns false while the views may be stale after a pause of the process.
 	// It may be nil.
 	ViewsCurrent func() bool
 
 	chain    Next
 	inFlight inFlight
+	unread   unread.Writes
 }
 
 // Init builds the filter chain. It is called once, before the first request.
--- a/io/entry/dedup.go
+++ b/io/entry/dedup.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 
 	"github.com/juju/errors"
 
 	"arbutustrestle/core/dedup"
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/member"
+	"arbutustrestle/core/memory"
 	"arbutustrestle/core/result"
 	"arbutustrestle/io/invoke"
 	"arbutustrestle/io/wire"
@@ -112,7 +114,7 @@
 		case dedup.Run:
 			return f.runOnce(ctx, c, key, next)
 		case dedup.Replay:
-			return f.replay(c, d.Answer)
+			return f.replay(c, d.Answer, nil)
 		case dedup.Refuse:
 			return d.Failure
 		case dedup.Join:
@@ -144,7 +146,9 @@
 // the caller disconnects, up to the call's deadline, so that a repeated try finds its
 // result.
 func (f *dedupFilter) runOnce(ctx context.Context, c *Call, key dedup.Key, next Next) *result.Failure {
-	capture := &captureSink{limit: f.server.Limits.KeyedAnswerBytes}
+	share := f.server.AnswerMemory.NewShare()
+	defer share.Release()
+	capture := &captureSink{limit: f.server.Limits.KeyedAnswerBytes, memory: share}
 	// The record must be ended on each way out, a panic included. Otherwise each repeated
 	// try would wait for it until its own deadline.
 	answer := dedup.Answer{Outcome: result.Unknown, Step: result.StepDedup, Reason: result.UpstreamFailed}
@@ -163,7 +167,7 @@
 		return retryAfterHold(failure)
 	}
 	answer = capture.answer()
-	return f.replay(c, &answer)
+	return f.replay(c, &answer, share)
 }
 
 // retryAfterHold returns a failure with a retry time after which a call that has not run may
@@ -177,8 +181,12 @@
 	return &held
 }
 
-// replay sends a recorded response.
-func (f *dedupFilter) replay(c *Call, a *dedup.Answer) *result.Failure {
+// replayBytes is the size of the parts in which a recorded response is written. A caller has Limits.WriteTimeout for
+// each of them.
+const replayBytes = 16 << 10
+
+// replay sends a recorded response, which the share holds; nil for one that the records hold.
+func (f *dedupFilter) replay(c *Call, a *dedup.Answer, share *memory.Share) *result.Failure {
 	if failure := a.Failure(); failure != nil {
 		return failure
 	}
@@ -191,21 +199,25 @@
 	if err := c.Sink.Begin(h); err != nil {
 		return callerGone(err)
 	}
-	if err := c.Sink.Write(a.Body); err != nil {
-		return callerGone(err)
+	for part := range slices.Chunk(a.Body, replayBytes) {
+		if err := f.server.write(c.Sink, share, 0, part); err != nil {
+			return callerGone(err)
+		}
 	}
 	return nil
 }
 
 func callerGone(err error) *result.Failure {
-	return &result.Failure{Step: result.StepStream, Reason: result.CallerGone, Cause: err}
+	return &result.Failure{Step: result.StepStream, Reason: writeReason(err), Cause: err}
 }
 
 // captureSink buffers a response until it is complete.
 type captureSink struct {
 	limit int
-	head  invoke.ResponseHead
-	body  []byte
+	// memory is what the body takes.
+	memory *memory.Share
+	head   invoke.ResponseHead
+	body   []byte
 }
 
 var errTooLarge = errors.New("response exceeds the limit for a recorded response")
@@ -216,11 +228,23 @@
 	return nil
 }
 
-// Write keeps a copy of the bytes, up to the limit.
+// initialAnswerBytes is the first size of the buffer of an answer.
+const initialAnswerBytes = 4 << 10
+
+// Write keeps a copy of the bytes, up to the limit. The buffers that were copied to a larger one count too: all of
+// them together are about twice as large as the last of them.
 func (s *captureSink) Write(p []byte) error {
-	if len(s.body)+len(p) > s.limit {
+	needed := len(s.body) + len(p)
+	if needed > s.limit {
 		return errTooLarge
 	}
+	if needed > cap(s.body) {
+		size := min(max(needed, 2*cap(s.body), initialAnswerBytes), s.limit)
+		if !s.memory.Grow(int64(2*cap(s.body) + size)) {
+			return invoke.ErrAnswerMemory
+		}
+		s.body = append(make([]byte, 0, size), s.body...)
+	}
 	s.body = append(s.body, p...)
 	return nil
 }
--- a/io/entry/forward.go
+++ b/io/entry/forward.go
@@ -127,18 +127,26 @@
 			err = c.Sink.Begin(h)
 		case *wire.Frame_Data:
 			c.Tokens++
-			err = c.Sink.Write(kind.Data)
+			err = f.writeRelayed(c.Sink, kind.Data)
 		case *wire.Frame_End:
 			return f.finishAnswer(c, kind.End, t)
 		default:
 			return f.newFailure(result.Unknown, result.AnswerMismatch, t, nil)
 		}
 		if err != nil {
-			return f.newFailure(result.Unknown, result.CallerGone, t, err)
+			return f.newFailure(result.Unknown, writeReason(err), t, err)
 		}
 	}
 }
 
+// writeRelayed passes on a part of an answer. While the caller reads nothing, what still arrives stays in the buffer
+// of the link.
+func (f *forwarder) writeRelayed(sink invoke.Sink, p []byte) error {
+	share := f.server.AnswerMemory.NewShare()
+	defer share.Release()
+	return f.server.write(sink, share, link.MaxBufferBytes, p)
+}
+
 func (f *forwarder) finishAnswer(c *Call, end *wire.End, t target) *result.Failure {
 	if end.GetFailure() != nil {
 		return f.remoteFailure(c, end.GetFailure())
--- a/io/entry/route.go
+++ b/io/entry/route.go
@@ -198,7 +198,7 @@
 		return load.Answered
 	}
 	switch failure.Reason {
-	case result.CallerGone, result.DeadlinePassed:
+	case result.CallerGone, result.DeadlinePassed, result.AnswerMemory:
 		return load.Cancelled
 	case result.UpstreamRefused, result.UpstreamLeaving:
 		return load.Refused
--- a/io/invoke/invoke.go
+++ b/io/invoke/invoke.go
@@ -72,6 +72,9 @@
 	Write(p []byte) error
 }
 
+// ErrAnswerMemory is returned by a Sink that keeps the response if there is no memory for it.
+var ErrAnswerMemory = errors.New("no memory for the answer")
+
 // Report holds the observations about an upstream during an attempt.
 type Report struct {
 	// TimeToFirstByte is the time from sending the call to the response head; zero
--- a/io/invoke/receive.go
+++ b/io/invoke/receive.go
@@ -133,12 +133,20 @@
 	}
 }
 
+// sinkReason returns the reason of a failed write to the sink.
+func sinkReason(err error) result.Reason {
+	if errors.Is(err, ErrAnswerMemory) {
+		return result.AnswerMemory
+	}
+	return result.CallerGone
+}
+
 func (r *runner) write(data []byte) *result.Failure {
 	if len(data) == 0 {
 		return nil
 	}
 	if err := r.sink.Write(data); err != nil {
-		return r.failure(result.CallerGone, err)
+		return r.failure(sinkReason(err), err)
 	}
 	return nil
 }
