--- a/io/link/link.go
+++ b/io/link/link.go
@@ -50,6 +50,9 @@
 	// discardTimeout is how long what arrives on a closed stream is dropped. The other end closes its
 	// own as soon as it has learned of the close.
 	discardTimeout = 10 * time.Second
+	// streamCloseTimeout is how long the session keeps a stream that was closed at the end which accepted it,
+	// with what has arrived, while the other end doesn't close its own.
+	streamCloseTimeout = discardTimeout + 5*time.Second
 )
 
 // Identity identifies one end of a link to the other. It is sent in the hello.
@@ -148,6 +151,19 @@
 	}()
 }
 
+// drain aborts the stream and drops what the other end still sends until it closes its own, for discardTimeout
+// at most. A reader that was blocked may read on beside it.
+func (s *Stream) drain() {
+	_ = s.conn.SetReadDeadline(pastDeadline)
+	_ = s.conn.Close()
+	s.openStreams.allowReads(s, time.Now().Add(discardTimeout))
+	defer s.openStreams.remove(s)
+	_, _ = io.Copy(io.Discard, s.conn)
+	if mux, ok := s.conn.(*yamux.Stream); ok {
+		mux.Shrink()
+	}
+}
+
 // Abort closes the stream and makes a blocked reader return at once.
 func (s *Stream) Abort() {
 	_ = s.conn.SetReadDeadline(pastDeadline)
@@ -183,6 +199,7 @@
 	c := muxConfig()
 	c.KeepAliveInterval = cmp.Or(keepAlive, keepAliveInterval)
 	c.ConnectionWriteTimeout = silenceTimeout
+	c.StreamCloseTimeout = streamCloseTimeout
 	return c
 }
 
--- a/io/link/server.go
+++ b/io/link/server.go
@@ -161,7 +161,7 @@
 		}
 		stream := newStream(conn, from.peer, from.streams)
 		s.work.Go(func() {
-			defer stream.Abort()
+			defer stream.drain()
 			defer guard.Recover(s.Log, s.Events, "stream of "+stream.Peer.Incarnation.String())
 			s.serveStream(ctx, stream)
 		})
