--- a/io/daemon/gateway.go
+++ b/io/daemon/gateway.go
@@ -91,6 +91,21 @@
 // are those of a peer.
 const pendingLinkPart = 8
 
+const (
+	// linkPart is the part of the descriptors that links of peers may take.
+	linkPart = 8
+	// minLinks is the least number of links where that is bounded, more than the instances of a small installation.
+	minLinks = 64
+)
+
+// maxLinks returns the number of links of peers that a number of descriptors allows; zero for the default.
+func maxLinks(descriptors int) int {
+	if descriptors == 0 {
+		return 0
+	}
+	return max(minLinks, descriptors/linkPart)
+}
+
 // upstreamDialTimeout limits a dial to an upstream. Upstreams are in the same region, and
 // a lost SYN is sent again only after a second.
 const upstreamDialTimeout = 700 * time.Millisecond
@@ -339,7 +354,7 @@
 		syncer:       p.Loop,
 		proxy:        p.Proxy,
 		links:        p.Links,
-		peerServer:   &link.Server{Self: p.Self, Handler: handler, Log: p.Log, KeepAlive: linkKeepAlive, Events: p.Metrics.Events, MaxPending: p.Settings.Descriptors / pendingLinkPart},
+		peerServer:   &link.Server{Self: p.Self, Handler: handler, Log: p.Log, KeepAlive: linkKeepAlive, Events: p.Metrics.Events, MaxPending: p.Settings.Descriptors / pendingLinkPart, MaxLinks: maxLinks(p.Settings.Descriptors)},
 		callerServer: newHTTPServer(p.Proxy.Handler(p.Adapter.CallerCodec())),
 		auxServers: map[netip.AddrPort]*http.Server{
 			p.Settings.ReadyAddress:     newAuxServer(p.Adapter.ReadyHandler(p.Directory)),
--- a/io/daemon/parts.go
+++ b/io/daemon/parts.go
@@ -204,7 +204,14 @@
 	return c
 }
 
-func newLinkServer(self link.Identity, l *loop.Loop, r *entry.Records, c *entry.Server, log zerolog.Logger) *link.Server {
+const (
+	// entryLinkPart is the part of limits.connections that links of peers may take beside them.
+	entryLinkPart = 4
+	// minEntryLinks is the least number of links.
+	minEntryLinks = 256
+)
+
+func newLinkServer(settings config.Entry, self link.Identity, l *loop.Loop, r *entry.Records, c *entry.Server, log zerolog.Logger) *link.Server {
 	handler := &loop.Handler{Loop: l, Records: r, Forwards: &entry.ForwardHandler{Server: c}}
-	return &link.Server{Self: self, Handler: handler, Log: log}
+	return &link.Server{Self: self, Handler: handler, Log: log, MaxLinks: max(minEntryLinks, settings.Limits.Connections/entryLinkPart)}
 }
--- a/io/link/server.go
+++ b/io/link/server.go
@@ -59,9 +59,13 @@
 	// MaxPending is the number of connections whose hello hasn't been received, above which the
 	// oldest is closed. Zero selects defaultMaxPending.
 	MaxPending int
+	// MaxLinks is the number of links whose hello has been received, above which one gives way. Zero selects
+	// defaultMaxLinks.
+	MaxLinks int
 
-	pending pendingConns
-	work    sync.WaitGroup
+	pending  pendingConns
+	accepted acceptedLinks
+	work     sync.WaitGroup
 }
 
 // Serve accepts links until the listener is closed or the context is done, then waits for
@@ -127,7 +131,10 @@
 		s.Log.Warn().Err(err).Str("step", "hello").Str("peer", conn.RemoteAddr().String()).Msg("link rejected")
 		return
 	}
-	s.serveSession(ctx, &session{mux: mux, peer: peer, streams: open})
+	from := &session{mux: mux, peer: peer, streams: open}
+	s.accepted.add(from, cmp.Or(s.MaxLinks, defaultMaxLinks))
+	defer s.accepted.remove(from)
+	s.serveSession(ctx, from)
 }
 
 func (s *Server) acceptHello(mux *yamux.Session, limit *helloLimit) (Identity, error) {
