--- a/io/intake/buffer.go
+++ b/io/intake/buffer.go
@@ -3,7 +3,9 @@
 // The kernel sizes the receive buffer of a connection by itself, up to megabytes for a sender that is
 // fast, which long bodies on long ways need. Bytes that have come and weren't read count as memory of the
 // machine, and of a crowd they are hundreds of megabytes, so that buffers are small while there are many
-// connections. What fits the kernel's first window, or nearly, arrives as fast with a small buffer.
+// connections. What fits the kernel's first window, or nearly, arrives as fast with a small buffer. While
+// there are few, one that has grown gets a bound before a request of its caller is at an upstream, since nothing is
+// read meanwhile.
 const (
 	// smallBufferPart is the part of MaxConns from which on buffers are small, and largeBufferPart that
 	// below which they are large again.
@@ -14,6 +16,9 @@
 	largeBufferBytes = 208 << 10
 	// minBufferBytes is the smallest size.
 	minBufferBytes = 16 << 10
+	// grownBytes is the number of bytes upon which the kernel may have made a buffer larger than
+	// largeBufferBytes.
+	grownBytes = 128 << 10
 )
 
 // sizeBuffers sets the size of the buffer of a new connection, and of all others once there are many. The caller
@@ -48,8 +53,35 @@
 	}
 }
 
-// setBuffer sets the size of the receive buffer. One whose size can't be set keeps its own.
+// limitBuffers sets the sizes of buffers that may have grown: bodies wait while there is no memory for them, and
+// the kernel would hold what comes. The caller holds mu.
+func (g *Gate) limitBuffers() {
+	for c := range g.conns {
+		c.mu.Lock()
+		c.limitBuffer()
+		c.mu.Unlock()
+	}
+}
+
+// limitBuffer sets the size of a receive buffer that may have grown. The caller holds mu of the connection.
+func (c *conn) limitBuffer() {
+	if c.gate.UnreadBytes == 0 || c.gate.MaxConns == 0 || c.bufferSet || c.received < grownBytes {
+		return
+	}
+	c.bufferSet = true
+	c.setReadBuffer(largeBufferBytes)
+}
+
+// setBuffer sets the size of the receive buffer, and that it isn't set again with a larger one.
 func (c *conn) setBuffer(bytes int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.bufferSet = true
+	c.setReadBuffer(bytes)
+}
+
+// setReadBuffer sets the size of the receive buffer. One whose size can't be set keeps its own.
+func (c *conn) setReadBuffer(bytes int) {
 	if sized, ok := c.Conn.(interface{ SetReadBuffer(bytes int) error }); ok {
 		_ = sized.SetReadBuffer(bytes)
 	}
--- a/io/intake/buffer_test.go
+++ b/io/intake/buffer_test.go
@@ -1,7 +1,10 @@
 package intake
 
 import (
+	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 
@@ -68,3 +71,29 @@
 		}
 	}
 }
+
+// TestGrownBuffer guards against a receive buffer that the kernel has made large for a long body, and that fills up while
+// the request is at an upstream. That of a short body, and that of a long one while it arrives, are left to the kernel.
+func TestGrownBuffer(t *testing.T) {
+	t.Parallel()
+	g := &Gate{MaxConns: 64, UnreadBytes: 72 * 20_000}
+	var sizes [2]int
+	r := startRig(t, g, func(w http.ResponseWriter, q *http.Request) {
+		reading := StartBody(q, nil)
+		sizes[0] = bufferBytes(t, g)[0]
+		_, _ = io.Copy(io.Discard, q.Body)
+		reading.End()
+		sizes[1] = bufferBytes(t, g)[0]
+	})
+	c := r.dial()
+	for _, size := range []int{1000, 4 * grownBytes} {
+		c.send(fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("b", size)))
+		c.expect(http.StatusOK, "")
+		if sizes[0] == largeBufferBytes {
+			t.Errorf("body of %d bytes: its size is set while it arrives", size)
+		}
+		if grown := size > grownBytes; grown != (sizes[1] == largeBufferBytes) {
+			t.Errorf("body of %d bytes: a buffer of %d bytes behind it", size, sizes[1])
+		}
+	}
+}
--- a/io/intake/conn.go
+++ b/io/intake/conn.go
@@ -46,6 +46,10 @@
 	// head, and setDeadline the one in force.
 	serverDeadline, headDeadline, setDeadline time.Time
 
+	// received counts the bytes that have arrived, and bufferSet is set once the size of the receive buffer was.
+	received  int64
+	bufferSet bool
+
 	writes writeState
 
 	// answered is set once a refusal was written, by the goroutine of the server.
@@ -202,6 +206,7 @@
 		return 0, refusedNone
 	}
 	c.lastByte = now
+	c.received += int64(len(p))
 	switch c.phase {
 	case yield.Busy, yield.Body:
 		c.progress = yield.Advance(c.progress, now, len(p))
@@ -244,6 +249,7 @@
 	c.phase = yield.Busy
 	c.headDeadline = time.Time{}
 	_ = c.applyDeadline()
+	c.limitBuffer()
 }
 
 // headRead is called after the server has parsed a head, also one of which no byte was read since the
@@ -411,6 +417,7 @@
 		return false
 	}
 	c.phase = yield.Busy
+	c.limitBuffer()
 	return true
 }
 
--- a/io/intake/gate.go
+++ b/io/intake/gate.go
@@ -220,6 +220,7 @@
 	now := g.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.limitBuffers()
 	for range endAttempts {
 		chosen := yield.ForMemory(now, needed, held, g.claims())
 		if len(chosen) == 0 {
