--- a/io/entry/core.go
+++ b/io/entry/core.go
@@ -17,6 +17,7 @@
 	"arbutustrestle/core/share"
 	"arbutustrestle/io/invoke"
 	"arbutustrestle/io/link"
+	"arbutustrestle/io/logs"
 	"arbutustrestle/io/metric"
 	"arbutustrestle/io/unread"
 )
@@ -73,6 +74,8 @@
 	chain    Next
 	inFlight inFlight
 	unread   unread.Writes
+	// refusalLines bounds the lines about requests that are refused while they are read.
+	refusalLines logs.Sampler
 }
 
 // Init builds the filter chain. It is called once, before the first request.
@@ -106,17 +109,22 @@
 }
 
 // log writes one line for a request. The line holds no content of the request: neither the
-// path, which may hold data, nor the unique part of the key.
+// path, which may hold data, nor the unique part of the key. Refusals that callers may cause in any number are logged
+// in part: each is counted by its reason.
 func (s *Server) log(call *Call, f *result.Failure, took time.Duration) {
-	line := s.Log.Debug()
+	log := s.Log
+	if f != nil && (f.Step == result.StepIdentify || f.Reason == result.UnknownWorkspace) {
+		log = log.Sample(&s.refusalLines)
+	}
+	line := log.Debug()
 	if f != nil {
-		line = s.Log.Info()
+		line = log.Info()
 	}
 	line = line.Str("request-id", call.ID).
-		Str("workspace", string(call.Workspace)).
+		Str("workspace", logs.ShortID(string(call.Workspace))).
 		Str("class", call.Class.String()).
-		Str("model", string(call.Model)).
-		Str("service", string(call.Service)).
+		Str("model", logs.ShortID(string(call.Model))).
+		Str("service", logs.ShortID(string(call.Service))).
 		Int("hops", len(call.Via.Instances)).
 		Int64("took-ms", took.Milliseconds())
 	if f == nil {
@@ -127,7 +135,7 @@
 		Str("step", f.Step.String()).
 		Str("reason", f.Reason.String()).
 		Str("peer", f.Peer).
-		AnErr("cause", f.Cause).
+		AnErr("cause", logs.ShortCause(f.Cause)).
 		Msg("request not answered")
 }
 
--- a/io/link/server.go
+++ b/io/link/server.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"arbutustrestle/io/guard"
+	"arbutustrestle/io/logs"
 	"arbutustrestle/io/wire"
 )
 
@@ -65,7 +66,9 @@
 
 	pending  pendingConns
 	accepted acceptedLinks
-	work     sync.WaitGroup
+	// rejections bounds the lines about rejected links.
+	rejections logs.Sampler
+	work       sync.WaitGroup
 }
 
 // Serve accepts links until the listener is closed or the context is done, then waits for
@@ -128,7 +131,8 @@
 	peer, err := s.acceptHello(mux, &limited.hello)
 	notPending()
 	if err != nil {
-		s.Log.Warn().Err(err).Str("step", "hello").Str("peer", conn.RemoteAddr().String()).Msg("link rejected")
+		log := s.Log.Sample(&s.rejections)
+		log.Warn().Err(logs.ShortCause(err)).Str("step", "hello").Str("peer", conn.RemoteAddr().String()).Msg("link rejected")
 		return
 	}
 	from := &session{mux: mux, peer: peer, streams: open}
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -25,6 +25,7 @@
 	"arbutustrestle/core/spill"
 	"arbutustrestle/io/http1"
 	"arbutustrestle/io/link"
+	"arbutustrestle/io/logs"
 	"arbutustrestle/io/metric"
 	"arbutustrestle/io/relay"
 	"arbutustrestle/io/syncer"
@@ -66,7 +67,7 @@
 	handovers handovers
 	unread    unread.Writes
 	// refusalLines bounds the log lines about refusals.
-	refusalLines refusalSampler
+	refusalLines logs.Sampler
 	// endChecks are the checks under way whether an upstream has ended.
 	endChecks singleflight.Group
 }
@@ -109,13 +110,13 @@
 		}
 		p.Metrics.CountRetry(failure)
 		p.Log.Info().
-			Str("request-id", loggedID(call.ID)).
+			Str("request-id", logs.ShortID(call.ID)).
 			Str("step", failure.Step.String()).
 			Str("reason", failure.Reason.String()).
 			Str("outcome", failure.Outcome.String()).
 			Str("peer", failure.Peer).
 			Str("upstream-version", call.upstreamVersion).
-			Str("last-event", loggedID(call.LastEventID)).
+			Str("last-event", logs.ShortID(call.LastEventID)).
 			Int("sends", call.sends).
 			Msg("request tried again")
 	}
@@ -229,7 +230,7 @@
 		return admitted
 	}
 	line := p.Log.Info().
-		Str("request-id", loggedID(call.ID)).
+		Str("request-id", logs.ShortID(call.ID)).
 		Str("peer", string(lease.Upstream.ID)).
 		Int64("since-last-ms", send.SinceLast.Milliseconds()).
 		Int("region-instances", send.Instances)
--- a/io/proxy/brittle.go
+++ b/io/proxy/brittle.go
@@ -4,6 +4,7 @@
 	"arbutustrestle/core/pool"
 	"arbutustrestle/core/result"
 	"arbutustrestle/io/http1"
+	"arbutustrestle/io/logs"
 )
 
 // recordBrittle records what an answer says of the upstream's brittleness. Like a limit, it
@@ -11,7 +12,7 @@
 func (p *Proxy) recordBrittle(call *Call, lease *pool.Lease, m http1.AnswerMeta) {
 	if m.BrittleError != nil {
 		p.Metrics.Events.Add("brittle-not-valid", 1)
-		p.Log.Error().Err(m.BrittleError).Str("request-id", loggedID(call.ID)).Str("peer", string(lease.Upstream.ID)).Msg("whether an upstream is brittle not read; what it said before holds")
+		p.Log.Error().Err(m.BrittleError).Str("request-id", logs.ShortID(call.ID)).Str("peer", string(lease.Upstream.ID)).Msg("whether an upstream is brittle not read; what it said before holds")
 		return
 	}
 	if !m.Brittle.Named && (m.NotRun || !m.Signed) {
@@ -22,7 +23,7 @@
 	}
 	p.Metrics.Events.Add("brittle-changes", 1)
 	p.Log.Info().
-		Str("request-id", loggedID(call.ID)).
+		Str("request-id", logs.ShortID(call.ID)).
 		Str("peer", string(lease.Upstream.ID)).
 		Bool("brittle", m.Brittle.Named).
 		Float64("rejections-per-second", m.Brittle.PerSecond).
--- a/io/proxy/log_test.go
+++ b/io/proxy/log_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"arbutustrestle/io/logs"
 )
 
 // TestLogLinesAreBounded guards against callers who fill the log with what they choose: an id, a host, a
@@ -72,10 +74,10 @@
 		}
 	}
 	began := time.Now()
-	const requests = 10 * maxRefusalLines
+	const requests = 10 * logs.MaxSampledLines
 	for n := range requests {
 		call("/none/")
-		if n%maxRefusalLines == 0 {
+		if n%logs.MaxSampledLines == 0 {
 			call("/once/")
 		}
 	}
@@ -84,10 +86,10 @@
 	log.mu.Lock()
 	defer log.mu.Unlock()
 	text := log.text.String()
-	if lines := strings.Count(text, "unknown-call"); lines > min(seconds*maxRefusalLines, requests) || lines == 0 {
+	if lines := strings.Count(text, "unknown-call"); lines > min(seconds*logs.MaxSampledLines, requests) || lines == 0 {
 		t.Errorf("%d lines about refusals in %d s", lines, seconds)
 	}
-	if lines := strings.Count(text, "request answered"); lines != requests/maxRefusalLines {
+	if lines := strings.Count(text, "request answered"); lines != requests/logs.MaxSampledLines {
 		t.Errorf("%d lines about answered requests", lines)
 	}
 }
--- a/io/proxy/lost.go
+++ b/io/proxy/lost.go
@@ -13,6 +13,7 @@
 	"arbutustrestle/core/pool"
 	"arbutustrestle/core/reach"
 	"arbutustrestle/core/result"
+	"arbutustrestle/io/logs"
 	"arbutustrestle/io/syncer"
 )
 
@@ -45,7 +46,7 @@
 	syncer.RecordConvictions(p.Log, p.Metrics, changes)
 	p.Metrics.Events.Add("requests-lost-before-answer", 1)
 	p.Log.Warn().
-		Str("request-id", loggedID(call.ID)).
+		Str("request-id", logs.ShortID(call.ID)).
 		Str("peer", string(lease.Upstream.ID)).
 		Int64("waited-ms", p.Clock.Now().Sub(call.Arrived).Milliseconds()).
 		Int("in-flight-there", lease.InFlight).
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -11,6 +11,7 @@
 	"arbutustrestle/core/spec"
 	"arbutustrestle/io/http1"
 	"arbutustrestle/io/link"
+	"arbutustrestle/io/logs"
 	"arbutustrestle/io/relay"
 	"arbutustrestle/io/wire"
 )
@@ -68,7 +69,7 @@
 	}
 	p.recordEnd(call, failure)
 	if err := reply.End(failure); err != nil {
-		p.Log.Debug().Err(err).Str("request-id", loggedID(call.ID)).Str("peer", string(s.Peer.Incarnation.Instance)).Msg("reply not sent")
+		p.Log.Debug().Err(err).Str("request-id", logs.ShortID(call.ID)).Str("peer", string(s.Peer.Incarnation.Instance)).Msg("reply not sent")
 	}
 }
 
--- a/io/proxy/quota.go
+++ b/io/proxy/quota.go
@@ -10,6 +10,7 @@
 	"arbutustrestle/core/ident"
 	"arbutustrestle/core/quota"
 	"arbutustrestle/core/result"
+	"arbutustrestle/io/logs"
 	"arbutustrestle/io/wire"
 )
 
@@ -70,7 +71,7 @@
 			break
 		}
 		p.Metrics.Events.Add("quota-draws-failed", 1)
-		p.Log.Info().Err(err).Str("request-id", loggedID(call.ID)).Str("workspace", string(name)).Str("peer", string(holder)).Msg("quota tokens not drawn; the next instance in rank is asked")
+		p.Log.Info().Err(err).Str("request-id", logs.ShortID(call.ID)).Str("workspace", string(name)).Str("peer", string(holder)).Msg("quota tokens not drawn; the next instance in rank is asked")
 	}
 	return p.Quota.Settle(p.Clock.Now(), name, d, answer)
 }
@@ -88,7 +89,7 @@
 func (p *Proxy) refuseQuota(call *Call, cost float64, r quota.Refused) *result.Failure {
 	after := r.RetryAfter + time.Duration(rand.Float64()*retryAfterJitter*float64(r.RetryAfter))
 	p.Log.Info().
-		Str("request-id", loggedID(call.ID)).
+		Str("request-id", logs.ShortID(call.ID)).
 		Str("workspace", string(call.Workspace.Name)).
 		Float64("cost", cost).
 		Float64("quota-per-second", call.Workspace.Quota.PerSecond).
--- a/io/proxy/record.go
+++ b/io/proxy/record.go
@@ -1,15 +1,14 @@
 package proxy
 
 import (
-	"sync"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
 	"arbutustrestle/core/pool"
 	"arbutustrestle/core/result"
 	"arbutustrestle/io/http1"
+	"arbutustrestle/io/logs"
 )
 
 // recordEnd counts and logs the end of a request.
@@ -24,7 +23,7 @@
 	}
 	line := p.endLogger(call, f).WithLevel(level)
 	p.waiting.recordTail(now, call, f)
-	line = line.Str("request-id", loggedID(call.ID)).Int64("took-ms", elapsed.Milliseconds()).Str("peer", call.peer)
+	line = line.Str("request-id", logs.ShortID(call.ID)).Int64("took-ms", elapsed.Milliseconds()).Str("peer", call.peer)
 	if call.upstreamVersion != "" {
 		line = line.Str("upstream-version", call.upstreamVersion)
 	}
@@ -32,7 +31,7 @@
 		line = line.Int64("queued-ms", call.queued.Milliseconds())
 	}
 	if call.resumedAfter != "" {
-		line = line.Str("resumed-after", loggedID(call.resumedAfter)).Str("resumes", loggedID(call.Resumes))
+		line = line.Str("resumed-after", logs.ShortID(call.resumedAfter)).Str("resumes", logs.ShortID(call.Resumes))
 	}
 	if call.Workspace != nil {
 		line = line.Str("workspace", string(call.Workspace.Name))
@@ -59,28 +58,13 @@
 		Str("reason", f.Reason.String()).
 		Int64("retry-after-ms", f.RetryAfter.Milliseconds()).
 		Bool("begun", call.headSent).
-		AnErr("cause", loggedCause(f.Cause)).
+		AnErr("cause", logs.ShortCause(f.Cause)).
 		Msg("request not answered")
 }
 
-// maxRefusalLines is the number of lines in a second about requests that were refused before an upstream was
-// chosen for them: a crowd causes tens of thousands. Each is counted by its reason.
-const maxRefusalLines = 100
-
-// refusalSampler passes maxRefusalLines in a second. Its zero value is ready to use.
-type refusalSampler struct {
-	once    sync.Once
-	sampler zerolog.BurstSampler
-}
-
-// Sample reports whether a line is logged.
-func (s *refusalSampler) Sample(level zerolog.Level) bool {
-	s.once.Do(func() { s.sampler = zerolog.BurstSampler{Burst: maxRefusalLines, Period: time.Second} })
-	return s.sampler.Sample(level)
-}
-
 // endLogger returns the logger for the end of a request. Refusals that callers may cause in any number, by
-// requests that no route takes, that are no requests or whose body doesn't come, are logged in part.
+// requests that no route takes, that are no requests or whose body doesn't come, are logged in part: each is counted by
+// its reason.
 func (p *Proxy) endLogger(call *Call, f *result.Failure) *zerolog.Logger {
 	if f == nil || f.Step != result.StepIdentify && !call.bodyUnread {
 		return &p.Log
@@ -106,24 +90,6 @@
 		Int("in-flight-there", c.inFlight)
 }
 
-// loggedID shortens an id that a caller or an upstream chose.
-func loggedID(id string) string {
-	return id[:min(len(id), maxLoggedIDBytes)]
-}
-
-// loggedCause shortens an error that may quote what a caller or an upstream sent.
-func loggedCause(err error) error {
-	if err == nil || len(err.Error()) <= maxLoggedCauseBytes {
-		return err
-	}
-	return errors.New(err.Error()[:maxLoggedCauseBytes])
-}
-
-const (
-	maxLoggedIDBytes    = 64
-	maxLoggedCauseBytes = 256
-)
-
 // recordLatencies records the latencies of a request that matched a route.
 func (p *Proxy) recordLatencies(call *Call, took time.Duration) {
 	kind := call.Route.Kind
--- a/io/proxy/selfreport.go
+++ b/io/proxy/selfreport.go
@@ -5,6 +5,7 @@
 
 	"arbutustrestle/core/pool"
 	"arbutustrestle/io/http1"
+	"arbutustrestle/io/logs"
 )
 
 // recordSelfReport records what an answer says of its upstream. What can't be read changes
@@ -25,7 +26,7 @@
 func (p *Proxy) recordLimit(call *Call, lease *pool.Lease, m http1.AnswerMeta) {
 	if m.LimitError != nil {
 		p.Metrics.Events.Add("limits-not-valid", 1)
-		p.Log.Error().Err(m.LimitError).Str("request-id", loggedID(call.ID)).Str("peer", string(lease.Upstream.ID)).Msg("limit of an upstream not read; the one before holds")
+		p.Log.Error().Err(m.LimitError).Str("request-id", logs.ShortID(call.ID)).Str("peer", string(lease.Upstream.ID)).Msg("limit of an upstream not read; the one before holds")
 		return
 	}
 	if !m.Limit.Named && (m.NotRun || !m.Signed) {
@@ -36,7 +37,7 @@
 	}
 	p.Metrics.Events.Add("limit-changes", 1)
 	p.Log.Info().
-		Str("request-id", loggedID(call.ID)).
+		Str("request-id", logs.ShortID(call.ID)).
 		Str("peer", string(lease.Upstream.ID)).
 		Bool("named", m.Limit.Named).
 		Float64("limit-per-second", m.Limit.PerSecond).
@@ -48,20 +49,20 @@
 func (p *Proxy) recordLeaving(call *Call, lease *pool.Lease, m http1.AnswerMeta) {
 	if m.LeavingError != nil {
 		p.Metrics.Events.Add("leaving-not-valid", 1)
-		p.Log.Error().Err(m.LeavingError).Str("request-id", loggedID(call.ID)).Str("peer", string(lease.Upstream.ID)).Msg("whether an upstream leaves not read")
+		p.Log.Error().Err(m.LeavingError).Str("request-id", logs.ShortID(call.ID)).Str("peer", string(lease.Upstream.ID)).Msg("whether an upstream leaves not read")
 	}
 	if !m.Leaving || !lease.ReportLeaving() {
 		return
 	}
 	p.Metrics.Events.Add("upstreams-leaving", 1)
-	p.Log.Info().Str("request-id", loggedID(call.ID)).Str("peer", string(lease.Upstream.ID)).Msg("upstream says that it leaves")
+	p.Log.Info().Str("request-id", logs.ShortID(call.ID)).Str("peer", string(lease.Upstream.ID)).Msg("upstream says that it leaves")
 }
 
 // recordPause records how long an upstream that has refused a request wants none.
 func (p *Proxy) recordPause(call *Call, lease *pool.Lease, m http1.AnswerMeta) {
 	if m.PauseError != nil {
 		p.Metrics.Events.Add("pauses-not-valid", 1)
-		p.Log.Error().Err(m.PauseError).Str("request-id", loggedID(call.ID)).Str("peer", string(lease.Upstream.ID)).Msg("pause of an upstream not read")
+		p.Log.Error().Err(m.PauseError).Str("request-id", logs.ShortID(call.ID)).Str("peer", string(lease.Upstream.ID)).Msg("pause of an upstream not read")
 	}
 	if m.PauseFor <= 0 {
 		return
@@ -69,7 +70,7 @@
 	kept := lease.ReportPause(p.Clock.Now(), m.PauseFor)
 	p.Metrics.Events.Add("upstream-pauses", 1)
 	p.Log.Info().
-		Str("request-id", loggedID(call.ID)).
+		Str("request-id", logs.ShortID(call.ID)).
 		Str("peer", string(lease.Upstream.ID)).
 		Int64("pause-ms", kept.Milliseconds()).
 		Bool("shortened", kept < m.PauseFor.Truncate(time.Millisecond)).
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -16,6 +16,7 @@
 	"arbutustrestle/core/spec"
 	"arbutustrestle/io/guard"
 	"arbutustrestle/io/intake"
+	"arbutustrestle/io/logs"
 	"arbutustrestle/io/strict"
 	"arbutustrestle/io/syncer"
 )
@@ -110,7 +111,7 @@
 	if cause == http.ErrAbortHandler { //nolint:errorlint // It is passed to panic as it is.
 		panic(cause)
 	}
-	guard.Report(p.Log, p.Metrics.Events, "request "+loggedID(call.ID), cause)
+	guard.Report(p.Log, p.Metrics.Events, "request "+logs.ShortID(call.ID), cause)
 	p.conclude(codec, w, call, sink, &result.Failure{Outcome: result.Unknown, Step: result.StepStream, Reason: result.InternalError})
 }
 
@@ -120,7 +121,7 @@
 	p.recordEnd(call, failure)
 	if failure == nil {
 		if err := sink.finish(); err != nil {
-			p.Log.Warn().Err(err).Str("request-id", loggedID(call.ID)).Msg("a whole answer ends with a reset of its connection")
+			p.Log.Warn().Err(err).Str("request-id", logs.ShortID(call.ID)).Msg("a whole answer ends with a reset of its connection")
 		}
 		return
 	}
@@ -154,7 +155,7 @@
 	if r.ContentLength != 0 {
 		// The server reads a body that a refusal leaves unread.
 		if err := control.SetReadDeadline(call.Arrived.Add(unreadBodyTimeout)); err != nil {
-			p.Log.Error().Err(err).Str("request-id", loggedID(call.ID)).Msg("time to read a body not bounded")
+			p.Log.Error().Err(err).Str("request-id", logs.ShortID(call.ID)).Msg("time to read a body not bounded")
 		}
 	}
 	if err != nil {
@@ -188,7 +189,7 @@
 		call.LastEventID = ""
 	}
 	if err := control.SetReadDeadline(call.Deadline); err != nil {
-		p.Log.Error().Err(err).Str("request-id", loggedID(call.ID)).Msg("time to read a body not bounded")
+		p.Log.Error().Err(err).Str("request-id", logs.ShortID(call.ID)).Msg("time to read a body not bounded")
 	}
 	if failure := readBody(call, r, view.Config.Limits.BodyBytes); failure != nil {
 		return failure
@@ -229,7 +230,7 @@
 		deadline = call.Arrived
 	}
 	if err := control.SetReadDeadline(deadline); err != nil {
-		p.Log.Error().Err(err).Str("request-id", loggedID(call.ID)).Msg("time to read a body not bounded")
+		p.Log.Error().Err(err).Str("request-id", logs.ShortID(call.ID)).Msg("time to read a body not bounded")
 	}
 }
 
@@ -265,7 +266,7 @@
 		Step    string `json:"step"`
 	}{f.Reason.String(), f.Outcome.String(), f.Step.String()})
 	if err != nil {
-		p.Log.Error().Err(err).Str("request-id", loggedID(call.ID)).Msg("error answer not encoded")
+		p.Log.Error().Err(err).Str("request-id", logs.ShortID(call.ID)).Msg("error answer not encoded")
 	}
 	if status == http.StatusUnauthorized {
 		h.Set("WWW-Authenticate", "Bearer")
