--- a/io/daemon/parts.go
+++ b/io/daemon/parts.go
@@ -167,6 +167,10 @@
 	Random           *entry.Random
 }
 
+// forwardMemoryPart is the part of limits.requests-bytes that bodies of forwarded requests may take beside
+// callers' requests.
+const forwardMemoryPart = 2
+
 func newEntryServer(p entryServerParams) *entry.Server {
 	c := &entry.Server{
 		Self:             p.Self.Incarnation,
@@ -184,6 +188,8 @@
 		RetryBudget:      p.RetryBudget,
 		Random:           p.Random,
 		Memory:           &memory.Budget{Limit: int64(p.Settings.Limits.RequestsBytes)},
+		ForwardMemory:    &memory.Budget{Limit: int64(p.Settings.Limits.RequestsBytes) / forwardMemoryPart},
+		AnswerMemory:     &memory.Budget{Limit: int64(p.Settings.Limits.AnswersBytes), Free: freeAnswerBytes},
 		ViewsCurrent:     p.Loop.ViewsCurrent,
 		Limits: entry.Limits{
 			BodyBytes:        p.Settings.Limits.BodyBytes,
@@ -192,12 +198,20 @@
 			KeyedAnswerBytes: p.Settings.Limits.AnswerBytes,
 		},
 	}
+	c.AnswerMemory.MakeRoom = c.EndUnread
 	c.Init()
 	p.Loop.OnTableChange(c.CancelDisallowed)
 	return c
 }
 
-func newLinkServer(self link.Identity, l *loop.Loop, r *entry.Records, c *entry.Server, log zerolog.Logger) *link.Server {
+const (
+	// entryLinkPart is the part of limits.connections that links of peers may take beside them.
+	entryLinkPart = 4
+	// minEntryLinks is the least number of links.
+	minEntryLinks = 256
+)
+
+func newLinkServer(settings config.Entry, self link.Identity, l *loop.Loop, r *entry.Records, c *entry.Server, log zerolog.Logger) *link.Server {
 	handler := &loop.Handler{Loop: l, Records: r, Forwards: &entry.ForwardHandler{Server: c}}
-	return &link.Server{Self: self, Handler: handler, Log: log}
+	return &link.Server{Self: self, Handler: handler, Log: log, MaxLinks: max(minEntryLinks, settings.Limits.Connections/entryLinkPart)}
 }
--- a/io/entry/core.go
+++ b/io/entry/core.go
@@ -17,7 +17,9 @@
 	"arbutustrestle/core/share"
 	"arbutustrestle/io/invoke"
 	"arbutustrestle/io/link"
+	"arbutustrestle/io/logs"
 	"arbutustrestle/io/metric"
+	"arbutustrestle/io/unread"
 )
 
 // Views returns the current view. View is called once or more for each request, from many
@@ -59,12 +61,21 @@
 	Random           *Random
 	// Memory is shared by the bodies of callers' requests; a nil one has no bound.
 	Memory *memory.Budget
+	// ForwardMemory is shared by the bodies of requests that other instances forward, apart from Memory:
+	// these can't give way to callers. A nil one has no bound.
+	ForwardMemory *memory.Budget
+	// AnswerMemory is shared by answers that are kept whole, and by relayed ones whose callers don't read. A nil
+	// one has no bound. EndUnread is its MakeRoom hook.
+	AnswerMemory *memory.Budget
 	// ViewsCurrent returns false while the views may be stale after a pause of the process.
 	// It may be nil.
 	ViewsCurrent func() bool
 
 	chain    Next
 	inFlight inFlight
+	unread   unread.Writes
+	// refusalLines bounds the lines about requests that are refused while they are read.
+	refusalLines logs.Sampler
 }
 
 // Init builds the filter chain. It is called once, before the first request.
@@ -98,17 +109,22 @@
 }
 
 // log writes one line for a request. The line holds no content of the request: neither the
-// path, which may hold data, nor the unique part of the key.
+// path, which may hold data, nor the unique part of the key. Refusals that callers may cause in any number are logged
+// in part: each is counted by its reason.
 func (s *Server) log(call *Call, f *result.Failure, took time.Duration) {
-	line := s.Log.Debug()
+	log := s.Log
+	if f != nil && (f.Step == result.StepIdentify || f.Reason == result.UnknownWorkspace) {
+		log = log.Sample(&s.refusalLines)
+	}
+	line := log.Debug()
 	if f != nil {
-		line = s.Log.Info()
+		line = log.Info()
 	}
 	line = line.Str("request-id", call.ID).
-		Str("workspace", string(call.Workspace)).
+		Str("workspace", logs.ShortID(string(call.Workspace))).
 		Str("class", call.Class.String()).
-		Str("model", string(call.Model)).
-		Str("service", string(call.Service)).
+		Str("model", logs.ShortID(string(call.Model))).
+		Str("service", logs.ShortID(string(call.Service))).
 		Int("hops", len(call.Via.Instances)).
 		Int64("took-ms", took.Milliseconds())
 	if f == nil {
@@ -119,7 +135,7 @@
 		Str("step", f.Step.String()).
 		Str("reason", f.Reason.String()).
 		Str("peer", f.Peer).
-		AnErr("cause", f.Cause).
+		AnErr("cause", logs.ShortCause(f.Cause)).
 		Msg("request not answered")
 }
 
--- a/io/link/server.go
+++ b/io/link/server.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"arbutustrestle/io/guard"
+	"arbutustrestle/io/logs"
 	"arbutustrestle/io/wire"
 )
 
@@ -59,9 +60,15 @@
 	// MaxPending is the number of connections whose hello hasn't been received, above which the
 	// oldest is closed. Zero selects defaultMaxPending.
 	MaxPending int
-
-	pending pendingConns
-	work    sync.WaitGroup
+	// MaxLinks is the number of links whose hello has been received, above which one gives way. Zero selects
+	// defaultMaxLinks.
+	MaxLinks int
+
+	pending  pendingConns
+	accepted acceptedLinks
+	// rejections bounds the lines about rejected links.
+	rejections logs.Sampler
+	work       sync.WaitGroup
 }
 
 // Serve accepts links until the listener is closed or the context is done, then waits for
@@ -124,10 +131,14 @@
 	peer, err := s.acceptHello(mux, &limited.hello)
 	notPending()
 	if err != nil {
-		s.Log.Warn().Err(err).Str("step", "hello").Str("peer", conn.RemoteAddr().String()).Msg("link rejected")
+		log := s.Log.Sample(&s.rejections)
+		log.Warn().Err(logs.ShortCause(err)).Str("step", "hello").Str("peer", conn.RemoteAddr().String()).Msg("link rejected")
 		return
 	}
-	s.serveSession(ctx, &session{mux: mux, peer: peer, streams: open})
+	from := &session{mux: mux, peer: peer, streams: open}
+	s.accepted.add(from, cmp.Or(s.MaxLinks, defaultMaxLinks))
+	defer s.accepted.remove(from)
+	s.serveSession(ctx, from)
 }
 
 func (s *Server) acceptHello(mux *yamux.Session, limit *helloLimit) (Identity, error) {
@@ -161,7 +172,7 @@
 		}
 		stream := newStream(conn, from.peer, from.streams)
 		s.work.Go(func() {
-			defer stream.Abort()
+			defer stream.drain()
 			defer guard.Recover(s.Log, s.Events, "stream of "+stream.Peer.Incarnation.String())
 			s.serveStream(ctx, stream)
 		})
