--- a/core/poison/convict.go
+++ b/core/poison/convict.go
@@ -49,10 +49,10 @@
 		d.lost[i].explained = false
 	}
 	var causes []*suspects
+	ends := endIndex{}
 	for _, s := range d.suspects(losses) {
-		likelier := slices.DeleteFunc(slices.Clone(causes), func(cause *suspects) bool { return !cause.likelier(s) })
 		for _, l := range s.losses {
-			l.explained = anyHolds(likelier, l)
+			l.explained = ends.explains(l, s)
 		}
 		c, found := d.convict(s.traits[0], s.losses)
 		if !found {
@@ -62,17 +62,18 @@
 			d.convicted[trait] = c
 		}
 		causes = append(causes, s)
+		ends.add(s)
 	}
 	for i := range d.lost {
 		l := &d.lost[i]
-		l.explained = anyHolds(causes, l)
+		l.explained = ends.explains(l, nil)
 	}
 	for trait := range d.convicted {
 		if d.explainedByRequest(trait, losses[trait]) {
 			delete(d.convicted, trait)
 		}
 	}
-	d.setCompanions(causes)
+	d.setCompanions(causes, ends)
 }
 
 // convict returns the conviction of a trait by the requests that were lost with it. It needs one that
--- a/core/poison/ends.go
+++ b/core/poison/ends.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"iter"
 	"maps"
 	"slices"
 	"time"
@@ -19,6 +20,11 @@
 	// that haven't learnt of it, and those that were under way. At 0.3 and 2 s more sound requests
 	// were refused in simulations.
 	learnTime = time.Second
+	// maxCompanions bounds the companions of a trait. A request that lacks one of them is tried soon.
+	maxCompanions = 64
+	// maxCausesOfSlot bounds the causes that are held of a time at an upstream: those with the most ends,
+	// since the parts of an upstream's lost requests may be thousands.
+	maxCausesOfSlot = 32
 )
 
 // endSet holds when upstreams ended, by the key of the upstream.
@@ -122,22 +128,65 @@
 	return count
 }
 
-// anyHolds reports whether a request was lost with an end with which one of the causes was.
-func anyHolds(causes []*suspects, l *lostRequest) bool {
-	return slices.ContainsFunc(causes, func(cause *suspects) bool { return cause.ends.hold(l) })
+// endIndex holds the ends of causes, so that those of one end are found without looking at all.
+type endIndex map[endSlot][]causeEnd
+
+// endSlot is a time of the length sameEnd at an upstream.
+type endSlot struct {
+	upstream uint32
+	number   int64
 }
 
-// setCompanions sets the companions of the convicted traits among the causes.
-func (d *Detector) setCompanions(causes []*suspects) {
-	for _, s := range causes {
-		var companions []gossip.TraitKey
-		for _, other := range causes {
-			if !slices.ContainsFunc(s.losses, func(l *lostRequest) bool { return !other.ends.hold(l) }) {
-				companions = append(companions, other.traits...)
+type causeEnd struct {
+	cause *suspects
+	at    time.Time
+}
+
+func slotOf(upstream uint32, at time.Time) endSlot {
+	return endSlot{upstream: upstream, number: at.UnixNano() / int64(sameEnd)}
+}
+
+// add adds a cause, after those with more ends.
+func (x endIndex) add(cause *suspects) {
+	for upstream, ends := range cause.ends {
+		for _, at := range ends {
+			slot := slotOf(upstream, at)
+			if len(x[slot]) < maxCausesOfSlot {
+				x[slot] = append(x[slot], causeEnd{cause, at})
 			}
 		}
-		notConvicted := func(trait gossip.TraitKey) bool { _, found := d.convicted[trait]; return !found }
-		companions = slices.DeleteFunc(companions, notConvicted)
+	}
+}
+
+// causes returns the causes that were lost with the end with which a request was. One may come twice.
+func (x endIndex) causes(l *lostRequest) iter.Seq[*suspects] {
+	return func(yield func(*suspects) bool) {
+		slot := slotOf(upstreamOf(l.id), l.at)
+		for _, number := range [...]int64{slot.number - 1, slot.number, slot.number + 1} {
+			for _, e := range x[endSlot{slot.upstream, number}] {
+				if l.at.Sub(e.at).Abs() < sameEnd && !yield(e.cause) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// explains reports whether a request was lost with an end of a cause that is likelier than others; nil for
+// any cause.
+func (x endIndex) explains(l *lostRequest, others *suspects) bool {
+	for cause := range x.causes(l) {
+		if others == nil || cause.likelier(others) {
+			return true
+		}
+	}
+	return false
+}
+
+// setCompanions sets the companions of the convicted traits among the causes.
+func (d *Detector) setCompanions(causes []*suspects, ends endIndex) {
+	for _, s := range causes {
+		companions := d.companions(s, ends)
 		for _, trait := range s.traits {
 			if c, found := d.convicted[trait]; found {
 				c.companions = companions
@@ -146,3 +195,19 @@
 		}
 	}
 }
+
+// companions returns the convicted traits that were lost with the same ends as a cause, up to maxCompanions.
+func (d *Detector) companions(s *suspects, ends endIndex) []gossip.TraitKey {
+	var companions []gossip.TraitKey
+	notConvicted := func(trait gossip.TraitKey) bool { _, found := d.convicted[trait]; return !found }
+	for other := range ends.causes(s.losses[0]) {
+		if slices.ContainsFunc(s.losses, func(l *lostRequest) bool { return !other.ends.hold(l) }) {
+			continue
+		}
+		companions = append(companions, slices.DeleteFunc(slices.Clone(other.traits), notConvicted)...)
+		if len(companions) >= maxCompanions {
+			return companions[:maxCompanions]
+		}
+	}
+	return companions
+}
