--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"net"
-	"net/http"
 	"net/netip"
 	"slices"
 	"sync"
@@ -63,47 +62,10 @@
 	closed  bool
 	// faults holds what the calls on the connection have reported.
 	faults faults
-	// carried holds the ids of the last requests that were sent on the connection, maxCarried at most.
-	carried []string
+	// requests holds those that were sent on the connection.
+	requests carried
 	// vanished is set before the connection is closed because its upstream has vanished.
 	vanished atomic.Bool
-	// heads holds the ids of the requests on the connection whose method is HEAD, maxHeads at most:
-	// a late answer to one has no body.
-	heads []string
-	// refused holds the ids of the last requests that the upstream refused on the connection,
-	// maxRefused at most.
-	refused []string
-}
-
-// maxHeads bounds the requests with the method HEAD on a connection.
-const maxHeads = 64
-
-// recordMethod records the method of a request that is sent next. It returns false if the connection must
-// not be used again, as it would remember too many.
-func (c *conn) recordMethod(requestID, method string) bool {
-	if method == http.MethodHead {
-		c.heads = append(c.heads, requestID)
-	}
-	return len(c.heads) < maxHeads
-}
-
-// methodOf returns a method whose answers end like those of a request that was sent on the connection. An
-// id that is unknown counts as one of a request whose answer may have a body.
-func (c *conn) methodOf(requestID string) string {
-	if slices.Contains(c.heads, requestID) {
-		return http.MethodHead
-	}
-	return http.MethodGet
-}
-
-// maxRefused bounds the refused requests that a connection is kept with.
-const maxRefused = 64
-
-// recordRefusal records that the upstream refused a request. It returns false once there are
-// more than the connection remembers.
-func (c *conn) recordRefusal(requestID string) bool {
-	c.refused = append(c.refused, requestID)
-	return len(c.refused) <= maxRefused
 }
 
 // newConn returns an open connection on which nothing was sent.
@@ -157,7 +119,7 @@
 	defer p.mu.Unlock()
 	list := p.idle[k]
 	for i, c := range slices.Backward(list) {
-		if !slices.Contains(c.refused, requestID) {
+		if !c.requests.hasRefused(requestID) {
 			p.idle[k] = slices.Delete(list, i, i+1)
 			return c
 		}
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -97,8 +97,7 @@
 		c.conns.put(connection, defaultIdleTime)
 		return nil, c.failure(ctx, a, result.NotRun, result.UpstreamChanged, nil)
 	}
-	connection.carry(a.RequestID)
-	reusable := connection.recordMethod(a.RequestID, a.Method)
+	reusable := connection.requests.add(a.RequestID, a.Method)
 	acks := watchAcks(connection, c.conns.clock)
 	stop := context.AfterFunc(ctx, func() {
 		acks.stop()
@@ -294,7 +293,7 @@
 	if !answer.Meta.NotRun && !answer.Meta.Replaced {
 		return answer, nil
 	}
-	if !x.conn.recordRefusal(x.attempt.RequestID) {
+	if !x.conn.requests.addRefused(x.attempt.RequestID) {
 		x.notReusable = true
 	}
 	f := x.client.failure(ctx, x.attempt, result.NotRun, result.UpstreamRefused, nil)
@@ -314,6 +313,9 @@
 
 // discardRefusal reads the body of a refusal and returns the connection to the pool if it is whole.
 func (x *exchange) discardRefusal(answer *Answer) {
+	if answer.Framing == FramedByClose {
+		return
+	}
 	_ = x.conn.SetReadDeadline(time.Now().Add(refusalBodyTime))
 	_, err := io.CopyN(io.Discard, answer.Body, maxDiscardBytes)
 	_ = x.conn.SetReadDeadline(time.Time{})
@@ -375,7 +377,7 @@
 	meta := x.client.Codec.ParseResponse(h.Status, h.Header)
 	frame := h.Frame
 	if meta.RequestID != x.attempt.RequestID {
-		frame = h.FrameOf(x.conn.methodOf(meta.RequestID))
+		frame = h.FrameOf(x.conn.requests.methodOf(meta.RequestID))
 	}
 	answer := &Answer{
 		Status:  h.Status,
@@ -391,7 +393,7 @@
 		answer.events = &event.Scanner{}
 	}
 	answer.Body = &body{
-		ReadCloser: io.NopCloser(x.bodyReader(frame)),
+		ReadCloser: io.NopCloser(x.bodyReader(frame, h.Header)),
 		exchange:   x,
 		framing:    answer.Framing,
 		events:     answer.events,
@@ -402,11 +404,16 @@
 }
 
 // bodyReader returns a reader of the body that follows a head.
-func (x *exchange) bodyReader(f syntax.Frame) io.Reader {
-	if framingOf(f) == FramedByClose {
-		return &strayFilter{reader: f.Body(x.conn.reader), codec: x.client.Codec, ids: x.conn.carried}
+func (x *exchange) bodyReader(f syntax.Frame, h http.Header) io.Reader {
+	if framingOf(f) != FramedByClose || holdsMessages(h) {
+		return f.Body(x.conn.reader)
+	}
+	return &strayFilter{
+		reader:      f.Body(x.conn.reader),
+		setDeadline: x.conn.SetReadDeadline,
+		codec:       x.client.Codec,
+		carried:     x.conn.requests.has,
 	}
-	return f.Body(x.conn.reader)
 }
 
 func isSuccess(status int) bool {
--- a/io/syntax/grammar.go
+++ b/io/syntax/grammar.go
@@ -89,9 +89,9 @@
 	return statusLine{minorVersion: int(line[minorAt] - '0'), status: status}, checkStatus(status)
 }
 
-// parseField splits a field line. A line that begins with a blank, which once continued the line
+// ParseField splits a field line. A line that begins with a blank, which once continued the line
 // before, has no name and is refused (RFC 9112, section 5.2).
-func parseField(line string) (name, value string, err error) {
+func ParseField(line string) (name, value string, err error) {
 	name, value, found := strings.Cut(line, ":")
 	if !found {
 		return "", "", errors.NotValidf("field line %s", quote(line))
--- a/io/syntax/head.go
+++ b/io/syntax/head.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"io"
 	"net/http"
 	"net/textproto"
@@ -51,11 +50,6 @@
 	return ReadHeldHead(r, method, maxBytes, nil)
 }
 
-// ParseHead parses a head that is held whole, as that of an answer to a GET.
-func ParseHead(text []byte) (*Head, error) {
-	return ReadHead(bufio.NewReaderSize(bytes.NewReader(text), len(text)), http.MethodGet, len(text))
-}
-
 // ReadHeldHead is ReadHead for who counts what is held: hold is called before further bytes are. An
 // error of it ends the head.
 func ReadHeldHead(r *bufio.Reader, method string, maxBytes int, hold func(bytes int) error) (*Head, error) {
@@ -183,7 +177,7 @@
 		if err != nil || line == "" {
 			return err
 		}
-		name, value, err := parseField(line)
+		name, value, err := ParseField(line)
 		if err == nil {
 			err = l.take(FieldBytes)
 		}
