--- a/io/invoke/invoke.go
+++ b/io/invoke/invoke.go
@@ -320,6 +320,11 @@
 // checkHead returns a failure if the upstream refused the call, if the response has
 // another request id or none, or if it should be a stream and is not.
 func (r *runner) checkHead(response *http.Response) *result.Failure {
+	isOwn := syntax.Single(response.Header, HeaderRequestID) == r.attempt.RequestID
+	if !isOwn && len(response.Header[HeaderRequestID]) > 0 {
+		// A late answer to an earlier request says nothing of this one, also if it states that nothing ran.
+		return r.failure(result.AnswerMismatch, nil)
+	}
 	// Only an explicit statement of the upstream yields the outcome "not run".
 	if response.Header.Get(HeaderOutcome) == result.NotRun.String() {
 		f := r.failure(result.UpstreamRefused, nil)
@@ -330,7 +335,7 @@
 		}
 		return f
 	}
-	if syntax.Single(response.Header, HeaderRequestID) != r.attempt.RequestID {
+	if !isOwn {
 		return r.failure(result.AnswerMismatch, nil)
 	}
 	if !r.attempt.Streamed {
--- a/io/invoke/no_answer_test.go
+++ b/io/invoke/no_answer_test.go
@@ -135,3 +135,25 @@
 		orders.Close()
 	}
 }
+
+// TestRefusalOfOther guards against a refusal of another request, which comes late on a kept connection and counts
+// as that of the present one, which may have run; and against a refusal that is none since it names its request
+// or no one.
+func TestRefusalOfOther(t *testing.T) {
+	const (
+		id   = "0123456789abcdef0123456789abcdef"
+		line = "Request-Id: " + id + "\r\n"
+	)
+	for lines, notRun := range map[string]bool{line: true, line + line: true, "": true, "Request-Id: 0\r\n": false, line + "Request-Id: 0\r\n": false, "Request-Id:\r\n": false} {
+		t.Run(lines, func(t *testing.T) {
+			t.Parallel()
+			address := startTextUpstream(t, "HTTP/1.1 503 Full\r\n"+lines+"Run-Outcome: not-run\r\nContent-Length: 0\r\n\r\n")
+			client := invoke.NewClient(time.Second, time.Second, maxAnswerBytes)
+			defer client.Close()
+			_, failure := client.Do(t.Context(), &invoke.Attempt{RequestID: id, Upstream: "u", Address: address, Method: http.MethodGet, Path: "/x", Repeatable: true}, &sink{})
+			if failure == nil || (failure.Outcome == result.NotRun) != notRun || notRun != (failure.Reason == result.UpstreamRefused) {
+				t.Errorf("%v", failure)
+			}
+		})
+	}
+}
