--- a/io/http1/body.go
+++ b/io/http1/body.go
@@ -80,6 +80,6 @@
 		reader:      f.Body(x.conn.reader),
 		setDeadline: x.conn.SetReadDeadline,
 		codec:       x.client.Codec,
-		carried:     x.conn.requests.has,
+		requests:    &x.conn.requests,
 	}
 }
--- a/io/http1/carried.go
+++ b/io/http1/carried.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"bytes"
 	"hash/maphash"
 	"net/http"
 	"slices"
@@ -8,7 +9,7 @@
 
 const (
 	// maxCarried bounds the requests on a connection. An answer to any of them may come late.
-	maxCarried = 256
+	maxCarried = 128
 	// maxHeads bounds the requests with the method HEAD on a connection.
 	maxHeads = 64
 	// maxRefused bounds the refused requests that a connection is kept with.
@@ -24,10 +25,21 @@
 	return requestKey(maphash.String(keySeed, requestID))
 }
 
+// startBytes is how much of an id is remembered, for a head that is cut inside it.
+const startBytes = 8
+
+// carriedRequest is what is remembered of a request.
+type carriedRequest struct {
+	key requestKey
+	// start is the beginning of the id, which has idBytes.
+	start   [startBytes]byte
+	idBytes int
+}
+
 // carried holds the requests that a connection has carried. Its zero value holds none.
 type carried struct {
 	// all holds maxCarried requests at most.
-	all []requestKey
+	all []carriedRequest
 	// heads holds those whose method is HEAD, maxHeads at most: a late answer to one has no body.
 	heads []requestKey
 	// refused holds those that the upstream has refused.
@@ -37,15 +49,26 @@
 // add records a request that is sent next. It returns false if the connection must not be used again, as it
 // would remember too many.
 func (c *carried) add(requestID, method string) bool {
-	c.all = append(c.all, keyOf(requestID))
+	request := carriedRequest{key: keyOf(requestID), idBytes: len(requestID)}
+	copy(request.start[:], requestID)
+	c.all = append(c.all, request)
 	if method == http.MethodHead {
-		c.heads = append(c.heads, keyOf(requestID))
+		c.heads = append(c.heads, request.key)
 	}
 	return len(c.all) < maxCarried && len(c.heads) < maxHeads
 }
 
 func (c *carried) has(requestID string) bool {
-	return slices.Contains(c.all, keyOf(requestID))
+	key := keyOf(requestID)
+	return slices.ContainsFunc(c.all, func(r carriedRequest) bool { return r.key == key })
+}
+
+// mayHave reports whether a text may be the beginning of an id.
+func (c *carried) mayHave(text string) bool {
+	start := text[:min(len(text), startBytes)]
+	return slices.ContainsFunc(c.all, func(r carriedRequest) bool {
+		return len(text) <= r.idBytes && bytes.HasPrefix(r.start[:], []byte(start))
+	})
 }
 
 // methodOf returns a method whose answers end like those of a request that was sent on the connection. An
--- a/io/http1/stray.go
+++ b/io/http1/stray.go
@@ -34,9 +34,9 @@
 	reader io.Reader
 	// setDeadline sets the read deadline of the connection; nil if there is none.
 	setDeadline func(time.Time) error
-	// codec reads the id of a head, and carried has those of the requests that the connection has carried.
-	codec   Codec
-	carried func(requestID string) bool
+	// codec reads the id of a head, and requests are those that the connection has carried.
+	codec    Codec
+	requests *carried
 
 	// ready can be returned.
 	ready []byte
@@ -191,7 +191,7 @@
 				kind = s.fieldOf(data[at : at+n])
 			}
 			switch {
-			case kind == idOfCarried, kind == idOfOther && state == lineGoesOn:
+			case kind == idOfCarried:
 				r.found = true
 				return r
 			case state == lineGoesOn:
@@ -285,8 +285,7 @@
 	// noField is also that of the empty line which ends a head.
 	noField fieldKind = iota
 	otherField
-	// idOfOther is that of a request which the connection hasn't carried.
-	idOfOther
+	// idOfCarried is that of a request which the connection has carried.
 	idOfCarried
 )
 
@@ -301,17 +300,15 @@
 	if err != nil {
 		return noField
 	}
-	name = textproto.CanonicalMIMEHeaderKey(name)
-	if ended := line[len(line)-1] == '\n'; ended && !s.carried(value) {
+	isCarried := s.requests.has
+	if line[len(line)-1] != '\n' {
+		isCarried = s.requests.mayHave
+	}
+	if value == "" || !isCarried(value) {
 		return otherField
 	}
-	id := s.codec.ParseResponse(http.StatusOK, http.Header{name: {value}}).RequestID
-	switch {
-	case id == "":
+	if s.codec.ParseResponse(http.StatusOK, http.Header{textproto.CanonicalMIMEHeaderKey(name): {value}}).RequestID != value {
 		return otherField
-	case s.carried(id):
-		return idOfCarried
-	default:
-		return idOfOther
 	}
+	return idOfCarried
 }
--- a/io/http1/stray_test.go
+++ b/io/http1/stray_test.go
@@ -16,6 +16,14 @@
 	"github.com/juju/errors"
 )
 
+func newCarried(requestIDs ...string) *carried {
+	var c carried
+	for _, id := range requestIDs {
+		c.add(id, http.MethodGet)
+	}
+	return &c
+}
+
 // TestAnotherAnswerInBody guards against a body that ends with its connection and holds another answer: that to
 // its request once more, or a late one to an earlier request on the connection. A body that holds other texts
 // of the kind is whole.
@@ -45,6 +53,9 @@
 		"an earlier answer":                 {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nId: earlier\r\n\r\nx", false},
 		"its own answer behind a text":      {"HTTP/1.1 200 HTTP/1.1 HTTP/1.1 200 OK\r\nId: q\r\n\r\nsecond", false},
 		"an answer to a request elsewhere":  {"HTTP/1.1 200 OK\r\nId: elsewhere\r\n\r\n", true},
+		"cut in the id of one elsewhere":    {"HTTP/1.1 200 OK\r\nId: elsewhere", true},
+		"cut behind a longer id":            {"HTTP/1.1 200 OK\r\nId: earlier-still", true},
+		"cut behind an empty id":            {"HTTP/1.1 200 OK\r\nId: ", true},
 		"an answer without an id":           {"HTTP/1.1 200 OK\r\nX: q\r\n\r\n", true},
 		"a text with its id":                {`HTTP/1.1 200 OK", "request": "q"`, true},
 		"a text whose last field is none":   {"HTTP/1.1 200 OK\r\nX: 1\r\nq, Id: q", true},
@@ -87,7 +98,7 @@
 				iotest.OneByteReader(strings.NewReader(body + c.behind)),
 				iotest.DataErrReader(strings.NewReader(body + c.behind)),
 			} {
-				filter := &strayFilter{reader: reader, codec: testCodec{}, carried: func(id string) bool { return id == "earlier" || id == "q" }}
+				filter := &strayFilter{reader: reader, codec: testCodec{}, requests: newCarried("earlier", "q")}
 				data, err := io.ReadAll(filter)
 				if c.whole && (err != nil || string(data) != body+c.behind) {
 					t.Errorf("%.100q, error %v", data, err)
@@ -229,7 +240,7 @@
 // arrives.
 func TestStrayFilterPieces(t *testing.T) {
 	t.Parallel()
-	parts := []string{"HTTP/1.", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 404\n", "Id: q\r\n", "A: 1\r\n", "HTTP/1.1 200 OK", "HTTP/1.1 200", "HTTP/1", "\r\n", "\r\n", "\n", "\r", "Id: q", "Id: other", "Id: ", "q", "A: 1", "text", "Odd Name: 1", "\x01", " ", strings.Repeat("x", maxStrayHeadBytes), strings.Repeat("A: 1\r\n", 400)}
+	parts := []string{"HTTP/1.", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 404\n", "Id: q\r\n", "A: 1\r\n", "HTTP/1.1 200 OK", "HTTP/1.1 200", "HTTP/1", "\r\n", "\r\n", "\n", "\r", "Id: q", "Id: other", "Id: ", "Id: a-long", "Id: a-long-", "-id\r\n", "q", "A: 1", "text", "Odd Name: 1", "\x01", " ", strings.Repeat("x", maxStrayHeadBytes), strings.Repeat("A: 1\r\n", 400)}
 	random := rand.New(rand.NewPCG(1, 2))
 	found := 0
 	for range 3000 {
@@ -240,7 +251,7 @@
 		text := b.String()
 		read := func(r io.Reader) (string, error) {
 			deadline := func(time.Time) error { return nil }
-			data, err := io.ReadAll(&strayFilter{reader: r, setDeadline: deadline, codec: testCodec{}, carried: func(id string) bool { return id == "q" }})
+			data, err := io.ReadAll(&strayFilter{reader: r, setDeadline: deadline, codec: testCodec{}, requests: newCarried("q", "a-long-id")})
 			return string(data), err
 		}
 		want, wantErr := read(strings.NewReader(text))
