--- a/io/http1/stray.go
+++ b/io/http1/stray.go
@@ -86,12 +86,12 @@
 
 // fill reads once, into a buffer that what can be returned may share.
 func (s *strayFilter) fill(p []byte) {
-	n, late, err := s.read(p)
-	s.err = err
-	data := p[:n]
-	if len(s.kept) > 0 {
-		data = append(s.kept, data...)
+	if len(p) < 2*len(s.kept) {
+		p = make([]byte, 2*len(s.kept))
 	}
+	n, late, err := s.read(p[copy(p, s.kept):])
+	s.err = err
+	data := p[:len(s.kept)+n]
 	next := s.scan(data, errors.Is(err, io.EOF))
 	switch {
 	case next.found:
@@ -113,7 +113,7 @@
 
 // keep keeps the end of data.
 func (s *strayFilter) keep(data []byte, r scanResult) {
-	s.kept, s.returned = bytes.Clone(data[r.keepFrom:]), r.returned
+	s.kept, s.returned = append(s.kept[:0], data[r.keepFrom:]...), r.returned
 	s.lineFrom, s.place = r.lineFrom-r.keepFrom, r.place
 }
 
@@ -296,8 +296,8 @@
 		// No line that goes on as long is kept.
 		return otherField
 	}
-	name, value, err := syntax.ParseField(string(bytes.TrimRight(line, "\r\n")))
-	if err != nil {
+	name, value, valid := syntax.SplitField(string(bytes.TrimRight(line, "\r\n")))
+	if !valid {
 		return noField
 	}
 	isCarried := s.requests.has
--- a/io/syntax/grammar.go
+++ b/io/syntax/grammar.go
@@ -89,14 +89,23 @@
 	return statusLine{minorVersion: int(line[minorAt] - '0'), status: status}, checkStatus(status)
 }
 
-// ParseField splits a field line. A line that begins with a blank, which once continued the line
+// parseField splits a field line. A line that begins with a blank, which once continued the line
 // before, has no name and is refused (RFC 9112, section 5.2).
-func ParseField(line string) (name, value string, err error) {
+func parseField(line string) (name, value string, err error) {
 	name, value, found := strings.Cut(line, ":")
 	if !found {
 		return "", "", errors.NotValidf("field line %s", quote(line))
 	}
-	return name, strings.Trim(value, " \t"), checkField(name, value)
+	value = strings.Trim(value, " \t")
+	return name, value, checkField(name, value)
+}
+
+// SplitField is parseField for who doesn't need to know what is wrong with a line: an error costs much more
+// than the check.
+func SplitField(line string) (name, value string, valid bool) {
+	name, value, found := strings.Cut(line, ":")
+	value = strings.Trim(value, " \t")
+	return name, value, found && isToken(name) && isText(value)
 }
 
 // Frame is how the end of an answer's body is found (RFC 9112, section 6.3). Without chunks and
--- a/io/syntax/head.go
+++ b/io/syntax/head.go
@@ -177,7 +177,7 @@
 		if err != nil || line == "" {
 			return err
 		}
-		name, value, err := ParseField(line)
+		name, value, err := parseField(line)
 		if err == nil {
 			err = l.take(FieldBytes)
 		}
