--- a/io/http1/each_byte_test.go
+++ b/io/http1/each_byte_test.go
@@ -28,6 +28,8 @@
 	toClose bool
 	bytes   int
 	end     answerEnd
+	// upload is set if the request is long and isn't read, so that each end is a reset.
+	upload bool
 }
 
 func (a cutAnswer) text(id string) string {
@@ -38,6 +40,8 @@
 func (a cutAnswer) whole(id string) (may, must bool) {
 	left := len(a.text(id)) - a.bytes
 	switch {
+	case a.upload:
+		return left == 0 && !a.toClose, false
 	case a.end == pauses:
 		return true, true
 	case a.toClose:
@@ -49,6 +53,11 @@
 	}
 }
 
+func (a cutAnswer) withUpload() cutAnswer {
+	a.upload = true
+	return a
+}
+
 // play sends the answer.
 func (a cutAnswer) play(c *net.TCPConn, id string) bool {
 	text := a.text(id)
@@ -67,7 +76,8 @@
 }
 
 // TestEndAtEachByte guards against an answer that counts as whole though its connection was reset, or ended inside
-// of it, and against one that doesn't since it came in two pieces: at each of its bytes, in each framing.
+// of it, and against one that doesn't since it came in two pieces: at each of its bytes, in each framing, also while
+// a long request is being written.
 func TestEndAtEachByte(t *testing.T) {
 	t.Parallel()
 	const (
@@ -89,6 +99,9 @@
 			for _, end := range []answerEnd{endsInOrder, resets, resetsLater, pauses} {
 				a.bytes, a.end = n, end
 				answers = append(answers, a)
+				if end != pauses {
+					answers = append(answers, a.withUpload())
+				}
 			}
 		}
 	}
@@ -97,6 +110,7 @@
 		return answers[n].play(c, id)
 	})
 	client := newClient()
+	upload := make([]byte, longBodyBytes)
 	turns := make(chan int)
 	var callers sync.WaitGroup
 	for range together {
@@ -105,10 +119,13 @@
 				id := fmt.Sprintf("%0*d", idBytes, n)
 				a := attempt(u, id)
 				a.NewConnection = true
+				if answers[n].upload {
+					a.Body = upload
+				}
 				body, failure, err := send(t, client, a)
 				got := failure == nil && err == nil
 				if may, must := answers[n].whole(id); got && !may || must && !got {
-					t.Errorf("%d bytes of %q, end %d: whole %v, body %q, failure %v, error %v", answers[n].bytes, answers[n].text(id), answers[n].end, got, body, failure, err)
+					t.Errorf("%d bytes of %q, end %d, upload %v: whole %v, body %q, failure %v, error %v", answers[n].bytes, answers[n].text(id), answers[n].end, answers[n].upload, got, body, failure, err)
 				}
 			}
 		})
