--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -97,8 +97,7 @@
 		c.conns.put(connection, defaultIdleTime)
 		return nil, c.failure(ctx, a, result.NotRun, result.UpstreamChanged, nil)
 	}
-	connection.carry(a.RequestID)
-	reusable := connection.recordMethod(a.RequestID, a.Method)
+	reusable := connection.requests.add(a.RequestID, a.Method)
 	acks := watchAcks(connection, c.conns.clock)
 	stop := context.AfterFunc(ctx, func() {
 		acks.stop()
@@ -294,7 +293,7 @@
 	if !answer.Meta.NotRun && !answer.Meta.Replaced {
 		return answer, nil
 	}
-	if !x.conn.recordRefusal(x.attempt.RequestID) {
+	if !x.conn.requests.addRefused(x.attempt.RequestID) {
 		x.notReusable = true
 	}
 	f := x.client.failure(ctx, x.attempt, result.NotRun, result.UpstreamRefused, nil)
@@ -314,6 +313,9 @@
 
 // discardRefusal reads the body of a refusal and returns the connection to the pool if it is whole.
 func (x *exchange) discardRefusal(answer *Answer) {
+	if answer.Framing == FramedByClose {
+		return
+	}
 	_ = x.conn.SetReadDeadline(time.Now().Add(refusalBodyTime))
 	_, err := io.CopyN(io.Discard, answer.Body, maxDiscardBytes)
 	_ = x.conn.SetReadDeadline(time.Time{})
@@ -375,7 +377,7 @@
 	meta := x.client.Codec.ParseResponse(h.Status, h.Header)
 	frame := h.Frame
 	if meta.RequestID != x.attempt.RequestID {
-		frame = h.FrameOf(x.conn.methodOf(meta.RequestID))
+		frame = h.FrameOf(x.conn.requests.methodOf(meta.RequestID))
 	}
 	answer := &Answer{
 		Status:  h.Status,
@@ -391,7 +393,7 @@
 		answer.events = &event.Scanner{}
 	}
 	answer.Body = &body{
-		ReadCloser: io.NopCloser(x.bodyReader(frame)),
+		ReadCloser: io.NopCloser(x.bodyReader(frame, h.Header)),
 		exchange:   x,
 		framing:    answer.Framing,
 		events:     answer.events,
@@ -401,14 +403,6 @@
 	return answer, nil
 }
 
-// bodyReader returns a reader of the body that follows a head.
-func (x *exchange) bodyReader(f syntax.Frame) io.Reader {
-	if framingOf(f) == FramedByClose {
-		return &strayFilter{reader: f.Body(x.conn.reader), codec: x.client.Codec, ids: x.conn.carried}
-	}
-	return f.Body(x.conn.reader)
-}
-
 func isSuccess(status int) bool {
 	return status >= 200 && status < 300
 }
@@ -433,66 +427,6 @@
 	return defaultIdleTime
 }
 
-// body is the body of an answer. Close returns the connection to the pool if the answer
-// is whole and no data follows it.
-type body struct {
-	io.ReadCloser
-	exchange *exchange
-	framing  Framing
-	// events is nil if the body is no stream of events.
-	events *event.Scanner
-	// end is the watch of a body that ends with its connection; nil for others.
-	end      *endWatch
-	idleTime time.Duration
-	// read is the number of bytes that were read.
-	read   int64
-	whole  bool
-	closed bool
-}
-
-// Read marks the body as whole at its proper end.
-func (b *body) Read(p []byte) (int, error) {
-	if b.whole {
-		return 0, io.EOF
-	}
-	n, err := b.end.read(b.ReadCloser, p)
-	b.read += int64(n)
-	if b.read > maxBodyBytes {
-		return n, ErrTooLarge
-	}
-	if b.events != nil {
-		b.events.Add(p[:n])
-	}
-	if !errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
-		return n, err
-	}
-	if b.events != nil {
-		if err := checkEventEnd(b.framing, b.events); err != nil {
-			return n, err
-		}
-	}
-	if err := b.end.check(); err != nil {
-		return n, err
-	}
-	b.whole = true
-	return n, io.EOF
-}
-
-// Close ends the exchange.
-func (b *body) Close() error {
-	if b.closed {
-		return nil
-	}
-	b.closed = true
-	b.end.release()
-	if b.whole && b.idleTime > 0 {
-		b.exchange.release(b.idleTime)
-		return nil
-	}
-	b.exchange.discard()
-	return nil
-}
-
 // release returns the connection to the pool if the request was written completely and isn't known to
 // be on its way. After an early answer it closes the connection, since the upstream may still be
 // reading the body of the request.
