--- a/io/link/drain_test.go
+++ b/io/link/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/netip"
 	"strings"
@@ -45,7 +46,7 @@
 	if err := stream.Receive(&verdict); err != nil || verdict.GetRequestId() != "r" {
 		t.Errorf("verdict %v, error %v", &verdict, err)
 	}
-	if err := stream.Receive(&verdict); err != io.EOF {
+	if err := stream.Receive(&verdict); !errors.Is(err, io.EOF) {
 		t.Errorf("after the verdict: %v", err)
 	}
 	// The server doesn't wait for peers that keep their end open.
