--- a/core/fetch/remote.go
+++ b/core/fetch/remote.go
@@ -9,8 +9,13 @@
 	"arbutustrestle/core/table"
 )
 
-// remoteRetry is the time between two reads from the same instance of another region.
-const remoteRetry = time.Second
+const (
+	// remoteRetry is the time between two reads from the same instance of another region.
+	remoteRetry = time.Second
+	// remoteAnswerTime is how long a start waits for the answer of another region whose summary
+	// has arrived. A summary that was under way may be older than the table of its region.
+	remoteAnswerTime = 2 * remoteRetry
+)
 
 // remoteState holds the answers of other regions to a starting instance without peers.
 // Their summaries may arrive too late: they are sent some seconds apart, and not to an
@@ -63,15 +68,25 @@
 	s.addRemotePeers()
 }
 
-// addRemotePeers adds the instances of other regions to the peers during the start.
+// addRemotePeers adds the instances of other regions to the peers during the start, with the
+// revisions that they answered. The summary of a region may have named one with an older table.
 func (s *State) addRemotePeers() {
 	if s.ready {
 		return
 	}
+	s.peers = slices.Clone(s.peers)
 	for _, p := range s.remote.peers {
-		present := slices.ContainsFunc(s.peers, func(other Peer) bool { return other.Instance == p.Instance })
-		if !present {
-			s.peers = append(slices.Clip(s.peers), p)
+		i := slices.IndexFunc(s.peers, func(other Peer) bool { return other.Instance == p.Instance })
+		if i < 0 {
+			s.peers = append(s.peers, p)
+		} else if s.peers[i].Revisions.Table < p.Revisions.Table {
+			s.peers[i] = p
 		}
 	}
 }
+
+// regionsAnswered reports whether other regions have told the revision of their table, if there are any.
+func (s *State) regionsAnswered() bool {
+	waits := s.alone && len(s.remote.instances) > 0 && s.now.Sub(s.startedAt) < remoteAnswerTime
+	return s.remote.answered || s.regionsFresh && !waits
+}
--- a/core/fetch/start_test.go
+++ b/core/fetch/start_test.go
@@ -16,19 +16,25 @@
 // another region has answered.
 func TestStartWithStalePlatform(t *testing.T) {
 	const startTimeout = 4 * time.Second
+	// failTime is how long reads from other instances fail, where the first do.
+	const failTime = 2 * member.TickInterval
 	newer := member.Revisions{Table: 2, Entries: 7}
 	cases := map[string]struct {
 		members fetch.Membership
 		// waits is set when the instance must not become ready before startTimeout.
 		waits bool
+		// failsFirst is set if the first reads from other instances fail.
+		failsFirst bool
 	}{
-		"alone":                                            {fetch.Membership{}, false},
-		"peer that is not usable yet":                      {fetch.Membership{ExpectedPeers: 1, Peers: []fetch.Peer{{Instance: "entry-2", Zone: "west-1", Revisions: newer}}}, true},
-		"expected peer without a heartbeat":                {fetch.Membership{ExpectedPeers: 1}, true},
-		"region without a fresh summary":                   {fetch.Membership{ListedRegions: 1}, true},
-		"instance of another region without a newer table": {fetch.Membership{ListedRegions: 1, RemoteEntries: []ident.Instance{"south-1"}}, false},
-		"instance of another region with a newer table":    {fetch.Membership{ListedRegions: 1, RemoteEntries: []ident.Instance{"north-1"}}, false},
-		"region with a fresh summary":                      {fetch.Membership{ListedRegions: 1, FreshRegions: 1, Peers: []fetch.Peer{{Instance: "north-1", Zone: "north-1", Usable: true, Remote: true, Revisions: member.Revisions{Table: 2}}}}, false},
+		"alone":                                            {fetch.Membership{}, false, false},
+		"peer that is not usable yet":                      {fetch.Membership{ExpectedPeers: 1, Peers: []fetch.Peer{{Instance: "entry-2", Zone: "west-1", Revisions: newer}}}, true, false},
+		"expected peer without a heartbeat":                {fetch.Membership{ExpectedPeers: 1}, true, false},
+		"region without a fresh summary":                   {fetch.Membership{ListedRegions: 1}, true, false},
+		"instance of another region without a newer table": {fetch.Membership{ListedRegions: 1, RemoteEntries: []ident.Instance{"south-1"}}, false, false},
+		"instance of another region with a newer table":    {fetch.Membership{ListedRegions: 1, RemoteEntries: []ident.Instance{"north-1"}}, false, false},
+		"region with a fresh summary":                      {fetch.Membership{ListedRegions: 1, FreshRegions: 1, Peers: []fetch.Peer{{Instance: "north-1", Zone: "north-1", Usable: true, Remote: true, Revisions: member.Revisions{Table: 2}}}}, false, false},
+		"fresh summary from before the newer table":        {fetch.Membership{ListedRegions: 1, FreshRegions: 1, Peers: []fetch.Peer{{Instance: "north-1", Zone: "north-1", Usable: true, Remote: true, Revisions: member.Revisions{Table: 1}}}, RemoteEntries: []ident.Instance{"north-1"}}, false, true},
+		"fresh summary, a silent instance of the region":   {fetch.Membership{ListedRegions: 1, FreshRegions: 1, Peers: []fetch.Peer{{Instance: "south-1", Zone: "south-1", Usable: true, Remote: true, Revisions: member.Revisions{Table: 1}}}, RemoteEntries: []ident.Instance{silent}}, false, false},
 	}
 	for name, c := range cases {
 		platform := map[fetch.Key]fetch.Value{}
@@ -46,8 +52,12 @@
 				event := events[0]
 				events = events[1:]
 				for _, action := range s.Step(now, event) {
-					if ask, ok := action.(fetch.ReadPeer); ok {
-						events = append(events, answerRemote(ask, north))
+					if ask, ok := action.(fetch.ReadPeer); ok && ask.Instance != silent {
+						answer := answerRemote(ask, north)
+						if c.failsFirst && now.Sub(start) < failTime {
+							answer = fetch.PeerFailed{Instance: ask.Instance, Key: ask.Key}
+						}
+						events = append(events, answer)
 					}
 					if read, ok := action.(fetch.ReadPlatform); ok && read.Wait == 0 {
 						value, found := platform[read.Key]
@@ -69,6 +79,9 @@
 	}
 }
 
+// silent is an instance that doesn't answer.
+const silent = "silent-1"
+
 // answerRemote answers a read from north-1 with its values; other peers have none.
 func answerRemote(ask fetch.ReadPeer, north map[fetch.Key]fetch.Value) fetch.Event {
 	value, found := north[ask.Key]
--- a/core/fetch/state.go
+++ b/core/fetch/state.go
@@ -297,7 +297,7 @@
 		return
 	}
 	platformAnswered := s.allWatchesAnswered()
-	peersAnswered := s.membershipCurrent && s.localPeers >= s.expectedPeers && (s.regionsFresh || s.remote.answered)
+	peersAnswered := s.membershipCurrent && s.localPeers >= s.expectedPeers && s.regionsAnswered()
 	timedOut := s.startTimedOut()
 	answered := platformAnswered && peersAnswered
 	if !timedOut && !answered {
