--- a/io/http1/bounds.go
+++ b/io/http1/bounds.go
@@ -13,7 +13,8 @@
 	// maxHeadBytes bounds the heads of all answers that are read for one request, with the
 	// late answers to other requests that come before its own.
 	maxHeadBytes = 64 << 10
-	// maxLateBytes bounds the body of a late answer to another request.
+	// maxLateBytes bounds the body of a late answer to another request, with the framing of its chunks: chunks of
+	// a byte are six times as long.
 	maxLateBytes = 1 << 20
 	// maxBodyBytes bounds the body of an answer.
 	maxBodyBytes = 256 << 20
--- a/io/http1/endless_test.go
+++ b/io/http1/endless_test.go
@@ -115,3 +115,23 @@
 		})
 	}
 }
+
+// TestLongLateAnswer guards against cutting off the answer to a request since a long late answer to an
+// earlier one comes before it.
+func TestLongLateAnswer(t *testing.T) {
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", 1<<10, strings.Repeat("z", 1<<10))
+	for name, late := range map[string]string{
+		"length": fmt.Sprintf("Content-Length: %d\r\n\r\n%s", maxLateBytes, strings.Repeat("z", maxLateBytes)),
+		"chunks": "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat(chunk, maxLateBytes/len(chunk)-1) + "0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := startUpstream(t, func(conn *net.TCPConn, _ *http.Request, id string) bool {
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: 0\r\n%sHTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 3\r\n\r\nown", late, id)
+				return true
+			})
+			if body, failure, err := send(t, newClient(), attempt(u, "1")); failure != nil || err != nil || body != "own" {
+				t.Errorf("%.100q, failure %v, error %v", body, failure, err)
+			}
+		})
+	}
+}
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -238,6 +238,7 @@
 		if answer.Meta.RequestID == "" || answer.Framing == FramedByClose {
 			return nil, x.client.failure(ctx, x.attempt, result.Unknown, result.AnswerMismatch, errors.New("answer without the id of the request"))
 		}
+		x.conn.bounded.left = maxLateBytes
 		if err := discardLate(answer); err != nil {
 			return nil, x.readFailure(ctx, err)
 		}
